--- /dev/null
+++ b/internal/effect/effect.go
@@ -0,0 +1,133 @@
+// Package effect defines the events that enter the control loop of a daemon and the effects that leave it. Decision code
+// maps events to effects; internal/control performs the effects and returns their results as events.
+package effect
+
+import (
+	"sniperail.example/sniperail/internal/message"
+	"sniperail.example/sniperail/internal/model"
+	"sniperail.example/sniperail/internal/store"
+)
+
+// RequestID correlates a Send or StoreCall with its result. Each daemon counts its own.
+type RequestID uint64
+
+// Token correlates a received request with its Reply.
+type Token uint64
+
+// Event is an input of the control loop.
+type Event interface{ event() }
+
+// Effect is an output of the control loop.
+type Effect interface{ effect() }
+
+type (
+	// Wake fires when the time that the core asked for has come.
+	Wake struct{}
+	// Received is a request from a peer; answer it with a Reply effect.
+	Received struct {
+		Token Token
+		Body  message.Request
+	}
+	// SendDone ends a Send. Reply is nil if the peer could not be reached or did not answer in time.
+	SendDone struct {
+		Request RequestID
+		Reply   message.Reply
+	}
+	// StoreDone ends a StoreCall.
+	StoreDone struct {
+		Request RequestID
+		Result  store.Result
+	}
+	// Watched is a change of a watched key.
+	Watched struct {
+		Key   string
+		Event store.WatchEvent
+	}
+	// Observed is a batch of request outcomes from the traffic goroutines.
+	Observed struct{ Sums []model.KeyedSum }
+	// TargetChanged reports the state of the target beside this daemon.
+	TargetChanged struct{ State model.TargetState }
+	// Submitted is an operator's command; answer it with an Answer effect.
+	Submitted struct {
+		Token   Token
+		By      string
+		Command any
+	}
+	// Inspect asks for a status; answer it with an Inspected effect.
+	Inspect struct{ Token Token }
+)
+
+type (
+	// Send sends a request to the peer at Address.
+	Send struct {
+		Request RequestID
+		Address string
+		Body    message.Request
+	}
+	// Reply answers a Received event.
+	Reply struct {
+		Token Token
+		Body  message.Reply
+	}
+	// StoreCall performs a call to the platform's service.
+	StoreCall struct {
+		Request RequestID
+		Call    store.Call
+	}
+	// Watch starts to watch a key after a revision, in place of a running watch on the same key.
+	Watch struct {
+		Key   string
+		After int64
+	}
+	// Unwatch ends the watch on a key.
+	Unwatch struct{ Key string }
+	// Publish swaps the view that traffic goroutines read.
+	Publish struct{ View *model.View }
+	// Answer ends a Submitted command.
+	Answer struct {
+		Token   Token
+		Outcome model.Outcome
+	}
+	// Inspected ends an Inspect.
+	Inspected struct {
+		Token  Token
+		Status *message.StatusReply
+	}
+	// Log writes one line.
+	Log struct {
+		Event  string
+		Fields []Field
+	}
+	// Count adds one to a counter, labelled by its reason.
+	Count struct {
+		Counter string
+		Reason  string
+	}
+)
+
+// Field is one key=value pair of a log line.
+type Field struct {
+	Key   string
+	Value string
+}
+
+func (Wake) event()          {}
+func (Received) event()      {}
+func (SendDone) event()      {}
+func (StoreDone) event()     {}
+func (Watched) event()       {}
+func (Observed) event()      {}
+func (TargetChanged) event() {}
+func (Submitted) event()     {}
+func (Inspect) event()       {}
+
+func (Send) effect()      {}
+func (Reply) effect()     {}
+func (StoreCall) effect() {}
+func (Watch) effect()     {}
+func (Unwatch) effect()   {}
+func (Publish) effect()   {}
+func (Answer) effect()    {}
+func (Inspected) effect() {}
+func (Log) effect()       {}
+func (Count) effect()     {}
--- /dev/null
+++ b/internal/model/configuration.go
@@ -0,0 +1,129 @@
+package model
+
+import "time"
+
+// MaxDocumentBytes is the largest value that the platform's key-value service stores.
+const MaxDocumentBytes = 1 << 20
+
+// Configuration is the one document that operators change. It is immutable once built: Clone before a change.
+type Configuration struct {
+	Number    Number       `json:"number"`
+	Services  []Service    `json:"services"`
+	Routes    []Route      `json:"routes"`
+	Moves     []Move       `json:"moves,omitempty"`
+	Withdrawn []VersionRef `json:"withdrawn,omitempty"`
+	Dashboard *Dashboard   `json:"dashboard,omitempty"`
+	Events    []MoveEvent  `json:"events,omitempty"`
+	LastEvent uint64       `json:"lastEvent,omitempty"`
+	LastWrite WriteStamp   `json:"lastWrite"`
+	Recent    []WriteStamp `json:"recent,omitempty"`
+}
+
+// WriteStamp identifies the write that produced a configuration number. A writer whose answer was lost looks for its
+// ID in Configuration.Recent to learn whether the write took effect.
+type WriteStamp struct {
+	ID     string    `json:"id"`
+	By     string    `json:"by"`
+	At     time.Time `json:"at"`
+	Number Number    `json:"number"`
+}
+
+// Service is a set of versions and the share of calls that each receives.
+type Service struct {
+	Name      ServiceName    `json:"name"`
+	Customer  string         `json:"customer,omitempty"`
+	Versions  []VersionShare `json:"versions"`
+	DependsOn []ServiceName  `json:"dependsOn,omitempty"`
+	// Changed is the configuration number of the last change that affects this service or one of its routes.
+	Changed Number `json:"changed,omitempty"`
+}
+
+// VersionShare is the share of a service's calls that one version receives. The shares of a service sum to FullShare.
+type VersionShare struct {
+	Version VersionName `json:"version"`
+	Share   Share       `json:"share"`
+}
+
+// Route maps requests to a service by the longest matching path prefix.
+type Route struct {
+	Name       RouteName   `json:"name"`
+	Service    ServiceName `json:"service"`
+	PathPrefix string      `json:"pathPrefix"`
+	// Methods limits the route to these HTTP methods; empty means all.
+	Methods []string `json:"methods,omitempty"`
+	// Idempotent allows retries of methods that HTTP does not define as idempotent.
+	Idempotent bool `json:"idempotent,omitempty"`
+	// Once makes each identified request run at most once.
+	Once *Once `json:"once,omitempty"`
+	// TimeoutMS is the total deadline of a call in milliseconds; 0 means DefaultTimeoutMS.
+	TimeoutMS int `json:"timeoutMs,omitempty"`
+}
+
+// DefaultTimeoutMS is the total deadline of a call on a route that sets none.
+const DefaultTimeoutMS = 5_000
+
+// Once says how a request on a non-idempotent route is identified.
+type Once struct {
+	// Header names the request header that carries the identity; empty means Idempotency-Key.
+	Header string `json:"header,omitempty"`
+	// DigestFields names JSON fields of the body whose digest identifies the request when the header is missing.
+	DigestFields []string `json:"digestFields,omitempty"`
+	// WindowSeconds is how long two requests with the same digest are the same request.
+	WindowSeconds int `json:"windowSeconds,omitempty"`
+}
+
+// Dashboard lets operators keep the metric names and labels of their existing dashboards.
+type Dashboard struct {
+	MoveMetric string            `json:"moveMetric,omitempty"`
+	Labels     map[string]string `json:"labels,omitempty"`
+}
+
+// Service returns the named service, or nil.
+func (c *Configuration) Service(name ServiceName) *Service {
+	for i := range c.Services {
+		if c.Services[i].Name == name {
+			return &c.Services[i]
+		}
+	}
+	return nil
+}
+
+// Move returns the move with the given plan ID, or nil.
+func (c *Configuration) Move(id PlanID) *Move {
+	for i := range c.Moves {
+		if c.Moves[i].ID == id {
+			return &c.Moves[i]
+		}
+	}
+	return nil
+}
+
+// ActiveMove returns the unfinished move of a service, or nil. A service has at most one.
+func (c *Configuration) ActiveMove(service ServiceName) *Move {
+	for i := range c.Moves {
+		if c.Moves[i].Service == service && c.Moves[i].Phase.Active() {
+			return &c.Moves[i]
+		}
+	}
+	return nil
+}
+
+// IsWithdrawn reports whether a version is in the withdrawn list.
+func (c *Configuration) IsWithdrawn(ref VersionRef) bool {
+	for _, w := range c.Withdrawn {
+		if w == ref {
+			return true
+		}
+	}
+	return false
+}
+
+// Version returns the share entry of a version, or nil.
+func (s *Service) Version(name VersionName) *VersionShare {
+	for i := range s.Versions {
+		if s.Versions[i].Version == name {
+			return &s.Versions[i]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/model/evidence.go
@@ -0,0 +1,71 @@
+package model
+
+import (
+	"math"
+	"time"
+)
+
+// OutcomeKey identifies a sum of request outcomes.
+type OutcomeKey struct {
+	Service ServiceName
+	Route   RouteName
+	Version VersionName
+}
+
+const (
+	// LatencyBuckets is the number of latency buckets in an OutcomeSum.
+	LatencyBuckets = 24
+	// latencyBase is the upper bound of the first bucket.
+	latencyBase = 250 * time.Microsecond
+	// latencyGrowth is the ratio of neighbouring bucket bounds; 24 buckets then reach about 11 s.
+	latencyGrowth = 1.6
+)
+
+// OutcomeSum sums the outcomes of calls as their callers saw them. Refusals before execution and calls that the caller
+// cancelled are not counted, since they say nothing about the version.
+type OutcomeSum struct {
+	Calls    uint32
+	Failures uint32
+	// Latency counts calls by bucket, see LatencyBucket.
+	Latency [LatencyBuckets]uint32
+}
+
+// LatencyBucket returns the bucket of a latency.
+func LatencyBucket(d time.Duration) int {
+	if d <= latencyBase {
+		return 0
+	}
+	b := int(math.Ceil(math.Log(float64(d)/float64(latencyBase)) / math.Log(latencyGrowth)))
+	return min(b, LatencyBuckets-1)
+}
+
+// Add adds another sum.
+func (s *OutcomeSum) Add(o OutcomeSum) {
+	s.Calls += o.Calls
+	s.Failures += o.Failures
+	for i := range s.Latency {
+		s.Latency[i] += o.Latency[i]
+	}
+}
+
+// Observe adds one call.
+func (s *OutcomeSum) Observe(failed bool, latency time.Duration) {
+	s.Calls++
+	if failed {
+		s.Failures++
+	}
+	s.Latency[LatencyBucket(latency)]++
+}
+
+// KeyedSum is an OutcomeSum with its key.
+type KeyedSum struct {
+	OutcomeKey
+	OutcomeSum
+}
+
+// Evidence is the outcomes that the daemons of one data centre reported for one window.
+type Evidence struct {
+	DataCentre DataCentre
+	From, To   time.Time
+	Sums       []KeyedSum
+}
--- /dev/null
+++ b/internal/telemetry/metrics.go
@@ -0,0 +1,86 @@
+package telemetry
+
+import (
+	"context"
+	"net/http"
+	"sync"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
+	otelprometheus "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
+)
+
+// Metrics is the registry of one program: OpenTelemetry instruments behind a Prometheus endpoint.
+type Metrics struct {
+	provider *sdkmetric.MeterProvider
+	registry *prometheus.Registry
+	meter    metric.Meter
+
+	mu       sync.Mutex
+	counters map[string]metric.Int64Counter
+}
+
+// NewMetrics returns an empty registry.
+func NewMetrics(program string) (*Metrics, error) {
+	registry := prometheus.NewRegistry()
+	exporter, err := otelprometheus.New(otelprometheus.WithRegisterer(registry), otelprometheus.WithoutScopeInfo())
+	if err != nil {
+		return nil, errors.Wrap(err, "prometheus exporter")
+	}
+	provider := sdkmetric.NewMeterProvider(sdkmetric.WithReader(exporter))
+	return &Metrics{
+		provider: provider, registry: registry, meter: provider.Meter(program),
+		counters: map[string]metric.Int64Counter{},
+	}, nil
+}
+
+// Meter creates instruments. Names carry their unit, such as sniperail_call_seconds.
+func (m *Metrics) Meter() metric.Meter { return m.meter }
+
+// Handler serves the Prometheus text format.
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+// Shutdown releases the instruments.
+func (m *Metrics) Shutdown(ctx context.Context) error { return m.provider.Shutdown(ctx) }
+
+// CounterSet is one counter with a label "reason" whose attribute sets are cached, so that counting on the call path
+// allocates nothing.
+type CounterSet struct {
+	counter metric.Int64Counter
+	options sync.Map // reason -> []metric.AddOption
+}
+
+// CounterSet returns a counter, labelled by reason. The name ends in _total in the Prometheus output.
+func (m *Metrics) CounterSet(name, description string) *CounterSet {
+	return &CounterSet{counter: m.counter(name, description)}
+}
+
+// Add adds n under a reason.
+func (c *CounterSet) Add(ctx context.Context, reason string, n int64) {
+	cached, ok := c.options.Load(reason)
+	if !ok {
+		option := metric.WithAttributeSet(attribute.NewSet(attribute.String("reason", reason)))
+		cached, _ = c.options.LoadOrStore(reason, []metric.AddOption{option})
+	}
+	c.counter.Add(ctx, n, cached.([]metric.AddOption)...)
+}
+
+func (m *Metrics) counter(name, description string) metric.Int64Counter {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if c, ok := m.counters[name]; ok {
+		return c
+	}
+	c, err := m.meter.Int64Counter(name, metric.WithDescription(description))
+	if err != nil {
+		panic(errors.Wrapf(err, "counter %s", name))
+	}
+	m.counters[name] = c
+	return c
+}
