--- a/internal/model/move.go
+++ b/internal/model/move.go
@@ -21,10 +21,21 @@
 	MinCalls int `json:"minCalls"`
 }
 
-// Plan is the answer to an intent. It changes nothing until it is confirmed.
+// Change replaces or removes services and routes.
+type Change struct {
+	Services       []Service     `json:"services,omitempty"`
+	Routes         []Route       `json:"routes,omitempty"`
+	RemoveServices []ServiceName `json:"removeServices,omitempty"`
+	RemoveRoutes   []RouteName   `json:"removeRoutes,omitempty"`
+	Dashboard      *Dashboard    `json:"dashboard,omitempty"`
+}
+
+// Plan is the answer to a declaration. It changes nothing until it is confirmed. It holds either a Change, which takes
+// effect at once when confirmed, or an Intent with its steps.
 type Plan struct {
-	ID   PlanID `json:"id"`
-	Base Number `json:"base"`
+	ID     PlanID  `json:"id"`
+	Base   Number  `json:"base"`
+	Change *Change `json:"change,omitempty"`
 	Intent
 	From        VersionName `json:"from"`
 	Steps       []Step      `json:"steps"`
@@ -93,7 +104,7 @@
 	EventWithdrawing EventKind = "withdrawing"
 	EventDone        EventKind = "done"
 	EventWithdrawn   EventKind = "withdrawn"
-	EventDeclared    EventKind = "declared"
+	EventChanged     EventKind = "changed"
 )
 
 // MoveEvent is one entry of the event feed. Token grows by one with each event and resumes the feed.
