--- /dev/null
+++ b/internal/command/configuration/change.go
@@ -0,0 +1,88 @@
+package configuration
+
+import (
+	"cmp"
+	"slices"
+
+	"sniperail.example/sniperail/internal/model"
+)
+
+// Touched lists the services that a change affects, directly or through a route.
+func Touched(c *model.Configuration, change *model.Change) []model.ServiceName {
+	var names []model.ServiceName
+	for _, s := range change.Services {
+		names = append(names, s.Name)
+	}
+	names = append(names, change.RemoveServices...)
+	for _, r := range change.Routes {
+		names = append(names, r.Service)
+	}
+	for _, name := range change.RemoveRoutes {
+		for _, r := range c.Routes {
+			if r.Name == name {
+				names = append(names, r.Service)
+			}
+		}
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+// Preview returns the configuration that confirming a change would produce, or the refusal, so that a plan is refused
+// when it is declared and not only when it is confirmed.
+func Preview(c *model.Configuration, plan *model.Plan, stamp Stamp) (*model.Configuration, model.Outcome) {
+	return Apply(c, Confirm{Plan: plan.ID}, plan, stamp)
+}
+
+func (e *edit) confirmChange(plan *model.Plan) *model.Outcome {
+	touched := Touched(e.base, plan.Change)
+	if refusal := e.conflict(plan, touched...); refusal != nil {
+		return refusal
+	}
+	for _, name := range touched {
+		if m := e.base.ActiveMove(name); m != nil {
+			return e.refuse(model.OutcomeConflict, "service %q is moved by %s; change it when the move has ended", name, m.ID)
+		}
+	}
+	e.putServices(plan.Change)
+	e.putRoutes(plan.Change)
+	if plan.Change.Dashboard != nil {
+		e.next.Dashboard = plan.Change.Dashboard
+	}
+	for _, name := range touched {
+		if s := e.next.Service(name); s != nil {
+			s.Changed = e.next.Number
+		}
+	}
+	e.append(model.MoveEvent{Kind: model.EventChanged, Move: plan.ID, Detail: "change confirmed"})
+	return nil
+}
+
+func (e *edit) putServices(change *model.Change) {
+	for _, s := range change.Services {
+		if present := e.next.Service(s.Name); present != nil {
+			*present = s
+			continue
+		}
+		e.next.Services = append(e.next.Services, s)
+	}
+	e.next.Services = slices.DeleteFunc(e.next.Services, func(s model.Service) bool {
+		return slices.Contains(change.RemoveServices, s.Name)
+	})
+	slices.SortFunc(e.next.Services, func(a, b model.Service) int { return cmp.Compare(a.Name, b.Name) })
+}
+
+func (e *edit) putRoutes(change *model.Change) {
+	for _, r := range change.Routes {
+		i := slices.IndexFunc(e.next.Routes, func(p model.Route) bool { return p.Name == r.Name })
+		if i >= 0 {
+			e.next.Routes[i] = r
+			continue
+		}
+		e.next.Routes = append(e.next.Routes, r)
+	}
+	e.next.Routes = slices.DeleteFunc(e.next.Routes, func(r model.Route) bool {
+		return slices.Contains(change.RemoveRoutes, r.Name)
+	})
+	slices.SortFunc(e.next.Routes, func(a, b model.Route) int { return cmp.Compare(a.Name, b.Name) })
+}
--- /dev/null
+++ b/internal/document/document.go
@@ -0,0 +1,35 @@
+// Package document encodes what the platform's service stores: the configuration, plans and leader records, as JSON.
+package document
+
+import (
+	"encoding/json"
+
+	"github.com/pkg/errors"
+
+	"sniperail.example/sniperail/internal/model"
+)
+
+// JSON is the codec of stored documents.
+type JSON struct{}
+
+// EncodeConfiguration returns the document of a configuration.
+func (JSON) EncodeConfiguration(c *model.Configuration) ([]byte, error) { return json.Marshal(c) }
+
+// DecodeConfiguration reads a configuration. The result is not validated.
+func (JSON) DecodeConfiguration(data []byte) (*model.Configuration, error) {
+	return decode[model.Configuration](data, "configuration")
+}
+
+// EncodePlan returns the document of a plan.
+func (JSON) EncodePlan(p *model.Plan) ([]byte, error) { return json.Marshal(p) }
+
+// DecodePlan reads a plan.
+func (JSON) DecodePlan(data []byte) (*model.Plan, error) { return decode[model.Plan](data, "plan") }
+
+func decode[T any](data []byte, what string) (*T, error) {
+	var v T
+	if err := json.Unmarshal(data, &v); err != nil {
+		return nil, errors.Wrap(err, what)
+	}
+	return &v, nil
+}
--- a/internal/model/move.go
+++ b/internal/model/move.go
@@ -48,6 +48,15 @@
 	Latest   time.Time `json:"latest"`
 	By       string    `json:"declaredBy"`
 	At       time.Time `json:"declaredAt"`
+	// Confirmed is set once the plan took effect.
+	Confirmed *Confirmation `json:"confirmed,omitempty"`
+}
+
+// Confirmation records who put a plan into effect and with which configuration number.
+type Confirmation struct {
+	By     string    `json:"by"`
+	At     time.Time `json:"at"`
+	Number Number    `json:"number"`
 }
 
 // Phase is the state of a move.
