platform: HTTP adapter behind Store and an in-memory stand-in

Cause: the daemon needs the platform's key-value service, and tests and the demo need one on loopback that shows faults. Change: internal/platform performs the calls of store.Store on the etcd v3 JSON-over-HTTP API and separates answers that exclude an effect from lost ones. internal/standin/platform and cmd/sniperail-platform serve the same subset with leases, watches, limits, counts and faults.

--- /dev/null
+++ b/internal/platform/client.go
@@ -0,0 +1,176 @@
+// Package platform performs the calls of store.Store on a service with the etcd v3 JSON-over-HTTP API, and holds the
+// gate that bounds the calls of one daemon.
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sniperail.example/sniperail/internal/store"
+)
+
+// maxAnswer bounds the bytes read from one answer: the service holds values up to 1 MB, and a list may return several.
+const maxAnswer = 16 << 20
+
+// maxIdlePerEndpoint keeps a worker's connection open between calls without holding one per concurrent call.
+const maxIdlePerEndpoint = 4
+
+// ClientConfig configures a Client.
+type ClientConfig struct {
+	// Endpoints are base URLs such as http://127.0.0.1:2379. A call that surely was not executed by one endpoint goes
+	// to the next one.
+	Endpoints []string
+	// Timeout bounds one call over all endpoints, and the start of a watch.
+	Timeout time.Duration
+	// DialTimeout bounds one connection attempt, so that an endpoint that drops packets leaves time for the others.
+	DialTimeout time.Duration
+}
+
+// Check returns one error for each invalid field.
+func (c ClientConfig) Check() []error {
+	var problems []error
+	if len(c.Endpoints) == 0 {
+		problems = append(problems, errors.New("endpoints: at least one base URL is required"))
+	}
+	for _, endpoint := range c.Endpoints {
+		parsed, err := url.Parse(endpoint)
+		if err != nil || parsed.Host == "" || (parsed.Scheme != "http" && parsed.Scheme != "https") {
+			problems = append(problems, errors.Errorf("endpoints: %q is not a base URL such as http://127.0.0.1:2379", endpoint))
+		}
+	}
+	if c.Timeout <= 0 {
+		problems = append(problems, errors.Errorf("timeout: %s is not above 0", c.Timeout))
+	}
+	if c.DialTimeout < 0 {
+		problems = append(problems, errors.Errorf("dial timeout: %s is below 0", c.DialTimeout))
+	}
+	return problems
+}
+
+// Client is a store.Store over HTTP. It is safe for concurrent use and holds no state besides connections and the
+// endpoint in use.
+type Client struct {
+	endpoints []string
+	timeout   time.Duration
+	http      *http.Client
+	transport *http.Transport
+	current   atomic.Uint64
+}
+
+var _ store.Store = (*Client)(nil)
+
+// NewClient returns a client, or an error that names every invalid field.
+func NewClient(config ClientConfig) (*Client, error) {
+	if problems := config.Check(); len(problems) > 0 {
+		return nil, errors.Errorf("platform client: %v", problems)
+	}
+	dial := config.DialTimeout
+	if dial == 0 {
+		dial = config.Timeout / 2
+	}
+	transport := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dial}).DialContext,
+		MaxIdleConnsPerHost: maxIdlePerEndpoint,
+		IdleConnTimeout:     time.Minute,
+		ForceAttemptHTTP2:   false,
+	}
+	return &Client{
+		endpoints: config.Endpoints, timeout: config.Timeout, transport: transport,
+		http: &http.Client{Transport: transport, CheckRedirect: refuseRedirect},
+	}, nil
+}
+
+// refuseRedirect keeps a write from being sent twice.
+func refuseRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// Close closes idle connections.
+func (c *Client) Close() { c.transport.CloseIdleConnections() }
+
+// Do performs one call within the timeout and ctx.
+func (c *Client) Do(ctx context.Context, call store.Call) store.Result {
+	request, err := encodeCall(call)
+	if err != nil {
+		return store.Result{Outcome: store.Unavailable, Detail: err.Error()}
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	var last store.Result
+	start := c.current.Load()
+	for i := range c.endpoints {
+		at := start + uint64(i)
+		var next bool
+		last, next = c.try(ctx, c.endpoints[at%uint64(len(c.endpoints))], call, request)
+		if !next || ctx.Err() != nil {
+			return last
+		}
+		c.current.CompareAndSwap(at, at+1)
+	}
+	return last
+}
+
+// try sends a call to one endpoint. It reports whether another endpoint may be tried: the call had no effect here and
+// the endpoint is at fault.
+func (c *Client) try(ctx context.Context, endpoint string, call store.Call, request encodedCall) (store.Result, bool) {
+	response, sent, err := c.post(ctx, endpoint+request.path, request.body)
+	if err != nil {
+		return lost(call, sent, err), !sent || !call.Kind.IsWrite()
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := readAnswer(call.Kind, response)
+	if err != nil {
+		return lost(call, true, err), !call.Kind.IsWrite()
+	}
+	if response.StatusCode != http.StatusOK {
+		result := decodeError(call, response.StatusCode, body)
+		return result, result.Outcome == store.Unavailable && response.StatusCode >= http.StatusInternalServerError
+	}
+	return decodeAnswer(call, body), false
+}
+
+// post sends a body. Sent is false only if no connection was obtained, because bytes on a connection may have arrived.
+func (c *Client) post(ctx context.Context, target string, body []byte) (response *http.Response, sent bool, err error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	ctx = httptrace.WithClientTrace(ctx, trace)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, target, bytes.NewReader(body))
+	if err != nil {
+		return nil, false, errors.WithStack(err)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err = c.http.Do(request)
+	return response, connected.Load(), errors.WithStack(err)
+}
+
+// readAnswer returns the whole body, or the first message of a keep-alive stream, which the service may leave open.
+func readAnswer(kind store.Kind, response *http.Response) ([]byte, error) {
+	limited := io.LimitReader(response.Body, maxAnswer+1)
+	if kind == store.KindKeepAlive && response.StatusCode == http.StatusOK {
+		var message json.RawMessage
+		err := json.NewDecoder(limited).Decode(&message)
+		return message, errors.Wrap(err, "keep-alive stream")
+	}
+	body, err := io.ReadAll(limited)
+	if err == nil && len(body) > maxAnswer {
+		err = errors.Errorf("answer over %d bytes", maxAnswer)
+	}
+	return body, errors.WithStack(err)
+}
+
+// lost classifies a call without a usable answer.
+func lost(call store.Call, sent bool, err error) store.Result {
+	if sent && call.Kind.IsWrite() {
+		return store.Result{Outcome: store.Unknown, Detail: fmt.Sprintf("answer lost: %v", err)}
+	}
+	return store.Result{Outcome: store.Unavailable, Detail: err.Error()}
+}
--- /dev/null
+++ b/internal/platform/codec.go
@@ -0,0 +1,179 @@
+package platform
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sniperail.example/sniperail/internal/platform/wire"
+	"sniperail.example/sniperail/internal/store"
+)
+
+type encodedCall struct {
+	path string
+	body []byte
+}
+
+// encodeCall returns the path and body of a call. An error means that the call cannot be expressed.
+func encodeCall(call store.Call) (encodedCall, error) {
+	var path string
+	var message any
+	switch call.Kind {
+	case store.KindGet:
+		path, message = wire.PathRange, wire.RangeRequest{Key: []byte(call.Key)}
+	case store.KindList:
+		path, message = wire.PathRange, wire.RangeRequest{
+			Key: []byte(call.Key), RangeEnd: wire.PrefixEnd(call.Key), Limit: wire.Int64(call.Limit),
+		}
+	case store.KindTxn:
+		path, message = wire.PathTxn, encodeTxn(call.Txn)
+	case store.KindGrant:
+		path, message = wire.PathGrant, wire.GrantRequest{TTL: wire.Int64(wholeSeconds(call.TTL))}
+	case store.KindKeepAlive:
+		path, message = wire.PathKeepAlive, wire.LeaseRequest{ID: wire.Int64(call.Lease)}
+	case store.KindRevoke:
+		path, message = wire.PathRevoke, wire.LeaseRequest{ID: wire.Int64(call.Lease)}
+	default:
+		return encodedCall{}, errors.Errorf("unknown kind of call %q", call.Kind)
+	}
+	body, err := json.Marshal(message)
+	return encodedCall{path: path, body: body}, errors.Wrap(err, "encode call")
+}
+
+// wholeSeconds rounds up, because the API counts leases in seconds and 0 is not a lifetime.
+func wholeSeconds(d time.Duration) int64 {
+	return max(1, int64((d+time.Second-1)/time.Second))
+}
+
+func encodeTxn(txn store.Txn) wire.TxnRequest {
+	var request wire.TxnRequest
+	seen := map[string]bool{}
+	for _, compare := range txn.Compares {
+		encoded := wire.Compare{Result: wire.ResultEqual, Target: wire.TargetMod, Key: []byte(compare.Key)}
+		if compare.UseCreate {
+			encoded.Target, encoded.CreateRevision = wire.TargetCreate, wire.Int64(compare.CreateRevision)
+		} else {
+			encoded.ModRevision = wire.Int64(compare.ModRevision)
+		}
+		request.Compare = append(request.Compare, encoded)
+		if !seen[compare.Key] {
+			seen[compare.Key] = true
+			request.Failure = append(request.Failure, wire.Operation{Range: &wire.RangeRequest{Key: encoded.Key}})
+		}
+	}
+	for _, put := range txn.Puts {
+		request.Success = append(request.Success, wire.Operation{Put: &wire.PutRequest{
+			Key: []byte(put.Key), Value: put.Value, Lease: wire.Int64(put.Lease),
+		}})
+	}
+	for _, key := range txn.Deletes {
+		request.Success = append(request.Success, wire.Operation{Delete: &wire.DeleteRequest{Key: []byte(key)}})
+	}
+	return request
+}
+
+// decodeAnswer reads the body of an answer with status 200. A body that cannot be read leaves the outcome of a write
+// unknown.
+func decodeAnswer(call store.Call, body []byte) store.Result {
+	switch call.Kind {
+	case store.KindGet, store.KindList:
+		answer, err := wire.Decode[wire.RangeResponse](body)
+		if err != nil {
+			return lost(call, true, err)
+		}
+		return store.Result{Outcome: store.Applied, Entries: entries(answer.KVs), Revision: int64(answer.Header.Revision)}
+	case store.KindTxn:
+		return decodeTxn(call, body)
+	case store.KindKeepAlive:
+		message, err := wire.Decode[wire.KeepAliveMessage](body)
+		switch {
+		case err != nil:
+			return lost(call, true, err)
+		case message.Error != nil:
+			return decodeError(call, http.StatusInternalServerError, body)
+		case message.Result == nil:
+			return lost(call, true, errors.New("keep-alive without result"))
+		case message.Result.TTL <= 0:
+			return store.Result{Outcome: store.NotFound, Detail: "lease is gone"}
+		}
+		return leaseResult(*message.Result)
+	default:
+		answer, err := wire.Decode[wire.LeaseResponse](body)
+		if err == nil && call.Kind == store.KindGrant && (answer.ID == 0 || answer.TTL <= 0) {
+			err = errors.New("grant without lease")
+		}
+		if err != nil {
+			return lost(call, true, err)
+		}
+		return leaseResult(answer)
+	}
+}
+
+func leaseResult(answer wire.LeaseResponse) store.Result {
+	return store.Result{
+		Outcome: store.Applied, Revision: int64(answer.Header.Revision), Lease: store.LeaseID(answer.ID),
+		TTL: time.Duration(answer.TTL) * time.Second,
+	}
+}
+
+func decodeTxn(call store.Call, body []byte) store.Result {
+	answer, err := wire.Decode[wire.TxnResponse](body)
+	if err == nil && answer.Header.Revision == 0 {
+		// The absence of "succeeded" means a conflict, so an empty object must not pass for an answer.
+		err = errors.New("transaction answer without revision")
+	}
+	if err != nil {
+		return lost(call, true, err)
+	}
+	result := store.Result{Outcome: store.Applied, Revision: int64(answer.Header.Revision)}
+	if answer.Succeeded {
+		return result
+	}
+	result.Outcome, result.Detail = store.Conflict, "a compare failed"
+	for _, response := range answer.Responses {
+		if response.Range != nil {
+			result.Entries = append(result.Entries, entries(response.Range.KVs)...)
+		}
+	}
+	return result
+}
+
+// decodeError classifies an answer that is not a success. Only answers that exclude an effect are Unavailable for a
+// write: "request timed out" has the same code as "no leader", but its proposal may still be committed.
+func decodeError(call store.Call, status int, body []byte) store.Result {
+	message, _ := wire.Decode[wire.Error](body)
+	text := message.Message
+	if text == "" {
+		text = message.Text
+	}
+	detail := fmt.Sprintf("status %d, code %d: %.200q", status, message.Code, text)
+	switch {
+	case message.Code == wire.CodeNotFound && text == wire.MessageLeaseNotFound:
+		return store.Result{Outcome: store.NotFound, Detail: detail}
+	case !call.Kind.IsWrite(), status < http.StatusInternalServerError, text == wire.MessageNoLeader:
+		return store.Result{Outcome: store.Unavailable, Detail: detail}
+	default:
+		return store.Result{Outcome: store.Unknown, Detail: detail}
+	}
+}
+
+func entries(kvs []wire.KeyValue) []store.Entry {
+	if len(kvs) == 0 {
+		return nil
+	}
+	converted := make([]store.Entry, len(kvs))
+	for i, kv := range kvs {
+		converted[i] = entry(kv)
+	}
+	return converted
+}
+
+func entry(kv wire.KeyValue) store.Entry {
+	return store.Entry{
+		Key: string(kv.Key), Value: kv.Value, CreateRevision: int64(kv.CreateRevision),
+		ModRevision: int64(kv.ModRevision), Lease: store.LeaseID(kv.Lease),
+	}
+}
