--- /dev/null
+++ b/internal/configfile/collect.go
@@ -0,0 +1,165 @@
+package configfile
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"time"
+
+	"sniperail.example/sniperail/internal/model"
+)
+
+// located is a value with the place that it was read from, for problems that are found after all files are read.
+type located[T any] struct {
+	file  string
+	line  int
+	field string
+	value T
+}
+
+// collector gathers the entries and the problems of all files.
+type collector struct {
+	options   Options
+	file      string
+	problems  Problems
+	services  []located[model.Service]
+	routes    []located[model.Route]
+	intents   []located[model.Intent]
+	dashboard *located[model.Dashboard]
+	remove    removeEntry
+}
+
+func (c *collector) add(line int, field, format string, args ...any) {
+	c.problems = append(c.problems, Problem{File: c.file, Line: line, Field: field, Reason: fmt.Sprintf(format, args...)})
+}
+
+func (c *collector) document(d *document) {
+	for i := range d.Services {
+		c.service(&d.Services[i], fmt.Sprintf("services[%d]", i))
+	}
+	for i := range d.Routes {
+		c.route(&d.Routes[i], fmt.Sprintf("routes[%d]", i))
+	}
+	for i := range d.Moves {
+		c.move(&d.Moves[i], fmt.Sprintf("moves[%d]", i))
+	}
+	if e := d.Dashboard; e != nil {
+		if c.dashboard != nil {
+			c.add(e.line, "dashboard", "the dashboard is already set at %s:%d", c.dashboard.file, c.dashboard.line)
+		}
+		c.dashboard = &located[model.Dashboard]{file: c.file, line: e.line, field: "dashboard",
+			value: model.Dashboard{MoveMetric: e.MoveMetric, Labels: e.Labels}}
+	}
+	c.remove.Services = append(c.remove.Services, d.Remove.Services...)
+	c.remove.Routes = append(c.remove.Routes, d.Remove.Routes...)
+}
+
+func (c *collector) service(e *serviceEntry, field string) {
+	s := model.Service{Name: model.ServiceName(e.Name), Customer: e.Customer}
+	if e.Name == "" {
+		c.add(e.line, field+".name", "a service needs a name")
+	}
+	var sum model.Share
+	seen := map[string]bool{}
+	for i, v := range e.Versions {
+		at := fmt.Sprintf("%s.versions[%d]", field, i)
+		if v.Version == "" {
+			c.add(e.line, at+".version", "a version needs a name")
+		} else if seen[v.Version] {
+			c.add(e.line, at+".version", "version %q is listed twice", v.Version)
+		}
+		seen[v.Version] = true
+		share, ok := basisPoints(v.Share)
+		if !ok {
+			c.add(e.line, at+".share", "share %v is not between 0 and 100 percent in steps of 0.01", v.Share)
+		}
+		sum += share
+		s.Versions = append(s.Versions, model.VersionShare{Version: model.VersionName(v.Version), Share: share})
+	}
+	if sum != model.FullShare {
+		c.add(e.line, field+".versions", "the shares of service %q sum to %s instead of 100%%", e.Name, sum)
+	}
+	for _, name := range e.DependsOn {
+		s.DependsOn = append(s.DependsOn, model.ServiceName(name))
+	}
+	c.services = append(c.services, located[model.Service]{c.file, e.line, field, s})
+}
+
+// basisPoints converts percent to basis points and refuses a value that would have to be rounded.
+func basisPoints(percent float64) (model.Share, bool) {
+	if !(percent >= 0 && percent <= 100) {
+		return 0, false
+	}
+	exact := percent * 100
+	rounded := math.Round(exact)
+	return model.Share(rounded), math.Abs(exact-rounded) < 1e-6
+}
+
+func (c *collector) route(e *routeEntry, field string) {
+	r := model.Route{Name: model.RouteName(e.Name), Service: model.ServiceName(e.Service), PathPrefix: e.PathPrefix,
+		Idempotent: e.Idempotent, TimeoutMS: e.TimeoutMS}
+	if e.Name == "" {
+		c.add(e.line, field+".name", "a route needs a name")
+	}
+	if e.Service == "" {
+		c.add(e.line, field+".service", "a route needs a service")
+	}
+	if !strings.HasPrefix(e.PathPrefix, "/") {
+		c.add(e.line, field+".pathPrefix", "path prefix %q does not start with /", e.PathPrefix)
+	}
+	for i, m := range e.Methods {
+		if m == "" || strings.ToUpper(m) != m {
+			c.add(e.line, fmt.Sprintf("%s.methods[%d]", field, i), "method %q is not an upper-case HTTP method", m)
+		}
+	}
+	r.Methods = e.Methods
+	if e.TimeoutMS < 0 {
+		c.add(e.line, field+".timeoutMs", "timeout %d ms is negative", e.TimeoutMS)
+	}
+	if e.Once != nil {
+		r.Once = c.once(e, field)
+	}
+	c.routes = append(c.routes, located[model.Route]{c.file, e.line, field, r})
+}
+
+func (c *collector) once(e *routeEntry, field string) *model.Once {
+	if e.Idempotent {
+		c.add(e.line, field+".idempotent", "a route with once cannot be idempotent: its requests are never repeated")
+	}
+	if e.Once.Window < 0 || e.Once.Window%time.Second != 0 {
+		c.add(e.line, field+".once.window", "window %s is not a whole number of seconds", e.Once.Window)
+	}
+	if len(e.Once.DigestFields) > 0 && e.Once.Window == 0 {
+		c.add(e.line, field+".once.window", "digestFields need a window, such as 60s")
+	}
+	return &model.Once{Header: e.Once.Header, DigestFields: e.Once.DigestFields,
+		WindowSeconds: int(e.Once.Window / time.Second)}
+}
+
+func (c *collector) declaration() Declaration {
+	var d Declaration
+	change := model.Change{}
+	for _, s := range c.services {
+		change.Services = append(change.Services, s.value)
+	}
+	for _, r := range c.routes {
+		change.Routes = append(change.Routes, r.value)
+	}
+	for _, name := range c.remove.Services {
+		change.RemoveServices = append(change.RemoveServices, model.ServiceName(name))
+	}
+	for _, name := range c.remove.Routes {
+		change.RemoveRoutes = append(change.RemoveRoutes, model.RouteName(name))
+	}
+	if c.dashboard != nil {
+		change.Dashboard = &c.dashboard.value
+	}
+	if len(change.Services)+len(change.Routes)+len(change.RemoveServices)+len(change.RemoveRoutes) > 0 ||
+		change.Dashboard != nil {
+		d.Change = &change
+	}
+	for _, i := range c.intents {
+		d.Intents = append(d.Intents, i.value)
+	}
+	return d
+}
--- /dev/null
+++ b/internal/configfile/document.go
@@ -0,0 +1,179 @@
+package configfile
+
+import (
+	"bytes"
+	"io"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.yaml.in/yaml/v2"
+)
+
+// The YAML library under sigs.k8s.io/yaml is used directly: sigs.k8s.io/yaml decodes through JSON and so loses line
+// numbers and stops at the first unknown field.
+
+// document is one YAML document of a file.
+type document struct {
+	Services  []serviceEntry  `yaml:"services"`
+	Routes    []routeEntry    `yaml:"routes"`
+	Dashboard *dashboardEntry `yaml:"dashboard"`
+	Moves     []moveEntry     `yaml:"moves"`
+	Remove    removeEntry     `yaml:"remove"`
+}
+
+type serviceEntry struct {
+	Name      string         `yaml:"name"`
+	Customer  string         `yaml:"customer"`
+	Versions  []versionEntry `yaml:"versions"`
+	DependsOn []string       `yaml:"dependsOn"`
+	line      int
+}
+
+type versionEntry struct {
+	Version string `yaml:"version"`
+	// Share is in percent.
+	Share float64 `yaml:"share"`
+}
+
+type routeEntry struct {
+	Name       string     `yaml:"name"`
+	Service    string     `yaml:"service"`
+	PathPrefix string     `yaml:"pathPrefix"`
+	Methods    []string   `yaml:"methods"`
+	Idempotent bool       `yaml:"idempotent"`
+	Once       *onceEntry `yaml:"once"`
+	TimeoutMS  int        `yaml:"timeoutMs"`
+	line       int
+}
+
+type onceEntry struct {
+	Header       string        `yaml:"header"`
+	DigestFields []string      `yaml:"digestFields"`
+	Window       time.Duration `yaml:"window"`
+}
+
+type dashboardEntry struct {
+	MoveMetric string            `yaml:"moveMetric"`
+	Labels     map[string]string `yaml:"labels"`
+	line       int
+}
+
+type moveEntry struct {
+	Service  string        `yaml:"service"`
+	To       string        `yaml:"to"`
+	By       string        `yaml:"by"`
+	In       time.Duration `yaml:"in"`
+	Watch    time.Duration `yaml:"watch"`
+	MinCalls int           `yaml:"minCalls"`
+	line     int
+}
+
+type removeEntry struct {
+	Services []string `yaml:"services"`
+	Routes   []string `yaml:"routes"`
+}
+
+// UnmarshalYAML records the line of the entry.
+func (e *serviceEntry) UnmarshalYAML(unmarshal func(any) error) error {
+	type service serviceEntry
+	e.line = lineOf(unmarshal)
+	return unmarshal((*service)(e))
+}
+
+// UnmarshalYAML records the line of the entry.
+func (e *routeEntry) UnmarshalYAML(unmarshal func(any) error) error {
+	type route routeEntry
+	e.line = lineOf(unmarshal)
+	return unmarshal((*route)(e))
+}
+
+// UnmarshalYAML records the line of the entry.
+func (e *dashboardEntry) UnmarshalYAML(unmarshal func(any) error) error {
+	type dashboard dashboardEntry
+	e.line = lineOf(unmarshal)
+	return unmarshal((*dashboard)(e))
+}
+
+// UnmarshalYAML records the line of the entry.
+func (e *moveEntry) UnmarshalYAML(unmarshal func(any) error) error {
+	type move moveEntry
+	e.line = lineOf(unmarshal)
+	return unmarshal((*move)(e))
+}
+
+// lineOf returns the line of the node being decoded, or 0. The library tells it only in the error of a failed
+// conversion, and no mapping converts to an integer. Call it before the real conversion: the library reuses the array
+// that holds the errors of the one before.
+func lineOf(unmarshal func(any) error) int {
+	var probe int
+	var mismatch *yaml.TypeError
+	if err := unmarshal(&probe); errors.As(err, &mismatch) && len(mismatch.Errors) > 0 {
+		line, _ := splitLine(mismatch.Errors[0])
+		return line
+	}
+	return 0
+}
+
+func (c *collector) decode(content []byte) {
+	if len(content) > MaxBytes {
+		c.add(0, "", "the file is larger than %d bytes", MaxBytes)
+		return
+	}
+	decoder := yaml.NewDecoder(bytes.NewReader(content))
+	decoder.SetStrict(true)
+	for {
+		var d document
+		err := decoder.Decode(&d)
+		if errors.Is(err, io.EOF) {
+			return
+		}
+		var mismatch *yaml.TypeError
+		if errors.As(err, &mismatch) {
+			c.mismatches(mismatch.Errors)
+			continue
+		}
+		if err != nil {
+			line, reason := splitLine(strings.TrimPrefix(err.Error(), "yaml: "))
+			c.add(line, "", "%s", reason)
+			return
+		}
+		c.document(&d)
+	}
+}
+
+var (
+	linePattern    = regexp.MustCompile(`(?s)^line (\d+): (.*)$`)
+	unknownPattern = regexp.MustCompile(`^field (.+) not found in type \S+$`)
+	twicePattern   = regexp.MustCompile(`^field (.+) already set in type \S+$`)
+)
+
+func splitLine(text string) (line int, reason string) {
+	parts := linePattern.FindStringSubmatch(text)
+	if parts == nil {
+		return 0, text
+	}
+	line, err := strconv.Atoi(parts[1])
+	if err != nil {
+		return 0, text
+	}
+	return line, parts[2]
+}
+
+// mismatches adds the library's messages without the names of Go types.
+func (c *collector) mismatches(messages []string) {
+	for _, message := range messages {
+		line, reason := splitLine(message)
+		if parts := unknownPattern.FindStringSubmatch(reason); parts != nil {
+			c.add(line, parts[1], "unknown field")
+		} else if parts := twicePattern.FindStringSubmatch(reason); parts != nil {
+			c.add(line, parts[1], "the field is set twice")
+		} else {
+			c.add(line, "", "%s", strings.NewReplacer("!!str ", "text ", "!!map", "a mapping", "!!seq", "a list",
+				"!!int ", "number ", "!!float ", "number ", "!!bool ", "truth value ", "cannot unmarshal", "cannot use",
+				"into", "as").Replace(reason))
+		}
+	}
+}
