agent: control core of a daemon with leader, relays and deltas

Cause: the daemons need one pure state machine that keeps membership and configuration in step. Change: membership (lease, members, relays, roster), distribution (checksum, delta, replica), agent (composition and the Extension seam), bench/fleet (agents over in-memory links and a virtual clock). message: heartbeats and exchanges carry a sequence number, digests and the age of the connection to the platform; announcements can probe for a number.

--- /dev/null
+++ b/internal/bench/fleet/store.go
@@ -0,0 +1,257 @@
+package fleet
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sniperail.example/sniperail/internal/command/agent"
+	"sniperail.example/sniperail/internal/effect"
+	"sniperail.example/sniperail/internal/model"
+	"sniperail.example/sniperail/internal/store"
+)
+
+// Store is an in-memory key-value service with compare-and-swap, leases and watches.
+type Store struct {
+	// Down makes every call unavailable and ends all watches.
+	Down bool
+	// LoseAnswer makes a call take effect and its answer get lost.
+	LoseAnswer func(call store.Call) bool
+	// Delay is the time from a call to its answer.
+	Delay func() time.Duration
+	// Reads, Writes and Watches count calls.
+	Reads, Writes, Watches int
+	// Called sees each call.
+	Called func(n *Node, call store.Call)
+
+	fleet    *Fleet
+	revision int64
+	entries  map[string]store.Entry
+	leases   map[store.LeaseID]*lease
+	watchers map[*Node]int64
+}
+
+type lease struct {
+	ttl     time.Duration
+	expires time.Time
+}
+
+func newStore(f *Fleet) *Store {
+	return &Store{
+		fleet: f, entries: map[string]store.Entry{}, leases: map[store.LeaseID]*lease{}, watchers: map[*Node]int64{},
+		Delay: func() time.Duration { return 3 * time.Millisecond },
+	}
+}
+
+// SetDown starts or ends an outage. Leases go on expiring during an outage.
+func (s *Store) SetDown(down bool) {
+	s.Down = down
+	if !down {
+		return
+	}
+	for _, n := range s.fleet.Nodes {
+		if _, ok := s.watchers[n]; ok {
+			delete(s.watchers, n)
+			n.later(s.Delay(), effect.Watched{Key: store.KeyConfiguration, Event: store.WatchEvent{Lost: true}})
+		}
+	}
+}
+
+// call performs a call halfway through its delay.
+func (s *Store) call(n *Node, e effect.StoreCall) {
+	if e.Call.Kind.IsWrite() {
+		s.Writes++
+	} else {
+		s.Reads++
+	}
+	if s.Called != nil {
+		s.Called(n, e.Call)
+	}
+	d := s.Delay()
+	life := n.life
+	s.fleet.After(d/2, func() {
+		result := store.Result{Outcome: store.Unavailable}
+		if !s.Down {
+			result = s.do(e.Call)
+			if s.LoseAnswer != nil && s.LoseAnswer(e.Call) {
+				result = store.Result{Outcome: store.Unknown}
+			}
+		}
+		if n.life == life {
+			n.later(d/2, effect.StoreDone{Request: e.Request, Result: result})
+		}
+	})
+}
+
+func (s *Store) do(call store.Call) store.Result {
+	s.expire()
+	r := store.Result{Outcome: store.Applied, Revision: s.revision}
+	switch call.Kind {
+	case store.KindGet:
+		if e, ok := s.entries[call.Key]; ok {
+			r.Entries = []store.Entry{e}
+		}
+	case store.KindList:
+		r.Entries = s.list(call.Key)
+	case store.KindTxn:
+		return s.txn(call.Txn)
+	case store.KindGrant:
+		s.revision++
+		r.Lease, r.TTL = store.LeaseID(s.revision), call.TTL
+		s.leases[r.Lease] = &lease{ttl: call.TTL, expires: s.fleet.Now.Add(call.TTL)}
+	case store.KindKeepAlive:
+		l := s.leases[call.Lease]
+		if l == nil {
+			return store.Result{Outcome: store.NotFound}
+		}
+		l.expires = s.fleet.Now.Add(l.ttl)
+		r.Lease, r.TTL = call.Lease, l.ttl
+	case store.KindRevoke:
+		delete(s.leases, call.Lease)
+		s.expire()
+	}
+	return r
+}
+
+func (s *Store) list(prefix string) []store.Entry {
+	var list []store.Entry
+	for _, key := range sortedKeys(s.entries) {
+		if len(key) >= len(prefix) && key[:len(prefix)] == prefix {
+			list = append(list, s.entries[key])
+		}
+	}
+	return list
+}
+
+func (s *Store) txn(t store.Txn) store.Result {
+	r := store.Result{Outcome: store.Applied}
+	for _, c := range t.Compares {
+		e := s.entries[c.Key]
+		if (c.UseCreate && e.CreateRevision != c.CreateRevision) || (!c.UseCreate && e.ModRevision != c.ModRevision) {
+			r.Outcome = store.Conflict
+		}
+		if e.Key != "" {
+			r.Entries = append(r.Entries, e)
+		}
+	}
+	if r.Outcome == store.Conflict {
+		return r
+	}
+	r.Entries = nil
+	for _, p := range t.Puts {
+		if p.Lease != 0 && s.leases[p.Lease] == nil {
+			return store.Result{Outcome: store.NotFound}
+		}
+	}
+	s.revision++
+	r.Revision = s.revision
+	for _, key := range t.Deletes {
+		delete(s.entries, key)
+	}
+	for _, p := range t.Puts {
+		s.put(p)
+	}
+	return r
+}
+
+func (s *Store) put(p store.Put) {
+	e := store.Entry{Key: p.Key, Value: p.Value, CreateRevision: s.revision, ModRevision: s.revision, Lease: p.Lease}
+	if old, ok := s.entries[p.Key]; ok {
+		e.CreateRevision = old.CreateRevision
+	}
+	s.entries[p.Key] = e
+	if p.Key == store.KeyConfiguration {
+		for _, n := range s.fleet.Nodes {
+			if _, ok := s.watchers[n]; ok {
+				n.later(s.Delay(), effect.Watched{Key: p.Key, Event: store.WatchEvent{Entry: e}})
+			}
+		}
+	}
+}
+
+func (s *Store) expire() {
+	for key, e := range s.entries {
+		if l := s.leases[e.Lease]; e.Lease != 0 && (l == nil || s.fleet.Now.After(l.expires)) {
+			delete(s.entries, key)
+		}
+	}
+	for id, l := range s.leases {
+		if s.fleet.Now.After(l.expires) {
+			delete(s.leases, id)
+		}
+	}
+}
+
+func (s *Store) watch(n *Node, key string, after int64) {
+	s.Watches++
+	if s.Down {
+		n.later(s.Delay(), effect.Watched{Key: key, Event: store.WatchEvent{Lost: true}})
+		return
+	}
+	s.watchers[n] = after
+	if e, ok := s.entries[key]; ok && e.ModRevision > after {
+		n.later(s.Delay(), effect.Watched{Key: key, Event: store.WatchEvent{Entry: e}})
+	}
+}
+
+func (s *Store) unwatch(n *Node) { delete(s.watchers, n) }
+
+// Expire ends the lease of every leader, as after a lapse that no holder noticed.
+func (s *Store) Expire() {
+	clear(s.leases)
+	s.expire()
+}
+
+// Leader returns the record of a data centre's leader, if its lease has not expired.
+func (s *Store) Leader(dc model.DataCentre) (agent.LeaderRecord, bool) {
+	s.expire()
+	e, ok := s.entries[store.PrefixLeaders+string(dc)]
+	if !ok {
+		return agent.LeaderRecord{}, false
+	}
+	record, err := Codec{}.DecodeLeader(e.Value)
+	return record, err == nil
+}
+
+// Write stores a configuration directly, as another writer would.
+func (s *Store) Write(c *model.Configuration) {
+	value, err := Codec{}.EncodeConfiguration(c)
+	if err != nil {
+		panic(errors.Wrap(err, "encode configuration"))
+	}
+	s.WriteRaw(value)
+}
+
+// WriteRaw stores any bytes as the configuration.
+func (s *Store) WriteRaw(value []byte) {
+	s.revision++
+	s.put(store.Put{Key: store.KeyConfiguration, Value: value})
+}
+
+// Codec encodes the stored values as JSON.
+type Codec struct{}
+
+// DecodeConfiguration implements agent.Codec.
+func (Codec) DecodeConfiguration(data []byte) (*model.Configuration, error) {
+	c := &model.Configuration{}
+	return c, errors.Wrap(json.Unmarshal(data, c), "decode configuration")
+}
+
+// EncodeConfiguration implements agent.Codec.
+func (Codec) EncodeConfiguration(c *model.Configuration) ([]byte, error) {
+	data, err := json.Marshal(c)
+	return data, errors.Wrap(err, "encode configuration")
+}
+
+// DecodeLeader implements agent.Codec.
+func (Codec) DecodeLeader(data []byte) (agent.LeaderRecord, error) {
+	var r agent.LeaderRecord
+	return r, errors.Wrap(json.Unmarshal(data, &r), "decode leader")
+}
+
+// EncodeLeader implements agent.Codec.
+func (Codec) EncodeLeader(r agent.LeaderRecord) ([]byte, error) {
+	data, err := json.Marshal(r)
+	return data, errors.Wrap(err, "encode leader")
+}
--- /dev/null
+++ b/internal/command/agent/extension.go
@@ -0,0 +1,108 @@
+package agent
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"sniperail.example/sniperail/internal/effect"
+	"sniperail.example/sniperail/internal/model"
+	"sniperail.example/sniperail/internal/store"
+)
+
+// Extension adds decisions to an agent: operators' commands, the writer of configuration changes, the driver of moves.
+// It runs in the agent's goroutine and may call every exported method of the agent except Handle and NextWake.
+type Extension interface {
+	// Handle sees each event after the agent's own handling.
+	Handle(now time.Time, ev effect.Event)
+	// NextWake returns the time of the next Wake that the extension wants; zero for none.
+	NextWake() time.Time
+}
+
+// Extend sets the extension. Call it before the first event.
+func (a *Agent) Extend(e Extension) { a.extension = e }
+
+// Emit adds an effect to the ones that the running Handle returns.
+func (a *Agent) Emit(e effect.Effect) { a.emit(e) }
+
+// Store issues a call to the platform; done gets its result within a later Handle.
+func (a *Agent) Store(call store.Call, done func(result store.Result)) {
+	a.nextRequest++
+	if done != nil {
+		a.calls[a.nextRequest] = done
+	}
+	a.emit(effect.StoreCall{Request: a.nextRequest, Call: call})
+}
+
+// Self returns the target beside this daemon.
+func (a *Agent) Self() model.Target { return a.self }
+
+// Rand returns the agent's random source.
+func (a *Agent) Rand() *rand.Rand { return a.cfg.Rand }
+
+// Leader reports whether this daemon leads its data centre under a lease that cannot have expired, and its term. Only
+// then may it write.
+func (a *Agent) Leader() (model.Term, bool) { return a.lead.lease.Term(), a.lead.lease.Valid(a.now) }
+
+// Document returns the configuration as stored, with events and finished moves, and its store revision, as a leader
+// last read it. It is nil and 0 before the first read, and may be out of date on a daemon that is not a leader.
+func (a *Agent) Document() (*model.Configuration, int64) { return a.lead.document, a.lead.revision }
+
+// TakeEntry gives the agent a newer entry of the configuration key, for example one that the extension wrote, before
+// the watch delivers it.
+func (a *Agent) TakeEntry(entry store.Entry) {
+	if a.lead.lease.Held() {
+		a.takeEntry(entry)
+		a.checkReady()
+	}
+}
+
+// View returns the view as it stands.
+func (a *Agent) View() *model.View { return a.view() }
+
+// SetDriver says whether this daemon drives the moves; the other leaders then send it their evidence.
+func (a *Agent) SetDriver(driver bool) {
+	if a.lead.driver != driver {
+		a.lead.driver = driver
+		a.soon(timerExchange, 0)
+		for _, p := range a.lead.peers {
+			p.lastSent = time.Time{}
+		}
+	}
+}
+
+// TakeEvidence returns the outcomes received since the last call, one entry per data centre, sorted.
+func (a *Agent) TakeEvidence() []model.Evidence {
+	if a.lead.lease.Held() && len(a.sums) > 0 {
+		a.addEvidence(model.Evidence{
+			DataCentre: a.self.DataCentre, From: a.lead.evidenceFrom, To: a.now, Sums: a.takeSums(),
+		})
+		a.lead.evidenceFrom = a.now
+	}
+	list := make([]model.Evidence, 0, len(a.evidence))
+	for _, dc := range slices.Sorted(maps.Keys(a.evidence)) {
+		list = append(list, a.evidence[dc])
+	}
+	clear(a.evidence)
+	return list
+}
+
+// InForce summarises all data centres as this leader knows them. A data centre that sent no exchange lately is blind,
+// and its daemons count neither as live nor as having a number.
+func (a *Agent) InForce() model.InForce {
+	f := a.summary()
+	for _, p := range a.peerList() {
+		if a.now.Sub(p.heard) > BlindAfter || p.seqIn == 0 {
+			f.Blind = append(f.Blind, p.dc)
+			continue
+		}
+		if n := p.inForce.Number; n > 0 && (f.Number == 0 || n < f.Number) {
+			f.Number = n
+		}
+		f.Live += p.inForce.Live
+		f.Silent = append(f.Silent, p.inForce.Silent...)
+		f.Refusals = append(f.Refusals, p.inForce.Refusals...)
+	}
+	return f
+}
--- /dev/null
+++ b/internal/command/agent/marks.go
@@ -0,0 +1,143 @@
+package agent
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"sniperail.example/sniperail/internal/command/membership"
+	"sniperail.example/sniperail/internal/message"
+	"sniperail.example/sniperail/internal/model"
+)
+
+// randomPeers is how many daemons outside the tree are told of a new mark, so that it passes a lost parent.
+const randomPeers = 2
+
+type markKey struct {
+	model.VersionRef
+	move model.PlanID
+}
+
+// AddMarks withholds versions on this daemon at once and spreads marks that are new to it.
+func (a *Agent) AddMarks(marks []model.Mark) {
+	var fresh []model.Mark
+	for _, m := range marks {
+		key := markKey{m.VersionRef, m.Move}
+		if _, known := a.marks[key]; known {
+			continue
+		}
+		a.marks[key] = m
+		fresh = append(fresh, m)
+		a.log("version withheld", "version", m.String(), "move", string(m.Move), "by", string(m.By), "reason", m.Reason)
+	}
+	if len(fresh) == 0 {
+		return
+	}
+	a.dirty = true
+	for _, address := range a.markReceivers() {
+		a.send(address, &message.Withhold{Marks: fresh}, nil)
+	}
+}
+
+// markReceivers returns the parent, the children, the other leaders, and a few random daemons.
+func (a *Agent) markReceivers() []string {
+	to := map[string]bool{a.parent.address: true}
+	for _, c := range a.members.Children() {
+		to[a.members.Member(c.ID).Target.PeerAddress] = true
+	}
+	if a.lead.lease.Held() {
+		for _, p := range a.lead.peers {
+			to[p.address] = true
+		}
+	}
+	if roster := a.roster.Targets(); len(roster) > 0 {
+		for range randomPeers {
+			to[roster[a.cfg.Rand.IntN(len(roster))].PeerAddress] = true
+		}
+	}
+	delete(to, "")
+	delete(to, a.self.PeerAddress)
+	return slices.Sorted(maps.Keys(to))
+}
+
+// markList returns the marks sorted by version and move.
+func (a *Agent) markList() []model.Mark {
+	if len(a.marks) == 0 {
+		return nil
+	}
+	return slices.SortedFunc(maps.Values(a.marks), func(x, y model.Mark) int {
+		return cmp.Or(cmp.Compare(x.Service, y.Service), cmp.Compare(x.Version, y.Version), cmp.Compare(x.Move, y.Move))
+	})
+}
+
+// pruneMarks drops old marks of moves that are over; such a move cannot become active again.
+func (a *Agent) pruneMarks() {
+	c := a.replica.Current()
+	maps.DeleteFunc(a.marks, func(key markKey, m model.Mark) bool {
+		return c.Move(key.move) == nil && a.now.Sub(m.At) > markRetention
+	})
+}
+
+// observed adds outcomes of calls made by this daemon, for services under move only.
+func (a *Agent) observed(sums []model.KeyedSum) { a.addSums(sums) }
+
+func (a *Agent) addSums(sums []model.KeyedSum) {
+	c := a.replica.Current()
+	if c == nil {
+		return
+	}
+	for _, s := range sums {
+		if c.ActiveMove(s.Service) == nil {
+			continue
+		}
+		sum := a.sums[s.OutcomeKey]
+		sum.Add(s.OutcomeSum)
+		a.sums[s.OutcomeKey] = sum
+	}
+	if a.lead.lease.Held() && len(a.sums) > 0 {
+		a.soon(timerExchange, membership.HeartbeatInterval)
+	}
+}
+
+// takeSums returns the sums and clears them. They are sent once: an answer may be lost after the receiver counted them,
+// and evidence that counts calls twice would judge too early.
+func (a *Agent) takeSums() []model.KeyedSum {
+	if len(a.sums) == 0 {
+		return nil
+	}
+	list := make([]model.KeyedSum, 0, len(a.sums))
+	for key, sum := range a.sums {
+		list = append(list, model.KeyedSum{OutcomeKey: key, OutcomeSum: sum})
+	}
+	clear(a.sums)
+	slices.SortFunc(list, func(x, y model.KeyedSum) int {
+		return cmp.Or(cmp.Compare(x.Service, y.Service), cmp.Compare(x.Route, y.Route), cmp.Compare(x.Version, y.Version))
+	})
+	return list
+}
+
+// addEvidence keeps the evidence of another data centre until TakeEvidence.
+func (a *Agent) addEvidence(e model.Evidence) {
+	if len(e.Sums) == 0 {
+		return
+	}
+	e.Sums = slices.Clone(e.Sums)
+	known, ok := a.evidence[e.DataCentre]
+	if !ok {
+		a.evidence[e.DataCentre] = e
+		return
+	}
+	index := map[model.OutcomeKey]int{}
+	for i, s := range known.Sums {
+		index[s.OutcomeKey] = i
+	}
+	for _, s := range e.Sums {
+		if i, ok := index[s.OutcomeKey]; ok {
+			known.Sums[i].Add(s.OutcomeSum)
+		} else {
+			known.Sums = append(known.Sums, s)
+		}
+	}
+	known.To = e.To
+	a.evidence[e.DataCentre] = known
+}
--- /dev/null
+++ b/internal/command/agent/view.go
@@ -0,0 +1,122 @@
+package agent
+
+import (
+	"slices"
+
+	"sniperail.example/sniperail/internal/effect"
+	"sniperail.example/sniperail/internal/message"
+	"sniperail.example/sniperail/internal/model"
+)
+
+// checkReady lets the daemon serve once it holds at least the number that a leader vouched for.
+func (a *Agent) checkReady() {
+	if a.ready || !a.vouched || a.replica.Number() == 0 || a.replica.Number() < a.required {
+		return
+	}
+	a.ready, a.dirty = true, true
+	a.log("ready", "number", numberText(a.replica.Number()))
+}
+
+// isolated reports whether the daemon may have missed changes.
+func (a *Agent) isolated() bool { return a.now.Sub(a.rootSeen) > IsolatedAfter }
+
+// publish swaps the view if anything in it changed.
+func (a *Agent) publish() {
+	isolated := a.isolated()
+	if !a.dirty && isolated == a.shownIsolated {
+		return
+	}
+	if isolated != a.shownIsolated {
+		a.log("isolation", "isolated", boolText(isolated))
+	}
+	a.dirty, a.shownIsolated = false, isolated
+	a.emit(effect.Publish{View: a.view()})
+}
+
+func boolText(b bool) string {
+	if b {
+		return "true"
+	}
+	return "false"
+}
+
+// view builds the view from the present state. It lists only targets and marks whose version the configuration has.
+func (a *Agent) view() *model.View {
+	c := a.replica.Current()
+	if c == nil {
+		c = &model.Configuration{}
+	}
+	v := &model.View{
+		Configuration: c, Ready: a.ready, Isolated: a.shownIsolated,
+		DataCentre: a.self.DataCentre, Region: a.self.Region, Local: a.self,
+	}
+	known := map[model.VersionRef]bool{}
+	for _, s := range c.Services {
+		for _, version := range s.Versions {
+			known[model.VersionRef{Service: s.Name, Version: version.Version}] = true
+		}
+	}
+	for _, t := range a.Roster() {
+		if known[t.Ref()] {
+			v.Targets = append(v.Targets, t)
+		}
+	}
+	for _, m := range a.markList() {
+		if move := c.Move(m.Move); move != nil && move.Phase.Active() && known[m.VersionRef] {
+			v.Marks = append(v.Marks, m)
+		}
+	}
+	return v
+}
+
+// Roster returns every known target sorted by daemon, the one beside this daemon in its own present state.
+func (a *Agent) Roster() []model.Target {
+	list := a.roster.Targets()
+	i, ok := slices.BinarySearchFunc(list, a.self.Daemon, func(t model.Target, id model.DaemonID) int {
+		return compareIDs(t.Daemon, id)
+	})
+	switch {
+	case !ok:
+		list = slices.Insert(list, i, a.self)
+	case list[i].Incarnation <= a.self.Incarnation:
+		list[i] = a.self
+	}
+	return list
+}
+
+func compareIDs(x, y model.DaemonID) int {
+	switch {
+	case x < y:
+		return -1
+	case x > y:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// summary summarises this daemon and the live daemons below it.
+func (a *Agent) summary() model.InForce {
+	own := a.replica.Number()
+	if !a.ready {
+		own = 0
+	}
+	f := a.members.InForce(own, a.self.DataCentre)
+	if a.refusal != nil {
+		f.Refusals = append(f.Refusals, *a.refusal)
+	}
+	return f
+}
+
+func (a *Agent) status() *message.StatusReply {
+	s := &message.StatusReply{
+		DataCentre: a.self.DataCentre, Leader: a.leaderOf(a.self.DataCentre), Term: a.term,
+		Targets: a.Roster(), Marks: a.markList(), At: a.now,
+	}
+	if a.lead.lease.Held() {
+		s.InForce = a.InForce()
+	} else {
+		s.InForce = a.summary()
+	}
+	return s
+}
--- /dev/null
+++ b/internal/command/membership/roster.go
@@ -0,0 +1,149 @@
+// Package membership tracks which daemons exist: announcements, heartbeats, relays, the roster and the lease of a leader.
+package membership
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"sniperail.example/sniperail/internal/message"
+	"sniperail.example/sniperail/internal/model"
+)
+
+// maxTombstones bounds how many removals a roster remembers. An older base gets a snapshot.
+const maxTombstones = 512
+
+// Roster is a versioned set of targets. One leader counts its versions within one term.
+type Roster struct {
+	term    model.Term
+	version uint64
+	// floor is the lowest version that a change can start from.
+	floor   uint64
+	targets map[model.DaemonID]model.Target
+	changed map[model.DaemonID]uint64
+	removed map[model.DaemonID]uint64
+}
+
+// NewRoster returns an empty roster of a term.
+func NewRoster(term model.Term) *Roster {
+	return &Roster{
+		term: term, targets: map[model.DaemonID]model.Target{},
+		changed: map[model.DaemonID]uint64{}, removed: map[model.DaemonID]uint64{},
+	}
+}
+
+// Term returns the term in which Version counts.
+func (r *Roster) Term() model.Term { return r.term }
+
+// Version returns the version; 0 is empty.
+func (r *Roster) Version() uint64 { return r.version }
+
+// Renumber starts a new term with the present targets.
+func (r *Roster) Renumber(term model.Term) {
+	r.term, r.version, r.floor = term, 1, 1
+	clear(r.removed)
+	for id := range r.targets {
+		r.changed[id] = 1
+	}
+}
+
+// Edit sets and removes targets as one new version. An older incarnation never replaces a newer one. It reports whether
+// anything changed.
+func (r *Roster) Edit(set []model.Target, remove []model.DaemonID) bool {
+	next, any := r.version+1, false
+	for _, t := range set {
+		known, ok := r.targets[t.Daemon]
+		if ok && (known == t || known.Incarnation > t.Incarnation) {
+			continue
+		}
+		r.put(t, next)
+		any = true
+	}
+	for _, id := range remove {
+		if _, ok := r.targets[id]; ok {
+			r.drop(id, next)
+			any = true
+		}
+	}
+	if any {
+		r.version = next
+	}
+	return any
+}
+
+func (r *Roster) put(t model.Target, version uint64) {
+	r.targets[t.Daemon] = t
+	r.changed[t.Daemon] = version
+	delete(r.removed, t.Daemon)
+}
+
+func (r *Roster) drop(id model.DaemonID, version uint64) {
+	delete(r.targets, id)
+	delete(r.changed, id)
+	r.removed[id] = version
+	if len(r.removed) <= maxTombstones {
+		return
+	}
+	versions := slices.Sorted(maps.Values(r.removed))
+	r.floor = max(r.floor, versions[len(versions)/2])
+	maps.DeleteFunc(r.removed, func(_ model.DaemonID, v uint64) bool { return v <= r.floor })
+}
+
+// Since returns the change from a version of the same term, a snapshot from any other, or nil if nothing is newer.
+func (r *Roster) Since(term model.Term, base uint64) *message.RosterChange {
+	if r.version == 0 || (term == r.term && base == r.version) {
+		return nil
+	}
+	if term != r.term || base < r.floor || base > r.version {
+		base = 0
+	}
+	change := &message.RosterChange{Term: r.term, Base: base, Version: r.version}
+	for _, id := range slices.Sorted(maps.Keys(r.targets)) {
+		if r.changed[id] > base {
+			change.Targets = append(change.Targets, r.targets[id])
+		}
+	}
+	if base == 0 {
+		return change
+	}
+	for _, id := range slices.Sorted(maps.Keys(r.removed)) {
+		if r.removed[id] > base {
+			change.Removed = append(change.Removed, id)
+		}
+	}
+	return change
+}
+
+// Apply takes a change. Applied is false if it is older than the roster; gap is true if it starts from a version that
+// the roster does not have.
+func (r *Roster) Apply(c *message.RosterChange) (applied, gap bool) {
+	if c.Term < r.term || (c.Term == r.term && c.Version <= r.version) {
+		return false, false
+	}
+	if c.Base != 0 && (c.Term != r.term || c.Base > r.version) {
+		return false, true
+	}
+	if c.Base == 0 {
+		*r = *NewRoster(c.Term)
+		r.floor = c.Version
+	}
+	for _, t := range c.Targets {
+		r.put(t, c.Version)
+	}
+	for _, id := range c.Removed {
+		r.drop(id, c.Version)
+	}
+	r.version = c.Version
+	return true, false
+}
+
+// Targets returns the targets sorted by daemon.
+func (r *Roster) Targets() []model.Target {
+	return slices.SortedFunc(maps.Values(r.targets), func(a, b model.Target) int { return cmp.Compare(a.Daemon, b.Daemon) })
+}
+
+// Target returns the target of a daemon.
+func (r *Roster) Target(id model.DaemonID) (model.Target, bool) {
+	t, ok := r.targets[id]
+	return t, ok
+}
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -32,6 +32,12 @@
 type Announce struct {
 	Target model.Target
 	Number model.Number
+	// Relay says that the sender already serves members below it, as after the loss of a leader.
+	Relay bool
+	// Avoid is the peer address of a parent that the sender could not reach.
+	Avoid string
+	// Probe only asks for Number and Current of the reply; the sender keeps its parent.
+	Probe bool
 }
 
 // AnnounceReply assigns a parent.
@@ -44,6 +50,10 @@
 	Parent string
 	// Relay says that the daemon itself serves as a relay.
 	Relay bool
+	// Number is the leader's configuration number. A daemon that holds it may serve if Current is set.
+	Number model.Number
+	// Current says that Number cannot be older than any number that a daemon of this data centre has served.
+	Current bool
 }
 
 // Heartbeat goes from a daemon to its parent.
@@ -51,11 +61,23 @@
 	From        model.DaemonID
 	Incarnation model.Incarnation
 	Term        model.Term
-	// Number is the lowest number in force at the sender and the live daemons below it.
-	Number model.Number
+	// Seq grows with each heartbeat of an incarnation, so that a late or repeated one is not counted again.
+	Seq uint64
+	// Own is the sender's number, Number the lowest number of the sender and the live daemons below it. Daemons that do
+	// not serve yet have number 0 and are left out of Number.
+	Own, Number model.Number
 	// Live counts the sender and the live daemons below it.
 	Live int
-	// Changed lists targets whose announcement changed since the last accepted heartbeat.
+	// Roster is the roster version that the sender holds and RosterTerm the term that counted it.
+	Roster     uint64
+	RosterTerm model.Term
+	// Digest covers the live targets at and below the sender. A parent whose own digest differs asks for all of them.
+	Digest uint64
+	// MarkDigest covers the marks that the sender holds.
+	MarkDigest uint64
+	// Full says that Changed lists every live target at and below the sender.
+	Full bool
+	// Changed lists targets whose announcement changed since the last heartbeat.
 	Changed []model.Target
 	Silent  []model.SilentDaemon
 	// Sums holds request outcomes of services with an active move.
@@ -64,13 +86,18 @@
 	Marks    []model.Mark
 }
 
-// HeartbeatReply tells the child whether it is behind.
+// HeartbeatReply tells the child whether it is behind. Unknown asks for a full heartbeat.
 type HeartbeatReply struct {
 	Code Code
 	Term model.Term
-	// Number and Roster are the versions that the parent holds.
+	// Leader is the peer address of the leader, set when the child's term differs.
+	Leader string
+	// Number is the configuration number that the parent holds.
 	Number model.Number
-	Roster uint64
+	// AgeMS is how long ago, in milliseconds, the parent last knew to be connected to the source of configuration.
+	AgeMS int64
+	// MarkDigest covers the marks that the parent holds.
+	MarkDigest uint64
 }
 
 // Update carries configuration, roster and marks down the tree.
@@ -94,12 +121,17 @@
 	RemovedRoutes   []model.RouteName
 	Moves           []model.Move
 	RemovedMoves    []model.PlanID
-	Withdrawn       []model.VersionRef
-	Checksum        uint64
+	// Withdrawn and Dashboard replace the old values as a whole.
+	Withdrawn []model.VersionRef
+	Dashboard *model.Dashboard
+	// Checksum covers the resulting configuration.
+	Checksum uint64
 }
 
-// RosterChange turns roster version Base into Version; Base 0 is a snapshot.
+// RosterChange turns roster version Base into Version; Base 0 is a snapshot. Versions are counted by one leader in one
+// term, so a change applies only to a roster of the same term.
 type RosterChange struct {
+	Term          model.Term
 	Base, Version uint64
 	Targets       []model.Target
 	Removed       []model.DaemonID
@@ -107,10 +139,14 @@
 
 // UpdateReply answers an Update.
 type UpdateReply struct {
-	Code   Code
-	Number model.Number
-	Roster uint64
-	Reason string
+	Code       Code
+	Term       model.Term
+	Number     model.Number
+	Roster     uint64
+	RosterTerm model.Term
+	// MarkDigest covers the marks that the receiver holds.
+	MarkDigest uint64
+	Reason     string
 }
 
 // Exchange goes from leader to leader.
@@ -118,15 +154,25 @@
 	DataCentre model.DataCentre
 	Leader     string
 	Term       model.Term
-	Roster     *RosterChange
-	InForce    model.InForce
-	Evidence   model.Evidence
-	Marks      []model.Mark
+	// Seq grows with each exchange of a term to one peer, so that evidence is not counted twice.
+	Seq uint64
+	// Number is the configuration number that the sender holds.
+	Number model.Number
+	// Platform says that the sender holds its lease and reaches the platform.
+	Platform bool
+	// Driver says that the sender drives the moves and wants the evidence of all data centres.
+	Driver bool
+	// Roster changes the targets of the sender's data centre.
+	Roster   *RosterChange
+	InForce  model.InForce
+	Evidence model.Evidence
+	Marks    []model.Mark
 }
 
-// ExchangeReply answers an Exchange.
+// ExchangeReply answers an Exchange. Gap asks for the roster from version Roster.
 type ExchangeReply struct {
 	Code   Code
+	Term   model.Term
 	Roster uint64
 	Number model.Number
 }
@@ -139,9 +185,10 @@
 
 // SnapshotQuery asks a peer for its configuration and roster if they are newer.
 type SnapshotQuery struct {
-	From   model.DaemonID
-	Number model.Number
-	Roster uint64
+	From       model.DaemonID
+	Number     model.Number
+	Roster     uint64
+	RosterTerm model.Term
 }
 
 // SnapshotReply answers a SnapshotQuery; nil parts mean nothing newer.
