--- a/internal/model/evidence.go
+++ b/internal/model/evidence.go
@@ -39,6 +39,11 @@
 	return min(b, LatencyBuckets-1)
 }
 
+// LatencyBound returns the upper bound of a bucket.
+func LatencyBound(bucket int) time.Duration {
+	return time.Duration(float64(latencyBase) * math.Pow(latencyGrowth, float64(bucket)))
+}
+
 // Add adds another sum.
 func (s *OutcomeSum) Add(o OutcomeSum) {
 	s.Calls += o.Calls
--- /dev/null
+++ b/internal/query/plans/schedule.go
@@ -0,0 +1,135 @@
+package plans
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"sniperail.example/sniperail/internal/model"
+)
+
+// The constants of a schedule; docs/moves.md says which measurement chose them.
+const (
+	// fullEvidence is the number of the new version's calls that a step to fullShare asks for when the load gives
+	// them; a step to a larger share asks for more in proportion.
+	fullEvidence = 200
+	fullShare    = model.Share(200)
+	// leastEvidence is the least number of calls that a step asks for. With fewer a version that fails one call in
+	// four would often pass.
+	leastEvidence = 20
+	// evidencePart is the part of the calls expected in a step that the next step asks for, so that fluctuation of
+	// the load and the delay of reports do not hold a good version.
+	evidencePart = 0.5
+	// firstPart is the part of the time before 100% that the first step lasts: it exposes the least calls.
+	firstPart = 0.5
+	// slackPart is the part of the time that stays free for delays.
+	slackPart = 0.1
+	// stepOverhead is the time from a decision to the first report of a step in force everywhere.
+	stepOverhead = 1500 * time.Millisecond
+	// watchPart is the part of the time that the watch period at 100% takes by default, at most longestWatch.
+	watchPart    = 0.1
+	longestWatch = time.Minute
+	leastWatch   = 2 * time.Second
+)
+
+// ladders are the shares of the steps, by first share. The last step before 100% leaves the old version enough calls to
+// compare with at nearly the full load.
+var ladders = [][]model.Share{
+	{100, 200, 500, 1000, 2500, 5000, 9000, model.FullShare},
+	{200, 500, 1000, 2500, 5000, 9000, model.FullShare},
+	{500, 1500, 5000, 9000, model.FullShare},
+	{1000, 3000, 9000, model.FullShare},
+	{2000, 5000, 9000, model.FullShare},
+}
+
+type schedule struct {
+	steps    []model.Step
+	watch    time.Duration
+	feasible bool
+	note     string
+	latest   time.Time
+}
+
+// newSchedule takes the ladder with the smallest first share that collects the evidence in time.
+func newSchedule(now time.Time, in model.Intent, rate float64) schedule {
+	total := in.By.Sub(now)
+	watch := time.Duration(in.WatchSeconds) * time.Second
+	if watch == 0 {
+		watch = max(min(time.Duration(float64(total)*watchPart), longestWatch), leastWatch).Truncate(time.Second)
+	}
+	for _, wanted := range wantedCalls(in) {
+		for _, ladder := range ladders {
+			if s, ok := fill(now, ladder, total-watch, rate, in.MinCalls, wanted); ok {
+				s.watch, s.feasible, s.latest = watch, true, in.By
+				return s
+			}
+		}
+	}
+	return late(now, in, watch, rate)
+}
+
+// wantedCalls lists the numbers of calls in the first step to try for, best first.
+func wantedCalls(in model.Intent) []float64 {
+	if in.MinCalls > 0 {
+		return []float64{float64(in.MinCalls)}
+	}
+	return []float64{fullEvidence, fullEvidence / 2, leastEvidence}
+}
+
+// late plans the earliest time that the load allows when the requested one is too early.
+func late(now time.Time, in model.Intent, watch time.Duration, rate float64) schedule {
+	wanted := wantedCalls(in)
+	need := wanted[len(wanted)-1]
+	for length := max(in.By.Sub(now), time.Second); rate > 0 && length < 366*24*time.Hour; length += length / 20 {
+		for _, ladder := range ladders {
+			s, ok := fill(now, ladder, length, rate, in.MinCalls, need)
+			if !ok {
+				continue
+			}
+			s.watch, s.latest = watch, now.Add(length+watch).Round(time.Second)
+			s.note = fmt.Sprintf("at %.1f calls/s the evidence of %.0f calls a step takes until %s",
+				rate, need, s.latest.UTC().Format(time.RFC3339))
+			return s
+		}
+	}
+	s, _ := fill(now, ladders[len(ladders)-1], max(in.By.Sub(now)-watch, 0), rate, in.MinCalls, 0)
+	s.watch = watch
+	s.note = fmt.Sprintf("at %.1f calls/s the evidence of %.0f calls a step cannot be collected", rate, need)
+	return s
+}
+
+// fill spreads a ladder over the time before the watch period. It reports false if a step lasts less than stepOverhead
+// or expects less than the wanted calls.
+func fill(now time.Time, ladder []model.Share, length time.Duration, rate float64, minCalls int, wanted float64) (schedule, bool) {
+	var s schedule
+	ok := true
+	usable := float64(length) * (1 - slackPart)
+	at := now
+	needed := 0
+	for i, share := range ladder {
+		s.steps = append(s.steps, model.Step{Share: share, Earliest: at, MinCalls: needed})
+		if share == model.FullShare {
+			break
+		}
+		part := firstPart
+		if i > 0 {
+			part = (1 - firstPart) / float64(len(ladder)-2)
+		}
+		dwell := time.Duration(usable * part)
+		observed := dwell - stepOverhead
+		calls := rate * float64(share) / float64(model.FullShare) * max(observed.Seconds(), 0) * evidencePart
+		ok = ok && observed > 0 && calls >= wanted
+		needed = evidence(calls, minCalls, ladder[i+1])
+		at = at.Add(dwell)
+	}
+	return s, ok
+}
+
+// evidence is in proportion to the next share, as far as the present step can collect it.
+func evidence(calls float64, minCalls int, next model.Share) int {
+	if minCalls > 0 {
+		return minCalls
+	}
+	full := fullEvidence * max(float64(next)/float64(fullShare), 1)
+	return int(math.Round(min(max(calls, leastEvidence), full)))
+}
