--- /dev/null
+++ b/internal/api/api.go
@@ -0,0 +1,53 @@
+// Package api is the operators' HTTP interface of a daemon: a group of commands, a group of queries, health and metrics.
+package api
+
+import (
+	"net/http"
+
+	"github.com/labstack/echo/v5"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"sniperail.example/sniperail/internal/api/commands"
+	"sniperail.example/sniperail/internal/api/problem"
+	"sniperail.example/sniperail/internal/api/queries"
+)
+
+// Options are the parts that the interface serves.
+type Options struct {
+	Submitter commands.Submitter
+	Reader    queries.Reader
+	// Metrics are the daemon's own metrics; the metric of moves is added to them. Nil serves only the latter.
+	Metrics prometheus.Gatherer
+	// Ready returns why the daemon is not ready to serve calls; empty means that it is.
+	Ready func() string
+}
+
+// New returns the handler of all endpoints.
+func New(o Options) http.Handler {
+	e := echo.New()
+	e.HTTPErrorHandler = problem.Handle
+	commands.Register(e.Group("/v1/command"), o.Submitter)
+	queries.Register(e.Group("/v1/query"), o.Reader)
+	e.GET("/healthz", func(c *echo.Context) error { return c.String(http.StatusOK, "ok\n") })
+	e.GET("/readyz", func(c *echo.Context) error {
+		if reason := o.Ready(); reason != "" {
+			return problem.New(http.StatusServiceUnavailable, "not-ready", reason).Write(c)
+		}
+		return c.String(http.StatusOK, "ready\n")
+	})
+	e.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(gatherers(o), promhttp.HandlerOpts{
+		// One metric that a dashboard's names make invalid must not hide the others.
+		ErrorHandling: promhttp.ContinueOnError,
+	})))
+	return e
+}
+
+func gatherers(o Options) prometheus.Gatherers {
+	moves := prometheus.NewRegistry()
+	moves.MustRegister(queries.MoveCollector{Reader: o.Reader})
+	if o.Metrics == nil {
+		return prometheus.Gatherers{moves}
+	}
+	return prometheus.Gatherers{o.Metrics, moves}
+}
--- a/internal/configfile/collect.go
+++ b/internal/configfile/collect.go
@@ -1,12 +1,17 @@
 package configfile
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"math"
+	"regexp"
+	"slices"
 	"strings"
 	"time"
 
 	"sniperail.example/sniperail/internal/model"
+	"sniperail.example/sniperail/internal/query/reports"
 )
 
 // located is a value with the place that it was read from, for problems that are found after all files are read.
@@ -43,17 +48,47 @@
 	for i := range d.Moves {
 		c.move(&d.Moves[i], fmt.Sprintf("moves[%d]", i))
 	}
-	if e := d.Dashboard; e != nil {
-		if c.dashboard != nil {
-			c.add(e.line, "dashboard", "the dashboard is already set at %s:%d", c.dashboard.file, c.dashboard.line)
-		}
-		c.dashboard = &located[model.Dashboard]{file: c.file, line: e.line, field: "dashboard",
-			value: model.Dashboard{MoveMetric: e.MoveMetric, Labels: e.Labels}}
+	if d.Dashboard != nil {
+		c.dashboardEntry(d.Dashboard)
 	}
 	c.remove.Services = append(c.remove.Services, d.Remove.Services...)
 	c.remove.Routes = append(c.remove.Routes, d.Remove.Routes...)
 }
 
+// namePattern is what Prometheus accepts for a metric; a label must not contain a colon.
+var namePattern = regexp.MustCompile(`^[a-zA-Z_:][a-zA-Z0-9_:]*$`)
+
+func (c *collector) dashboardEntry(e *dashboardEntry) {
+	if c.dashboard != nil {
+		c.add(e.line, "dashboard", "the dashboard is already set at %s:%d", c.dashboard.file, c.dashboard.line)
+	}
+	if e.MoveMetric != "" && !namePattern.MatchString(e.MoveMetric) {
+		c.add(e.line, "dashboard.moveMetric", "%q is not a metric name", e.MoveMetric)
+	}
+	names := map[string]string{}
+	for _, label := range reports.MoveLabels {
+		names[label] = cmp.Or(e.Labels[label], label)
+	}
+	owner := map[string]string{}
+	for _, label := range slices.Sorted(maps.Keys(e.Labels)) {
+		if !slices.Contains(reports.MoveLabels, label) {
+			c.add(e.line, "dashboard.labels", "label %q is not one of %s", label, strings.Join(reports.MoveLabels, ", "))
+			continue
+		}
+		if name := e.Labels[label]; !namePattern.MatchString(name) || strings.ContainsRune(name, ':') {
+			c.add(e.line, "dashboard.labels."+label, "%q is not a label name", name)
+		}
+	}
+	for _, label := range reports.MoveLabels {
+		if first, ok := owner[names[label]]; ok {
+			c.add(e.line, "dashboard.labels", "labels %q and %q have the same name %q", first, label, names[label])
+		}
+		owner[names[label]] = label
+	}
+	c.dashboard = &located[model.Dashboard]{file: c.file, line: e.line, field: "dashboard",
+		value: model.Dashboard{MoveMetric: e.MoveMetric, Labels: e.Labels}}
+}
+
 func (c *collector) service(e *serviceEntry, field string) {
 	s := model.Service{Name: model.ServiceName(e.Name), Customer: e.Customer}
 	if e.Name == "" {
--- a/internal/configfile/configfile_test.go
+++ b/internal/configfile/configfile_test.go
@@ -53,6 +53,9 @@
 			"routes[0].idempotent: a route with once cannot be idempotent"},
 		{"path without a slash", "routes:\n- {name: r, service: s, pathPrefix: r}", `routes[0].pathPrefix: path prefix "r" does not start with /`},
 		{"digest without a window", "routes:\n- {name: r, service: s, pathPrefix: /r, once: {digestFields: [a]}}", "routes[0].once.window: digestFields need a window"},
+		{"dashboard label that no move has", "dashboard: {labels: {host: h}}", `f.yaml:1: dashboard.labels: label "host" is not one of move, service, from, to, phase`},
+		{"dashboard labels with one name", "dashboard: {labels: {from: to}}", `f.yaml:1: dashboard.labels: labels "from" and "to" have the same name "to"`},
+		{"dashboard metric with a space", "dashboard: {moveMetric: a b}", `dashboard.moveMetric: "a b" is not a metric name`},
 		{"document over a megabyte", "# " + strings.Repeat("x", MaxBytes), "f.yaml: the file is larger than 1048576 bytes"},
 	}
 	for _, c := range cases {
--- /dev/null
+++ b/internal/query/reports/reports.go
@@ -0,0 +1,212 @@
+// Package reports turns a configuration, a status and plans into the rows that operators and their dashboards read. All
+// functions are pure. A nil status means that the daemon does not know it; the rows then say "unknown" instead of
+// guessing.
+package reports
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"sniperail.example/sniperail/internal/message"
+	"sniperail.example/sniperail/internal/model"
+)
+
+// Answer is yes, no or unknown.
+type Answer string
+
+// Answers of a report.
+const (
+	Yes     Answer = "yes"
+	No      Answer = "no"
+	Unknown Answer = "unknown"
+)
+
+func answer(yes bool) Answer {
+	if yes {
+		return Yes
+	}
+	return No
+}
+
+// inForce tells whether every live daemon has acknowledged a number. A data centre without a report makes it unknown.
+func inForce(s *message.StatusReply, n model.Number) Answer {
+	switch {
+	case s == nil:
+		return Unknown
+	case s.InForce.Number < n:
+		return No
+	case len(s.InForce.Blind) > 0 || s.InForce.Live == 0:
+		return Unknown
+	}
+	return Yes
+}
+
+// Move is one move, active or finished.
+type Move struct {
+	Move    model.PlanID      `json:"move"`
+	Service model.ServiceName `json:"service"`
+	From    model.VersionName `json:"from"`
+	To      model.VersionName `json:"to"`
+	Phase   model.Phase       `json:"phase"`
+	// Share is the new version's share in basis points in the configuration Number.
+	Share model.Share `json:"share"`
+	// Step counts from 1; 0 is before the first step.
+	Step     int          `json:"step"`
+	Steps    int          `json:"steps"`
+	Deadline time.Time    `json:"deadline"`
+	Since    time.Time    `json:"since"`
+	Number   model.Number `json:"number"`
+	InForce  Answer       `json:"inForce"`
+	// Withheld says that a daemon withholds the new version, before or after the withdrawal is written.
+	Withheld    Answer `json:"withheld"`
+	Reason      string `json:"reason,omitempty"`
+	ConfirmedBy string `json:"confirmedBy"`
+}
+
+// Moves returns active moves first, then finished ones, each in the order of their last change, latest first.
+func Moves(c *model.Configuration, s *message.StatusReply) []Move {
+	rows := make([]Move, 0, len(c.Moves))
+	for i := range c.Moves {
+		m := &c.Moves[i]
+		row := Move{
+			Move: m.ID, Service: m.Service, From: m.From, To: m.To, Phase: m.Phase, Step: m.Step + 1,
+			Steps: len(m.Steps), Deadline: m.Deadline, Since: m.Since, Number: m.Number, InForce: inForce(s, m.Number),
+			Withheld: withheld(s, m.Version()), Reason: m.Reason, ConfirmedBy: m.ConfirmedBy,
+		}
+		if service := c.Service(m.Service); service != nil {
+			if v := service.Version(m.To); v != nil {
+				row.Share = v.Share
+			}
+		}
+		rows = append(rows, row)
+	}
+	slices.SortStableFunc(rows, func(a, b Move) int {
+		if a.Phase.Active() != b.Phase.Active() {
+			if a.Phase.Active() {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(cmp.Compare(b.Number, a.Number), cmp.Compare(a.Move, b.Move))
+	})
+	return rows
+}
+
+func withheld(s *message.StatusReply, ref model.VersionRef) Answer {
+	if s == nil {
+		return Unknown
+	}
+	return answer(slices.ContainsFunc(s.Marks, func(m model.Mark) bool { return m.VersionRef == ref }))
+}
+
+// Version is one version of a service with its share and the targets that run it.
+type Version struct {
+	Service  model.ServiceName `json:"service"`
+	Customer string            `json:"customer,omitempty"`
+	Version  model.VersionName `json:"version"`
+	Share    model.Share       `json:"share"`
+	// Ready and Targets count targets, Slots the slots of ready targets; all are 0 if TargetsKnown is false.
+	TargetsKnown bool   `json:"targetsKnown"`
+	Ready        int    `json:"ready"`
+	Targets      int    `json:"targets"`
+	Slots        int    `json:"slots"`
+	Withdrawn    bool   `json:"withdrawn"`
+	Withheld     Answer `json:"withheld"`
+}
+
+// Versions returns the configured versions, and those that only targets announce, sorted by service and version.
+func Versions(c *model.Configuration, s *message.StatusReply) []Version {
+	rows := map[model.VersionRef]*Version{}
+	row := func(ref model.VersionRef) *Version {
+		if rows[ref] == nil {
+			rows[ref] = &Version{Service: ref.Service, Version: ref.Version, TargetsKnown: s != nil,
+				Withdrawn: c.IsWithdrawn(ref), Withheld: withheld(s, ref)}
+		}
+		return rows[ref]
+	}
+	for _, service := range c.Services {
+		for _, v := range service.Versions {
+			r := row(model.VersionRef{Service: service.Name, Version: v.Version})
+			r.Customer, r.Share = service.Customer, v.Share
+		}
+	}
+	if s != nil {
+		for i := range s.Targets {
+			t := &s.Targets[i]
+			r := row(t.Ref())
+			r.Targets++
+			if t.State == model.TargetReady {
+				r.Ready++
+				r.Slots += t.Slots
+			}
+		}
+	}
+	sorted := make([]Version, 0, len(rows))
+	for _, r := range rows {
+		sorted = append(sorted, *r)
+	}
+	slices.SortFunc(sorted, func(a, b Version) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Version, b.Version))
+	})
+	return sorted
+}
+
+// PlanState tells what became of a plan.
+type PlanState string
+
+// States of a plan. An outdated plan is refused when it is confirmed.
+const (
+	PlanOpen      PlanState = "open"
+	PlanConfirmed PlanState = "confirmed"
+	PlanOutdated  PlanState = "outdated"
+)
+
+// Plan is a plan and its state.
+type Plan struct {
+	model.Plan
+	State PlanState `json:"state"`
+}
+
+// Plans returns plans, latest first.
+func Plans(c *model.Configuration, plans []model.Plan) []Plan {
+	rows := make([]Plan, 0, len(plans))
+	for i := range plans {
+		p := &plans[i]
+		state := PlanOpen
+		if p.Confirmed != nil || confirmed(c, p.ID) {
+			state = PlanConfirmed
+		} else if outdated(c, p) {
+			state = PlanOutdated
+		}
+		rows = append(rows, Plan{Plan: *p, State: state})
+	}
+	slices.SortStableFunc(rows, func(a, b Plan) int {
+		return cmp.Or(b.At.Compare(a.At), cmp.Compare(a.ID, b.ID))
+	})
+	return rows
+}
+
+// confirmed looks in the moves, and for plans of changes in the event feed, since the mark on the plan itself is written
+// after the confirmation.
+func confirmed(c *model.Configuration, id model.PlanID) bool {
+	return c.Move(id) != nil || slices.ContainsFunc(c.Events, func(e model.MoveEvent) bool { return e.Move == id })
+}
+
+// outdated reports whether a service that the plan affects has changed since the plan was made.
+func outdated(c *model.Configuration, p *model.Plan) bool {
+	names := []model.ServiceName{p.Service}
+	if p.Change != nil {
+		names = slices.Clone(p.Change.RemoveServices)
+		for _, s := range p.Change.Services {
+			names = append(names, s.Name)
+		}
+		for _, r := range p.Change.Routes {
+			names = append(names, r.Service)
+		}
+	}
+	return slices.ContainsFunc(names, func(name model.ServiceName) bool {
+		s := c.Service(name)
+		return s != nil && s.Changed > p.Base
+	})
+}
--- /dev/null
+++ b/internal/query/reports/reports_test.go
@@ -0,0 +1,119 @@
+package reports
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/matryer/is"
+
+	"sniperail.example/sniperail/internal/message"
+	"sniperail.example/sniperail/internal/model"
+)
+
+// Each case guards against a report that calls a change in force although a daemon may not have it.
+func TestInForce(t *testing.T) {
+	cases := map[string]struct {
+		status *message.StatusReply
+		want   Answer
+	}{
+		"status not known":                  {nil, Unknown},
+		"a daemon has an older number":      {&message.StatusReply{InForce: model.InForce{Number: 6, Live: 3}}, No},
+		"older number and a blind centre":   {&message.StatusReply{InForce: model.InForce{Number: 6, Live: 3, Blind: []model.DataCentre{"x"}}}, No},
+		"a data centre sends no report":     {&message.StatusReply{InForce: model.InForce{Number: 7, Live: 3, Blind: []model.DataCentre{"x"}}}, Unknown},
+		"no live daemon":                    {&message.StatusReply{InForce: model.InForce{Number: 7}}, Unknown},
+		"every live daemon acknowledged it": {&message.StatusReply{InForce: model.InForce{Number: 7, Live: 3}}, Yes},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is.New(t).Equal(inForce(c.status, 7), c.want)
+		})
+	}
+}
+
+// Guards against a silent daemon that is shown in the state that it last announced, or not at all.
+func TestSilentDaemons(t *testing.T) {
+	is := is.New(t)
+	since := time.Unix(100, 0).UTC()
+	rows := Daemons(&message.StatusReply{
+		Targets: []model.Target{{Daemon: "a", DataCentre: "x", State: model.TargetReady}},
+		InForce: model.InForce{
+			Silent:   []model.SilentDaemon{{Daemon: "a", DataCentre: "x", Since: since}, {Daemon: "b", DataCentre: "x", Since: since}},
+			Refusals: []model.Refusal{{Daemon: "a", Number: 3, Reason: "old"}, {Daemon: "a", Number: 5, Reason: "new"}},
+		},
+	})
+	is.Equal(len(rows), 2)
+	is.Equal([]model.TargetState{rows[0].State, rows[1].State}, []model.TargetState{model.TargetSilent, model.TargetSilent})
+	is.Equal(rows[0].Since, since)
+	is.Equal(rows[0].Reason, "new")
+}
+
+// Each case guards against a feed that skips an event without saying so, or repeats one.
+func TestEvents(t *testing.T) {
+	kept := &model.Configuration{LastEvent: 12, Events: []model.MoveEvent{{Token: 10}, {Token: 11}, {Token: 12}}}
+	cases := map[string]struct {
+		after  uint64
+		tokens []uint64
+		next   uint64
+		missed bool
+	}{
+		"events before the first kept one are gone":   {3, []uint64{10, 11, 12}, 12, true},
+		"continues right before the first kept event": {9, []uint64{10, 11, 12}, 12, false},
+		"continues within":                            {11, []uint64{12}, 12, false},
+		"nothing new":                                 {12, nil, 12, false},
+		"token of a newer configuration than here":    {15, nil, 15, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			feed := Events(kept, c.after)
+			var tokens []uint64
+			for _, e := range feed.Events {
+				tokens = append(tokens, e.Token)
+			}
+			is.Equal(tokens, c.tokens)
+			is.Equal(feed.Next, c.next)
+			is.Equal(feed.Missed, c.missed)
+		})
+	}
+}
+
+// Guards against a plan that is shown as open although confirming it would be refused or would do nothing.
+func TestPlanStates(t *testing.T) {
+	c := &model.Configuration{
+		Services: []model.Service{{Name: "s", Changed: 7}, {Name: "u", Changed: 2}},
+		Moves:    []model.Move{{ID: "moved"}},
+		Events:   []model.MoveEvent{{Move: "changed"}},
+	}
+	change := &model.Change{Routes: []model.Route{{Service: "s"}}}
+	cases := map[string]struct {
+		plan model.Plan
+		want PlanState
+	}{
+		"service unchanged":               {model.Plan{Base: 5, Intent: model.Intent{Service: "u"}}, PlanOpen},
+		"service changed later":           {model.Plan{Base: 5, Intent: model.Intent{Service: "s"}}, PlanOutdated},
+		"service of a route changed":      {model.Plan{Base: 5, Change: change}, PlanOutdated},
+		"move exists":                     {model.Plan{ID: "moved", Base: 5, Intent: model.Intent{Service: "s"}}, PlanConfirmed},
+		"change in the event feed":        {model.Plan{ID: "changed", Base: 5, Change: change}, PlanConfirmed},
+		"marked after the feed forgot it": {model.Plan{Base: 5, Change: change, Confirmed: &model.Confirmation{}}, PlanConfirmed},
+	}
+	for name, k := range cases {
+		t.Run(name, func(t *testing.T) {
+			is.New(t).Equal(Plans(c, []model.Plan{k.plan})[0].State, k.want)
+		})
+	}
+}
+
+// Guards against a dashboard that loses a label because the operators renamed another one.
+func TestMoveSamplesKeepTheOperatorsNames(t *testing.T) {
+	c := &model.Configuration{
+		Services:  []model.Service{{Name: "s", Versions: []model.VersionShare{{Version: "v1", Share: 7500}, {Version: "v2", Share: 2500}}}},
+		Moves:     []model.Move{{ID: "m", Service: "s", From: "v1", To: "v2", Phase: model.PhaseRunning}},
+		Dashboard: &model.Dashboard{MoveMetric: "rollout", Labels: map[string]string{"service": "svc"}},
+	}
+	want := []MoveSample{{Metric: "rollout", Labels: []string{"move", "svc", "from", "to", "phase"},
+		Values: []string{"m", "s", "v1", "v2", "running"}, Share: 0.25}}
+	if diff := cmp.Diff(want, MoveSamples(c)); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -46,6 +46,9 @@
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
 
+// Gatherer returns the registry, for an endpoint that serves further metrics beside it.
+func (m *Metrics) Gatherer() prometheus.Gatherer { return m.registry }
+
 // Shutdown releases the instruments.
 func (m *Metrics) Shutdown(ctx context.Context) error { return m.provider.Shutdown(ctx) }
 
