controller: operators' commands and the driver of moves on top of the agent

Cause: commands, judgement and steps had no place in the control loop. A move may step back from 100% while it is observed.

--- a/internal/command/configuration/apply.go
+++ b/internal/command/configuration/apply.go
@@ -208,8 +208,9 @@
 	if refusal != nil {
 		return refusal
 	}
-	if m.Phase != model.PhaseRunning || m.Step != cmd.From || cmd.To != cmd.From+1 || cmd.To >= len(m.Steps) {
-		return e.refuse(model.OutcomeConflict, "move %s is %s at step %d, not running at step %d", m.ID, m.Phase, m.Step, cmd.From)
+	if !cmd.follows(m) {
+		return e.refuse(model.OutcomeConflict, "move %s is %s at step %d and cannot go from step %d to %d",
+			m.ID, m.Phase, m.Step, cmd.From, cmd.To)
 	}
 	share := m.Steps[cmd.To].Share
 	service := e.next.Service(m.Service)
@@ -225,6 +226,17 @@
 	return nil
 }
 
+// follows reports whether a step may be taken: one up while the move runs, or one down from the last step when the new
+// version is suspect and has no old version left to compare with.
+func (a Advance) follows(m *model.Move) bool {
+	if m.Step != a.From || a.To < 0 || a.To >= len(m.Steps) {
+		return false
+	}
+	up := m.Phase == model.PhaseRunning && a.To == a.From+1
+	down := m.Phase == model.PhaseWatching && a.To == a.From-1
+	return up || down
+}
+
 func (e *edit) finish(cmd Finish) *model.Outcome {
 	m, refusal := e.activeMove(cmd.Move)
 	if refusal != nil {
--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"sniperail.example/sniperail/internal/command/agent"
 	"sniperail.example/sniperail/internal/model"
 )
 
@@ -33,3 +34,15 @@
 	}
 	return &v, nil
 }
+
+// EncodeLeader returns the record of a leader key.
+func (JSON) EncodeLeader(r agent.LeaderRecord) ([]byte, error) { return json.Marshal(r) }
+
+// DecodeLeader reads the record of a leader key.
+func (JSON) DecodeLeader(data []byte) (agent.LeaderRecord, error) {
+	r, err := decode[agent.LeaderRecord](data, "leader record")
+	if err != nil {
+		return agent.LeaderRecord{}, err
+	}
+	return *r, nil
+}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -22,6 +22,7 @@
 
 	mu       sync.Mutex
 	counters map[string]metric.Int64Counter
+	sets     map[string]*CounterSet
 }
 
 // NewMetrics returns an empty registry.
@@ -34,21 +35,33 @@
 	provider := sdkmetric.NewMeterProvider(sdkmetric.WithReader(exporter))
 	return &Metrics{
 		provider: provider, registry: registry, meter: provider.Meter(program),
-		counters: map[string]metric.Int64Counter{},
+		counters: map[string]metric.Int64Counter{}, sets: map[string]*CounterSet{},
 	}, nil
 }
 
 // Meter creates instruments. Names carry their unit, such as sniperail_call_seconds.
 func (m *Metrics) Meter() metric.Meter { return m.meter }
 
-// Handler serves the Prometheus text format.
-func (m *Metrics) Handler() http.Handler {
-	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+// Add adds one to a counter under a reason. It suits rare events; the call path keeps a CounterSet.
+func (m *Metrics) Add(counter, reason string) {
+	m.mu.Lock()
+	set, ok := m.sets[counter]
+	if !ok {
+		set = &CounterSet{counter: m.counter(counter, "Events of the control loop by reason.")}
+		m.sets[counter] = set
+	}
+	m.mu.Unlock()
+	set.Add(context.Background(), reason, 1)
 }
 
 // Gatherer returns the registry, for an endpoint that serves further metrics beside it.
 func (m *Metrics) Gatherer() prometheus.Gatherer { return m.registry }
 
+// Handler serves the Prometheus text format.
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
 // Shutdown releases the instruments.
 func (m *Metrics) Shutdown(ctx context.Context) error { return m.provider.Shutdown(ctx) }
 
@@ -61,6 +74,8 @@
 
 // CounterSet returns a counter, labelled by reason. The name ends in _total in the Prometheus output.
 func (m *Metrics) CounterSet(name, description string) *CounterSet {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	return &CounterSet{counter: m.counter(name, description)}
 }
 
@@ -74,9 +89,8 @@
 	c.counter.Add(ctx, n, cached.([]metric.AddOption)...)
 }
 
+// counter returns the instrument of a name. The caller holds the lock.
 func (m *Metrics) counter(name, description string) metric.Int64Counter {
-	m.mu.Lock()
-	defer m.mu.Unlock()
 	if c, ok := m.counters[name]; ok {
 		return c
 	}
