agent: report quiet windows, so that a quiet data centre is not blind

Cause: a data centre without calls sent no evidence, and the driver then holds every move as blind. Change: while a move is active each exchange to the driver carries its window, also without sums.

--- a/internal/command/agent/exchange.go
+++ b/internal/command/agent/exchange.go
@@ -137,7 +137,7 @@
 	if digest != p.sentMarks {
 		m.Marks = a.markList()
 	}
-	if evidence {
+	if p.driver && a.moving() {
 		m.Evidence = model.Evidence{
 			DataCentre: a.self.DataCentre, From: a.lead.evidenceFrom, To: a.now, Sums: a.takeSums(),
 		}
--- a/internal/command/agent/extension.go
+++ b/internal/command/agent/extension.go
@@ -74,7 +74,7 @@
 
 // TakeEvidence returns the outcomes received since the last call, one entry per data centre, sorted.
 func (a *Agent) TakeEvidence() []model.Evidence {
-	if a.lead.lease.Held() && len(a.sums) > 0 {
+	if a.lead.lease.Held() && a.moving() {
 		a.addEvidence(model.Evidence{
 			DataCentre: a.self.DataCentre, From: a.lead.evidenceFrom, To: a.now, Sums: a.takeSums(),
 		})
--- a/internal/command/agent/marks.go
+++ b/internal/command/agent/marks.go
@@ -116,9 +116,16 @@
 	return list
 }
 
-// addEvidence keeps the evidence of another data centre until TakeEvidence.
+// moving reports whether any move is active.
+func (a *Agent) moving() bool {
+	c := a.replica.Current()
+	return c != nil && slices.ContainsFunc(c.Moves, func(m model.Move) bool { return m.Phase.Active() })
+}
+
+// addEvidence keeps the evidence of another data centre until TakeEvidence. A window without calls counts too: it tells
+// the driver that the data centre is quiet and not blind.
 func (a *Agent) addEvidence(e model.Evidence) {
-	if len(e.Sums) == 0 {
+	if e.To.IsZero() {
 		return
 	}
 	e.Sums = slices.Clone(e.Sums)
