routing: match routes, rotate versions by exact share, pick targets

Cause: the call path needs a route, a version and a target for each call from the published view. Change: Table compiles routes by path prefix, versions by effective share (marks, withdrawals, isolation and missing targets applied) and ready targets by distance. Version is a pure rotation over a counter; Pick takes signals and a random source.

--- a/internal/query/routing/routing.go
+++ b/internal/query/routing/routing.go
@@ -1,13 +1,126 @@
-// Package routing selects the route, version and target of a call from a published view.
+// Package routing selects the route, version and target of a call from a published view. It is pure: counters, the
+// signals that calls have shown about targets and the random source are arguments.
 package routing
 
-import "sniperail.example/sniperail/internal/model"
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"sniperail.example/sniperail/internal/model"
+)
+
+// Reason says why a call has no route, version or target. The empty reason means that it has one.
+type Reason string
+
+// Reasons of routing refusals. In each case nothing was executed.
+const (
+	Found            Reason = ""
+	NoRoute          Reason = "no-route"
+	MethodNotAllowed Reason = "method-not-allowed"
+	NoVersion        Reason = "no-version"
+	NoTarget         Reason = "no-target"
+)
 
 // Table is the compiled form of a view that traffic goroutines read. It is immutable.
 type Table struct {
 	// View is the view that the table was compiled from.
-	View *model.View
+	View     *model.View
+	routes   map[string][]*Route
+	services map[model.ServiceName]*Service
+	withheld map[model.VersionRef]bool
+}
+
+// Route is a compiled route.
+type Route struct {
+	model.Route
+	// Timeout is the total deadline of a call.
+	Timeout time.Duration
+	// Service is never nil for a validated configuration.
+	Service *Service
 }
 
 // NewTable compiles a view.
-func NewTable(view *model.View) *Table { return &Table{View: view} }
+func NewTable(view *model.View) *Table {
+	t := &Table{
+		View:     view,
+		routes:   map[string][]*Route{},
+		services: map[model.ServiceName]*Service{},
+		withheld: map[model.VersionRef]bool{},
+	}
+	if view == nil || view.Configuration == nil {
+		return t
+	}
+	c := view.Configuration
+	for _, ref := range c.Withdrawn {
+		t.withheld[ref] = true
+	}
+	for _, mark := range view.Marks {
+		t.withheld[mark.VersionRef] = true
+	}
+	ready := readyTargets(view)
+	for i := range c.Services {
+		t.services[c.Services[i].Name] = compileService(view, &c.Services[i], ready, t.withheld)
+	}
+	for _, r := range c.Routes {
+		t.addRoute(r)
+	}
+	return t
+}
+
+func (t *Table) addRoute(r model.Route) {
+	service := t.services[r.Service]
+	if service == nil {
+		return
+	}
+	timeout := time.Duration(r.TimeoutMS) * time.Millisecond
+	if timeout <= 0 {
+		timeout = model.DefaultTimeoutMS * time.Millisecond
+	}
+	prefix := strings.TrimRight(r.PathPrefix, "/")
+	t.routes[prefix] = append(t.routes[prefix], &Route{Route: r, Timeout: timeout, Service: service})
+	// A route for named methods goes before a route for all methods.
+	slices.SortStableFunc(t.routes[prefix], func(a, b *Route) int { return allMethods(a) - allMethods(b) })
+}
+
+func allMethods(r *Route) int {
+	if len(r.Methods) == 0 {
+		return 1
+	}
+	return 0
+}
+
+// Match returns the route with the longest path prefix that allows the method. A prefix ends at a path segment: /a
+// matches /a and /a/b but not /ab.
+func (t *Table) Match(method, path string) (*Route, Reason) {
+	reason := NoRoute
+	for end := len(path); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
+		for _, r := range t.routes[strings.TrimRight(path[:end], "/")] {
+			if len(r.Methods) == 0 || slices.Contains(r.Methods, method) {
+				return r, Found
+			}
+			reason = MethodNotAllowed
+		}
+		if end == 0 {
+			break
+		}
+	}
+	return nil, reason
+}
+
+// Service returns a compiled service, or nil.
+func (t *Table) Service(name model.ServiceName) *Service { return t.services[name] }
+
+// Withheld reports whether a version receives no calls because of a mark or a withdrawal.
+func (t *Table) Withheld(ref model.VersionRef) bool { return t.withheld[ref] }
+
+func readyTargets(view *model.View) map[model.VersionRef][]*model.Target {
+	ready := map[model.VersionRef][]*model.Target{}
+	for i := range view.Targets {
+		target := &view.Targets[i]
+		if target.State == model.TargetReady {
+			ready[target.Ref()] = append(ready[target.Ref()], target)
+		}
+	}
+	return ready
+}
--- /dev/null
+++ b/internal/query/routing/routing_test.go
@@ -0,0 +1,249 @@
+package routing_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"sniperail.example/sniperail/internal/model"
+	"sniperail.example/sniperail/internal/query/routing"
+	_ "sniperail.example/sniperail/internal/testseed"
+)
+
+const service = model.ServiceName("placements")
+
+func ref(v string) model.VersionRef {
+	return model.VersionRef{Service: service, Version: model.VersionName(v)}
+}
+
+// drawView draws a service with up to four versions, a possible move, marks, withdrawals, isolation and targets.
+func drawView(t *rapid.T) *model.View {
+	n := rapid.IntRange(1, 4).Draw(t, "versions")
+	c := &model.Configuration{Services: []model.Service{{Name: service}}}
+	view := &model.View{Configuration: c, Ready: true, DataCentre: "a", Region: "r", Isolated: rapid.Bool().Draw(t, "isolated")}
+	left := model.FullShare
+	for i := range n {
+		name := model.VersionName(fmt.Sprintf("v%d", i))
+		share := left
+		if i < n-1 {
+			share = model.Share(rapid.IntRange(0, int(left)).Draw(t, "share"))
+		}
+		left -= share
+		c.Services[0].Versions = append(c.Services[0].Versions, model.VersionShare{Version: name, Share: share})
+		switch rapid.IntRange(0, 5).Draw(t, "held") {
+		case 0:
+			view.Marks = append(view.Marks, model.Mark{VersionRef: ref(string(name))})
+		case 1:
+			c.Withdrawn = append(c.Withdrawn, ref(string(name)))
+		}
+		for j := range rapid.IntRange(0, 2).Draw(t, "targets") {
+			view.Targets = append(view.Targets, model.Target{
+				Daemon: model.DaemonID(fmt.Sprintf("%s-%d", name, j)), Service: service, Version: name, DataCentre: "a", Region: "r",
+				State: rapid.SampledFrom([]model.TargetState{model.TargetReady, model.TargetDown}).Draw(t, "state"),
+			})
+		}
+	}
+	if n > 1 && rapid.Bool().Draw(t, "moving") {
+		c.Moves = []model.Move{{Service: service, From: "v0", To: "v1", Phase: model.PhaseRunning}}
+	}
+	return view
+}
+
+// Guards against drift of the shares: a version that receives more or less than its exact part of a window.
+func TestSharesAreExact(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := routing.NewTable(drawView(t)).Service(service)
+		_, total := s.Share("")
+		if total == 0 || total > 200_000 {
+			t.Skip("no version, or a window too long to count")
+		}
+		start := rapid.Uint64Range(0, 1<<62).Draw(t, "start")
+		counts := map[model.VersionName]uint64{}
+		for i := range total {
+			v, _ := s.Version(start + i)
+			counts[v.Version]++
+		}
+		for name, got := range counts {
+			if want, _ := s.Share(name); got != want {
+				t.Fatalf("version %s received %d of %d calls, want %d", name, got, total, want)
+			}
+		}
+	})
+}
+
+// Guards against a burst of calls to a new version: within a window its calls are spread evenly.
+func TestShortWindowsOfTwoVersions(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		share := rapid.IntRange(1, 9_999).Draw(t, "share")
+		view := &model.View{Configuration: &model.Configuration{Services: []model.Service{{Name: service, Versions: []model.VersionShare{
+			{Version: "old", Share: model.FullShare - model.Share(share)}, {Version: "new", Share: model.Share(share)},
+		}}}}}
+		s := routing.NewTable(view).Service(service)
+		calls := 0
+		for i := range uint64(10_000) {
+			if v, _ := s.Version(i); v.Version == "new" {
+				calls++
+			}
+			if deviation := calls*10_000 - int(i+1)*share; deviation <= -10_000 || deviation >= 10_000 {
+				t.Fatalf("after %d calls the new version received %d at a share of %d", i+1, calls, share)
+			}
+		}
+	})
+}
+
+// Guards against calls to a withheld, withdrawn or (when isolated) moving version, against a higher share of the new
+// version when the old one has no targets, and against refusing all calls while a version could take them.
+func TestWithheldVersionsReceiveNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		view := drawView(t)
+		table := routing.NewTable(view)
+		s := table.Service(service)
+		held := map[model.VersionName]bool{}
+		for _, m := range view.Marks {
+			held[m.Version] = true
+		}
+		for _, w := range view.Configuration.Withdrawn {
+			held[w.Version] = true
+		}
+		move := view.Configuration.ActiveMove(service)
+		if move != nil && view.Isolated {
+			held[move.To] = true
+		}
+		open, nonMoving := false, false
+		for _, v := range view.Configuration.Services[0].Versions {
+			weight, _ := s.Share(v.Version)
+			if held[v.Version] && weight > 0 {
+				t.Fatalf("withheld version %s has weight %d", v.Version, weight)
+			}
+			open = open || (!held[v.Version] && v.Share > 0)
+			nonMoving = nonMoving || (!held[v.Version] && v.Share > 0 && (move == nil || v.Version != move.To))
+		}
+		if _, total := s.Share(""); open && total == 0 {
+			t.Fatal("no version receives calls although one may")
+		}
+		if move == nil || !nonMoving {
+			return
+		}
+		weight, total := s.Share(move.To)
+		declared := uint64(view.Configuration.Services[0].Version(move.To).Share)
+		if weight*uint64(model.FullShare) > declared*total {
+			t.Fatalf("new version receives %d of %d calls, declared %d", weight, total, declared)
+		}
+	})
+}
+
+// Guards against an outage when the only version with a share is withheld: the old version of its move takes the calls.
+func TestOldVersionTakesOver(t *testing.T) {
+	for name, change := range map[string]func(*model.View){
+		"mark":     func(v *model.View) { v.Marks = []model.Mark{{VersionRef: ref("v2")}} },
+		"isolated": func(v *model.View) { v.Isolated = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			view := &model.View{Configuration: &model.Configuration{
+				Services: []model.Service{{Name: service, Versions: []model.VersionShare{{Version: "v1"}, {Version: "v2", Share: model.FullShare}}}},
+				Moves:    []model.Move{{Service: service, From: "v1", To: "v2", Phase: model.PhaseWatching}},
+			}}
+			change(view)
+			v, reason := routing.NewTable(view).Service(service).Version(7)
+			is.Equal(reason, routing.Found)
+			is.Equal(v.Version, model.VersionName("v1"))
+		})
+	}
+}
+
+// Guards against a call on the wrong route: prefixes end at segments, the longest wins, and methods are kept apart.
+func TestMatch(t *testing.T) {
+	c := &model.Configuration{Services: []model.Service{{Name: service}}, Routes: []model.Route{
+		{Name: "root", Service: service, PathPrefix: "/"},
+		{Name: "tickets", Service: service, PathPrefix: "/tickets"},
+		{Name: "issue", Service: service, PathPrefix: "/tickets/", Methods: []string{"POST"}},
+		{Name: "log", Service: service, PathPrefix: "/tickets/log/x", Methods: []string{"GET"}},
+	}}
+	table := routing.NewTable(&model.View{Configuration: c})
+	for _, call := range []struct{ method, path, route string }{
+		{"GET", "/", "root"}, {"GET", "/ticketsx", "root"}, {"GET", "/tickets", "tickets"}, {"POST", "/tickets/1", "issue"},
+		{"GET", "/tickets/log/x/y", "log"}, {"DELETE", "/tickets/log/x", "tickets"}, {"GET", "/tickets/log", "tickets"},
+	} {
+		r, reason := table.Match(call.method, call.path)
+		if reason != routing.Found || string(r.Name) != call.route {
+			t.Errorf("%s %s: got %v %q, want %s", call.method, call.path, r, reason, call.route)
+		}
+	}
+	c.Routes = c.Routes[3:]
+	table = routing.NewTable(&model.View{Configuration: c})
+	_, reason := table.Match("POST", "/tickets/log/x")
+	is.New(t).Equal(reason, routing.MethodNotAllowed)
+	_, reason = table.Match("POST", "*")
+	is.New(t).Equal(reason, routing.NoRoute)
+}
+
+type fixedSignals map[model.DaemonID]routing.Signal
+
+func (f fixedSignals) Signal(t *model.Target) routing.Signal { return f[t.Daemon] }
+
+func pickView(daemons ...string) *model.View {
+	view := &model.View{DataCentre: "a", Region: "r", Configuration: &model.Configuration{
+		Services: []model.Service{{Name: service, Versions: []model.VersionShare{{Version: "v1", Share: model.FullShare}}}},
+	}}
+	for _, d := range daemons {
+		target := model.Target{Daemon: model.DaemonID(d), Service: service, Version: "v1", State: model.TargetReady, Region: "r", DataCentre: model.DataCentre(d[:1])}
+		if d[:1] == "z" {
+			target.Region = "other"
+		}
+		view.Targets = append(view.Targets, target)
+	}
+	view.Targets = append(view.Targets, model.Target{Daemon: "draining", Service: service, Version: "v1", State: model.TargetDraining, DataCentre: "a"})
+	return view
+}
+
+// Guards against calls to targets that are draining, tried, ejected or far away while a better one is ready.
+func TestPickPrefersUsableTargets(t *testing.T) {
+	warm := routing.Signal{Age: routing.SlowStart}
+	ejected := routing.Signal{Age: routing.SlowStart, Ejected: true}
+	busy := routing.Signal{Age: routing.SlowStart, Busy: true}
+	for name, test := range map[string]struct {
+		signals fixedSignals
+		tried   []model.DaemonID
+		want    string
+	}{
+		"own data centre first":      {signals: fixedSignals{"a1": warm, "b1": warm, "z1": warm}, want: "a1"},
+		"then the region":            {signals: fixedSignals{"a1": warm}, tried: []model.DaemonID{"a1"}, want: "b1"},
+		"then another region":        {signals: fixedSignals{}, tried: []model.DaemonID{"a1", "b1"}, want: "z1"},
+		"busy is passed over":        {signals: fixedSignals{"a1": busy, "b1": warm}, want: "b1"},
+		"ejected after busy":         {signals: fixedSignals{"a1": ejected, "b1": busy, "z1": busy}, want: "b1"},
+		"ejected if no other left":   {signals: fixedSignals{"a1": ejected, "b1": ejected, "z1": ejected}, want: "a1"},
+		"slow start alone is usable": {signals: fixedSignals{"a1": {}}, want: "a1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			v, _ := routing.NewTable(pickView("a1", "b1", "z1")).Service(service).Version(0)
+			target, reason := v.Pick(test.signals, rand.NewPCG(1, 1), test.tried)
+			is.New(t).Equal(reason, routing.Found)
+			is.New(t).Equal(string(target.Daemon), test.want)
+		})
+	}
+	v, _ := routing.NewTable(pickView()).Service(service).Version(0)
+	_, reason := v.Pick(fixedSignals{}, rand.NewPCG(1, 1), nil)
+	is.New(t).Equal(reason, routing.NoTarget)
+}
+
+// Guards against overload of a slow or cold target and against ejecting more than half of a version's targets.
+func TestPickBalances(t *testing.T) {
+	is := is.New(t)
+	v, _ := routing.NewTable(pickView("a1", "a2", "a3")).Service(service).Version(0)
+	signals := fixedSignals{"a1": {Age: routing.SlowStart, InFlight: 9}, "a2": {Age: routing.SlowStart}, "a3": {}}
+	counts, random := map[model.DaemonID]int{}, rand.NewPCG(1, 2)
+	for range 3000 {
+		target, _ := v.Pick(signals, random, nil)
+		counts[target.Daemon]++
+	}
+	is.Equal(counts["a1"], 0)                // the loaded target loses each comparison
+	is.True(counts["a3"] < counts["a2"]/2)   // the cold one receives a part
+	is.True(counts["a3"] > counts["a2"]/100) // but not nothing
+	is.True(v.MayEject(signals))
+	signals["a1"] = routing.Signal{Ejected: true}
+	is.True(!v.MayEject(signals)) // two of three must stay
+}
--- /dev/null
+++ b/internal/query/routing/targets.go
@@ -0,0 +1,137 @@
+package routing
+
+import (
+	"slices"
+	"time"
+
+	"sniperail.example/sniperail/internal/model"
+)
+
+const (
+	// SlowStart is how long a target that became ready receives a growing part of its calls.
+	SlowStart = 10 * time.Second
+	// slowStartFloor is the part at the beginning of SlowStart; without it a cold target would stay cold.
+	slowStartFloor = 0.1
+	// assumedLatency stands in for the latency of a target without calls.
+	assumedLatency = time.Millisecond
+	// draws is how many random candidates are tried before the tier is scanned for a usable target.
+	draws = 4
+)
+
+// Signal is what this daemon's calls have shown about a target. Traffic owns it.
+type Signal struct {
+	InFlight int
+	// Latency is the smoothed latency of calls; 0 means that there were none.
+	Latency time.Duration
+	// Age is how long the target has been known as ready.
+	Age time.Duration
+	// Ejected says that calls to the target failed in a row.
+	Ejected bool
+	// Busy says that the target refused calls a moment ago.
+	Busy bool
+}
+
+// Signals returns the signal of a target.
+type Signals interface {
+	Signal(target *model.Target) Signal
+}
+
+// Source is a random source, such as math/rand/v2.Source.
+type Source interface{ Uint64() uint64 }
+
+// Pick selects a ready target that is not in tried: the better of two random choices by requests in flight and latency,
+// of the own data centre before the region before other regions. Targets that are busy or ejected are used only if no
+// other is left.
+func (v *Version) Pick(signals Signals, random Source, tried []model.DaemonID) (*model.Target, Reason) {
+	for level := range 3 {
+		for _, tier := range v.tiers {
+			if target := pickTier(tier, picker{signals, random, tried, level}); target != nil {
+				return target, Found
+			}
+		}
+	}
+	return nil, NoTarget
+}
+
+// MayEject reports whether one more target of the version may be ejected. At least half stay, because a fault that
+// affects most targets is a fault of the version or of the network and not of the targets.
+func (v *Version) MayEject(signals Signals) bool {
+	ejected := 0
+	for _, tier := range v.tiers {
+		for _, target := range tier {
+			if signals.Signal(target).Ejected {
+				ejected++
+			}
+		}
+	}
+	return ejected+1 <= v.Ready()/2
+}
+
+type picker struct {
+	signals Signals
+	random  Source
+	tried   []model.DaemonID
+	// level 0 skips busy and ejected targets, level 1 ejected ones, level 2 none.
+	level int
+}
+
+func pickTier(tier []*model.Target, p picker) *model.Target {
+	if len(tier) == 0 {
+		return nil
+	}
+	a, signalA := p.draw(tier, nil)
+	if a == nil || len(tier) == 1 {
+		return a
+	}
+	b, signalB := p.draw(tier, a)
+	if b != nil && score(signalB) < score(signalA) {
+		return b
+	}
+	return a
+}
+
+func (p picker) draw(tier []*model.Target, other *model.Target) (*model.Target, Signal) {
+	n := uint64(len(tier))
+	for range draws {
+		target := tier[p.random.Uint64()%n]
+		if signal, ok := p.usable(target, other); ok && p.warm(signal) {
+			return target, signal
+		}
+	}
+	offset := p.random.Uint64() % n
+	for i := range n {
+		target := tier[(offset+i)%n]
+		if signal, ok := p.usable(target, other); ok {
+			return target, signal
+		}
+	}
+	return nil, Signal{}
+}
+
+func (p picker) usable(target, other *model.Target) (Signal, bool) {
+	if target == other || slices.Contains(p.tried, target.Daemon) {
+		return Signal{}, false
+	}
+	signal := p.signals.Signal(target)
+	if signal.Ejected && p.level < 2 || signal.Busy && p.level < 1 {
+		return signal, false
+	}
+	return signal, true
+}
+
+// warm passes a target in slow start with a probability that grows with its age.
+func (p picker) warm(signal Signal) bool {
+	if signal.Age >= SlowStart {
+		return true
+	}
+	part := max(slowStartFloor, float64(signal.Age)/float64(SlowStart))
+	return float64(p.random.Uint64()>>11)/(1<<53) < part
+}
+
+func score(s Signal) float64 {
+	latency := s.Latency
+	if latency <= 0 {
+		latency = assumedLatency
+	}
+	return float64(s.InFlight+1) * float64(latency)
+}
