admission: slots, connections, queue, limit and readiness of a target

Change: a pure state machine with an ordered queue, shedding by deadline, draining, a limit that falls by at most half when the target slows, and a probe state machine. An idle target takes any call, because otherwise one slow time would lock the target out: no call would end and lower the estimate.

--- /dev/null
+++ b/internal/command/admission/admission_test.go
@@ -0,0 +1,179 @@
+package admission_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"sniperail.example/sniperail/internal/command/admission"
+	"sniperail.example/sniperail/internal/model"
+	_ "sniperail.example/sniperail/internal/testseed"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func ready(s admission.Settings) *admission.State {
+	state := admission.New(s)
+	state.SetTarget(model.TargetReady)
+	return state
+}
+
+// naive is a sequential model: sets of running calls and a list of waiting ones.
+type naive struct {
+	running map[admission.Ticket]bool
+	waiting []admission.Ticket
+}
+
+func (n *naive) settle(t *rapid.T, settled []admission.Settled) {
+	for _, s := range settled {
+		if len(n.waiting) == 0 || n.waiting[0] != s.Ticket {
+			t.Fatalf("settled %d, but the first in the queue is %v", s.Ticket, n.waiting)
+		}
+		n.waiting = n.waiting[1:]
+		if s.Reason == admission.Admitted {
+			n.running[s.Ticket] = true
+		}
+	}
+}
+
+// Guards against more calls at the target than it has slots, a slot lost or freed twice, a queue that is overtaken or
+// left waiting beside a free slot, and a call that is neither run nor refused.
+func TestSlotsMatchNaiveModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		settings := admission.Settings{
+			Slots: rapid.IntRange(1, 5).Draw(t, "slots"), Connections: 9, Queue: rapid.IntRange(0, 4).Draw(t, "queue"),
+		}
+		state, n, now := ready(settings), naive{running: map[admission.Ticket]bool{}}, start
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 3).Draw(t, "op") {
+			case 0, 1:
+				before := len(n.running)
+				d := state.Offer(now, now.Add(time.Duration(rapid.IntRange(1, 200).Draw(t, "deadline"))*time.Millisecond))
+				switch d.Verdict {
+				case admission.Run:
+					n.running[d.Ticket] = true
+				case admission.Wait:
+					n.waiting = append(n.waiting, d.Ticket)
+				case admission.Refuse:
+					if d.Reason == admission.QueueFull && (len(n.waiting) < settings.Queue || before < state.Limit()) {
+						t.Fatalf("refused as full with %d running and %d waiting", before, len(n.waiting))
+					}
+				}
+			case 2:
+				for ticket := range n.running {
+					delete(n.running, ticket)
+					took := time.Duration(rapid.IntRange(1, 50).Draw(t, "took")) * time.Millisecond
+					n.settle(t, state.Release(now, took, rapid.Bool().Draw(t, "overloaded")))
+					break
+				}
+			case 3:
+				if len(n.waiting) > 0 {
+					if !state.Abandon(n.waiting[len(n.waiting)-1]) {
+						t.Fatal("a waiting call could not be abandoned")
+					}
+					n.waiting = n.waiting[:len(n.waiting)-1]
+				}
+			}
+			if state.Running() != len(n.running) || state.Queued() != len(n.waiting) {
+				t.Fatalf("state has %d running and %d waiting, model %d and %d", state.Running(), state.Queued(), len(n.running), len(n.waiting))
+			}
+			if len(n.running) > settings.Slots || len(n.waiting) > settings.Queue {
+				t.Fatalf("%d running and %d waiting exceed %+v", len(n.running), len(n.waiting), settings)
+			}
+			if len(n.waiting) > 0 && len(n.running) < state.Limit() {
+				t.Fatal("a call waits beside a free slot")
+			}
+		}
+	})
+}
+
+// Guards against work for calls that cannot finish before their deadline.
+func TestShedsWhatCannotFinish(t *testing.T) {
+	is := is.New(t)
+	s := ready(admission.Settings{Slots: 1, Connections: 1, Queue: 5})
+	is.Equal(s.Offer(start, start.Add(time.Second)).Verdict, admission.Run)
+	s.Release(start, 100*time.Millisecond, false)
+	is.Equal(s.Offer(start, start).Reason, admission.Deadline)
+	is.Equal(s.Offer(start, start.Add(50*time.Millisecond)).Verdict, admission.Run)      // idle: the estimate may be old
+	is.Equal(s.Offer(start, start.Add(50*time.Millisecond)).Reason, admission.Deadline)  // shorter than the service time
+	is.Equal(s.Offer(start, start.Add(150*time.Millisecond)).Reason, admission.Deadline) // shorter than wait and service time
+	is.Equal(s.Offer(start, start.Add(250*time.Millisecond)).Verdict, admission.Wait)
+	is.Equal(s.Offer(start, start.Add(time.Second)).Verdict, admission.Wait)
+	is.Equal(s.Offer(start, start.Add(time.Second)).Verdict, admission.Wait)
+	settled := s.Release(start.Add(200*time.Millisecond), 100*time.Millisecond, false)
+	is.Equal(len(settled), 2) // the first can no longer finish, the second runs, the third waits
+	is.Equal(settled[0].Reason, admission.Deadline)
+	is.Equal(settled[1].Reason, admission.Admitted)
+}
+
+// Guards against new work at a target that is draining, down or not started, and against more connections than it has.
+func TestRefusesWhatTheTargetCannotTake(t *testing.T) {
+	is := is.New(t)
+	s := admission.New(admission.Settings{Slots: 1, Connections: 2, Queue: 1})
+	is.Equal(s.Offer(start, start.Add(time.Second)).Reason, admission.NotReady)
+	s.SetTarget(model.TargetReady)
+	is.Equal(s.Offer(start, start.Add(time.Second)).Verdict, admission.Run)
+	is.Equal(s.Offer(start, start.Add(time.Second)).Verdict, admission.Wait)
+	s.Drain()
+	is.Equal(s.Offer(start, start.Add(time.Second)).Reason, admission.Draining)
+	is.Equal(len(s.Return(start)), 1) // a call that waited before the drain still runs
+	is.True(!s.Idle())
+	is.True(s.OpenConnection())
+	is.True(s.OpenConnection())
+	is.True(!s.OpenConnection())
+	s.CloseConnection()
+	is.True(s.OpenConnection())
+}
+
+// Guards against full load on a target that slows down, and against a limit that stays low after it has recovered.
+func TestLimitFollowsLatency(t *testing.T) {
+	is := is.New(t)
+	s, now := ready(admission.Settings{Slots: 10, Connections: 10, Queue: 0}), start
+	calls := func(n int, took time.Duration, overloaded bool) {
+		for range n {
+			now = now.Add(20 * time.Millisecond)
+			running := 0
+			for s.Offer(now, now.Add(time.Minute)).Verdict == admission.Run {
+				running++
+			}
+			for range running {
+				s.Release(now, took, overloaded)
+			}
+		}
+	}
+	calls(50, 10*time.Millisecond, false)
+	is.Equal(s.Limit(), 10)
+	calls(50, 50*time.Millisecond, false)
+	is.Equal(s.Limit(), 5) // half of the slots stay in use
+	calls(100, 10*time.Millisecond, false)
+	is.Equal(s.Limit(), 10)
+	calls(50, 10*time.Millisecond, true) // the target sheds
+	is.Equal(s.Limit(), 5)
+}
+
+// Guards against a target that receives calls before its warm-up or after it died, and one that flaps with one lost dial.
+func TestReadiness(t *testing.T) {
+	is := is.New(t)
+	r := admission.NewReadiness(2 * time.Second)
+	step := func(at int, dialled, healthy bool, want model.TargetState, changed bool) {
+		t.Helper()
+		state, did := r.Probed(start.Add(time.Duration(at)*time.Second), dialled, healthy)
+		is.Equal(state, want)
+		is.Equal(did, changed)
+	}
+	step(0, false, false, model.TargetStarting, false)
+	step(1, true, false, model.TargetStarting, false)
+	step(2, true, true, model.TargetStarting, false)
+	step(3, true, true, model.TargetStarting, false)
+	step(4, true, true, model.TargetReady, true)
+	step(5, false, false, model.TargetReady, false)
+	step(6, true, false, model.TargetReady, false) // health is a hint and does not take a ready target out
+	step(7, false, false, model.TargetReady, false)
+	step(8, false, false, model.TargetReady, false)
+	step(9, false, false, model.TargetDown, true)
+	step(10, true, true, model.TargetStarting, true)
+	step(12, true, true, model.TargetReady, true)
+}
