--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -137,3 +137,8 @@
 	rest, ok := strings.CutPrefix(value, "http://")
 	c.require(ok && isAddress(strings.TrimSuffix(rest, "/"), 1), flag, value, "http://HOST:PORT")
 }
+
+// Path checks the path of an HTTP request, without query.
+func (c *Checks) Path(flag, value string) {
+	c.require(strings.HasPrefix(value, "/") && !strings.ContainsAny(value, "?# "), flag, value, "a path that starts with /")
+}
