--- a/Makefile
+++ b/Makefile
@@ -2,11 +2,14 @@
 GOLANGCI = go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 SEED ?= 1
 
-.PHONY: build test test-seed lint format
+.PHONY: build demo test test-seed lint format
 
 build:
 	go build -o bin/ ./cmd/...
 
+demo: build
+	scripts/demo.sh
+
 test:
 	go test -race ./...
 
