--- a/internal/api/queries/queries.go
+++ b/internal/api/queries/queries.go
@@ -14,10 +14,15 @@
 	"sniperail.example/sniperail/internal/query/reports"
 )
 
-// Reader reads what the daemon knows; false means that it does not know at the moment.
+// Reader reads what the mesh knows; false means that it cannot be known at the moment. What a daemon that is no leader
+// holds itself does not suffice: its copy of the configuration lacks events and finished moves, and its own status covers
+// only the daemons below it, so that a change would be reported as in force too early.
 type Reader interface {
+	// Configuration returns the document as the platform or a leader holds it.
 	Configuration(ctx context.Context) (*model.Configuration, bool)
+	// Plans returns the stored plans.
 	Plans(ctx context.Context) ([]model.Plan, bool)
+	// Status returns the status of a leader.
 	Status(ctx context.Context) (*message.StatusReply, bool)
 }
 
