agent: gather the load of a service when a plan is made

Cause: plans were made without a load, so a first step of 20% was planned where 1% would have given enough evidence. Change: daemons keep the load that they received as ingress; a LoadQuery gathers it down the tree and over the leaders when an intent is declared, and costs no control bytes otherwise.

--- a/internal/command/agent/agent.go
+++ b/internal/command/agent/agent.go
@@ -62,6 +62,7 @@
 
 	parent parent
 	lead   leadership
+	load   loadWindow
 	// sums are outcomes to send up or, on a leader, to the driver; evidence is what other leaders sent to the driver.
 	sums     map[model.OutcomeKey]model.OutcomeSum
 	evidence map[model.DataCentre]model.Evidence
@@ -134,6 +135,7 @@
 		a.watched(ev)
 	case effect.Observed:
 		a.observed(ev.Sums)
+		a.load.observe(a.now, ev.Sums)
 	case effect.TargetChanged:
 		a.targetChanged(ev.State)
 	case effect.Inspect:
@@ -159,6 +161,9 @@
 		reply = a.snapshot(body)
 	case *message.StatusQuery:
 		reply = a.status()
+	case *message.LoadQuery:
+		a.loadQueried(ev.Token, body)
+		return
 	default:
 		return
 	}
--- a/internal/command/controller/controller.go
+++ b/internal/command/controller/controller.go
@@ -11,6 +11,7 @@
 	"sniperail.example/sniperail/internal/command/membership"
 	"sniperail.example/sniperail/internal/command/moves"
 	"sniperail.example/sniperail/internal/effect"
+	"sniperail.example/sniperail/internal/message"
 	"sniperail.example/sniperail/internal/model"
 	"sniperail.example/sniperail/internal/query/plans"
 	"sniperail.example/sniperail/internal/store"
@@ -44,6 +45,9 @@
 	pending map[model.PlanID]bool
 	holds   map[model.PlanID]string
 
+	// load is the load of routes as last gathered for a plan.
+	load map[model.RouteName]plans.Load
+
 	judge     *moves.Judge
 	own       []model.KeyedSum
 	ownFrom   time.Time
@@ -54,7 +58,7 @@
 func New(a *agent.Agent, codec configuration.Codec) *Controller {
 	c := &Controller{
 		agent: a, pending: map[model.PlanID]bool{}, holds: map[model.PlanID]string{},
-		judge: moves.NewJudge(moves.DefaultPolicy(), moves.Level{Judges: 1}),
+		load: map[model.RouteName]plans.Load{}, judge: moves.NewJudge(moves.DefaultPolicy(), moves.Level{Judges: 1}),
 	}
 	c.writer = configuration.NewWriter(codec, c.plan, a.Rand())
 	c.lease = newElection(c, membership.NewLease(store.KeyDriver, agent.LeaseTTL))
@@ -102,7 +106,29 @@
 	if w, ok := cmd.(configuration.Withdraw); ok {
 		c.withhold(w, ev.By)
 	}
-	c.writer.Submit(configuration.Request{Token: ev.Token, By: ev.By, Command: cmd})
+	request := configuration.Request{Token: ev.Token, By: ev.By, Command: cmd}
+	if d, ok := cmd.(configuration.Declare); ok && len(d.Intents) > 0 {
+		c.gatherLoad(d.Intents, func() { c.writer.Submit(request) })
+		return
+	}
+	c.writer.Submit(request)
+}
+
+// gatherLoad measures the load of the services to move before their plans are made.
+func (c *Controller) gatherLoad(intents []model.Intent, done func()) {
+	pending := len(intents)
+	for _, intent := range intents {
+		c.agent.GatherLoad(intent.Service, func(reply *message.LoadReply) {
+			for _, r := range reply.Routes {
+				c.load[r.Route] = plans.Load{
+					CallsPerSecond: r.CallsPerSecond, MeanLatency: time.Duration(r.MeanLatencyMS * float64(time.Millisecond)),
+				}
+			}
+			if pending--; pending == 0 {
+				done()
+			}
+		})
+	}
 }
 
 func (c *Controller) withhold(w configuration.Withdraw, by string) {
@@ -175,6 +201,6 @@
 // plan answers an intent from what this daemon knows of targets.
 func (c *Controller) plan(cfg *model.Configuration, intent model.Intent, now time.Time, id model.PlanID, by string) (model.Plan, []model.Problem) {
 	return plans.ForIntent(plans.Request{
-		Configuration: cfg, Intent: intent, Targets: c.agent.View().Targets, Now: now, ID: id, By: by,
+		Configuration: cfg, Intent: intent, Targets: c.agent.View().Targets, Load: c.load, Now: now, ID: id, By: by,
 	})
 }
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -199,6 +199,39 @@
 	Marks         []model.Mark
 }
 
+// Scope says how far a LoadQuery goes.
+type Scope string
+
+// Scopes of a LoadQuery.
+const (
+	// ScopeTree covers the receiver and the daemons below it.
+	ScopeTree Scope = "tree"
+	// ScopeAll covers all data centres; a receiver that is not a leader passes the query on to its leader.
+	ScopeAll Scope = "all"
+)
+
+// LoadQuery asks for the calls that daemons received as ingress. It is sent when a plan is made, so that load costs no
+// control bytes otherwise.
+type LoadQuery struct {
+	Service model.ServiceName
+	Scope   Scope
+}
+
+// LoadReply answers a LoadQuery.
+type LoadReply struct {
+	Routes []RouteLoad
+	// Daemons counts the daemons that answered. Those without an answer make the load too low.
+	Daemons int
+}
+
+// RouteLoad is the load of one route.
+type RouteLoad struct {
+	Route          model.RouteName
+	CallsPerSecond float64
+	// MeanLatencyMS is the mean latency of a call in milliseconds.
+	MeanLatencyMS float64
+}
+
 // StatusQuery asks a leader for the state of its data centre.
 type StatusQuery struct{}
 
@@ -221,6 +254,7 @@
 func (*Withhold) request()      {}
 func (*SnapshotQuery) request() {}
 func (*StatusQuery) request()   {}
+func (*LoadQuery) request()     {}
 
 func (*AnnounceReply) reply()  {}
 func (*HeartbeatReply) reply() {}
@@ -229,3 +263,4 @@
 func (*WithholdReply) reply()  {}
 func (*SnapshotReply) reply()  {}
 func (*StatusReply) reply()    {}
+func (*LoadReply) reply()      {}
--- a/internal/model/evidence.go
+++ b/internal/model/evidence.go
@@ -62,6 +62,18 @@
 	s.Latency[LatencyBucket(latency)]++
 }
 
+// MeanLatency estimates the mean latency from the buckets: each call counts as the geometric mean of its bucket's bounds.
+func (s *OutcomeSum) MeanLatency() time.Duration {
+	if s.Calls == 0 {
+		return 0
+	}
+	var sum float64
+	for i, n := range s.Latency {
+		sum += float64(n) * float64(latencyBase) * math.Pow(latencyGrowth, float64(i)-0.5)
+	}
+	return time.Duration(sum / float64(s.Calls))
+}
+
 // KeyedSum is an OutcomeSum with its key.
 type KeyedSum struct {
 	OutcomeKey
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -76,6 +76,8 @@
 		return "Query.Snapshot", new(message.SnapshotReply)
 	case *message.StatusQuery:
 		return "Query.Status", new(message.StatusReply)
+	case *message.LoadQuery:
+		return "Query.Load", new(message.LoadReply)
 	default:
 		panic(errors.Errorf("message %T has no method", body))
 	}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -80,6 +80,11 @@
 	return answer(q.h, in, out)
 }
 
+// Load returns the calls that this daemon and those below it received.
+func (q *Query) Load(in *message.LoadQuery, out *message.LoadReply) error {
+	return answer(q.h, in, out)
+}
+
 // Server accepts connections of peers.
 type Server struct {
 	listener net.Listener
