reports: a finished move is in force; demo: the first configuration makes daemons ready

Cause: a trial of the demo on a scratch copy ended moves with in_force=no, because the number of the finish itself had not spread yet, and waited in vain for daemons to become ready before the first configuration. Change: reports call a finished move in force; the demo declares the mesh before it waits for /readyz.

--- a/internal/query/reports/reports.go
+++ b/internal/query/reports/reports.go
@@ -42,6 +42,15 @@
 	return Yes
 }
 
+// moveInForce tells whether the last change of a move's shares is in force. A move is finished only after that change
+// was acknowledged by every live daemon; the number of the finish itself changes no share.
+func moveInForce(s *message.StatusReply, m *model.Move) Answer {
+	if !m.Phase.Active() {
+		return Yes
+	}
+	return inForce(s, m.Number)
+}
+
 // Move is one move, active or finished.
 type Move struct {
 	Move    model.PlanID      `json:"move"`
@@ -71,7 +80,7 @@
 		m := &c.Moves[i]
 		row := Move{
 			Move: m.ID, Service: m.Service, From: m.From, To: m.To, Phase: m.Phase, Step: m.Step + 1,
-			Steps: len(m.Steps), Deadline: m.Deadline, Since: m.Since, Number: m.Number, InForce: inForce(s, m.Number),
+			Steps: len(m.Steps), Deadline: m.Deadline, Since: m.Since, Number: m.Number, InForce: moveInForce(s, m),
 			Withheld: withheld(s, m.Version()), Reason: m.Reason, ConfirmedBy: m.ConfirmedBy,
 		}
 		if service := c.Service(m.Service); service != nil {
--- a/internal/query/reports/reports_test.go
+++ b/internal/query/reports/reports_test.go
@@ -31,6 +31,13 @@
 	}
 }
 
+// Guards against a finished move that is shown as not in force until the number of its finish has spread.
+func TestFinishedMoveIsInForce(t *testing.T) {
+	c := &model.Configuration{Moves: []model.Move{{Phase: model.PhaseRunning, Number: 7}, {Phase: model.PhaseDone, Number: 7}}}
+	rows := Moves(c, &message.StatusReply{InForce: model.InForce{Number: 6, Live: 3}})
+	is.New(t).Equal([]Answer{rows[0].InForce, rows[1].InForce}, []Answer{No, Yes})
+}
+
 // Guards against a silent daemon that is shown in the state that it last announced, or not at all.
 func TestSilentDaemons(t *testing.T) {
 	is := is.New(t)
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -97,7 +97,11 @@
   done
 }
 
-ready() { curl -fs -o "$work/answer" "http://$1/readyz"; }
+answers() { curl -fs -o "$work/answer" "http://$1"; }
+declare_mesh() {
+  bin/sniperail declare -f examples/most-mladych/mesh.yaml -f examples/granite-ledger/mesh.yaml -o json \
+    >"$work/declare.json" 2>"$work/declare.log"
+}
 field() { # name file: the first value of a JSON field
   [[ $(<"$2") =~ \"$1\":\"?([^\",}]*) ]] && echo "${BASH_REMATCH[1]}"
 }
@@ -167,9 +171,11 @@
 SNIPERAIL_SERVER=$(IFS=,; echo "${apis[*]}")
 export SNIPERAIL_SERVER SNIPERAIL_OPERATOR=demo
 
-for api in "${apis[@]}"; do await "daemon $api is ready" ready "$api"; done
-bin/sniperail declare -f examples/most-mladych/mesh.yaml -f examples/granite-ledger/mesh.yaml -o json >"$work/declare.json"
+for api in "${apis[@]}"; do await "daemon $api runs" answers "$api/healthz"; done
+await "the mesh is declared" declare_mesh
 bin/sniperail confirm "$(plan_of "$work/declare.json")"
+# A daemon is ready once it has the first configuration.
+for api in "${apis[@]}"; do await "daemon $api is ready" answers "$api/readyz"; done
 await "the mesh is in force" in_force 1
 bin/sniperail get versions
 
