moves: windows by calls, smaller first share, bench of policies on drawn versions

Cause: windows of one second hold too few calls of both versions to prove a fault of one route, and the exposure of a version bad at once is the first share itself. Change: internal/bench/moves runs drawn versions against this policy and two baselines on a virtual clock. Windows now close on calls and time, never on failures; the first share is the smallest that collects 30 calls; the steps go to 50% on a logarithmic scale and then over 75%; suspicion at 100% starts anew with each step.

--- /dev/null
+++ b/internal/bench/moves/run_test.go
@@ -0,0 +1,40 @@
+package moves
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"github.com/matryer/is"
+)
+
+// Guards against figures that depend on the order of goroutines: a seed must name one result.
+func TestRunIsTheSameForTheSameSeed(t *testing.T) {
+	is := is.New(t)
+	options := Options{Customer: "granite-ledger", Seed: 3, Runs: 24, Workers: 1}
+	first, err := Run(options)
+	is.NoErr(err)
+	options.Workers = 4
+	second, err := Run(options)
+	is.NoErr(err)
+	is.Equal(cmp.Diff(first, second, cmpopts.EquateNaNs()), "")
+}
+
+// Guards against a typing error that silently measures another customer or policy.
+func TestRunRefusesUnknownNames(t *testing.T) {
+	is := is.New(t)
+	_, err := Run(Options{Customer: "nobody", Runs: 1})
+	is.True(err != nil)
+	_, err = Run(Options{Customer: "granite-ledger", Runs: 1, Policies: []string{"none"}})
+	is.True(err != nil)
+}
+
+// Guards against a harness that protects callers by itself: without judgement a version bad at once must get calls.
+func TestTimeOnlyRampExposesCallers(t *testing.T) {
+	is := is.New(t)
+	report, err := Run(Options{Customer: "most-mladych", Seed: 1, Runs: 24, Policies: []string{PolicyRamp, PolicySequential}})
+	is.NoErr(err)
+	is.True(report.Policies[0].Kind(AllBad).Exposure.Value > 10)
+	is.True(report.Policies[1].Kind(AllBad).Exposure.Value < 3)
+	is.Equal(report.Policies[0].Kind(AllBad).Withdrawn.Value, 0.0)
+}
--- a/internal/command/moves/capacity.go
+++ b/internal/command/moves/capacity.go
@@ -27,9 +27,11 @@
 	demand := map[model.ServiceName]float64{}
 	for i := range e.Sums {
 		s := &e.Sums[i]
+		inFlight := 0.0
 		for b, calls := range s.Latency {
-			demand[s.Service] += float64(calls) * float64(model.LatencyBound(b)) / float64(window)
+			inFlight += float64(calls) * float64(model.LatencyBound(b))
 		}
+		demand[s.Service] += inFlight / float64(window)
 	}
 	for service, slots := range demand {
 		key := loadKey{service, e.DataCentre}
--- a/internal/command/moves/driver.go
+++ b/internal/command/moves/driver.go
@@ -91,7 +91,7 @@
 			continue
 		}
 		d.reported[e.DataCentre] = e.To
-		batches = append(batches, Batch{From: e.From, Sums: e.Sums})
+		batches = append(batches, Batch{DataCentre: e.DataCentre, From: e.From, Sums: e.Sums})
 		d.load.add(e)
 	}
 	d.judge.Observe(batches...)
@@ -103,12 +103,7 @@
 		return d.finish(in, m, model.PhaseWithdrawn)
 	}
 	if reason, own := d.proof(in, m); reason != "" {
-		decisions := []Decision{Withdraw{Move: m.ID, Reason: reason}}
-		if own {
-			mark := model.Mark{VersionRef: m.Version(), Move: m.ID, Reason: reason, By: in.By, At: in.Now}
-			decisions = append([]Decision{Withhold{Mark: mark}}, decisions...)
-		}
-		return decisions
+		return withdraw(in, m, reason, own)
 	}
 	if m.Phase == model.PhasePaused {
 		return hold(m, "paused by an operator")
@@ -135,6 +130,16 @@
 	return []Decision{Hold{Move: m.ID, Reason: reason}}
 }
 
+// withdraw spreads a mark first if the proof is the driver's own, since marks need no platform.
+func withdraw(in Inputs, m *model.Move, reason string, own bool) []Decision {
+	decision := Withdraw{Move: m.ID, Reason: reason}
+	if !own {
+		return []Decision{decision}
+	}
+	mark := model.Mark{VersionRef: m.Version(), Move: m.ID, Reason: reason, By: in.By, At: in.Now}
+	return []Decision{Withhold{Mark: mark}, decision}
+}
+
 // proof returns the reason to withdraw: a mark of any judge, or the driver's own evidence.
 func (d *Driver) proof(in Inputs, m *model.Move) (reason string, own bool) {
 	for i := range in.Marks {
@@ -196,7 +201,7 @@
 	last := len(m.Steps) - 1
 	if v.Suspect {
 		if stepBacks(in.Configuration, m) > 0 {
-			return []Decision{Withdraw{Move: m.ID, Reason: "worse than the old version was, again, at 100%"}}
+			return withdraw(in, m, "worse than the old version was, again, at 100%", true)
 		}
 		if last > 0 {
 			return []Decision{Advance{Move: m.ID, From: m.Step, To: last - 1,
--- a/internal/command/moves/judge.go
+++ b/internal/command/moves/judge.go
@@ -8,11 +8,13 @@
 	"sniperail.example/sniperail/internal/model"
 )
 
-// Batch is the outcomes of one window at one place. Both versions are compared within a batch, never across batches, so
-// a fault that hits both at once does not count against the new one.
+// Batch is the outcomes of a short time at one place. Both versions are compared within the same window at the same
+// place, so a fault that hits both at once does not count against the new one.
 type Batch struct {
-	From time.Time
-	Sums []model.KeyedSum
+	// DataCentre separates the places whose sums arrive at one judge; a judge of one place leaves it empty.
+	DataCentre model.DataCentre
+	From       time.Time
+	Sums       []model.KeyedSum
 }
 
 // Kind is the result of a judgement.
@@ -158,8 +160,9 @@
 	touched           bool
 }
 
-// enter begins a step.
-func (l *ledger) enter() {
+// enter begins a step. Suspicion of an earlier time at 100% is not held against the version at a later one.
+func (l *ledger) enter(p Policy) {
+	l.suspects = [2]process{newProcess(p.ErrorOdds), newProcess(p.LatencyOdds)}
 	if l.stepOld.Calls > 0 {
 		l.baseline = l.stepOld
 	}
@@ -171,7 +174,7 @@
 	for i := range l.latency {
 		l.latency[i] = newProcess(p.LatencyOdds)
 	}
-	l.suspects = [2]process{newProcess(p.ErrorOdds), newProcess(p.LatencyOdds)}
+	l.enter(p)
 	return l
 }
 
--- a/internal/command/moves/policy.go
+++ b/internal/command/moves/policy.go
@@ -25,6 +25,10 @@
 	LatencyOdds []float64
 	// LatencyFloor is the latency below which calls count as equally fast: a hop to another data centre is no fault.
 	LatencyFloor time.Duration
+	// WindowCalls is the number of the new version's calls to expect in a window before it is compared.
+	WindowCalls float64
+	// LongestWindow bounds a window whatever its calls.
+	LongestWindow time.Duration
 	// SuspicionFactor is the factor of evidence at which a step is held although nothing is proven.
 	SuspicionFactor float64
 	// FaultyRate is the failure rate of both versions above which the comparison says "both bad".
@@ -50,6 +54,8 @@
 		LatencyTolerance: 1,
 		LatencyOdds:      []float64{2, 5, 20},
 		LatencyFloor:     5 * time.Millisecond,
+		WindowCalls:      1,
+		LongestWindow:    10 * time.Second,
 		SuspicionFactor:  10,
 		FaultyRate:       0.2,
 		UnknownRate:      0.05,
--- a/internal/model/evidence.go
+++ b/internal/model/evidence.go
@@ -39,10 +39,15 @@
 	return min(b, LatencyBuckets-1)
 }
 
+var latencyBounds = func() (bounds [LatencyBuckets]time.Duration) {
+	for i := range bounds {
+		bounds[i] = time.Duration(float64(latencyBase) * math.Pow(latencyGrowth, float64(i)))
+	}
+	return bounds
+}()
+
 // LatencyBound returns the upper bound of a bucket.
-func LatencyBound(bucket int) time.Duration {
-	return time.Duration(float64(latencyBase) * math.Pow(latencyGrowth, float64(bucket)))
-}
+func LatencyBound(bucket int) time.Duration { return latencyBounds[bucket] }
 
 // Add adds another sum.
 func (s *OutcomeSum) Add(o OutcomeSum) {
--- a/internal/query/plans/schedule.go
+++ b/internal/query/plans/schedule.go
@@ -14,6 +14,9 @@
 	// them; a step to a larger share asks for more in proportion.
 	fullEvidence = 200
 	fullShare    = model.Share(200)
+	// firstEvidence is the number of calls that the first step should collect. It sets the first share, and with it
+	// the part of the calls that a version bad at once receives.
+	firstEvidence = 30
 	// leastEvidence is the least number of calls that a step asks for. With fewer a version that fails one call in
 	// four would often pass.
 	leastEvidence = 20
@@ -32,14 +35,29 @@
 	leastWatch   = 2 * time.Second
 )
 
-// ladders are the shares of the steps, by first share. The last step before 100% leaves the old version enough calls to
-// compare with at nearly the full load.
-var ladders = [][]model.Share{
-	{100, 200, 500, 1000, 2500, 5000, 9000, model.FullShare},
-	{200, 500, 1000, 2500, 5000, 9000, model.FullShare},
-	{500, 1500, 5000, 9000, model.FullShare},
-	{1000, 3000, 9000, model.FullShare},
-	{2000, 5000, 9000, model.FullShare},
+const (
+	// smallestShare is the least first share. Below it a step of a few minutes sees too few calls at any customer.
+	smallestShare = model.Share(25)
+	// largestFirst is the largest first share; a move that needs more cannot protect its callers.
+	largestFirst = model.Share(2000)
+	// growth is the largest ratio of neighbouring shares up to evenShare.
+	growth = 2.5
+	// evenShare gives both versions the same number of calls, where a comparison sees most.
+	evenShare = model.Share(5000)
+	// controlShare is the last share before 100%. Above it the old version gets too few calls to compare with soon.
+	controlShare = model.Share(7500)
+)
+
+// ladder returns the shares of the steps from a first share, evenly on a logarithmic scale up to evenShare.
+func ladder(first model.Share) []model.Share {
+	ratio := float64(evenShare) / float64(first)
+	steps := int(math.Ceil(math.Log(ratio) / math.Log(growth)))
+	shares := make([]model.Share, 0, steps+3)
+	for i := range steps + 1 {
+		share := float64(first) * math.Pow(ratio, float64(i)/float64(steps))
+		shares = append(shares, model.Share(math.Round(share)))
+	}
+	return append(shares, controlShare, model.FullShare)
 }
 
 type schedule struct {
@@ -50,22 +68,30 @@
 	latest   time.Time
 }
 
-// newSchedule takes the ladder with the smallest first share that collects the evidence in time.
+// newSchedule takes the smallest first share that collects the evidence in time.
 func newSchedule(now time.Time, in model.Intent, rate float64) schedule {
 	total := in.By.Sub(now)
 	watch := time.Duration(in.WatchSeconds) * time.Second
 	if watch == 0 {
 		watch = max(min(time.Duration(float64(total)*watchPart), longestWatch), leastWatch).Truncate(time.Second)
 	}
+	if s, ok := smallest(now, in, total-watch, rate); ok {
+		s.watch, s.feasible, s.latest = watch, true, in.By
+		return s
+	}
+	return late(now, in, watch, rate)
+}
+
+// smallest tries first shares in ascending order.
+func smallest(now time.Time, in model.Intent, length time.Duration, rate float64) (schedule, bool) {
 	for _, wanted := range wantedCalls(in) {
-		for _, ladder := range ladders {
-			if s, ok := fill(now, ladder, total-watch, rate, in.MinCalls, wanted); ok {
-				s.watch, s.feasible, s.latest = watch, true, in.By
-				return s
+		for first := smallestShare; first <= largestFirst; first += max(first/5, 1) {
+			if s, ok := fill(now, ladder(first), length, rate, in.MinCalls, wanted); ok {
+				return s, true
 			}
 		}
 	}
-	return late(now, in, watch, rate)
+	return schedule{}, false
 }
 
 // wantedCalls lists the numbers of calls in the first step to try for, best first.
@@ -73,53 +99,54 @@
 	if in.MinCalls > 0 {
 		return []float64{float64(in.MinCalls)}
 	}
-	return []float64{fullEvidence, fullEvidence / 2, leastEvidence}
+	return []float64{firstEvidence, leastEvidence}
 }
 
 // late plans the earliest time that the load allows when the requested one is too early.
 func late(now time.Time, in model.Intent, watch time.Duration, rate float64) schedule {
 	wanted := wantedCalls(in)
 	need := wanted[len(wanted)-1]
-	for length := max(in.By.Sub(now), time.Second); rate > 0 && length < 366*24*time.Hour; length += length / 20 {
-		for _, ladder := range ladders {
-			s, ok := fill(now, ladder, length, rate, in.MinCalls, need)
-			if !ok {
-				continue
-			}
-			s.watch, s.latest = watch, now.Add(length+watch).Round(time.Second)
-			s.note = fmt.Sprintf("at %.1f calls/s the evidence of %.0f calls a step takes until %s",
-				rate, need, s.latest.UTC().Format(time.RFC3339))
-			return s
+	for length := max(in.By.Sub(now), time.Second); rate > 0 && length < longestMove; length += length / 20 {
+		s, ok := smallest(now, in, length, rate)
+		if !ok {
+			continue
 		}
+		s.watch, s.latest = watch, now.Add(length+watch).Round(time.Second)
+		s.note = fmt.Sprintf("at %.1f calls/s the evidence of %.0f calls a step takes until %s",
+			rate, need, s.latest.UTC().Format(time.RFC3339))
+		return s
 	}
-	s, _ := fill(now, ladders[len(ladders)-1], max(in.By.Sub(now)-watch, 0), rate, in.MinCalls, 0)
+	s, _ := fill(now, ladder(largestFirst), max(in.By.Sub(now)-watch, 0), rate, in.MinCalls, 0)
 	s.watch = watch
 	s.note = fmt.Sprintf("at %.1f calls/s the evidence of %.0f calls a step cannot be collected", rate, need)
 	return s
 }
 
-// fill spreads a ladder over the time before the watch period. It reports false if a step lasts less than stepOverhead
+// longestMove bounds the search for a feasible time.
+const longestMove = 366 * 24 * time.Hour
+
+// fill spreads the shares over the time before the watch period. It reports false if a step lasts less than stepOverhead
 // or expects less than the wanted calls.
-func fill(now time.Time, ladder []model.Share, length time.Duration, rate float64, minCalls int, wanted float64) (schedule, bool) {
+func fill(now time.Time, shares []model.Share, length time.Duration, rate float64, minCalls int, wanted float64) (schedule, bool) {
 	var s schedule
 	ok := true
 	usable := float64(length) * (1 - slackPart)
 	at := now
 	needed := 0
-	for i, share := range ladder {
+	for i, share := range shares {
 		s.steps = append(s.steps, model.Step{Share: share, Earliest: at, MinCalls: needed})
 		if share == model.FullShare {
 			break
 		}
 		part := firstPart
 		if i > 0 {
-			part = (1 - firstPart) / float64(len(ladder)-2)
+			part = (1 - firstPart) / float64(len(shares)-2)
 		}
 		dwell := time.Duration(usable * part)
 		observed := dwell - stepOverhead
 		calls := rate * float64(share) / float64(model.FullShare) * max(observed.Seconds(), 0) * evidencePart
 		ok = ok && observed > 0 && calls >= wanted
-		needed = evidence(calls, minCalls, ladder[i+1])
+		needed = evidence(calls, minCalls, shares[i+1])
 		at = at.Add(dwell)
 	}
 	return s, ok
