daemon: one process of control loop, peers, call path and operators' interface

Cause: the parts had no program, and the first run on real processes showed a leader using 100.5% of a core.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -3,6 +3,7 @@
 
 import (
 	"net/http"
+	"strconv"
 
 	"github.com/labstack/echo/v5"
 	"github.com/prometheus/client_golang/prometheus"
@@ -11,14 +12,21 @@
 	"sniperail.example/sniperail/internal/api/commands"
 	"sniperail.example/sniperail/internal/api/problem"
 	"sniperail.example/sniperail/internal/api/queries"
+	"sniperail.example/sniperail/internal/model"
 )
 
+// NumberHeader carries the configuration number in force in the answer of the health endpoint, where a check of many
+// daemons costs least.
+const NumberHeader = "Sniperail-Number"
+
 // Options are the parts that the interface serves.
 type Options struct {
 	Submitter commands.Submitter
 	Reader    queries.Reader
 	// Metrics are the daemon's own metrics; the metric of moves is added to them. Nil serves only the latter.
 	Metrics prometheus.Gatherer
+	// Number returns the configuration number that the daemon has in force.
+	Number func() model.Number
 	// Ready returns why the daemon is not ready to serve calls; empty means that it is.
 	Ready func() string
 }
@@ -29,7 +37,10 @@
 	e.HTTPErrorHandler = problem.Handle
 	commands.Register(e.Group("/v1/command"), o.Submitter)
 	queries.Register(e.Group("/v1/query"), o.Reader)
-	e.GET("/healthz", func(c *echo.Context) error { return c.String(http.StatusOK, "ok\n") })
+	e.GET("/healthz", func(c *echo.Context) error {
+		c.Response().Header().Set(NumberHeader, strconv.FormatUint(uint64(o.Number()), 10))
+		return c.String(http.StatusOK, "ok\n")
+	})
 	e.GET("/readyz", func(c *echo.Context) error {
 		if reason := o.Ready(); reason != "" {
 			return problem.New(http.StatusServiceUnavailable, "not-ready", reason).Write(c)
--- a/internal/bench/fleet/fleet.go
+++ b/internal/bench/fleet/fleet.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"sniperail.example/sniperail/internal/command/agent"
 	"sniperail.example/sniperail/internal/effect"
 	"sniperail.example/sniperail/internal/message"
@@ -33,6 +35,8 @@
 	Sent func(from, to *Node, request bool, body any)
 	// Effect sees each effect of a daemon.
 	Effect func(n *Node, e effect.Effect)
+	// Extend adds to a daemon's agent before its first event; nil adds nothing.
+	Extend func(a *agent.Agent)
 	// Handling runs the handler of an event; the experiment measures its time there.
 	Handling func(n *Node, run func())
 
@@ -62,13 +66,15 @@
 	// Index is the position of the node in its fleet.
 	Index int
 
-	fleet   *Fleet
-	life    int
-	wakeAt  time.Time
-	backlog []effect.Event
-	waiting map[effect.RequestID]bool
-	tokens  map[effect.Token]origin
-	token   effect.Token
+	fleet  *Fleet
+	life   int
+	wakeAt time.Time
+	// idleWakes counts wakes in a row that were due at once.
+	idleWakes int
+	backlog   []effect.Event
+	waiting   map[effect.RequestID]bool
+	tokens    map[effect.Token]origin
+	token     effect.Token
 }
 
 // origin is where the reply to a received request goes.
@@ -106,6 +112,9 @@
 		Target: n.Target, Seeds: n.Seeds, Codec: Codec{},
 		Rand: rand.New(rand.NewPCG(f.Rand.Uint64(), f.Rand.Uint64())),
 	})
+	if f.Extend != nil {
+		f.Extend(n.Agent)
+	}
 	n.handle(effect.Wake{})
 }
 
@@ -166,6 +175,7 @@
 	if at.IsZero() || (!n.wakeAt.IsZero() && !at.Before(n.wakeAt)) {
 		return
 	}
+	n.countIdleWakes(at)
 	n.wakeAt = at
 	life := n.life
 	n.fleet.at(at, func() {
@@ -180,6 +190,20 @@
 	})
 }
 
+// maxIdleWakes is how often a daemon may ask to be woken at once without time passing.
+const maxIdleWakes = 100
+
+// countIdleWakes stops a run in which a daemon wakes itself without end, since time would never pass.
+func (n *Node) countIdleWakes(at time.Time) {
+	if at.After(n.fleet.Now) {
+		n.idleWakes = 0
+		return
+	}
+	if n.idleWakes++; n.idleWakes > maxIdleWakes {
+		panic(errors.Errorf("daemon %s wakes itself without end at %s", n.Target.Daemon, n.fleet.Now))
+	}
+}
+
 func (n *Node) perform(e effect.Effect) {
 	switch e := e.(type) {
 	case effect.Send:
--- a/internal/command/controller/controller.go
+++ b/internal/command/controller/controller.go
@@ -83,7 +83,7 @@
 
 // NextWake returns the earliest time at which the controller has something to do.
 func (c *Controller) NextWake() time.Time {
-	return earliest(c.lease.next, c.nextRoundWake(), c.nextJudge, c.writer.NextWake())
+	return earliest(c.lease.wake(), c.nextRoundWake(), c.nextJudge, c.writer.NextWake())
 }
 
 func earliest(times ...time.Time) time.Time {
--- /dev/null
+++ b/internal/command/controller/controller_test.go
@@ -0,0 +1,298 @@
+package controller_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sniperail.example/sniperail/internal/bench/fleet"
+	"sniperail.example/sniperail/internal/command/agent"
+	"sniperail.example/sniperail/internal/command/configuration"
+	"sniperail.example/sniperail/internal/command/controller"
+	"sniperail.example/sniperail/internal/document"
+	"sniperail.example/sniperail/internal/effect"
+	"sniperail.example/sniperail/internal/model"
+	"sniperail.example/sniperail/internal/testseed"
+)
+
+// mesh is a fleet with controllers, and what its daemons answered and changed.
+type mesh struct {
+	*fleet.Fleet
+	t       *testing.T
+	answers map[effect.Token]model.Outcome
+	token   effect.Token
+	// changes lists the driver's writes by command and outcome.
+	changes []string
+}
+
+// newMesh starts daemons of one service in three data centres: half of them run v1, half v2.
+func newMesh(t *testing.T, perCentre int) *mesh {
+	m := &mesh{
+		Fleet: fleet.New(rand.New(rand.NewPCG(testseed.Seed(), 1))), t: t,
+		answers: map[effect.Token]model.Outcome{},
+	}
+	m.Extend = func(a *agent.Agent) { controller.New(a, document.JSON{}) }
+	m.Effect = m.effect
+	for dc := range 3 {
+		for i := range perCentre {
+			m.Add(model.Target{
+				Daemon: model.DaemonID(fmt.Sprintf("d%d-%d", dc, i)), DataCentre: model.DataCentre(fmt.Sprintf("dc%d", dc)),
+				Region: "r", Service: "placements", Version: model.VersionName(fmt.Sprintf("v%d", 1+i%2)),
+				PeerAddress: fmt.Sprintf("10.0.%d.%d:1", dc, i), Address: fmt.Sprintf("10.0.%d.%d:2", dc, i),
+				Slots: 12, Connections: 130, State: model.TargetReady,
+			}, nil)
+		}
+	}
+	for _, n := range m.Nodes {
+		n.Boot()
+	}
+	m.Run(15 * time.Second)
+	return m
+}
+
+// effect records answers and changes.
+func (m *mesh) effect(_ *fleet.Node, e effect.Effect) {
+	switch e := e.(type) {
+	case effect.Answer:
+		m.answers[e.Token] = e.Outcome
+	case effect.Log:
+		if e.Event == "move changed" {
+			m.changes = append(m.changes, e.Fields[1].Value+" "+e.Fields[2].Value)
+		}
+	}
+}
+
+// submit gives a command to a daemon and returns its outcome.
+func (m *mesh) submit(n *fleet.Node, by string, cmd configuration.Command) model.Outcome {
+	m.token++
+	token := m.token
+	n.Handle(effect.Submitted{Token: token, By: by, Command: cmd})
+	for range 40 {
+		if o, ok := m.answers[token]; ok {
+			return o
+		}
+		m.Run(500 * time.Millisecond)
+	}
+	m.t.Fatalf("command %T got no answer", cmd)
+	return model.Outcome{}
+}
+
+func (m *mesh) confirm(n *fleet.Node, cmd configuration.Declare) model.PlanID {
+	declared := m.submit(n, "jana", cmd)
+	if !declared.OK() {
+		m.t.Fatal("declare refused", declared)
+	}
+	id := declared.Plans[0].ID
+	if o := m.submit(n, "jana", configuration.Confirm{Plan: id}); !o.OK() {
+		m.t.Fatal("confirm refused", o)
+	}
+	return id
+}
+
+func (m *mesh) declareService() {
+	m.confirm(m.Nodes[0], configuration.Declare{Change: &model.Change{
+		Services: []model.Service{{Name: "placements", Versions: []model.VersionShare{
+			{Version: "v1", Share: model.FullShare}, {Version: "v2"},
+		}}},
+		Routes: []model.Route{{Name: "placements", Service: "placements", PathPrefix: "/placements"}},
+	}})
+	m.Run(5 * time.Second)
+}
+
+// call reports calls as the traffic goroutines of every live daemon would, at the shares that the daemon has in force.
+func (m *mesh) call(d time.Duration, rate float64, failing model.VersionName) {
+	const batch = 250 * time.Millisecond
+	for passed := time.Duration(0); passed < d; passed += batch {
+		for _, n := range m.Nodes {
+			if n.Alive && !n.Frozen && n.View != nil && n.View.Ready {
+				n.Handle(effect.Observed{Sums: m.batch(n.View, rate*batch.Seconds(), failing)})
+			}
+		}
+		m.Run(batch)
+	}
+}
+
+func (m *mesh) batch(v *model.View, calls float64, failing model.VersionName) []model.KeyedSum {
+	var sums []model.KeyedSum
+	service := v.Configuration.Service("placements")
+	for _, share := range service.Versions {
+		if share.Share == 0 || withheld(v, share.Version) {
+			continue
+		}
+		s := model.KeyedSum{OutcomeKey: model.OutcomeKey{Service: "placements", Route: "placements", Version: share.Version}}
+		want := calls * float64(share.Share) / float64(model.FullShare)
+		for n := 0; n < int(want) || m.Rand.Float64() < want-float64(n) && n == int(want); n++ {
+			s.Observe(share.Version == failing, 4*time.Millisecond)
+		}
+		if s.Calls > 0 {
+			sums = append(sums, s)
+		}
+	}
+	return sums
+}
+
+func withheld(v *model.View, version model.VersionName) bool {
+	for _, mark := range v.Marks {
+		if mark.Version == version {
+			return true
+		}
+	}
+	return false
+}
+
+// shares counts the live daemons by the share that a version has on them.
+func (m *mesh) shares(version model.VersionName) map[model.Share]int {
+	shares := map[model.Share]int{}
+	for _, n := range m.Nodes {
+		if n.Alive && n.View != nil {
+			shares[n.View.Configuration.Service("placements").Version(version).Share]++
+		}
+	}
+	return shares
+}
+
+// ended reports whether the stored move has ended in a phase, once.
+func (m *mesh) ended(phase model.Phase) bool {
+	finished := 0
+	for _, c := range m.changes {
+		if c == "finish applied" {
+			finished++
+		}
+	}
+	document := m.document()
+	return finished == 1 && document.Moves[0].Phase == phase
+}
+
+// document returns the configuration as the highest leader last read it.
+func (m *mesh) document() *model.Configuration {
+	var newest *model.Configuration
+	for _, n := range m.Nodes {
+		if d, _ := n.Agent.Document(); n.Alive && d != nil && (newest == nil || d.Number > newest.Number) {
+			newest = d
+		}
+	}
+	return newest
+}
+
+var intent = configuration.Declare{Intents: []model.Intent{{
+	Service: "placements", To: "v2", By: fleet.Start.Add(5 * time.Minute), WatchSeconds: 5,
+}}}
+
+// Guards against a control loop that wakes itself without end: a daemon that waits for an answer, or that has no
+// configuration to drive, must not ask to be woken in the past. Found on real processes, where a leader without a
+// configuration used a whole core.
+func TestWakeIsInTheFuture(t *testing.T) {
+	m := newMesh(t, 4)
+	events, stage := 0, ""
+	m.Handling = func(_ *fleet.Node, run func()) {
+		// 12 daemons with heartbeats, exchanges and driver's rounds need well under 50 events a second each.
+		if events++; events > 12*50*10 {
+			t.Fatalf("%s: %d events in 10 s on 12 daemons", stage, events)
+		}
+		run()
+	}
+	check := func(name string) {
+		events, stage = 0, name
+		m.Run(10 * time.Second)
+	}
+	check("no configuration")
+	events = 0
+	m.declareService()
+	check("idle")
+	events = 0
+	m.confirm(m.Nodes[0], intent)
+	check("move without calls")
+	m.Store.SetDown(true)
+	check("platform down")
+	m.Store.Delay = func() time.Duration { return 3 * time.Second }
+	m.Store.SetDown(false)
+	check("platform slow")
+}
+
+// Guards against a good version that does not arrive: the whole chain of calls, evidence, steps and acknowledgements.
+func TestGoodVersionIsDone(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(t, 4)
+	m.declareService()
+	m.call(10*time.Second, 30, "")
+	m.confirm(m.Nodes[5], intent)
+	m.call(5*time.Minute, 30, "")
+	is.True(m.ended(model.PhaseDone))
+	is.Equal(m.shares("v2"), map[model.Share]int{model.FullShare: 12})
+}
+
+// Guards against a bad version that keeps a share, on any daemon, after the evidence is there.
+func TestBadVersionIsWithdrawn(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(t, 4)
+	m.declareService()
+	m.call(10*time.Second, 30, "")
+	m.confirm(m.Nodes[5], intent)
+	m.call(2*time.Minute, 30, "v2")
+	is.True(m.ended(model.PhaseWithdrawn))
+	is.Equal(m.shares("v2"), map[model.Share]int{0: 12})
+}
+
+// Guards against a withdrawal that waits for the platform: the mark alone must end the calls of a bad version.
+func TestBadVersionIsWithheldWithoutPlatform(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(t, 4)
+	m.declareService()
+	m.call(10*time.Second, 30, "")
+	m.confirm(m.Nodes[5], intent)
+	m.call(30*time.Second, 30, "")
+	step := m.shares("v2")
+	is.Equal(len(step), 1)
+	is.Equal(step[0], 0) // the first step is in force
+	m.Store.SetDown(true)
+	m.call(5*time.Second, 300, "v2")
+	for _, n := range m.Nodes {
+		is.True(withheld(n.View, "v2") || n.View.Isolated)
+	}
+	m.Store.SetDown(false)
+	m.call(time.Minute, 30, "v2")
+	is.True(m.ended(model.PhaseWithdrawn))
+	is.Equal(m.shares("v2"), map[model.Share]int{0: 12})
+}
+
+// Guards against a move that stops for good, or takes a step twice, when its driver dies or is paused past its lease.
+func TestDriverIsReplaced(t *testing.T) {
+	for _, fault := range []string{"killed", "paused"} {
+		t.Run(fault, func(t *testing.T) {
+			is := is.New(t)
+			m := newMesh(t, 4)
+			var driver *fleet.Node
+			m.Effect = func(n *fleet.Node, e effect.Effect) {
+				if log, ok := e.(effect.Log); ok && log.Event == "driving moves" {
+					driver = n
+				}
+				m.effect(n, e)
+			}
+			for _, n := range m.Nodes {
+				n.Kill()
+				n.Boot()
+			}
+			m.Run(20 * time.Second)
+			m.declareService()
+			m.call(10*time.Second, 30, "")
+			m.confirm(m.Nodes[5], intent)
+			m.call(20*time.Second, 30, "")
+			first := driver
+			if fault == "killed" {
+				first.Kill()
+			} else {
+				first.Freeze()
+			}
+			m.call(40*time.Second, 30, "")
+			is.True(driver != first)
+			if fault == "paused" {
+				first.Thaw()
+			}
+			m.call(6*time.Minute, 30, "")
+			is.True(m.ended(model.PhaseDone))
+		})
+	}
+}
--- a/internal/command/controller/drive.go
+++ b/internal/command/controller/drive.go
@@ -71,11 +71,14 @@
 
 // drive runs a round of the driver.
 func (c *Controller) drive() {
-	document, _ := c.agent.Document()
-	if c.driver == nil || document == nil || c.now.Before(c.nextRound) {
+	if c.driver == nil || c.now.Before(c.nextRound) {
 		return
 	}
 	c.nextRound = c.now.Add(roundInterval)
+	document, _ := c.agent.Document()
+	if document == nil {
+		return
+	}
 	view := c.agent.View()
 	decisions := c.driver.Decide(moves.Inputs{
 		Now: c.now, Configuration: document, Evidence: c.agent.TakeEvidence(), Targets: view.Targets,
--- a/internal/command/controller/election.go
+++ b/internal/command/controller/election.go
@@ -40,6 +40,8 @@
 	if e.waiting || e.c.now.Before(e.next) {
 		return
 	}
+	// Each call sets the next time; a call that is refused at once must not be repeated at once.
+	e.pause(seekInterval)
 	if e.lease.Held() {
 		e.keepAlive()
 		return
@@ -47,6 +49,14 @@
 	e.call(e.lease.Read(), e.found)
 }
 
+// wake returns when run has something to do; a call on its way brings its own event.
+func (e *election) wake() time.Time {
+	if e.waiting {
+		return time.Time{}
+	}
+	return e.next
+}
+
 // settle starts or stops the driver as the lease is gained or lost. A lease that may have expired counts as lost.
 func (e *election) settle(leader bool) {
 	valid := leader && e.lease.Valid(e.c.now)
@@ -80,7 +90,6 @@
 }
 
 func (e *election) found(_ time.Time, result store.Result) {
-	e.pause(seekInterval)
 	if result.Outcome != store.Applied {
 		return
 	}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,338 @@
+// Package daemon assembles sniperaild: the control loop, the peer server, the call path and the operators' interface
+// of one process.
+package daemon
+
+import (
+	"context"
+	"encoding/binary"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	crand "crypto/rand"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"sniperail.example/sniperail/internal/api"
+	"sniperail.example/sniperail/internal/command/admission"
+	"sniperail.example/sniperail/internal/command/agent"
+	"sniperail.example/sniperail/internal/command/claims"
+	"sniperail.example/sniperail/internal/command/controller"
+	"sniperail.example/sniperail/internal/control"
+	"sniperail.example/sniperail/internal/document"
+	"sniperail.example/sniperail/internal/model"
+	"sniperail.example/sniperail/internal/once"
+	"sniperail.example/sniperail/internal/peer"
+	"sniperail.example/sniperail/internal/platform"
+	"sniperail.example/sniperail/internal/settings"
+	"sniperail.example/sniperail/internal/store"
+	"sniperail.example/sniperail/internal/telemetry"
+	"sniperail.example/sniperail/internal/traffic"
+)
+
+const (
+	// spreadGrace is how long a draining daemon keeps its listeners open, so that every other daemon learns of the
+	// draining before connections are refused. Draining is known everywhere within 3 s.
+	spreadGrace = 3 * time.Second
+	// shutdownLimit bounds the wait for calls in flight. It exceeds the default deadline of a call.
+	shutdownLimit = 30 * time.Second
+	// platformTimeout bounds one call to the platform's service, which answers in milliseconds when it is well.
+	platformTimeout     = 2 * time.Second
+	platformDialTimeout = 500 * time.Millisecond
+	// queueFactor is the length of the queue in slots: a queued call then waits for about two calls before it.
+	queueFactor = 2
+)
+
+// gateConfig bounds the calls of one daemon to the platform's service. A leader needs about two calls a second; the
+// rest is for claims of at-most-once requests.
+func gateConfig(metrics *telemetry.Metrics) platform.GateConfig {
+	return platform.GateConfig{
+		WritesPerSecond: 20, WriteBurst: 40, ReadsPerSecond: 40, ReadBurst: 80,
+		BackoffBase: 100 * time.Millisecond, BackoffMax: 5 * time.Second,
+		Count: func(kind store.Kind, reason string, outcome store.Outcome) {
+			metrics.Add("sniperail_platform_calls_"+counterPart(kind), reason+"-"+string(outcome))
+		},
+	}
+}
+
+// counterPart says whether the service counts a call as a write, a read or a waiting watch.
+func counterPart(kind store.Kind) string {
+	switch {
+	case kind == platform.KindWatch:
+		return "watch"
+	case kind.IsWrite():
+		return "write"
+	default:
+		return "read"
+	}
+}
+
+// Daemon is one running sniperaild.
+type Daemon struct {
+	settings settings.Daemon
+	logger   *zap.Logger
+	metrics  *telemetry.Metrics
+
+	listeners listeners
+	client    *platform.Client
+	store     store.Store
+	loop      *control.Loop
+	peers     *peer.Client
+	server    *peer.Server
+	ingress   *traffic.Ingress
+	admission *traffic.Admission
+	guard     *once.Guard
+	servers   servers
+}
+
+type listeners struct{ ingress, admission, peer, api net.Listener }
+
+type servers struct{ ingress, admission, api *http.Server }
+
+// New opens the listeners and assembles the daemon. Nothing runs before Run.
+func New(s settings.Daemon, logger *zap.Logger) (*Daemon, error) {
+	metrics, err := telemetry.NewMetrics("sniperaild")
+	if err != nil {
+		return nil, err
+	}
+	d := &Daemon{settings: s, logger: logger, metrics: metrics}
+	steps := []func() error{d.listen, d.connectPlatform, d.buildControl, d.buildTraffic, d.buildAPI}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			d.closeListeners()
+			return nil, err
+		}
+	}
+	return d, nil
+}
+
+func (d *Daemon) listen() error {
+	open := []struct {
+		flag, address string
+		to            *net.Listener
+	}{
+		{"ingress", d.settings.Ingress, &d.listeners.ingress},
+		{"admission", d.settings.Admission, &d.listeners.admission},
+		{"peer", d.settings.Peer, &d.listeners.peer},
+		{"api", d.settings.API, &d.listeners.api},
+	}
+	for _, o := range open {
+		listener, err := net.Listen("tcp", o.address)
+		if err != nil {
+			return errors.Wrapf(err, "--%s", o.flag)
+		}
+		*o.to = listener
+	}
+	return nil
+}
+
+func (d *Daemon) closeListeners() {
+	for _, l := range []net.Listener{d.listeners.ingress, d.listeners.admission, d.listeners.peer, d.listeners.api} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+}
+
+func (d *Daemon) connectPlatform() error {
+	client, err := platform.NewClient(platform.ClientConfig{
+		Endpoints: []string{d.settings.Platform}, Timeout: platformTimeout, DialTimeout: platformDialTimeout,
+	})
+	if err != nil {
+		return err
+	}
+	gate, err := platform.NewGate(client, gateConfig(d.metrics))
+	if err != nil {
+		return err
+	}
+	d.client, d.store = client, gate
+	return nil
+}
+
+func (d *Daemon) target() model.Target {
+	now := time.Now()
+	return model.Target{
+		Daemon: model.DaemonID(d.settings.ID), Incarnation: model.Incarnation(now.UnixNano()),
+		Service: model.ServiceName(d.settings.Service), Version: model.VersionName(d.settings.Version),
+		DataCentre: model.DataCentre(d.settings.DataCentre), Region: model.Region(d.settings.Region),
+		Address: d.listeners.admission.Addr().String(), PeerAddress: d.listeners.peer.Addr().String(),
+		Slots: d.settings.Slots, Connections: d.settings.Connections,
+		State: model.TargetStarting, Since: now,
+	}
+}
+
+func (d *Daemon) buildControl() error {
+	core := agent.New(agent.Config{
+		Target: d.target(), Seeds: d.settings.Seeds, Rand: newRand(), Codec: document.JSON{},
+	})
+	controller.New(core, document.JSON{})
+	d.peers = peer.NewClient(d.countControlBytes())
+	d.loop = control.NewLoop(core, d.peers, d.store, d.logger, d.metrics)
+	server, err := peer.NewServer(d.listeners.peer, d.loop, d.countControlBytes())
+	d.server = server
+	return err
+}
+
+// newRand returns a random source with a seed of its own, so that daemons that start together do not act in step.
+func newRand() *rand.Rand {
+	var seed [16]byte
+	_, _ = crand.Read(seed[:])
+	return rand.New(rand.NewPCG(binary.LittleEndian.Uint64(seed[:8]), binary.LittleEndian.Uint64(seed[8:])))
+}
+
+func (d *Daemon) countControlBytes() func(sent bool, n int) {
+	counter := d.metrics.CounterSet("sniperail_control_bytes", "Bytes of control traffic between daemons, by direction.")
+	return func(sent bool, n int) {
+		direction := "received"
+		if sent {
+			direction = "sent"
+		}
+		counter.Add(context.Background(), direction, int64(n))
+	}
+}
+
+func (d *Daemon) buildTraffic() error {
+	metrics, err := traffic.NewMetrics(d.metrics)
+	if err != nil {
+		return err
+	}
+	d.guard, err = once.NewGuard(d.store, once.Config{
+		Claims: claims.DefaultConfig(d.settings.ID),
+		Count:  func(reason string) { d.metrics.Add("sniperail_claims", reason) },
+	})
+	if err != nil {
+		return err
+	}
+	limits := traffic.DefaultLimits()
+	d.ingress = traffic.NewIngress(traffic.IngressOptions{Tables: d.loop, Observer: d.loop, Metrics: metrics, Limits: limits})
+	d.admission = traffic.NewAdmission(traffic.AdmissionOptions{
+		Address: d.settings.Target,
+		Service: model.ServiceName(d.settings.Service), Version: model.VersionName(d.settings.Version),
+		Settings: admission.Settings{
+			Slots: d.settings.Slots, Connections: d.settings.Connections, Queue: queueFactor * d.settings.Slots,
+		},
+		Tables: d.loop, Metrics: metrics, Limits: limits,
+	})
+	d.servers.ingress = d.serverFor(traffic.NewServer(d.ingress, limits))
+	d.servers.admission = d.serverFor(traffic.NewServer(d.admission, limits))
+	return nil
+}
+
+func (d *Daemon) serverFor(s *http.Server) *http.Server {
+	s.ErrorLog, _ = zap.NewStdLogAt(d.logger, zapcore.DebugLevel)
+	return s
+}
+
+func (d *Daemon) buildAPI() error {
+	handler := api.New(api.Options{
+		Submitter: submitter{d.loop}, Reader: d.reader(),
+		Metrics: d.metrics.Gatherer(), Ready: d.notReady, Number: d.number,
+	})
+	err := d.metrics.Gauge("sniperail_configuration_number", "Configuration number in force on this daemon.",
+		func() float64 { return float64(d.number()) })
+	if err != nil {
+		return err
+	}
+	d.servers.api = d.serverFor(&http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second})
+	return nil
+}
+
+func (d *Daemon) reader() reader {
+	return reader{loop: d.loop, store: d.store, peers: d.peers, address: d.listeners.peer.Addr().String()}
+}
+
+func (d *Daemon) number() model.Number { return d.loop.Table().View.Configuration.Number }
+
+// notReady returns why the daemon should receive no calls, or "".
+func (d *Daemon) notReady() string {
+	if !d.loop.Table().View.Ready {
+		return "the daemon does not know the present configuration number"
+	}
+	return ""
+}
+
+// Run serves until ctx ends, then drains: the draining is announced at once, new calls are refused as not executed, and
+// calls in flight finish. Ending abort ends the process without that.
+func (d *Daemon) Run(ctx, abort context.Context) {
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	var group sync.WaitGroup
+	run := func(f func()) {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			f()
+		}()
+	}
+	run(func() { d.loop.Run(work) })
+	run(d.server.Serve)
+	run(func() { d.ingress.Run(work) })
+	probing, stopProbe := context.WithCancel(work)
+	run(func() { d.newProbe(work).Run(probing) })
+	run(func() { d.serve("ingress", d.servers.ingress, d.listeners.ingress) })
+	run(func() { d.serve("admission", d.servers.admission, d.listeners.admission) })
+	run(func() { d.serve("api", d.servers.api, d.listeners.api) })
+	d.logStart()
+
+	<-ctx.Done()
+	stopProbe()
+	d.drain(abort)
+	stop()
+	d.server.Close()
+	d.peers.Close()
+	group.Wait()
+}
+
+func (d *Daemon) newProbe(ctx context.Context) *traffic.Probe {
+	return traffic.NewProbe(traffic.ProbeOptions{
+		Address: d.settings.Target, Warmup: d.settings.Warmup,
+		Changed: func(state model.TargetState) {
+			d.admission.SetTarget(state)
+			d.loop.TargetChanged(ctx, state)
+		},
+	})
+}
+
+func (d *Daemon) logStart() {
+	d.logger.Info("serving", zap.String("id", d.settings.ID),
+		zap.Stringer("ingress", d.listeners.ingress.Addr()), zap.Stringer("admission", d.listeners.admission.Addr()),
+		zap.Stringer("peer", d.listeners.peer.Addr()), zap.Stringer("api", d.listeners.api.Addr()))
+}
+
+func (d *Daemon) serve(name string, server *http.Server, listener net.Listener) {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		d.logger.Error("server stopped", zap.String("server", name), zap.Error(err))
+	}
+}
+
+// drain takes the daemon out of service without cutting a call.
+func (d *Daemon) drain(abort context.Context) {
+	d.logger.Info("draining")
+	d.admission.Drain()
+	d.loop.TargetChanged(abort, model.TargetDraining)
+	// Callers' connections end with their next response, so that none is open when the listener closes.
+	d.servers.ingress.SetKeepAlivesEnabled(false)
+	select {
+	case <-time.After(spreadGrace):
+	case <-abort.Done():
+	}
+	limited, cancel := context.WithTimeout(abort, shutdownLimit)
+	defer cancel()
+	var group sync.WaitGroup
+	for _, server := range []*http.Server{d.servers.ingress, d.servers.admission, d.servers.api} {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			if err := server.Shutdown(limited); err != nil {
+				_ = server.Close()
+			}
+		}()
+	}
+	group.Wait()
+	// Answers of claimed requests are stored after they were sent.
+	d.guard.Close(limited)
+	d.logger.Info("drained")
+}
--- /dev/null
+++ b/internal/daemon/once.go
@@ -0,0 +1,78 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sniperail.example/sniperail/internal/command/claims"
+	"sniperail.example/sniperail/internal/once"
+	"sniperail.example/sniperail/internal/traffic"
+)
+
+// claimer lets the call path claim requests in the platform's service.
+type claimer struct {
+	guard *once.Guard
+	// timeout bounds a request without a deadline of its own.
+	timeout time.Duration
+}
+
+// Begin claims a request.
+func (c claimer) Begin(ctx context.Context, r traffic.OnceRequest) traffic.OnceDecision {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = time.Now().Add(c.timeout)
+	}
+	// The route is not part of the identity: a request sent again over a renamed route is the same request.
+	d := c.guard.Begin(ctx, string(r.Service)+"\x00"+r.Identity, deadline)
+	decision := traffic.OnceDecision{Reason: string(d.Reason), RetryAfter: d.RetryAfter}
+	switch d.Kind {
+	case claims.Run:
+		decision.Kind, decision.Claim = traffic.OnceRun, formatClaim(d.Claim)
+	case claims.Replay:
+		decision.Kind = traffic.OnceReplay
+		decision.Answer = &traffic.Answer{Status: d.Answer.Status, Header: http.Header(d.Answer.Header), Body: d.Answer.Body}
+	case claims.InProgress:
+		decision.Kind = traffic.OnceRunning
+	case claims.OutcomeUnknown:
+		decision.Kind = traffic.OnceUnknown
+	default:
+		decision.Kind = traffic.OnceRefused
+	}
+	return decision
+}
+
+// Finish reports how a claimed request ended.
+func (c claimer) Finish(ctx context.Context, _ traffic.OnceRequest, decision traffic.OnceDecision, result traffic.OnceResult) {
+	claim := parseClaim(decision.Claim)
+	switch result.Outcome {
+	case traffic.OnceNotExecuted:
+		c.guard.Release(ctx, claim)
+	case traffic.OnceAnswered:
+		a := result.Answer
+		c.guard.Finish(ctx, claim, claims.Answer{Status: a.Status, Header: a.Header, Body: a.Body})
+	default:
+		c.guard.Lose(ctx, claim)
+	}
+}
+
+// formatClaim and parseClaim carry a claim through the call path, to which it is opaque text.
+func formatClaim(c claims.Claim) string {
+	return strings.Join([]string{c.Key, c.ID, strconv.FormatInt(c.Deadline.UnixNano(), 10)}, " ")
+}
+
+func parseClaim(text string) claims.Claim {
+	parts := strings.Split(text, " ")
+	if len(parts) != 3 {
+		panic(errors.Errorf("claim %q was not made by this daemon", text))
+	}
+	nanos, err := strconv.ParseInt(parts[2], 10, 64)
+	if err != nil {
+		panic(errors.Wrapf(err, "claim %q", text))
+	}
+	return claims.Claim{Key: parts[0], ID: parts[1], Deadline: time.Unix(0, nanos)}
+}
--- a/internal/model/configuration.go
+++ b/internal/model/configuration.go
@@ -68,7 +68,8 @@
 	Header string `json:"header,omitempty"`
 	// DigestFields names JSON fields of the body whose digest identifies the request when the header is missing.
 	DigestFields []string `json:"digestFields,omitempty"`
-	// WindowSeconds is how long two requests with the same digest are the same request.
+	// WindowSeconds is the least time for which two requests with the same digest are the same request. Claims are kept
+	// for a day, so a longer window has no effect.
 	WindowSeconds int `json:"windowSeconds,omitempty"`
 }
 
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.opentelemetry.io/otel/attribute"
 	otelprometheus "go.opentelemetry.io/otel/exporters/prometheus"
@@ -28,6 +29,7 @@
 // NewMetrics returns an empty registry.
 func NewMetrics(program string) (*Metrics, error) {
 	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	exporter, err := otelprometheus.New(otelprometheus.WithRegisterer(registry), otelprometheus.WithoutScopeInfo())
 	if err != nil {
 		return nil, errors.Wrap(err, "prometheus exporter")
@@ -65,6 +67,16 @@
 // Shutdown releases the instruments.
 func (m *Metrics) Shutdown(ctx context.Context) error { return m.provider.Shutdown(ctx) }
 
+// Gauge registers a value that is read when the metrics are.
+func (m *Metrics) Gauge(name, description string, read func() float64) error {
+	_, err := m.meter.Float64ObservableGauge(name, metric.WithDescription(description),
+		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
+			o.Observe(read())
+			return nil
+		}))
+	return errors.Wrapf(err, "gauge %s", name)
+}
+
 // CounterSet is one counter with a label "reason" whose attribute sets are cached, so that counting on the call path
 // allocates nothing.
 type CounterSet struct {
