bench/once: executions per identity under kills, lost answers and outages

Change: bench/once.Run submits repeated requests from many callers to several guards, kills guards before and after their report, and counts executions per identity and wrong replays. The pause after failed claim writes ends at 200 ms, and shed writes do not lengthen it.

--- /dev/null
+++ b/internal/bench/once/run.go
@@ -0,0 +1,307 @@
+// Package once measures how often requests with one identity are executed while daemons die, the platform loses answers,
+// slows down or goes down, and callers repeat their submissions.
+package once
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sniperail.example/sniperail/internal/command/claims"
+	guard "sniperail.example/sniperail/internal/once"
+	"sniperail.example/sniperail/internal/platform"
+	standin "sniperail.example/sniperail/internal/standin/platform"
+	"sniperail.example/sniperail/internal/store"
+)
+
+// Config sizes a run.
+type Config struct {
+	Seed uint64
+	// Daemons is the number of guards, each with its own connection and gate.
+	Daemons int
+	// Identities is the number of distinct requests and Submissions how often one of them is submitted.
+	Identities  int
+	Submissions int
+	// Callers is the number of submissions at a time.
+	Callers int
+	// Deadline is the time a request may run.
+	Deadline time.Duration
+	// Chances of an execution, in percent; the rest finish.
+	KillPercent, LosePercent, ReleasePercent int
+	// FaultEvery is the mean time between platform faults; 0 means none.
+	FaultEvery time.Duration
+}
+
+// DefaultConfig returns a run of a few seconds.
+func DefaultConfig(seed uint64) Config {
+	return Config{
+		Seed: seed, Daemons: 4, Identities: 400, Submissions: 4000, Callers: 64, Deadline: 2 * time.Second,
+		KillPercent: 4, LosePercent: 3, ReleasePercent: 5, FaultEvery: 20 * time.Millisecond,
+	}
+}
+
+// Report is the result of a run.
+type Report struct {
+	Seed        uint64         `json:"seed"`
+	Submissions int            `json:"submissions"`
+	Decisions   map[string]int `json:"decisions"`
+	// Executions counts requests that were dispatched, Executed the identities with at least one.
+	Executions int `json:"executions"`
+	Executed   int `json:"executed"`
+	// MaxPerIdentity and Repeated show executions beyond one per identity.
+	MaxPerIdentity int `json:"max_per_identity"`
+	Repeated       int `json:"repeated"`
+	// WrongReplays counts replays of an answer that is not the first answer of the identity.
+	WrongReplays int            `json:"wrong_replays"`
+	Kills        int            `json:"kills"`
+	Faults       map[string]int `json:"faults"`
+	// Calls counts the calls that reached the platform.
+	Calls map[store.Kind]int64 `json:"calls"`
+	// Dropped counts calls that the platform left without an answer.
+	Dropped int64   `json:"dropped"`
+	Seconds float64 `json:"seconds"`
+}
+
+// run is the state that callers share.
+type run struct {
+	config  Config
+	service *standin.Service
+	url     string
+
+	mu         sync.Mutex
+	guards     []*daemon
+	executions map[int]int
+	answers    map[int]string
+	report     Report
+}
+
+// daemon is a guard with its connection.
+type daemon struct {
+	guard  *guard.Guard
+	client *platform.Client
+}
+
+// kill ends a daemon without storing its answers.
+func (d *daemon) kill() {
+	dead, cancel := context.WithCancel(context.Background())
+	cancel()
+	d.guard.Close(dead)
+	d.client.Close()
+}
+
+// Run submits requests over loopback and counts executions per identity. The seed fixes what is drawn; the interleaving
+// of the callers is not fixed.
+func Run(ctx context.Context, config Config) (Report, error) {
+	if config.Daemons < 1 || config.Identities < 1 || config.Callers < 1 || config.Deadline <= 0 {
+		return Report{}, errors.New("once: daemons, identities, callers and deadline must be above 0")
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	r, stop, err := newRun(ctx, config)
+	if err != nil {
+		return Report{}, err
+	}
+	defer stop()
+	began := time.Now()
+	faultsDone := make(chan struct{})
+	faultCtx, endFaults := context.WithCancel(ctx)
+	go func() { defer close(faultsDone); r.makeFaults(faultCtx) }()
+	r.submitAll(ctx)
+	endFaults()
+	<-faultsDone
+	r.report.Seconds = time.Since(began).Seconds()
+	counts := r.service.Counts()
+	r.report.Calls, r.report.Dropped = counts.Calls, counts.Dropped
+	r.tally()
+	return r.report, ctx.Err()
+}
+
+func newRun(ctx context.Context, config Config) (*run, func(), error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "listen on loopback")
+	}
+	r := &run{
+		config: config, service: standin.Start(ctx, standin.Limits{}), url: "http://" + listener.Addr().String(),
+		executions: map[int]int{}, answers: map[int]string{},
+		report: Report{Seed: config.Seed, Decisions: map[string]int{}, Faults: map[string]int{}},
+	}
+	server := &http.Server{Handler: r.service.Handler(), ReadHeaderTimeout: time.Minute}
+	served := make(chan struct{})
+	go func() { defer close(served); _ = server.Serve(listener) }()
+	stop := func() {
+		for _, d := range r.guards {
+			d.kill()
+		}
+		_ = server.Close()
+		<-served
+	}
+	for i := range config.Daemons {
+		d, err := r.newDaemon(i)
+		if err != nil {
+			stop()
+			return nil, nil, err
+		}
+		r.guards = append(r.guards, d)
+	}
+	return r, stop, nil
+}
+
+func (r *run) newDaemon(i int) (*daemon, error) {
+	client, err := platform.NewClient(platform.ClientConfig{Endpoints: []string{r.url}, Timeout: time.Second})
+	if err != nil {
+		return nil, err
+	}
+	gate, err := platform.NewGate(client, platform.GateConfig{
+		WritesPerSecond: 200, WriteBurst: 100, ReadsPerSecond: 200, ReadBurst: 100,
+		BackoffBase: 5 * time.Millisecond, BackoffMax: 50 * time.Millisecond,
+	})
+	if err != nil {
+		return nil, err
+	}
+	limits := claims.DefaultConfig(fmt.Sprintf("daemon-%d", i))
+	limits.MaxBytes = 64 << 20
+	g, err := guard.NewGuard(gate, guard.Config{Claims: limits})
+	return &daemon{guard: g, client: client}, err
+}
+
+// submitAll divides the submissions among the callers.
+func (r *run) submitAll(ctx context.Context) {
+	var callers sync.WaitGroup
+	for caller := range r.config.Callers {
+		random := rand.New(rand.NewPCG(r.config.Seed, uint64(caller)))
+		n := r.config.Submissions / r.config.Callers
+		if caller < r.config.Submissions%r.config.Callers {
+			n++
+		}
+		callers.Go(func() {
+			for range n {
+				r.submit(ctx, random)
+			}
+		})
+	}
+	callers.Wait()
+}
+
+// submit submits one request and executes it if the decision allows it.
+func (r *run) submit(ctx context.Context, random *rand.Rand) {
+	identity, at := random.IntN(r.config.Identities), random.IntN(r.config.Daemons)
+	chance := random.IntN(100)
+	r.mu.Lock()
+	d := r.guards[at]
+	r.mu.Unlock()
+	decision := d.guard.Begin(ctx, fmt.Sprintf("identity-%d-%d", r.config.Seed, identity), time.Now().Add(r.config.Deadline))
+
+	r.mu.Lock()
+	r.report.Submissions++
+	r.report.Decisions[fmt.Sprintf("%s %s", decision.Kind, decision.Reason)]++
+	if decision.Kind == claims.Replay && (r.answers[identity] == "" || string(decision.Answer.Body) != r.answers[identity]) {
+		r.report.WrongReplays++
+	}
+	released := chance < r.config.ReleasePercent
+	body := fmt.Sprintf("answer %d of identity %d", random.Uint64(), identity)
+	lost := chance >= 100-r.config.LosePercent
+	if decision.Kind == claims.Run && !released {
+		r.executions[identity]++
+		if !lost {
+			r.answers[identity] = body
+		}
+	}
+	r.mu.Unlock()
+	if decision.Kind != claims.Run {
+		return
+	}
+	kill := random.IntN(100) < r.config.KillPercent
+	if kill && random.IntN(2) == 0 {
+		// The owner dies after the dispatch and before its report.
+		r.restart(at, d)
+		return
+	}
+	switch {
+	case released:
+		d.guard.Release(ctx, decision.Claim)
+	case lost:
+		d.guard.Lose(ctx, decision.Claim)
+	default:
+		d.guard.Finish(ctx, decision.Claim, claims.Answer{Status: http.StatusOK, Body: []byte(body)})
+	}
+	if kill {
+		r.restart(at, d)
+	}
+}
+
+// restart kills a daemon and starts another in its place, unless another caller did so already.
+func (r *run) restart(at int, old *daemon) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.guards[at] != old {
+		return
+	}
+	replacement, err := r.newDaemon(at)
+	if err != nil {
+		// The same settings were accepted before.
+		panic(err)
+	}
+	r.guards[at] = replacement
+	r.report.Kills++
+	old.kill()
+}
+
+// makeFaults shows one platform fault after another until ctx ends.
+func (r *run) makeFaults(ctx context.Context) {
+	if r.config.FaultEvery <= 0 {
+		return
+	}
+	random := rand.New(rand.NewPCG(r.config.Seed, 1<<32))
+	count := func(fault string) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.report.Faults[fault]++
+	}
+	up, zero := standin.Up, 0
+	for wait(ctx, time.Duration(random.ExpFloat64()*float64(r.config.FaultEvery))) {
+		length := time.Duration(random.IntN(30)) * time.Millisecond
+		n := 1 + random.IntN(5)
+		switch down := []standin.DownMode{standin.DownRefuse, standin.DownDrop}[random.IntN(2)]; random.IntN(4) {
+		case 0, 1:
+			count("lose-answers")
+			r.service.SetFaults(standin.Faults{LoseAnswers: &n})
+		case 2:
+			count("down-" + string(down))
+			r.service.SetFaults(standin.Faults{Down: &down})
+		case 3:
+			count("slow")
+			r.service.SetFaults(standin.Faults{SlowMS: &n})
+		}
+		wait(ctx, length)
+		r.service.SetFaults(standin.Faults{Down: &up, SlowMS: &zero, LoseAnswers: &zero})
+	}
+}
+
+// wait waits and reports whether ctx is still in force.
+func wait(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// tally counts executions per identity.
+func (r *run) tally() {
+	for _, n := range r.executions {
+		r.report.Executions += n
+		r.report.Executed++
+		r.report.MaxPerIdentity = max(r.report.MaxPerIdentity, n)
+		r.report.Repeated += n - 1
+	}
+}
--- a/internal/command/claims/write.go
+++ b/internal/command/claims/write.go
@@ -7,10 +7,11 @@
 	"sniperail.example/sniperail/internal/store"
 )
 
-// Bounds of the pause after a write that did not succeed.
+// Bounds of the pause after a write that did not succeed. The longest is a fifth of the default patience, so that a
+// caller's claim is tried several times before it is refused.
 const (
 	minPause = 20 * time.Millisecond
-	maxPause = time.Second
+	maxPause = 200 * time.Millisecond
 )
 
 // send starts the next write if one is due. The claims that wait meanwhile form the next group.
@@ -67,10 +68,7 @@
 	s.busy = false
 	// A lease that lives no longer than the retention can take no claims.
 	if e.Outcome != store.Applied || e.TTL <= s.config.Retention {
-		s.pause(now)
-		if e.Outcome == store.Unavailable {
-			s.refuseUnwritten(now)
-		}
+		s.failed(e.Outcome, now)
 		return
 	}
 	s.current = &bucket{
@@ -80,14 +78,20 @@
 	s.failures = 0
 }
 
-// pause delays the next write, doubling with each failure in a row.
-func (s *State) pause(now time.Time) {
+// failed delays the next write, doubling the pause with each failure in a row. The gate decides how long it sheds, so
+// a shed write does not lengthen the pause.
+func (s *State) failed(outcome store.Outcome, now time.Time) {
 	pause := minPause
 	for i := 0; i < s.failures && pause < maxPause; i++ {
 		pause *= 2
 	}
-	s.failures++
 	s.nextSend = now.Add(min(pause, maxPause))
+	if outcome != store.Shed {
+		s.failures++
+	}
+	if outcome == store.Unavailable {
+		s.refuseUnwritten(now)
+	}
 }
 
 // refuseUnwritten refuses the callers of all queued claims while the platform is down. A claim that may have been
@@ -137,10 +141,7 @@
 		// The rest of the group does not wait for another interval.
 		s.failures, s.nextSend = 0, now
 	default:
-		s.pause(now)
-		if e.Outcome == store.Unavailable {
-			s.refuseUnwritten(now)
-		}
+		s.failed(e.Outcome, now)
 	}
 	s.dropUnsettled(now)
 }
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -120,13 +120,16 @@
 	return ""
 }
 
+// maxTTL is the limit of the service in seconds.
+const maxTTL = 9_000_000_000
+
 func (s *Service) handleGrant(c *echo.Context) error {
 	request, err := decode[wire.GrantRequest](c)
 	if err != nil {
 		return invalid(c, err.Error())
 	}
-	if request.TTL <= 0 || request.ID != 0 {
-		return invalid(c, "stand-in: a grant needs a TTL above 0 and no ID")
+	if request.TTL <= 0 || request.TTL > maxTTL || request.ID != 0 {
+		return invalid(c, "stand-in: a grant needs a TTL of 1 to 9000000000 and no ID")
 	}
 	return send(c, s.serve(store.KindGrant, func(now time.Time) reply {
 		return reply{status: http.StatusOK, body: s.state.grant(request, now)}
@@ -199,6 +202,9 @@
 	}
 }
 
+// maxSlowMS bounds how long a call can be delayed, so that a wrong unit does not block the stand-in for good.
+const maxSlowMS = 600_000
+
 func (s *Service) handleFaults(c *echo.Context) error {
 	faults, err := decode[Faults](c)
 	if err != nil {
@@ -207,8 +213,9 @@
 	if faults.Down != nil && *faults.Down != Up && *faults.Down != DownRefuse && *faults.Down != DownDrop {
 		return invalid(c, `stand-in: down must be "", "refuse" or "drop"`)
 	}
-	if (faults.SlowMS != nil && *faults.SlowMS < 0) || (faults.LoseAnswers != nil && *faults.LoseAnswers < 0) {
-		return invalid(c, "stand-in: slow_ms and lose_answers must not be below 0")
+	if (faults.SlowMS != nil && (*faults.SlowMS < 0 || *faults.SlowMS > maxSlowMS)) ||
+		(faults.LoseAnswers != nil && *faults.LoseAnswers < 0) {
+		return invalid(c, "stand-in: slow_ms must be 0 to 600000 and lose_answers not below 0")
 	}
 	s.SetFaults(faults)
 	return c.JSON(http.StatusOK, s.Counts())
