claims: refuse at once while the platform is known to be down

Cause: during an outage every request with an identity waited up to a second for its refusal. Change: after a call that the platform could not take, new claims are refused until the next attempt is due; one claim then tries.

--- a/internal/bench/once/run.go
+++ b/internal/bench/once/run.go
@@ -189,6 +189,9 @@
 	callers.Wait()
 }
 
+// maxRetryWait bounds the wait of a refused caller, so that a run ends soon.
+const maxRetryWait = 20 * time.Millisecond
+
 // submit submits one request and executes it if the decision allows it.
 func (r *run) submit(ctx context.Context, random *rand.Rand) {
 	identity, at := random.IntN(r.config.Identities), random.IntN(r.config.Daemons)
@@ -214,6 +217,10 @@
 		}
 	}
 	r.mu.Unlock()
+	if decision.Kind == claims.Refused {
+		// A caller that repeats at once would spend its submissions within one outage.
+		wait(ctx, min(decision.RetryAfter, maxRetryWait))
+	}
 	if decision.Kind != claims.Run {
 		return
 	}
--- a/internal/command/claims/state.go
+++ b/internal/command/claims/state.go
@@ -73,7 +73,9 @@
 	// alarm is not after the earliest time at which giveUp has work; zero if there is none.
 	alarm    time.Time
 	failures int
-	effects  []Effect
+	// down says that the platform took no call since the last failure.
+	down    bool
+	effects []Effect
 }
 
 // New returns an empty state.
@@ -158,6 +160,8 @@
 	case e.Deadline.Sub(now) > s.config.Retention/2:
 		// A request that runs longer than its claim is kept could run again under a new claim.
 		s.decide(e.Token, refused(ReasonTooFar, 0))
+	case it == nil && s.down && now.Before(s.nextSend):
+		s.decide(e.Token, refused(ReasonUnavailable, s.nextSend.Sub(now)))
 	case it == nil:
 		s.claim(e, w, now)
 	case it.stage == claiming:
--- a/internal/command/claims/write.go
+++ b/internal/command/claims/write.go
@@ -75,7 +75,7 @@
 		lease: e.Lease, fullAt: s.grantedAt.Add(min(s.config.Bucket, e.TTL-s.config.Retention)), expires: now.Add(e.TTL),
 	}
 	s.buckets = append(s.buckets, s.current)
-	s.failures = 0
+	s.recovered()
 }
 
 // failed delays the next write, doubling the pause with each failure in a row. The gate decides how long it sheds, so
@@ -89,11 +89,15 @@
 	if outcome != store.Shed {
 		s.failures++
 	}
-	if outcome == store.Unavailable {
+	s.down = s.down || outcome == store.Unavailable
+	if s.down && outcome != store.Unknown {
 		s.refuseUnwritten(now)
 	}
 }
 
+// recovered ends the row of failures.
+func (s *State) recovered() { s.failures, s.down = 0, false }
+
 // refuseUnwritten refuses the callers of all queued claims while the platform is down. A claim that may have been
 // written stays queued, so that it is released when the platform returns.
 func (s *State) refuseUnwritten(now time.Time) {
@@ -136,10 +140,11 @@
 	}
 	switch {
 	case e.Outcome == store.Applied:
-		s.failures = 0
+		s.recovered()
 	case e.Outcome == store.Conflict && len(requeued) < len(flight):
 		// The rest of the group does not wait for another interval.
-		s.failures, s.nextSend = 0, now
+		s.recovered()
+		s.nextSend = now
 	default:
 		s.failed(e.Outcome, now)
 	}
--- a/internal/once/guard_test.go
+++ b/internal/once/guard_test.go
@@ -206,6 +206,23 @@
 	}
 }
 
+// Guards against callers that wait for a platform that is known to be down.
+func TestOutageRefusesAtOnce(t *testing.T) {
+	onFakeClock(t, func(is *is.I, b bench) {
+		g := b.guard()
+		b.service.SetFaults(standin.Faults{Down: ptr(standin.DownRefuse)})
+		began := time.Now()
+		for i := range 10 {
+			is.Equal(b.begin(g, fmt.Sprint(i)).Reason, claims.ReasonUnavailable)
+		}
+		is.Equal(time.Since(began), time.Duration(0))
+		is.Equal(b.service.Counts().Calls[store.KindGrant], int64(1)) // one call found out
+		advance(time.Second)
+		b.service.SetFaults(standin.Faults{Down: ptr(standin.Up)})
+		is.Equal(b.begin(g, "a").Kind, claims.Run)
+	})
+}
+
 // Guards against a claim that takes effect after its caller was refused: it must be released, not run.
 func TestSlowPlatformRefusesAndReleases(t *testing.T) {
 	onFakeClock(t, func(is *is.I, b bench) {
