traffic: ingress and admission handlers, probe of the target

Cause: calls need the two hops of the call path: selection, deadline and retry beside the caller, admission beside the target. Change: Ingress, Admission and Probe over net/http, with the interfaces Tables, Observer and Once. http.Transport's own retries are disabled for identified requests, because they would execute a request twice.

--- /dev/null
+++ b/internal/traffic/admission.go
@@ -0,0 +1,206 @@
+package traffic
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"sniperail.example/sniperail/internal/command/admission"
+	"sniperail.example/sniperail/internal/model"
+)
+
+// AdmissionOptions configure an Admission.
+type AdmissionOptions struct {
+	// Address is the target's host:port.
+	Address string
+	// Service and Version are what the target runs; a call for anything else is refused.
+	Service  model.ServiceName
+	Version  model.VersionName
+	Settings admission.Settings
+	Tables   Tables
+	// Once records claims. Without it, at-most-once routes are refused as not executed.
+	Once    Once
+	Metrics *Metrics
+	Limits  Limits
+}
+
+// Admission is the target's side of the call path: it admits calls to the target within its slots and connections.
+type Admission struct {
+	options   AdmissionOptions
+	transport *http.Transport
+	slots     *slots
+	gate      gate
+}
+
+// NewAdmission returns an admission handler whose target is starting; see SetTarget.
+func NewAdmission(options AdmissionOptions) *Admission {
+	s := &slots{state: admission.New(options.Settings), waiting: map[admission.Ticket]chan admission.Reason{}}
+	a := &Admission{options: options, slots: s}
+	a.transport = newTransport(options.Settings.Slots, options.Settings.Slots, options.Limits.HeaderBytes, s)
+	return a
+}
+
+// SetTarget records the state of the target. Calls are admitted only while it is ready.
+func (a *Admission) SetTarget(state model.TargetState) {
+	a.slots.mu.Lock()
+	defer a.slots.mu.Unlock()
+	a.slots.state.SetTarget(state)
+}
+
+// Drain refuses all later calls as not executed. Calls that wait for a slot finish.
+func (a *Admission) Drain() {
+	a.gate.drain()
+	a.slots.mu.Lock()
+	defer a.slots.mu.Unlock()
+	a.slots.state.Drain()
+}
+
+// Wait returns when no call is in flight, or with the error of ctx.
+func (a *Admission) Wait(ctx context.Context) error { return a.gate.wait(ctx) }
+
+// InFlight returns the number of calls in flight, waiting ones included.
+func (a *Admission) InFlight() int { return a.gate.count() }
+
+// Occupancy returns the occupied slots, the slots in use and the calls that wait.
+func (a *Admission) Occupancy() (running, limit, queued int) {
+	a.slots.mu.Lock()
+	defer a.slots.mu.Unlock()
+	return a.slots.state.Running(), a.slots.state.Limit(), a.slots.state.Queued()
+}
+
+// Close closes idle connections to the target.
+func (a *Admission) Close() { a.transport.CloseIdleConnections() }
+
+// ServeHTTP admits one call.
+func (a *Admission) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if id := r.Header[HeaderCall]; len(id) == 1 {
+		w.Header()[HeaderCall] = id
+	}
+	if !a.gate.enter() {
+		notExecuted(http.StatusServiceUnavailable, reasonDraining, "the target is leaving").
+			after(time.Second).write(w, r, a.options.Metrics)
+		return
+	}
+	defer a.gate.leave()
+	v, refused := a.accept(w, r, time.Now())
+	if refused != nil {
+		refused.write(w, r, a.options.Metrics)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), v.deadline)
+	defer cancel()
+	v.ctx = ctx
+	v.run(w)
+}
+
+// accept checks the request and reads its body, before it takes a slot.
+func (a *Admission) accept(w http.ResponseWriter, r *http.Request, now time.Time) (*visit, *refusal) {
+	service, version := r.Header.Get(HeaderService), r.Header.Get(HeaderVersion)
+	if service != string(a.options.Service) || version != string(a.options.Version) {
+		return nil, notExecuted(http.StatusServiceUnavailable, reasonWrongTarget, "the target runs another service or version")
+	}
+	table := a.options.Tables.Table()
+	if table != nil && table.Withheld(model.VersionRef{Service: a.options.Service, Version: a.options.Version}) {
+		return nil, notExecuted(http.StatusServiceUnavailable, reasonWithheld, "the version is withheld")
+	}
+	if upgrades(r) {
+		return nil, notExecuted(http.StatusNotImplemented, reasonUpgrade, "other protocols than HTTP/1.1 are not supported")
+	}
+	left, ok := remaining(r.Header, maxDeadline)
+	if !ok {
+		return nil, notExecuted(http.StatusBadRequest, reasonBadDeadline, HeaderDeadline+" must be one whole number of milliseconds")
+	}
+	deadline := now.Add(left)
+	body, refused := readRequestBody(w, r, a.options.Limits.BodyBytes, deadline)
+	if refused != nil {
+		return nil, refused
+	}
+	v := &visit{admission: a, request: r, body: body, deadline: deadline}
+	return v, v.identify(table)
+}
+
+// maxDeadline bounds calls whose sender sets no deadline.
+const maxDeadline = time.Minute
+
+// slots is the admission state with its lock and the calls that wait.
+type slots struct {
+	mu      sync.Mutex
+	state   *admission.State
+	waiting map[admission.Ticket]chan admission.Reason
+}
+
+// acquire takes a slot, waiting for one if needed. A nil refusal means that the call holds a slot.
+func (s *slots) acquire(ctx context.Context, deadline time.Time) *refusal {
+	s.mu.Lock()
+	decision := s.state.Offer(time.Now(), deadline)
+	if decision.Verdict != admission.Wait {
+		s.mu.Unlock()
+		return refusalOf(decision.Reason, decision.RetryAfter)
+	}
+	settled := make(chan admission.Reason, 1)
+	s.waiting[decision.Ticket] = settled
+	s.mu.Unlock()
+	select {
+	case reason := <-settled:
+		return refusalOf(reason, 0)
+	case <-ctx.Done():
+	}
+	s.mu.Lock()
+	waited := s.state.Abandon(decision.Ticket)
+	delete(s.waiting, decision.Ticket)
+	s.mu.Unlock()
+	if !waited {
+		// The wait was settled at the same moment; a granted slot goes back.
+		if reason := <-settled; reason == admission.Admitted {
+			s.settle(func(now time.Time) []admission.Settled { return s.state.Return(now) })
+		}
+	}
+	return refusalOf(admission.Deadline, 0)
+}
+
+// settle frees a slot and wakes the calls whose wait ends.
+func (s *slots) settle(free func(now time.Time) []admission.Settled) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, settled := range free(time.Now()) {
+		if waiting, ok := s.waiting[settled.Ticket]; ok {
+			waiting <- settled.Reason
+			delete(s.waiting, settled.Ticket)
+		}
+	}
+}
+
+// release frees the slot of a call that reached the target.
+func (s *slots) release(took time.Duration, overloaded bool) {
+	s.settle(func(now time.Time) []admission.Settled { return s.state.Release(now, took, overloaded) })
+}
+
+// giveBack frees the slot of a call that did not reach the target.
+func (s *slots) giveBack() {
+	s.settle(func(now time.Time) []admission.Settled { return s.state.Return(now) })
+}
+
+func (s *slots) openConnection() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state.OpenConnection()
+}
+
+func (s *slots) closeConnection() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state.CloseConnection()
+}
+
+func refusalOf(reason admission.Reason, after time.Duration) *refusal {
+	switch reason {
+	case admission.Admitted:
+		return nil
+	case admission.Deadline:
+		return notExecuted(http.StatusServiceUnavailable, string(reason), "the call cannot finish before its deadline").after(after)
+	case admission.QueueFull:
+		return notExecuted(http.StatusServiceUnavailable, string(reason), "all slots and queue places are taken").after(after)
+	}
+	return notExecuted(http.StatusServiceUnavailable, string(reason), "the target takes no calls").after(after)
+}
--- /dev/null
+++ b/internal/traffic/body.go
@@ -0,0 +1,171 @@
+package traffic
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// bodyGrace lets the refusal for a passed deadline be written before the read deadline ends the connection.
+const bodyGrace = time.Second
+
+// requestBody is the body of a call. A buffered body can be sent more than once.
+type requestBody struct {
+	buffered []byte
+	// rest follows buffered if the body is longer than replayBytes.
+	rest   io.Reader
+	length int64
+	used   atomic.Bool
+}
+
+// readRequestBody reads a body of up to replayBytes. A longer one is streamed.
+func readRequestBody(w http.ResponseWriter, r *http.Request, limit int64, deadline time.Time) (*requestBody, *refusal) {
+	if r.ContentLength > limit {
+		return nil, notExecuted(http.StatusRequestEntityTooLarge, reasonBodyTooLarge, "the request body is over the limit")
+	}
+	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
+		return &requestBody{}, nil
+	}
+	// A caller that sends its body too slowly is cut off at the deadline of the call.
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(deadline.Add(bodyGrace))
+	if r.ContentLength > replayBytes {
+		return &requestBody{rest: r.Body, length: r.ContentLength}, nil
+	}
+	size := r.ContentLength
+	if size < 0 {
+		size = replayBytes
+	}
+	buffer := make([]byte, size)
+	n, err := io.ReadFull(r.Body, buffer)
+	switch {
+	case err == nil && r.ContentLength >= 0:
+		_ = control.SetReadDeadline(time.Time{})
+		return &requestBody{buffered: buffer, length: size}, nil
+	case err == nil:
+		return &requestBody{buffered: buffer, rest: &limitedReader{r.Body, limit - size}, length: -1}, nil
+	case r.ContentLength < 0 && (err == io.EOF || err == io.ErrUnexpectedEOF) && n < len(buffer) && ended(r.Body):
+		_ = control.SetReadDeadline(time.Time{})
+		return &requestBody{buffered: buffer[:n], length: int64(n)}, nil
+	}
+	return nil, notExecuted(http.StatusBadRequest, reasonBody, "the request body ended early")
+}
+
+// ended reports whether a body of unknown length has ended as its sender meant it: io.ReadFull reports a cut body and
+// a short complete one alike, and the next read tells them apart.
+func ended(body io.Reader) bool {
+	_, err := body.Read(make([]byte, 1))
+	return err == io.EOF
+}
+
+// limitedReader fails a body that is longer than the limit.
+type limitedReader struct {
+	r    io.Reader
+	left int64
+}
+
+var errBodyTooLarge = errors.New("the request body is over the limit")
+
+func (l *limitedReader) Read(p []byte) (int, error) {
+	n, err := l.r.Read(p)
+	l.left -= int64(n)
+	if l.left < 0 {
+		return 0, errBodyTooLarge
+	}
+	return n, err
+}
+
+// replayable reports whether the whole body can be sent (again).
+func (b *requestBody) replayable() bool { return b.rest == nil || !b.used.Load() }
+
+// attach sets the body of an outgoing request. The request has no GetBody, so that http.Transport never sends it twice.
+func (b *requestBody) attach(out *http.Request, once bool) {
+	switch {
+	case b.length == 0 && once:
+		// http.Transport sends a request without body again on its own if its method is safe.
+		out.Body = io.NopCloser(bytes.NewReader(nil))
+	case b.length == 0:
+		out.Body = http.NoBody
+	case b.rest == nil:
+		out.Body = io.NopCloser(bytes.NewReader(b.buffered))
+		out.ContentLength = b.length
+	default:
+		out.Body = &streamedBody{body: b, r: io.MultiReader(bytes.NewReader(b.buffered), b.rest)}
+		out.ContentLength = b.length
+	}
+}
+
+// streamedBody notes that the body was read. Closing it does nothing: the server closes the body of its request.
+type streamedBody struct {
+	body *requestBody
+	r    io.Reader
+}
+
+func (s *streamedBody) Read(p []byte) (int, error) {
+	s.body.used.Store(true)
+	return s.r.Read(p)
+}
+
+func (s *streamedBody) Close() error { return nil }
+
+var copyBuffers = sync.Pool{New: func() any { b := make([]byte, 32<<10); return &b }}
+
+// framed reports whether the end of the body can be told from a cut connection. A body without length and without
+// chunks ends when the connection closes, and a cut one looks complete.
+func framed(method string, response *http.Response) bool {
+	return method == http.MethodHead || response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+}
+
+// streams reports whether a response is passed on while it arrives. A body without length may never end.
+func streams(method string, response *http.Response) bool {
+	return method != http.MethodHead && (response.ContentLength < 0 || response.ContentLength > bufferedBytes)
+}
+
+// readAnswer reads a body of at most limit bytes. Whole is false if the body is longer; body then holds what was read.
+func readAnswer(method string, response *http.Response, limit int) (body []byte, whole bool, err error) {
+	if method == http.MethodHead || response.ContentLength == 0 {
+		return nil, true, nil
+	}
+	if response.ContentLength >= 0 && response.ContentLength <= int64(limit) {
+		body = make([]byte, response.ContentLength)
+		_, err = io.ReadFull(response.Body, body)
+		return body, err == nil, err
+	}
+	if response.ContentLength > int64(limit) {
+		return nil, false, nil
+	}
+	body, err = io.ReadAll(io.LimitReader(response.Body, int64(limit)+1))
+	return body, err == nil && len(body) <= limit, err
+}
+
+// stream copies a body. It panics with http.ErrAbortHandler if the body breaks off, which resets the connection, so that
+// a cut response never looks complete.
+func stream(w http.ResponseWriter, body io.Reader, flush bool, deadline time.Time) {
+	control := http.NewResponseController(w)
+	// A caller that reads too slowly is cut off soon after the deadline of the call.
+	_ = control.SetWriteDeadline(deadline.Add(time.Second))
+	defer func() { _ = control.SetWriteDeadline(time.Time{}) }()
+	buffer := copyBuffers.Get().(*[]byte)
+	defer copyBuffers.Put(buffer)
+	for {
+		n, err := body.Read(*buffer)
+		if n > 0 {
+			if _, werr := w.Write((*buffer)[:n]); werr != nil {
+				panic(http.ErrAbortHandler)
+			}
+			if flush && control.Flush() != nil {
+				panic(http.ErrAbortHandler)
+			}
+		}
+		if err == io.EOF {
+			return
+		}
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
--- /dev/null
+++ b/internal/traffic/call.go
@@ -0,0 +1,291 @@
+package traffic
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"sniperail.example/sniperail/internal/command/admission"
+	"sniperail.example/sniperail/internal/command/retry"
+	"sniperail.example/sniperail/internal/model"
+	"sniperail.example/sniperail/internal/query/routing"
+)
+
+// call is one call at the ingress, with all its attempts.
+type call struct {
+	ingress  *Ingress
+	request  *http.Request
+	ctx      context.Context
+	route    *routing.Route
+	body     *requestBody
+	deadline time.Time
+	id       string
+	nested   bool
+
+	version *routing.Version
+	tried   []model.DaemonID
+	attempt int
+}
+
+// result is how one attempt ended: with a response of the target or with a refusal.
+type result struct {
+	response *http.Response
+	// body is the whole body if buffered is true.
+	body     []byte
+	buffered bool
+	refused  *refusal
+	// elsewhere says that the next attempt must leave the version.
+	elsewhere bool
+	started   time.Time
+	peer      *peer
+}
+
+// run makes attempts until one is answered or no retry is allowed.
+func (c *call) run(w http.ResponseWriter) {
+	budget := c.ingress.budget(c.route.Service.Name)
+	budget.mu.Lock()
+	budget.budget.Call()
+	budget.mu.Unlock()
+	for {
+		c.attempt++
+		target, refused := c.selectTarget()
+		if refused != nil {
+			refused.write(w, c.request, c.ingress.options.Metrics)
+			return
+		}
+		out := c.send(target)
+		if out.refused == nil {
+			c.answer(w, out)
+			return
+		}
+		if c.request.Context().Err() != nil {
+			// The caller is gone, and nobody reads a refusal.
+			panic(http.ErrAbortHandler)
+		}
+		if !c.retry(budget, target, out) {
+			out.refused.write(w, c.request, c.ingress.options.Metrics)
+			return
+		}
+	}
+}
+
+// retry decides on the next attempt and waits for it.
+func (c *call) retry(b *budget, target *model.Target, out result) bool {
+	b.mu.Lock()
+	decision := retry.Decide(&b.budget, retry.Attempt{
+		Number: c.attempt, Executed: out.refused.executed, Idempotent: c.idempotent(), Nested: c.nested,
+		Replayable: c.body.replayable(), Remaining: time.Until(c.deadline),
+	}, source{})
+	b.mu.Unlock()
+	if !decision.Retry {
+		c.ingress.options.Metrics.notRetried.Add(c.ctx, string(decision.Reason), 1)
+		return false
+	}
+	c.ingress.options.Metrics.retries.Add(c.ctx, string(decision.Reason), 1)
+	c.tried = append(c.tried, target.Daemon)
+	if out.elsewhere || !c.hasUntried() {
+		if other := c.route.Service.Fallback(c.version); other != nil {
+			c.version = other
+		}
+	}
+	timer := time.NewTimer(decision.Wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-c.ctx.Done():
+		return false
+	}
+}
+
+func (c *call) hasUntried() bool {
+	_, reason := c.version.Pick(&signals{c.ingress.peers, time.Now()}, source{}, c.tried)
+	return reason == routing.Found
+}
+
+// idempotent reports whether a second execution does no harm. An at-most-once route is never idempotent, whatever its
+// method.
+func (c *call) idempotent() bool {
+	if c.route.Once != nil {
+		return false
+	}
+	switch c.request.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace, http.MethodPut, http.MethodDelete:
+		return true
+	}
+	return c.route.Idempotent
+}
+
+// selectTarget selects a version on the first attempt and a target on each.
+func (c *call) selectTarget() (*model.Target, *refusal) {
+	if c.version == nil {
+		counter := c.ingress.counter(c.route.Name).Add(1)
+		version, reason := c.route.Service.Version(counter)
+		if reason != routing.Found {
+			return nil, notExecuted(http.StatusServiceUnavailable, string(reason), "no version of the service receives calls").after(time.Second)
+		}
+		c.version = version
+	}
+	target, reason := c.version.Pick(&signals{c.ingress.peers, time.Now()}, source{}, c.tried)
+	if reason != routing.Found {
+		return nil, notExecuted(http.StatusServiceUnavailable, string(reason), "no target of the version is ready").after(time.Second)
+	}
+	return target, nil
+}
+
+// send makes one attempt.
+func (c *call) send(target *model.Target) result {
+	out := result{started: time.Now(), peer: c.ingress.peers.find(target)}
+	out.peer.inFlight.Add(1)
+	defer out.peer.inFlight.Add(-1)
+	var watch sending
+	response, err := c.ingress.transport.RoundTrip(c.outgoing(watch.context(c.ctx), target))
+	if err != nil {
+		out.refused = c.failed(out, target, watch.mayHaveArrived(c.ctx.Err() != nil))
+		return out
+	}
+	if response.Header.Get(HeaderCall) != c.id {
+		_ = response.Body.Close()
+		out.refused = inDoubt(http.StatusBadGateway, reasonMismatch, "the response belongs to another request")
+		c.observe(out, true)
+		return out
+	}
+	if refused := refusalFrom(response); refused != nil {
+		// The body is small; reading it keeps the connection.
+		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, bufferedBytes))
+		_ = response.Body.Close()
+		out.refused = refused
+		out.elsewhere = refused.reason == reasonWithheld
+		c.refusedBy(out, refused)
+		return out
+	}
+	out.response = response
+	if streams(c.request.Method, response) {
+		return out
+	}
+	out.body, out.buffered, err = readAnswer(c.request.Method, response, bufferedBytes)
+	_ = response.Body.Close()
+	if err != nil {
+		out.refused = c.failed(out, target, true)
+	}
+	return out
+}
+
+// outgoing builds the request to the daemon beside the target.
+func (c *call) outgoing(ctx context.Context, target *model.Target) *http.Request {
+	r := c.request
+	h := requestHeader(r.Header, 6)
+	values := [...]string{
+		string(c.version.Service), string(c.route.Name), string(c.version.Version), c.id,
+		strconv.FormatInt(max(time.Until(c.deadline).Milliseconds(), 1), 10), strconv.Itoa(c.attempt), "1",
+	}
+	for n, name := range [...]string{HeaderService, HeaderRoute, HeaderVersion, HeaderCall, HeaderDeadline, HeaderAttempt, HeaderOnce} {
+		if name != HeaderOnce || c.route.Once != nil {
+			h[name] = values[n : n+1 : n+1]
+		}
+	}
+	out := &http.Request{
+		Method: r.Method, Host: r.Host, Header: h, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		URL: &url.URL{
+			Scheme: "http", Host: target.Address, Path: r.URL.Path, RawPath: r.URL.RawPath,
+			RawQuery: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery,
+		},
+	}
+	c.body.attach(out, c.route.Once != nil)
+	return out.WithContext(ctx)
+}
+
+// failed turns a broken attempt into a refusal and records what it shows about the target.
+func (c *call) failed(out result, target *model.Target, arrived bool) *refusal {
+	if c.request.Context().Err() != nil {
+		return inDoubt(http.StatusServiceUnavailable, reasonLost, "the caller is gone")
+	}
+	timedOut := c.ctx.Err() != nil
+	switch {
+	case timedOut && arrived:
+		c.observe(out, true)
+		c.eject(out, false, "deadline")
+		return inDoubt(http.StatusGatewayTimeout, reasonDeadline, "the deadline of the call passed before the response")
+	case timedOut:
+		return notExecuted(http.StatusGatewayTimeout, reasonDeadline, "the deadline of the call passed before it was sent")
+	case arrived:
+		c.observe(out, true)
+		c.eject(out, false, "connection")
+		return inDoubt(http.StatusBadGateway, reasonLost, "the connection to "+string(target.Daemon)+" broke")
+	}
+	c.eject(out, true, "unreachable")
+	return notExecuted(http.StatusBadGateway, reasonUnreachable, "the daemon "+string(target.Daemon)+" could not be reached")
+}
+
+// refusedBy records what a refusal by the admission side shows about the target.
+func (c *call) refusedBy(out result, refused *refusal) {
+	now := time.Now()
+	switch refused.reason {
+	case string(admission.QueueFull), string(admission.Deadline), string(admission.Connections):
+		out.peer.busy(now, busyFor)
+	case string(admission.Draining), string(admission.NotReady), reasonWrongTarget:
+		out.peer.busy(now, leavingFor)
+	case reasonUnreachable:
+		c.eject(out, true, "target-unreachable")
+	}
+	if refused.executed != retry.ExecutedNo && refused.reason != reasonOnceUnknown && refused.reason != reasonOnceRunning {
+		c.observe(out, true)
+		c.eject(out, false, "failed")
+	}
+}
+
+func (c *call) eject(out result, conclusive bool, reason string) {
+	if !out.peer.failed(conclusive) {
+		return
+	}
+	now := time.Now()
+	if c.version.MayEject(&signals{c.ingress.peers, now}) {
+		out.peer.eject(now)
+		c.ingress.options.Metrics.ejected.Add(c.ctx, reason, 1)
+	}
+}
+
+func (c *call) observe(out result, failed bool) {
+	key := model.OutcomeKey{Service: c.version.Service, Route: c.route.Name, Version: c.version.Version}
+	c.ingress.recorder.observe(c.ctx, key, failed, time.Since(out.started))
+}
+
+// answer passes the target's response on.
+func (c *call) answer(w http.ResponseWriter, out result) {
+	failed := out.response.StatusCode >= http.StatusInternalServerError
+	copyHeader(w.Header(), out.response.Header, internalResponse)
+	if out.buffered {
+		c.settle(out, failed)
+		w.WriteHeader(out.response.StatusCode)
+		_, _ = w.Write(out.body) // a caller that is gone needs no response
+		return
+	}
+	defer func() {
+		_ = out.response.Body.Close()
+		// The target counts as failed only if the caller still waited for the rest.
+		if broken := recover(); broken != nil {
+			if c.request.Context().Err() == nil {
+				c.settle(out, true)
+			}
+			panic(broken)
+		}
+		c.settle(out, failed)
+	}()
+	out.peer.inFlight.Add(1)
+	defer out.peer.inFlight.Add(-1)
+	w.WriteHeader(out.response.StatusCode)
+	stream(w, out.response.Body, out.response.ContentLength < 0, c.deadline)
+}
+
+// settle records an answered attempt.
+func (c *call) settle(out result, failed bool) {
+	c.observe(out, failed)
+	if failed {
+		c.eject(out, false, "failed")
+		return
+	}
+	out.peer.succeeded(time.Since(out.started))
+}
--- /dev/null
+++ b/internal/traffic/header.go
@@ -0,0 +1,108 @@
+package traffic
+
+import (
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// hopByHop are the headers of one connection (RFC 9110, section 7.6.1), and Expect, which the server has answered.
+var hopByHop = map[string]bool{
+	"Connection": true, "Proxy-Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true,
+	"Proxy-Authorization": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
+	"Expect": true,
+}
+
+// internalRequest are headers that only a daemon may set on a request to another daemon.
+var internalRequest = map[string]bool{
+	HeaderService: true, HeaderRoute: true, HeaderVersion: true, HeaderOnce: true, HeaderCall: true,
+	HeaderRefusal: true, HeaderExecuted: true,
+}
+
+// internalResponse are headers that only a daemon may set on a response.
+var internalResponse = map[string]bool{HeaderRefusal: true, HeaderExecuted: true, HeaderCall: true}
+
+// copyHeader copies end-to-end headers. It shares the value slices, which nobody changes.
+func copyHeader(dst, src http.Header, drop map[string]bool) {
+	named := connectionOptions(src)
+	for name, values := range src {
+		if hopByHop[name] || drop[name] || (named != nil && named[name]) {
+			continue
+		}
+		dst[name] = values
+	}
+}
+
+// connectionOptions returns the headers that Connection names, which are hop-by-hop too.
+func connectionOptions(src http.Header) map[string]bool {
+	var named map[string]bool
+	for _, value := range src["Connection"] {
+		for option := range strings.SplitSeq(value, ",") {
+			if option = textproto.TrimString(option); option == "" {
+				continue
+			}
+			if named == nil {
+				named = map[string]bool{}
+			}
+			named[textproto.CanonicalMIMEHeaderKey(option)] = true
+		}
+	}
+	return named
+}
+
+// requestHeader returns the headers of an outgoing request. Idempotency-Key goes under a lower-case name: http.Transport
+// sends a request again on its own if it finds the canonical one, and that would execute it twice.
+func requestHeader(src http.Header, extra int) http.Header {
+	dst := make(http.Header, len(src)+extra)
+	copyHeader(dst, src, internalRequest)
+	for _, name := range []string{HeaderIdempotencyKey, "X-Idempotency-Key"} {
+		if values, ok := dst[name]; ok {
+			delete(dst, name)
+			dst[strings.ToLower(name)] = values
+		}
+	}
+	// A request without the header gets net/http's own name otherwise.
+	if _, ok := dst["User-Agent"]; !ok {
+		dst["User-Agent"] = nil
+	}
+	return dst
+}
+
+// upgrades reports whether the request asks for another protocol.
+func upgrades(r *http.Request) bool {
+	return r.Method == http.MethodConnect || r.Header["Upgrade"] != nil || connectionOptions(r.Header)["Upgrade"]
+}
+
+// ambiguousPath reports whether a target could read the path as another one than the route was matched with.
+func ambiguousPath(path string) bool {
+	if !strings.Contains(path, "/.") && !strings.Contains(path, "//") && !strings.Contains(path, "\\") {
+		return false
+	}
+	if strings.Contains(path, "//") || strings.Contains(path, "\\") {
+		return true
+	}
+	for segment := range strings.SplitSeq(path, "/") {
+		if segment == "." || segment == ".." {
+			return true
+		}
+	}
+	return false
+}
+
+// remaining returns the time that the caller leaves for the call, or limit if the caller sets no shorter one.
+func remaining(h http.Header, limit time.Duration) (time.Duration, bool) {
+	values := h[HeaderDeadline]
+	if len(values) == 0 {
+		return limit, true
+	}
+	ms, err := strconv.ParseInt(values[0], 10, 64)
+	if err != nil || ms < 0 || len(values) > 1 {
+		return 0, false
+	}
+	if ms > limit.Milliseconds() {
+		return limit, true
+	}
+	return time.Duration(ms) * time.Millisecond, true
+}
--- /dev/null
+++ b/internal/traffic/identity.go
@@ -0,0 +1,47 @@
+package traffic
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"sniperail.example/sniperail/internal/model"
+)
+
+// requestIdentity returns the identity of a request: the header, else a digest of fields of its JSON body, else none.
+func requestIdentity(once *model.Once, h http.Header, body *requestBody) (string, time.Duration) {
+	name := once.Header
+	if name == "" {
+		name = HeaderIdempotencyKey
+	}
+	if id := h.Get(name); id != "" {
+		return "key:" + id, 0
+	}
+	if len(once.DigestFields) == 0 || body.rest != nil {
+		return "", 0
+	}
+	var fields map[string]json.RawMessage
+	if json.Unmarshal(body.buffered, &fields) != nil {
+		return "", 0
+	}
+	digest := sha256.New()
+	for _, field := range once.DigestFields {
+		value, ok := fields[field]
+		if !ok {
+			return "", 0
+		}
+		// Decoding and encoding again makes the digest independent of white space and of the order of members.
+		var parsed any
+		if json.Unmarshal(value, &parsed) != nil {
+			return "", 0
+		}
+		canonical, err := json.Marshal([]any{field, parsed})
+		if err != nil {
+			return "", 0
+		}
+		digest.Write(canonical)
+	}
+	return "digest:" + hex.EncodeToString(digest.Sum(nil)), time.Duration(once.WindowSeconds) * time.Second
+}
--- /dev/null
+++ b/internal/traffic/metrics.go
@@ -0,0 +1,156 @@
+package traffic
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"sniperail.example/sniperail/internal/model"
+	"sniperail.example/sniperail/internal/telemetry"
+)
+
+// Metrics are the instruments of the call path. One value serves both handlers of a daemon.
+type Metrics struct {
+	refusals *telemetry.CounterSet
+	retries  *telemetry.CounterSet
+	// notRetried counts failed attempts after which no retry was allowed.
+	notRetried *telemetry.CounterSet
+	dropped    *telemetry.CounterSet
+	ejected    *telemetry.CounterSet
+	calls      metric.Int64Counter
+	latency    metric.Float64Histogram
+	meter      metric.Meter
+}
+
+// latencyBounds are the histogram bounds in seconds; they resolve the limit on added latency and reach the deadline.
+var latencyBounds = []float64{0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5}
+
+// NewMetrics creates the instruments. It fails only if a name is invalid.
+func NewMetrics(m *telemetry.Metrics) (*Metrics, error) {
+	calls, err := m.Meter().Int64Counter("sniperail_calls",
+		metric.WithDescription("Calls that the ingress sent, by service, route, version and outcome."))
+	if err != nil {
+		return nil, errors.Wrap(err, "calls counter")
+	}
+	latency, err := m.Meter().Float64Histogram("sniperail_call_seconds",
+		metric.WithDescription("Time of one attempt as the ingress sees it."), metric.WithExplicitBucketBoundaries(latencyBounds...))
+	if err != nil {
+		return nil, errors.Wrap(err, "latency histogram")
+	}
+	return &Metrics{
+		refusals:   m.CounterSet("sniperail_refusals", "Refused calls by reason."),
+		retries:    m.CounterSet("sniperail_retries", "Retries by reason."),
+		notRetried: m.CounterSet("sniperail_retries_refused", "Failed attempts that were not retried, by reason."),
+		dropped:    m.CounterSet("sniperail_outcomes_dropped", "Call outcomes that were not reported to the control loop."),
+		ejected:    m.CounterSet("sniperail_ejections", "Targets that this daemon stopped selecting, by reason."),
+		calls:      calls, latency: latency, meter: m.Meter(),
+	}, nil
+}
+
+// series holds the outcomes of one service, route and version, and its cached attribute sets.
+type series struct {
+	key       model.OutcomeKey
+	good, bad []metric.AddOption
+	recorded  []metric.RecordOption
+
+	mu  sync.Mutex
+	sum model.OutcomeSum
+}
+
+// recorder sums outcomes between two flushes.
+type recorder struct {
+	metrics  *Metrics
+	observer Observer
+
+	mu     sync.RWMutex
+	series map[model.OutcomeKey]*series
+}
+
+func newRecorder(metrics *Metrics, observer Observer) *recorder {
+	return &recorder{metrics: metrics, observer: observer, series: map[model.OutcomeKey]*series{}}
+}
+
+// observe adds one executed attempt.
+func (r *recorder) observe(ctx context.Context, key model.OutcomeKey, failed bool, latency time.Duration) {
+	s := r.find(key)
+	s.mu.Lock()
+	s.sum.Observe(failed, latency)
+	s.mu.Unlock()
+	r.metrics.latency.Record(ctx, latency.Seconds(), s.recorded...)
+}
+
+func (r *recorder) find(key model.OutcomeKey) *series {
+	r.mu.RLock()
+	s := r.series[key]
+	r.mu.RUnlock()
+	if s != nil {
+		return s
+	}
+	labels := []attribute.KeyValue{
+		attribute.String("service", string(key.Service)), attribute.String("route", string(key.Route)),
+		attribute.String("version", string(key.Version)),
+	}
+	outcome := func(name string) []metric.AddOption {
+		set := attribute.NewSet(append([]attribute.KeyValue{attribute.String("outcome", name)}, labels...)...)
+		return []metric.AddOption{metric.WithAttributeSet(set)}
+	}
+	s = &series{
+		key: key, good: outcome("ok"), bad: outcome("failed"),
+		recorded: []metric.RecordOption{metric.WithAttributeSet(attribute.NewSet(labels...))},
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if other := r.series[key]; other != nil {
+		return other
+	}
+	r.series[key] = s
+	return s
+}
+
+// flush reports the outcomes since the last flush. A batch that the observer drops is counted by its calls.
+func (r *recorder) flush(ctx context.Context) {
+	var sums []model.KeyedSum
+	r.mu.RLock()
+	for _, s := range r.series {
+		s.mu.Lock()
+		sum := s.sum
+		s.sum = model.OutcomeSum{}
+		s.mu.Unlock()
+		if sum.Calls == 0 {
+			continue
+		}
+		r.metrics.calls.Add(ctx, int64(sum.Calls-sum.Failures), s.good...)
+		if sum.Failures > 0 {
+			r.metrics.calls.Add(ctx, int64(sum.Failures), s.bad...)
+		}
+		sums = append(sums, model.KeyedSum{OutcomeKey: s.key, OutcomeSum: sum})
+	}
+	r.mu.RUnlock()
+	if len(sums) == 0 || r.observer == nil || r.observer.Observe(sums) {
+		return
+	}
+	var lost int64
+	for _, s := range sums {
+		lost += int64(s.Calls)
+	}
+	r.metrics.dropped.Add(ctx, "channel-full", lost)
+}
+
+// run flushes until ctx ends, and once more then.
+func (r *recorder) run(ctx context.Context, every time.Duration) {
+	ticker := time.NewTicker(every)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			r.flush(ctx)
+		case <-ctx.Done():
+			r.flush(context.WithoutCancel(ctx))
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/traffic/refusal.go
@@ -0,0 +1,112 @@
+package traffic
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"sniperail.example/sniperail/internal/command/retry"
+)
+
+// Reasons of refusals that are decided in this package. Routing and admission add their own.
+const (
+	reasonNotReady      = "not-ready"
+	reasonDraining      = "draining"
+	reasonUpgrade       = "upgrade-unsupported"
+	reasonPath          = "ambiguous-path"
+	reasonDeadline      = "deadline-exceeded"
+	reasonBadDeadline   = "invalid-deadline"
+	reasonBody          = "body-unreadable"
+	reasonBodyTooLarge  = "body-too-large"
+	reasonUnreachable   = "target-unreachable"
+	reasonLost          = "connection-lost"
+	reasonMismatch      = "response-mismatch"
+	reasonUnframed      = "response-unframed"
+	reasonWrongTarget   = "wrong-target"
+	reasonWithheld      = "version-withheld"
+	reasonOnceMissing   = "at-most-once-unavailable"
+	reasonOnceNoRoute   = "at-most-once-route-unknown"
+	reasonOnceRunning   = "running"
+	reasonOnceUnknown   = "outcome-unknown"
+	reasonAnswerTooLong = "answer-too-large"
+)
+
+// refusal is an error response of a daemon.
+type refusal struct {
+	status     int
+	reason     string
+	executed   retry.Executed
+	detail     string
+	retryAfter time.Duration
+}
+
+func notExecuted(status int, reason, detail string) *refusal {
+	return &refusal{status: status, reason: reason, executed: retry.ExecutedNo, detail: detail}
+}
+
+func inDoubt(status int, reason, detail string) *refusal {
+	return &refusal{status: status, reason: reason, executed: retry.ExecutedUnknown, detail: detail}
+}
+
+func (r *refusal) after(d time.Duration) *refusal {
+	r.retryAfter = d
+	return r
+}
+
+// problem is the RFC 9457 body of a refusal.
+type problem struct {
+	Type     string `json:"type"`
+	Title    string `json:"title"`
+	Status   int    `json:"status"`
+	Detail   string `json:"detail,omitempty"`
+	Reason   string `json:"reason"`
+	Executed string `json:"executed"`
+}
+
+// write sends the refusal and counts it.
+func (r *refusal) write(w http.ResponseWriter, request *http.Request, m *Metrics) {
+	m.refusals.Add(request.Context(), r.reason, 1)
+	executed := executedText(r.executed)
+	body, err := json.Marshal(problem{
+		Type: "about:blank", Title: http.StatusText(r.status), Status: r.status,
+		Detail: r.detail, Reason: r.reason, Executed: executed,
+	})
+	if err != nil {
+		panic(err) // a struct of strings always encodes
+	}
+	h := w.Header()
+	h.Set("Content-Type", "application/problem+json")
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	h.Set(HeaderRefusal, r.reason)
+	h.Set(HeaderExecuted, executed)
+	if r.retryAfter > 0 {
+		// Retry-After counts whole seconds.
+		h.Set("Retry-After", strconv.Itoa(int((r.retryAfter+time.Second-1)/time.Second)))
+	}
+	w.WriteHeader(r.status)
+	_, _ = w.Write(body) // a caller that is gone needs no refusal
+}
+
+func executedText(e retry.Executed) string {
+	if e == retry.ExecutedNo {
+		return "no"
+	}
+	return "unknown"
+}
+
+// refusalFrom returns the refusal that the other daemon sent, or nil for a response of the target.
+func refusalFrom(response *http.Response) *refusal {
+	reason := response.Header.Get(HeaderRefusal)
+	if reason == "" {
+		return nil
+	}
+	r := &refusal{status: response.StatusCode, reason: reason, executed: retry.ExecutedUnknown}
+	if response.Header.Get(HeaderExecuted) == "no" {
+		r.executed = retry.ExecutedNo
+	}
+	if s, err := strconv.Atoi(response.Header.Get("Retry-After")); err == nil {
+		r.retryAfter = time.Duration(s) * time.Second
+	}
+	return r
+}
