traffic: tests that bring about cut, late, smuggled and broken calls

Cause: the tests found that http.Transport sent a GET again outside the retry budget when a pooled connection died, and that the server discarded the rest of a streamed request body once a response began. Change: safe requests carry an empty body that the transport cannot replay; streamed bodies use full duplex. The stand-in reads the body before it waits, because the server notices a caller that leaves only then.

--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"io"
 	"math"
 	"math/rand/v2"
 	"net/http"
@@ -130,6 +131,8 @@
 	defer func() { <-t.slots }()
 	inFlight := len(t.slots)
 	t.counts.execute(r.URL.Path, r.Header.Get("Idempotency-Key"), inFlight)
+	// The server notices a caller that leaves only once the body is read.
+	_, _ = io.Copy(io.Discard, r.Body)
 	latency, fail := t.draw(r.URL.Path, inFlight)
 	if !pause(r, latency) {
 		t.counts.cancelled()
--- a/internal/traffic/body.go
+++ b/internal/traffic/body.go
@@ -33,6 +33,10 @@
 	// A caller that sends its body too slowly is cut off at the deadline of the call.
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(deadline.Add(bodyGrace))
+	if r.ContentLength < 0 || r.ContentLength > replayBytes {
+		// Without this the server discards what is left of the body when the response begins.
+		_ = control.EnableFullDuplex()
+	}
 	if r.ContentLength > replayBytes {
 		return &requestBody{rest: r.Body, length: r.ContentLength}, nil
 	}
@@ -82,12 +86,15 @@
 // replayable reports whether the whole body can be sent (again).
 func (b *requestBody) replayable() bool { return b.rest == nil || !b.used.Load() }
 
-// attach sets the body of an outgoing request. The request has no GetBody, so that http.Transport never sends it twice.
-func (b *requestBody) attach(out *http.Request, once bool) {
+// attach sets the body of an outgoing request. The request has no GetBody, so that http.Transport never sends it twice
+// after a byte was sent.
+func (b *requestBody) attach(out *http.Request) {
 	switch {
-	case b.length == 0 && once:
-		// http.Transport sends a request without body again on its own if its method is safe.
+	case b.length == 0 && safeMethod(out.Method):
+		// http.Transport sends a request with a safe method and no body again on its own, outside the retry budget. An
+		// empty body that is not http.NoBody prevents this, and identity keeps it off the wire.
 		out.Body = io.NopCloser(bytes.NewReader(nil))
+		out.TransferEncoding = []string{"identity"}
 	case b.length == 0:
 		out.Body = http.NoBody
 	case b.rest == nil:
@@ -99,6 +106,14 @@
 	}
 }
 
+func safeMethod(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		return true
+	}
+	return false
+}
+
 // streamedBody notes that the body was read. Closing it does nothing: the server closes the body of its request.
 type streamedBody struct {
 	body *requestBody
--- a/internal/traffic/call.go
+++ b/internal/traffic/call.go
@@ -194,7 +194,7 @@
 			RawQuery: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery,
 		},
 	}
-	c.body.attach(out, c.route.Once != nil)
+	c.body.attach(out)
 	return out.WithContext(ctx)
 }
 
--- /dev/null
+++ b/internal/traffic/mesh_test.go
@@ -0,0 +1,194 @@
+package traffic_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"go.uber.org/goleak"
+
+	"sniperail.example/sniperail/internal/command/admission"
+	"sniperail.example/sniperail/internal/model"
+	"sniperail.example/sniperail/internal/query/routing"
+	"sniperail.example/sniperail/internal/telemetry"
+	_ "sniperail.example/sniperail/internal/testseed"
+	"sniperail.example/sniperail/internal/traffic"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// mesh is one ingress and a daemon with a target per handler, on loopback listeners.
+type mesh struct {
+	t          *testing.T
+	table      atomic.Pointer[routing.Table]
+	metrics    *telemetry.Metrics
+	ingress    *traffic.Ingress
+	admissions []*traffic.Admission
+	url        string
+	mu         sync.Mutex
+	sums       map[model.OutcomeKey]model.OutcomeSum
+	once       traffic.Once
+}
+
+func (m *mesh) Table() *routing.Table { return m.table.Load() }
+
+func (m *mesh) Observe(sums []model.KeyedSum) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, s := range sums {
+		sum := m.sums[s.OutcomeKey]
+		sum.Add(s.OutcomeSum)
+		m.sums[s.OutcomeKey] = sum
+	}
+	return true
+}
+
+// newMesh starts a target per handler, all of version v1.
+func newMesh(t *testing.T, once traffic.Once, handlers ...http.HandlerFunc) *mesh {
+	t.Helper()
+	registry, err := telemetry.NewMetrics("test")
+	if err != nil {
+		t.Fatal(err)
+	}
+	metrics, err := traffic.NewMetrics(registry)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := &mesh{t: t, metrics: registry, sums: map[model.OutcomeKey]model.OutcomeSum{}, once: once}
+	view := &model.View{Ready: true, DataCentre: "a", Region: "r", Configuration: &model.Configuration{
+		Services: []model.Service{{Name: "s", Versions: []model.VersionShare{{Version: "v1", Share: model.FullShare}}}},
+		Routes: []model.Route{
+			{Name: "all", Service: "s", PathPrefix: "/"},
+			{Name: "once", Service: "s", PathPrefix: "/once", Once: &model.Once{DigestFields: []string{"n"}, WindowSeconds: 60}},
+			{Name: "short", Service: "s", PathPrefix: "/short", TimeoutMS: 100},
+		},
+	}}
+	for i, h := range handlers {
+		target := httptest.NewServer(h)
+		t.Cleanup(target.Close)
+		a := traffic.NewAdmission(traffic.AdmissionOptions{
+			Address: target.Listener.Addr().String(), Service: "s", Version: "v1", Tables: m, Metrics: metrics, Once: once,
+			Settings: admission.Settings{Slots: 2, Connections: 4, Queue: 2}, Limits: traffic.DefaultLimits(),
+		})
+		a.SetTarget(model.TargetReady)
+		m.admissions = append(m.admissions, a)
+		address := m.serve(a)
+		t.Cleanup(a.Close)
+		view.Targets = append(view.Targets, model.Target{
+			Daemon: model.DaemonID("d" + string(rune('0'+i))), Service: "s", Version: "v1", DataCentre: "a", Region: "r",
+			Address: address, State: model.TargetReady,
+		})
+	}
+	m.table.Store(routing.NewTable(view))
+	m.ingress = traffic.NewIngress(traffic.IngressOptions{Tables: m, Observer: m, Metrics: metrics, Limits: traffic.DefaultLimits()})
+	m.url = "http://" + m.serve(m.ingress)
+	t.Cleanup(m.ingress.Close)
+	t.Cleanup(http.DefaultClient.CloseIdleConnections)
+	return m
+}
+
+func (m *mesh) serve(h http.Handler) string {
+	server := httptest.NewUnstartedServer(nil)
+	server.Config = traffic.NewServer(h, traffic.DefaultLimits())
+	server.Start()
+	m.t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+// change publishes a changed copy of the view.
+func (m *mesh) change(f func(*model.View)) {
+	view := *m.table.Load().View
+	configuration := *view.Configuration
+	view.Configuration = &configuration
+	view.Targets = append([]model.Target(nil), view.Targets...)
+	f(&view)
+	m.table.Store(routing.NewTable(&view))
+}
+
+// earn makes good calls, so that retries have a budget.
+func (m *mesh) earn(calls int) {
+	m.t.Helper()
+	for range calls {
+		if a := m.call("GET", "/earn", ""); a.status != http.StatusOK {
+			m.t.Fatalf("call to earn budget: %+v", a)
+		}
+	}
+}
+
+type answer struct {
+	status   int
+	body     string
+	err      error
+	refusal  string
+	executed string
+	header   http.Header
+}
+
+func (m *mesh) call(method, path, body string, header ...string) answer {
+	return m.callContext(context.Background(), method, path, strings.NewReader(body), header...)
+}
+
+func (m *mesh) callContext(ctx context.Context, method, path string, body io.Reader, header ...string) answer {
+	r, err := http.NewRequestWithContext(ctx, method, m.url+path, body)
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	for i := 0; i+1 < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	return answer{
+		response.StatusCode, string(text), err,
+		response.Header.Get(traffic.HeaderRefusal), response.Header.Get(traffic.HeaderExecuted), response.Header,
+	}
+}
+
+// raw sends bytes to the ingress and returns everything that comes back until the ingress closes the connection.
+func (m *mesh) raw(request string) string {
+	conn, err := net.Dial("tcp", strings.TrimPrefix(m.url, "http://"))
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	if _, err := io.WriteString(conn, request); err != nil {
+		m.t.Fatal(err)
+	}
+	all, _ := io.ReadAll(bufio.NewReader(conn))
+	return string(all)
+}
+
+// scrape returns the metrics as text.
+func (m *mesh) scrape() string {
+	w := httptest.NewRecorder()
+	m.metrics.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	return w.Body.String()
+}
+
+// breakAfter answers with the given raw bytes and closes the connection.
+func breakAfter(bytes string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		_, _ = io.WriteString(conn, bytes)
+		_ = conn.Close()
+	}
+}
+
+func ok(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	_, _ = w.Write(append([]byte("ok "+r.URL.Path+" "), body...))
+}
--- a/internal/traffic/visit.go
+++ b/internal/traffic/visit.go
@@ -23,8 +23,6 @@
 	deadline  time.Time
 	// once is set if the request has an identity on an at-most-once route.
 	once *OnceRequest
-	// single forbids any second transmission of the request.
-	single bool
 }
 
 // identify finds the identity of a request on an at-most-once route.
@@ -41,7 +39,6 @@
 		}
 		return nil
 	}
-	v.single = true
 	identity, window := requestIdentity(route.Once, v.request.Header, v.body)
 	if v.admission.options.Once == nil {
 		return notExecuted(http.StatusServiceUnavailable, reasonOnceMissing, "at-most-once claims are not available")
@@ -213,7 +210,7 @@
 			RawQuery: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery,
 		},
 	}
-	v.body.attach(out, v.single)
+	v.body.attach(out)
 	return out.WithContext(ctx)
 }
 
