traffic: one-goroutine connection pool in place of http.Transport

Change: a pool that writes the request head straight from the received one and reads with http.ReadResponse on the calling goroutine. It checks idle connections before use, never sends a request twice and knows whether a byte was sent.

--- a/internal/traffic/admission.go
+++ b/internal/traffic/admission.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/url"
 	"sync"
 	"time"
 
@@ -27,18 +28,22 @@
 
 // Admission is the target's side of the call path: it admits calls to the target within its slots and connections.
 type Admission struct {
-	options   AdmissionOptions
-	transport *http.Transport
-	slots     *slots
-	gate      gate
+	options AdmissionOptions
+	pool    *pool
+	slots   *slots
+	gate    gate
+	// service and version are escaped as in HeaderCall.
+	service, version string
 }
 
 // NewAdmission returns an admission handler whose target is starting; see SetTarget.
 func NewAdmission(options AdmissionOptions) *Admission {
 	s := &slots{state: admission.New(options.Settings), waiting: map[admission.Ticket]chan admission.Reason{}}
-	a := &Admission{options: options, slots: s}
-	a.transport = newTransport(options.Settings.Slots, options.Settings.Slots, options.Limits.HeaderBytes, s)
-	return a
+	return &Admission{
+		options: options, slots: s,
+		pool:    newPool(options.Settings.Slots, options.Settings.Slots, options.Limits.HeaderBytes, s),
+		service: url.QueryEscape(string(options.Service)), version: url.QueryEscape(string(options.Version)),
+	}
 }
 
 // SetTarget records the state of the target. Calls are admitted only while it is ready.
@@ -70,12 +75,13 @@
 }
 
 // Close closes idle connections to the target.
-func (a *Admission) Close() { a.transport.CloseIdleConnections() }
+func (a *Admission) Close() { a.pool.closeIdle() }
 
 // ServeHTTP admits one call.
 func (a *Admission) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if id := r.Header[HeaderCall]; len(id) == 1 {
-		w.Header()[HeaderCall] = id
+	selected, ok := parseTicket(r.Header)
+	if ok {
+		w.Header()[HeaderCall] = []string{selected.id}
 	}
 	if !a.gate.enter() {
 		notExecuted(http.StatusServiceUnavailable, reasonDraining, "the target is leaving").
@@ -83,21 +89,17 @@
 		return
 	}
 	defer a.gate.leave()
-	v, refused := a.accept(w, r, time.Now())
+	v, refused := a.accept(w, r, selected, time.Now())
 	if refused != nil {
 		refused.write(w, r, a.options.Metrics)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), v.deadline)
-	defer cancel()
-	v.ctx = ctx
 	v.run(w)
 }
 
 // accept checks the request and reads its body, before it takes a slot.
-func (a *Admission) accept(w http.ResponseWriter, r *http.Request, now time.Time) (*visit, *refusal) {
-	service, version := r.Header.Get(HeaderService), r.Header.Get(HeaderVersion)
-	if service != string(a.options.Service) || version != string(a.options.Version) {
+func (a *Admission) accept(w http.ResponseWriter, r *http.Request, selected ticket, now time.Time) (*visit, *refusal) {
+	if selected.service != a.service || selected.version != a.version {
 		return nil, notExecuted(http.StatusServiceUnavailable, reasonWrongTarget, "the target runs another service or version")
 	}
 	table := a.options.Tables.Table()
@@ -116,8 +118,8 @@
 	if refused != nil {
 		return nil, refused
 	}
-	v := &visit{admission: a, request: r, body: body, deadline: deadline}
-	return v, v.identify(table)
+	v := &visit{admission: a, request: r, ctx: r.Context(), body: body, deadline: deadline}
+	return v, v.identify(table, selected.once == "once")
 }
 
 // maxDeadline bounds calls whose sender sets no deadline.
@@ -141,10 +143,13 @@
 	settled := make(chan admission.Reason, 1)
 	s.waiting[decision.Ticket] = settled
 	s.mu.Unlock()
+	timer := time.NewTimer(time.Until(deadline))
+	defer timer.Stop()
 	select {
 	case reason := <-settled:
 		return refusalOf(reason, 0)
 	case <-ctx.Done():
+	case <-timer.C:
 	}
 	s.mu.Lock()
 	waited := s.state.Abandon(decision.Ticket)
--- a/internal/traffic/body.go
+++ b/internal/traffic/body.go
@@ -1,7 +1,6 @@
 package traffic
 
 import (
-	"bytes"
 	"errors"
 	"io"
 	"net/http"
@@ -86,47 +85,6 @@
 // replayable reports whether the whole body can be sent (again).
 func (b *requestBody) replayable() bool { return b.rest == nil || !b.used.Load() }
 
-// attach sets the body of an outgoing request. The request has no GetBody, so that http.Transport never sends it twice
-// after a byte was sent.
-func (b *requestBody) attach(out *http.Request) {
-	switch {
-	case b.length == 0 && safeMethod(out.Method):
-		// http.Transport sends a request with a safe method and no body again on its own, outside the retry budget. An
-		// empty body that is not http.NoBody prevents this, and identity keeps it off the wire.
-		out.Body = io.NopCloser(bytes.NewReader(nil))
-		out.TransferEncoding = []string{"identity"}
-	case b.length == 0:
-		out.Body = http.NoBody
-	case b.rest == nil:
-		out.Body = io.NopCloser(bytes.NewReader(b.buffered))
-		out.ContentLength = b.length
-	default:
-		out.Body = &streamedBody{body: b, r: io.MultiReader(bytes.NewReader(b.buffered), b.rest)}
-		out.ContentLength = b.length
-	}
-}
-
-func safeMethod(method string) bool {
-	switch method {
-	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
-		return true
-	}
-	return false
-}
-
-// streamedBody notes that the body was read. Closing it does nothing: the server closes the body of its request.
-type streamedBody struct {
-	body *requestBody
-	r    io.Reader
-}
-
-func (s *streamedBody) Read(p []byte) (int, error) {
-	s.body.used.Store(true)
-	return s.r.Read(p)
-}
-
-func (s *streamedBody) Close() error { return nil }
-
 var copyBuffers = sync.Pool{New: func() any { b := make([]byte, 32<<10); return &b }}
 
 // framed reports whether the end of the body can be told from a cut connection. A body without length and without
--- a/internal/traffic/call.go
+++ b/internal/traffic/call.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
-	"net/url"
 	"strconv"
 	"time"
 
@@ -32,7 +30,7 @@
 
 // result is how one attempt ended: with a response of the target or with a refusal.
 type result struct {
-	response *http.Response
+	exchange *exchange
 	// body is the whole body if buffered is true.
 	body     []byte
 	buffered bool
@@ -97,7 +95,8 @@
 	case <-timer.C:
 		return true
 	case <-c.ctx.Done():
-		return false
+		// The caller is gone, and nobody reads a refusal.
+		panic(http.ErrAbortHandler)
 	}
 }
 
@@ -141,75 +140,64 @@
 	out := result{started: time.Now(), peer: c.ingress.peers.find(target)}
 	out.peer.inFlight.Add(1)
 	defer out.peer.inFlight.Add(-1)
-	var watch sending
-	response, err := c.ingress.transport.RoundTrip(c.outgoing(watch.context(c.ctx), target))
+	e, err := c.ingress.pool.do(c.ctx, target.Address, c.deadline, c.outgoing())
 	if err != nil {
-		out.refused = c.failed(out, target, watch.mayHaveArrived(c.ctx.Err() != nil))
+		out.refused = c.failed(out, target, err, e.sent)
 		return out
 	}
+	response := e.response
 	if response.Header.Get(HeaderCall) != c.id {
-		_ = response.Body.Close()
+		e.finish(false)
 		out.refused = inDoubt(http.StatusBadGateway, reasonMismatch, "the response belongs to another request")
 		c.observe(out, true)
 		return out
 	}
 	if refused := refusalFrom(response); refused != nil {
 		// The body is small; reading it keeps the connection.
-		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, bufferedBytes))
-		_ = response.Body.Close()
+		_, whole, err := readAnswer(c.request.Method, response, bufferedBytes)
+		e.finish(whole && err == nil)
 		out.refused = refused
 		out.elsewhere = refused.reason == reasonWithheld
 		c.refusedBy(out, refused)
 		return out
 	}
-	out.response = response
+	out.exchange = e
 	if streams(c.request.Method, response) {
 		return out
 	}
 	out.body, out.buffered, err = readAnswer(c.request.Method, response, bufferedBytes)
-	_ = response.Body.Close()
+	e.finish(err == nil)
 	if err != nil {
-		out.refused = c.failed(out, target, true)
+		out.refused = c.failed(out, target, err, true)
 	}
 	return out
 }
 
 // outgoing builds the request to the daemon beside the target.
-func (c *call) outgoing(ctx context.Context, target *model.Target) *http.Request {
-	r := c.request
-	h := requestHeader(r.Header, 6)
-	values := [...]string{
-		string(c.version.Service), string(c.route.Name), string(c.version.Version), c.id,
-		strconv.FormatInt(max(time.Until(c.deadline).Milliseconds(), 1), 10), strconv.Itoa(c.attempt), "1",
-	}
-	for n, name := range [...]string{HeaderService, HeaderRoute, HeaderVersion, HeaderCall, HeaderDeadline, HeaderAttempt, HeaderOnce} {
-		if name != HeaderOnce || c.route.Once != nil {
-			h[name] = values[n : n+1 : n+1]
-		}
-	}
-	out := &http.Request{
-		Method: r.Method, Host: r.Host, Header: h, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		URL: &url.URL{
-			Scheme: "http", Host: target.Address, Path: r.URL.Path, RawPath: r.URL.RawPath,
-			RawQuery: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery,
-		},
+func (c *call) outgoing() *outgoing {
+	t := ticket{id: c.id, once: "-", service: string(c.version.Service), version: string(c.version.Version), route: string(c.route.Name)}
+	if c.route.Once != nil {
+		t.once = "once"
 	}
-	c.body.attach(out)
-	return out.WithContext(ctx)
+	return &outgoing{request: c.request, body: c.body, headers: []string{
+		HeaderCall, t.String(),
+		HeaderDeadline, strconv.FormatInt(max(time.Until(c.deadline).Milliseconds(), 1), 10),
+		HeaderAttempt, strconv.Itoa(c.attempt),
+	}}
 }
 
 // failed turns a broken attempt into a refusal and records what it shows about the target.
-func (c *call) failed(out result, target *model.Target, arrived bool) *refusal {
+func (c *call) failed(out result, target *model.Target, err error, arrived bool) *refusal {
 	if c.request.Context().Err() != nil {
 		return inDoubt(http.StatusServiceUnavailable, reasonLost, "the caller is gone")
 	}
-	timedOut := c.ctx.Err() != nil
+	late := timedOut(err) && !time.Now().Before(c.deadline)
 	switch {
-	case timedOut && arrived:
+	case late && arrived:
 		c.observe(out, true)
 		c.eject(out, false, "deadline")
 		return inDoubt(http.StatusGatewayTimeout, reasonDeadline, "the deadline of the call passed before the response")
-	case timedOut:
+	case late:
 		return notExecuted(http.StatusGatewayTimeout, reasonDeadline, "the deadline of the call passed before it was sent")
 	case arrived:
 		c.observe(out, true)
@@ -255,29 +243,31 @@
 
 // answer passes the target's response on.
 func (c *call) answer(w http.ResponseWriter, out result) {
-	failed := out.response.StatusCode >= http.StatusInternalServerError
-	copyHeader(w.Header(), out.response.Header, internalResponse)
+	response := out.exchange.response
+	failed := response.StatusCode >= http.StatusInternalServerError
+	copyHeader(w.Header(), response.Header, internalResponse)
 	if out.buffered {
 		c.settle(out, failed)
-		w.WriteHeader(out.response.StatusCode)
+		w.WriteHeader(response.StatusCode)
 		_, _ = w.Write(out.body) // a caller that is gone needs no response
 		return
 	}
 	defer func() {
-		_ = out.response.Body.Close()
 		// The target counts as failed only if the caller still waited for the rest.
 		if broken := recover(); broken != nil {
+			out.exchange.finish(false)
 			if c.request.Context().Err() == nil {
 				c.settle(out, true)
 			}
 			panic(broken)
 		}
+		out.exchange.finish(true)
 		c.settle(out, failed)
 	}()
 	out.peer.inFlight.Add(1)
 	defer out.peer.inFlight.Add(-1)
-	w.WriteHeader(out.response.StatusCode)
-	stream(w, out.response.Body, out.response.ContentLength < 0, c.deadline)
+	w.WriteHeader(response.StatusCode)
+	stream(w, response.Body, response.ContentLength < 0, c.deadline)
 }
 
 // settle records an answered attempt.
--- a/internal/traffic/header.go
+++ b/internal/traffic/header.go
@@ -15,12 +15,6 @@
 	"Expect": true,
 }
 
-// internalRequest are headers that only a daemon may set on a request to another daemon.
-var internalRequest = map[string]bool{
-	HeaderService: true, HeaderRoute: true, HeaderVersion: true, HeaderOnce: true, HeaderCall: true,
-	HeaderRefusal: true, HeaderExecuted: true,
-}
-
 // internalResponse are headers that only a daemon may set on a response.
 var internalResponse = map[string]bool{HeaderRefusal: true, HeaderExecuted: true, HeaderCall: true}
 
@@ -52,24 +46,6 @@
 	return named
 }
 
-// requestHeader returns the headers of an outgoing request. Idempotency-Key goes under a lower-case name: http.Transport
-// sends a request again on its own if it finds the canonical one, and that would execute it twice.
-func requestHeader(src http.Header, extra int) http.Header {
-	dst := make(http.Header, len(src)+extra)
-	copyHeader(dst, src, internalRequest)
-	for _, name := range []string{HeaderIdempotencyKey, "X-Idempotency-Key"} {
-		if values, ok := dst[name]; ok {
-			delete(dst, name)
-			dst[strings.ToLower(name)] = values
-		}
-	}
-	// A request without the header gets net/http's own name otherwise.
-	if _, ok := dst["User-Agent"]; !ok {
-		dst["User-Agent"] = nil
-	}
-	return dst
-}
-
 // upgrades reports whether the request asks for another protocol.
 func upgrades(r *http.Request) bool {
 	return r.Method == http.MethodConnect || r.Header["Upgrade"] != nil || connectionOptions(r.Header)["Upgrade"]
--- a/internal/traffic/ingress.go
+++ b/internal/traffic/ingress.go
@@ -26,12 +26,12 @@
 
 // Ingress is the caller's side of the call path: it selects a target, forwards the call and retries it.
 type Ingress struct {
-	options   IngressOptions
-	transport *http.Transport
-	peers     *peers
-	recorder  *recorder
-	gate      gate
-	calls     atomic.Uint64
+	options  IngressOptions
+	pool     *pool
+	peers    *peers
+	recorder *recorder
+	gate     gate
+	calls    atomic.Uint64
 
 	mu       sync.RWMutex
 	counters map[model.RouteName]*atomic.Uint64
@@ -48,8 +48,8 @@
 func NewIngress(options IngressOptions) *Ingress {
 	i := &Ingress{
 		options: options, peers: newPeers(), recorder: newRecorder(options.Metrics, options.Observer),
-		transport: newTransport(options.Limits.IdlePerPeer, options.Limits.IdleTotal, options.Limits.HeaderBytes, nil),
-		counters:  map[model.RouteName]*atomic.Uint64{}, budgets: map[model.ServiceName]*budget{},
+		pool:     newPool(options.Limits.IdlePerPeer, options.Limits.IdleTotal, options.Limits.HeaderBytes, nil),
+		counters: map[model.RouteName]*atomic.Uint64{}, budgets: map[model.ServiceName]*budget{},
 	}
 	i.calls.Store(source{}.Uint64())
 	return i
@@ -68,7 +68,7 @@
 func (i *Ingress) InFlight() int { return i.gate.count() }
 
 // Close closes idle connections to other daemons.
-func (i *Ingress) Close() { i.transport.CloseIdleConnections() }
+func (i *Ingress) Close() { i.pool.closeIdle() }
 
 // ServeHTTP forwards one call.
 func (i *Ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -84,9 +84,6 @@
 		refused.write(w, r, i.options.Metrics)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), call.deadline)
-	defer cancel()
-	call.ctx = ctx
 	call.run(w)
 }
 
@@ -119,7 +116,7 @@
 	}
 	i.peers.follow(table, now)
 	return &call{
-		ingress: i, request: r, route: route, body: body, deadline: deadline,
+		ingress: i, request: r, ctx: r.Context(), route: route, body: body, deadline: deadline,
 		id: strconv.FormatUint(i.calls.Add(1), 36), nested: len(r.Header[HeaderAttempt]) > 0,
 	}, nil
 }
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -18,13 +18,9 @@
 	HeaderDeadline = "Sniperail-Deadline-Ms"
 	// HeaderAttempt marks a call inside an attempt of another call.
 	HeaderAttempt = "Sniperail-Attempt"
-	// HeaderService, HeaderRoute and HeaderVersion tell the admission side what the ingress selected.
-	HeaderService = "Sniperail-Service"
-	HeaderRoute   = "Sniperail-Route"
-	HeaderVersion = "Sniperail-Version"
-	// HeaderOnce says that the route runs identified requests at most once.
-	HeaderOnce = "Sniperail-Once"
-	// HeaderCall pairs a response with its request between two daemons.
+	// HeaderCall tells the admission side what the ingress selected: call, service, version, route and whether the route
+	// runs requests at most once, separated by spaces. One header costs less to parse than five. The response returns
+	// the call, which pairs it with its request.
 	HeaderCall = "Sniperail-Call"
 	// HeaderRefusal and HeaderExecuted mark a refusal by a daemon. Those of a target are removed.
 	HeaderRefusal  = "Sniperail-Refusal"
--- a/internal/traffic/visit.go
+++ b/internal/traffic/visit.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"net/url"
 	"strconv"
 	"time"
 
@@ -26,8 +25,7 @@
 }
 
 // identify finds the identity of a request on an at-most-once route.
-func (v *visit) identify(table *routing.Table) *refusal {
-	announced := len(v.request.Header[HeaderOnce]) > 0
+func (v *visit) identify(table *routing.Table, announced bool) *refusal {
 	var route *routing.Route
 	if table != nil {
 		route, _ = table.Match(v.request.Method, v.request.URL.Path)
@@ -63,7 +61,9 @@
 		v.execute(w, held)
 		return
 	}
-	decision := a.options.Once.Begin(v.ctx, *v.once)
+	ctx, cancel := context.WithDeadline(v.ctx, v.deadline)
+	defer cancel()
+	decision := a.options.Once.Begin(ctx, *v.once)
 	if decision.Kind != OnceRun {
 		held.giveBack()
 		v.replay(w, decision)
@@ -108,21 +108,25 @@
 
 // execute forwards the call and passes the response on.
 func (v *visit) execute(w http.ResponseWriter, held *hold) {
-	response, refused := v.dispatch(held)
+	e, refused := v.dispatch(held)
 	if refused != nil {
 		refused.write(w, v.request, v.admission.options.Metrics)
 		return
 	}
-	defer func() { _ = response.Body.Close() }()
+	response := e.response
 	overloaded := response.StatusCode == http.StatusServiceUnavailable
 	if streams(v.request.Method, response) {
+		whole := false
+		defer func() { e.finish(whole) }()
 		copyHeader(w.Header(), response.Header, internalResponse)
 		w.WriteHeader(response.StatusCode)
 		stream(w, response.Body, response.ContentLength < 0, v.deadline)
+		whole = true
 		held.release(overloaded)
 		return
 	}
 	body, _, err := readAnswer(v.request.Method, response, bufferedBytes)
+	e.finish(err == nil)
 	held.release(overloaded)
 	if err != nil {
 		v.broken(err, true).write(w, v.request, v.admission.options.Metrics)
@@ -136,7 +140,7 @@
 // executeOnce forwards a claimed call. It keeps the whole response, because a repeated request gets the same.
 func (v *visit) executeOnce(w http.ResponseWriter, held *hold) OnceResult {
 	m := v.admission.options.Metrics
-	response, refused := v.dispatch(held)
+	e, refused := v.dispatch(held)
 	if refused != nil {
 		refused.write(w, v.request, m)
 		if refused.executed == retry.ExecutedNo {
@@ -144,8 +148,9 @@
 		}
 		return OnceResult{Outcome: OnceInDoubt}
 	}
-	defer func() { _ = response.Body.Close() }()
+	response := e.response
 	body, whole, err := readAnswer(v.request.Method, response, v.admission.options.Limits.AnswerBytes)
+	e.finish(whole && err == nil)
 	held.release(response.StatusCode == http.StatusServiceUnavailable)
 	if err != nil {
 		v.broken(err, true).write(w, v.request, m)
@@ -161,36 +166,37 @@
 	return OnceResult{Outcome: OnceAnswered, Answer: answer}
 }
 
-// dispatch sends the call to the target.
-func (v *visit) dispatch(held *hold) (*http.Response, *refusal) {
-	if v.ctx.Err() != nil {
+// dispatch sends the call to the target. Finish must follow on the exchange if there is no refusal.
+func (v *visit) dispatch(held *hold) (*exchange, *refusal) {
+	if v.ctx.Err() != nil || !time.Now().Before(v.deadline) {
 		held.giveBack()
 		return nil, notExecuted(http.StatusGatewayTimeout, reasonDeadline, "the deadline passed before the call was sent")
 	}
-	var watch sending
-	response, err := v.admission.transport.RoundTrip(v.outgoing(watch.context(v.ctx)))
+	e, err := v.admission.pool.do(v.ctx, v.admission.options.Address, v.deadline, v.outgoing())
 	if err != nil {
-		arrived := watch.mayHaveArrived(v.ctx.Err() != nil)
-		if !arrived {
+		if !e.sent {
 			held.giveBack()
 		}
-		return nil, v.broken(err, arrived)
+		return nil, v.broken(err, e.sent)
 	}
 	held.answered()
-	if !framed(v.request.Method, response) {
-		_ = response.Body.Close()
+	if !framed(v.request.Method, e.response) {
+		e.finish(false)
 		return nil, inDoubt(http.StatusBadGateway, reasonUnframed, "the response of the target has neither a length nor chunks")
 	}
-	return response, nil
+	return e, nil
 }
 
 // broken turns a failed exchange with the target into a refusal.
 func (v *visit) broken(err error, arrived bool) *refusal {
+	late := timedOut(err) && !time.Now().Before(v.deadline)
 	switch {
-	case arrived && v.ctx.Err() != nil:
+	case arrived && late:
 		return inDoubt(http.StatusGatewayTimeout, reasonDeadline, "the target did not answer before the deadline")
 	case arrived:
 		return inDoubt(http.StatusBadGateway, reasonLost, "the connection to the target broke")
+	case late:
+		return notExecuted(http.StatusGatewayTimeout, reasonDeadline, "the deadline passed before the call was sent")
 	case errors.Is(err, errConnections):
 		return notExecuted(http.StatusServiceUnavailable, string(admission.Connections), err.Error())
 	}
@@ -198,20 +204,12 @@
 }
 
 // outgoing builds the request to the target.
-func (v *visit) outgoing(ctx context.Context) *http.Request {
-	r := v.request
-	h := requestHeader(r.Header, 1)
-	left := max(time.Until(v.deadline).Milliseconds(), 1)
-	h[HeaderDeadline] = []string{strconv.FormatInt(left, 10)}
-	out := &http.Request{
-		Method: r.Method, Host: r.Host, Header: h, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		URL: &url.URL{
-			Scheme: "http", Host: v.admission.options.Address, Path: r.URL.Path, RawPath: r.URL.RawPath,
-			RawQuery: r.URL.RawQuery, ForceQuery: r.URL.ForceQuery,
-		},
-	}
-	v.body.attach(out)
-	return out.WithContext(ctx)
+func (v *visit) outgoing() *outgoing {
+	headers := []string{HeaderDeadline, strconv.FormatInt(max(time.Until(v.deadline).Milliseconds(), 1), 10)}
+	if attempt := v.request.Header[HeaderAttempt]; len(attempt) > 0 {
+		headers = append(headers, HeaderAttempt, attempt[0])
+	}
+	return &outgoing{request: v.request, body: v.body, headers: headers}
 }
 
 // hold is an occupied slot. It is freed once.
