--- a/internal/command/moves/decision.go
+++ b/internal/command/moves/decision.go
@@ -44,10 +44,11 @@
 	}
 	// Withhold spreads a mark, ahead of the withdrawal.
 	Withhold struct{ Mark model.Mark }
-	// Hold reports why a move does not go on.
+	// Hold reports why a move does not go on. Detail holds counts that change with each round.
 	Hold struct {
 		Move   model.PlanID
 		Reason string
+		Detail string
 	}
 )
 
--- a/internal/command/moves/driver.go
+++ b/internal/command/moves/driver.go
@@ -22,6 +22,9 @@
 // progress is what the driver saw of one move since its present number.
 type progress struct {
 	number model.Number
+	step   int
+	// counting says that the calls of step count; a pause within the step does not discard them.
+	counting bool
 	// inForce is when Number was first seen in force on every live daemon; zero before.
 	inForce time.Time
 	// measured holds, by data centre, the calls of the old and the new version in a window after inForce.
@@ -68,12 +71,16 @@
 		active[m.ID] = true
 		p := d.progress[m.ID]
 		if p == nil || p.number != m.Number {
-			p = &progress{number: m.Number, measured: map[model.DataCentre]measurement{}}
+			counting := p != nil && p.counting && p.step == m.Step
+			p = &progress{number: m.Number, step: m.Step, counting: counting, measured: map[model.DataCentre]measurement{}}
 			d.progress[m.ID] = p
 		}
 		if p.inForce.IsZero() && in.InForce.Number >= m.Number && len(in.InForce.Blind) == 0 {
 			p.inForce = in.Now
-			d.judge.CountFrom(m.ID, in.Now)
+			if !p.counting {
+				p.counting = true
+				d.judge.CountFrom(m.ID, in.Now)
+			}
 		}
 	}
 	for id := range d.progress {
@@ -119,7 +126,7 @@
 	if m.Step >= 0 {
 		v := d.judge.Verdict(m.ID)
 		if v.Kind != Good {
-			return hold(m, v.Reason())
+			return []Decision{Hold{Move: m.ID, Reason: v.Why, Detail: v.Evidence}}
 		}
 		detail = v.Evidence
 	}
@@ -215,7 +222,7 @@
 		return hold(m, "observed at 100% until "+end.UTC().Format(time.TimeOnly))
 	}
 	if v.Kind == BothBad {
-		return hold(m, v.Evidence)
+		return []Decision{Hold{Move: m.ID, Reason: v.Why, Detail: v.Evidence}}
 	}
 	return d.finish(in, m, model.PhaseDone)
 }
--- a/internal/query/plans/schedule.go
+++ b/internal/query/plans/schedule.go
@@ -17,16 +17,19 @@
 	// firstEvidence is the number of calls that the first step should collect. It sets the first share, and with it
 	// the part of the calls that a version bad at once receives.
 	firstEvidence = 30
-	// leastEvidence is the least number of calls that a step asks for. With fewer a version that fails one call in
-	// four would often pass.
-	leastEvidence = 20
+	// leastEvidence is the least number of calls that a step asks for. With fewer only a version that fails nearly
+	// every call would be noticed.
+	leastEvidence = 8
+	// missedRate over the calls judged is the failure rate that the judge excludes, about -ln(0.01).
+	missedRate = 5.0
 	// evidencePart is the part of the calls expected in a step that the next step asks for, so that fluctuation of
 	// the load and the delay of reports do not hold a good version.
 	evidencePart = 0.5
 	// firstPart is the part of the time before 100% that the first step lasts: it exposes the least calls.
 	firstPart = 0.5
-	// slackPart is the part of the time that stays free for delays.
-	slackPart = 0.1
+	// slackPart is the part of the time that stays free for delays, at least leastSlack.
+	slackPart  = 0.1
+	leastSlack = 2 * time.Second
 	// stepOverhead is the time from a decision to the first report of a step in force everywhere.
 	stepOverhead = 1500 * time.Millisecond
 	// watchPart is the part of the time that the watch period at 100% takes by default, at most longestWatch.
@@ -39,13 +42,15 @@
 	// smallestShare is the least first share. Below it a step of a few minutes sees too few calls at any customer.
 	smallestShare = model.Share(25)
 	// largestFirst is the largest first share; a move that needs more cannot protect its callers.
-	largestFirst = model.Share(2000)
+	largestFirst = model.Share(2500)
 	// growth is the largest ratio of neighbouring shares up to evenShare.
 	growth = 2.5
 	// evenShare gives both versions the same number of calls, where a comparison sees most.
 	evenShare = model.Share(5000)
 	// controlShare is the last share before 100%. Above it the old version gets too few calls to compare with soon.
 	controlShare = model.Share(7500)
+	// shortShare is the first share from which a move is too short for a step of controlShare.
+	shortShare = model.Share(1500)
 )
 
 // ladder returns the shares of the steps from a first share, evenly on a logarithmic scale up to evenShare.
@@ -57,6 +62,9 @@
 		share := float64(first) * math.Pow(ratio, float64(i)/float64(steps))
 		shares = append(shares, model.Share(math.Round(share)))
 	}
+	if first >= shortShare {
+		return append(shares, model.FullShare)
+	}
 	return append(shares, controlShare, model.FullShare)
 }
 
@@ -77,6 +85,10 @@
 	}
 	if s, ok := smallest(now, in, total-watch, rate); ok {
 		s.watch, s.feasible, s.latest = watch, true, in.By
+		if needed := s.steps[1].MinCalls; needed < firstEvidence {
+			s.note = fmt.Sprintf("the first step is judged on %d calls: a version that fails less than %.0f%% of them may pass it",
+				needed, min(100*missedRate/float64(needed), 100))
+		}
 		return s
 	}
 	return late(now, in, watch, rate)
@@ -130,7 +142,7 @@
 func fill(now time.Time, shares []model.Share, length time.Duration, rate float64, minCalls int, wanted float64) (schedule, bool) {
 	var s schedule
 	ok := true
-	usable := float64(length) * (1 - slackPart)
+	usable := float64(length) - max(slackPart*float64(length), float64(leastSlack))
 	at := now
 	needed := 0
 	for i, share := range shares {
