plans, bench/moves: the constants of a schedule as a value, the driver without judges in the data centres

Cause: the constants of a schedule could not be measured against each other. Change: plans.Schedule holds them, DefaultSchedule those in use; bench Options take both sets of constants.

--- a/internal/bench/moves/run.go
+++ b/internal/bench/moves/run.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"sniperail.example/sniperail/internal/command/moves"
+	"sniperail.example/sniperail/internal/query/plans"
 )
 
 // Options select what Run measures.
@@ -19,7 +20,9 @@
 	Workers int
 	// Policy holds the constants to measure; nil means moves.DefaultPolicy.
 	Policy *moves.Policy
-	// Policies names the policies to run; none means all.
+	// Schedule holds the constants of the plan's steps; nil means plans.DefaultSchedule.
+	Schedule *plans.Schedule
+	// Policies names the policies to run; none means the first three of the list.
 	Policies []string
 }
 
@@ -30,7 +33,7 @@
 		return Report{}, err
 	}
 	if len(o.Policies) == 0 {
-		o.Policies = Policies
+		o.Policies = Policies[:3]
 	}
 	for _, name := range o.Policies {
 		if !slices.Contains(Policies, name) {
@@ -51,7 +54,7 @@
 		group.SetLimit(o.Workers)
 		for i := range o.Runs {
 			group.Go(func() error {
-				results[i] = runOne(drawRun(c, o.Seed, i), name, constants)
+				results[i] = runOne(drawRun(c, o.Seed, i), name, constants, o.Schedule)
 				return nil
 			})
 		}
@@ -67,6 +70,8 @@
 	switch name {
 	case PolicyThreshold:
 		return &threshold{start: epoch, length: d.length}
+	case PolicyDriverOnly:
+		return newSequential(constants, 0)
 	case PolicyRamp:
 		return &ramp{start: epoch, length: d.length}
 	}
@@ -77,8 +82,8 @@
 const overtime = 1.5
 
 // runOne runs one move by the second until it ends.
-func runOne(d draw, name string, constants moves.Policy) result {
-	w := newWorld(&d)
+func runOne(d draw, name string, constants moves.Policy, schedule *plans.Schedule) result {
+	w := newWorld(&d, schedule)
 	replaceSteps(w, name)
 	p := newPolicy(name, &d, constants)
 	alive := true
--- a/internal/bench/moves/world.go
+++ b/internal/bench/moves/world.go
@@ -68,7 +68,7 @@
 	withdrawAsked      bool
 }
 
-func newWorld(d *draw) *world {
+func newWorld(d *draw, schedule *plans.Schedule) *world {
 	w := &world{draw: d, stream: newStream(d), random: rand.New(rand.NewPCG(d.outcomes, 2)), crossed: -1}
 	w.result = result{kind: d.kind, bad: d.bad(), firstBad: -1, lastBad: -1, lastFresh: -1, crossed: -1}
 	w.cfg = &model.Configuration{Number: 1, Services: []model.Service{{
@@ -95,7 +95,7 @@
 		w.centres[i].number = 1
 	}
 	plan, problems := plans.ForIntent(plans.Request{
-		Configuration: w.cfg, Targets: w.targets, Load: load, Now: epoch, ID: moveID,
+		Configuration: w.cfg, Targets: w.targets, Load: load, Now: epoch, ID: moveID, Schedule: schedule,
 		Intent: model.Intent{Service: d.service, To: newVersion, By: epoch.Add(d.length)},
 	})
 	if len(problems) > 0 {
--- a/internal/query/plans/plans.go
+++ b/internal/query/plans/plans.go
@@ -27,6 +27,15 @@
 	ID            model.PlanID
 	// By names the operator.
 	By string
+	// Schedule overrides DefaultSchedule, for measurements.
+	Schedule *Schedule
+}
+
+func (r Request) schedule() Schedule {
+	if r.Schedule != nil {
+		return *r.Schedule
+	}
+	return DefaultSchedule()
 }
 
 // ForIntent plans one intent, or returns why it is refused. Field paths are relative to the intent.
@@ -43,7 +52,7 @@
 		ID: r.ID, Base: r.Configuration.Number, Intent: r.Intent, From: from, By: r.By, At: r.Now,
 		Routes: r.routes(), Daemons: r.daemons(),
 	}
-	s := newSchedule(r.Now, r.Intent, r.callsPerSecond(plan.Routes))
+	s := r.schedule().plan(r.Now, r.Intent, r.callsPerSecond(plan.Routes))
 	plan.WatchSeconds = int(s.watch / time.Second)
 	plan.Steps, plan.Feasible, plan.Note, plan.Latest = s.steps, s.feasible, s.note, s.latest
 	plan.WithdrawnIf = withdrawnIf(r.Intent.To, from)
--- a/internal/query/plans/schedule.go
+++ b/internal/query/plans/schedule.go
@@ -8,27 +8,38 @@
 	"sniperail.example/sniperail/internal/model"
 )
 
-// The constants of a schedule; docs/moves.md says which measurement chose them.
-const (
-	// fullEvidence is the number of the new version's calls that a step to fullShare asks for when the load gives
+// Schedule holds the constants of a schedule that sniperail-bench moves chose; docs/moves.md says how.
+type Schedule struct {
+	// FirstEvidence is the number of calls that the first step should collect. It sets the first share, and with it the
+	// part of the calls that a version bad at once receives.
+	FirstEvidence float64
+	// FullEvidence is the number of the new version's calls that a step to fullShare asks for when the load gives
 	// them; a step to a larger share asks for more in proportion.
-	fullEvidence = 200
-	fullShare    = model.Share(200)
-	// firstEvidence is the number of calls that the first step should collect. It sets the first share, and with it
-	// the part of the calls that a version bad at once receives.
-	firstEvidence = 30
+	FullEvidence float64
+	// EvidencePart is the part of the calls expected in a step that the next step asks for, so that fluctuation of the
+	// load and the delay of reports do not hold a good version.
+	EvidencePart float64
+	// FirstPart is the part of the time before 100% that the first step lasts: it exposes the least calls.
+	FirstPart float64
+	// SlackPart is the part of the time that stays free for delays, at least leastSlack.
+	SlackPart float64
+	// Growth is the largest ratio of neighbouring shares up to evenShare.
+	Growth float64
+}
+
+// DefaultSchedule returns the constants in use.
+func DefaultSchedule() Schedule {
+	return Schedule{FirstEvidence: 30, FullEvidence: 200, EvidencePart: 0.5, FirstPart: 0.5, SlackPart: 0.1, Growth: 2.5}
+}
+
+const (
+	// fullShare is the share that FullEvidence refers to.
+	fullShare = model.Share(200)
 	// leastEvidence is the least number of calls that a step asks for. With fewer only a version that fails nearly
 	// every call would be noticed.
 	leastEvidence = 8
 	// missedRate over the calls judged is the failure rate that the judge excludes, about -ln(0.01).
 	missedRate = 5.0
-	// evidencePart is the part of the calls expected in a step that the next step asks for, so that fluctuation of
-	// the load and the delay of reports do not hold a good version.
-	evidencePart = 0.5
-	// firstPart is the part of the time before 100% that the first step lasts: it exposes the least calls.
-	firstPart = 0.5
-	// slackPart is the part of the time that stays free for delays, at least leastSlack.
-	slackPart  = 0.1
 	leastSlack = 2 * time.Second
 	// stepOverhead is the time from a decision to the first report of a step in force everywhere.
 	stepOverhead = 1500 * time.Millisecond
@@ -43,8 +54,6 @@
 	smallestShare = model.Share(25)
 	// largestFirst is the largest first share; a move that needs more cannot protect its callers.
 	largestFirst = model.Share(2500)
-	// growth is the largest ratio of neighbouring shares up to evenShare.
-	growth = 2.5
 	// evenShare gives both versions the same number of calls, where a comparison sees most.
 	evenShare = model.Share(5000)
 	// controlShare is the last share before 100%. Above it the old version gets too few calls to compare with soon.
@@ -54,9 +63,9 @@
 )
 
 // ladder returns the shares of the steps from a first share, evenly on a logarithmic scale up to evenShare.
-func ladder(first model.Share) []model.Share {
+func (c Schedule) ladder(first model.Share) []model.Share {
 	ratio := float64(evenShare) / float64(first)
-	steps := int(math.Ceil(math.Log(ratio) / math.Log(growth)))
+	steps := int(math.Ceil(math.Log(ratio) / math.Log(c.Growth)))
 	shares := make([]model.Share, 0, steps+3)
 	for i := range steps + 1 {
 		share := float64(first) * math.Pow(ratio, float64(i)/float64(steps))
@@ -68,7 +77,8 @@
 	return append(shares, controlShare, model.FullShare)
 }
 
-type schedule struct {
+// timetable is the steps of a plan and what it says of them.
+type timetable struct {
 	steps    []model.Step
 	watch    time.Duration
 	feasible bool
@@ -76,50 +86,50 @@
 	latest   time.Time
 }
 
-// newSchedule takes the smallest first share that collects the evidence in time.
-func newSchedule(now time.Time, in model.Intent, rate float64) schedule {
+// plan takes the smallest first share that collects the evidence in time.
+func (c Schedule) plan(now time.Time, in model.Intent, rate float64) timetable {
 	total := in.By.Sub(now)
 	watch := time.Duration(in.WatchSeconds) * time.Second
 	if watch == 0 {
 		watch = max(min(time.Duration(float64(total)*watchPart), longestWatch), leastWatch).Truncate(time.Second)
 	}
-	if s, ok := smallest(now, in, total-watch, rate); ok {
+	if s, ok := c.smallest(now, in, total-watch, rate); ok {
 		s.watch, s.feasible, s.latest = watch, true, in.By
-		if needed := s.steps[1].MinCalls; needed < firstEvidence {
+		if needed := s.steps[1].MinCalls; float64(needed) < c.FirstEvidence {
 			s.note = fmt.Sprintf("the first step is judged on %d calls: a version that fails less than %.0f%% of them may pass it",
 				needed, min(100*missedRate/float64(needed), 100))
 		}
 		return s
 	}
-	return late(now, in, watch, rate)
+	return c.late(now, in, watch, rate)
 }
 
 // smallest tries first shares in ascending order.
-func smallest(now time.Time, in model.Intent, length time.Duration, rate float64) (schedule, bool) {
-	for _, wanted := range wantedCalls(in) {
+func (c Schedule) smallest(now time.Time, in model.Intent, length time.Duration, rate float64) (timetable, bool) {
+	for _, wanted := range c.wantedCalls(in) {
 		for first := smallestShare; first <= largestFirst; first += max(first/5, 1) {
-			if s, ok := fill(now, ladder(first), length, rate, in.MinCalls, wanted); ok {
+			if s, ok := c.fill(now, c.ladder(first), length, rate, in.MinCalls, wanted); ok {
 				return s, true
 			}
 		}
 	}
-	return schedule{}, false
+	return timetable{}, false
 }
 
 // wantedCalls lists the numbers of calls in the first step to try for, best first.
-func wantedCalls(in model.Intent) []float64 {
+func (c Schedule) wantedCalls(in model.Intent) []float64 {
 	if in.MinCalls > 0 {
 		return []float64{float64(in.MinCalls)}
 	}
-	return []float64{firstEvidence, leastEvidence}
+	return []float64{c.FirstEvidence, leastEvidence}
 }
 
 // late plans the earliest time that the load allows when the requested one is too early.
-func late(now time.Time, in model.Intent, watch time.Duration, rate float64) schedule {
-	wanted := wantedCalls(in)
+func (c Schedule) late(now time.Time, in model.Intent, watch time.Duration, rate float64) timetable {
+	wanted := c.wantedCalls(in)
 	need := wanted[len(wanted)-1]
 	for length := max(in.By.Sub(now), time.Second); rate > 0 && length < longestMove; length += length / 20 {
-		s, ok := smallest(now, in, length, rate)
+		s, ok := c.smallest(now, in, length, rate)
 		if !ok {
 			continue
 		}
@@ -128,7 +138,7 @@
 			rate, need, s.latest.UTC().Format(time.RFC3339))
 		return s
 	}
-	s, _ := fill(now, ladder(largestFirst), max(in.By.Sub(now)-watch, 0), rate, in.MinCalls, 0)
+	s, _ := c.fill(now, c.ladder(largestFirst), max(in.By.Sub(now)-watch, 0), rate, in.MinCalls, 0)
 	s.watch = watch
 	s.note = fmt.Sprintf("at %.1f calls/s the evidence of %.0f calls a step cannot be collected", rate, need)
 	return s
@@ -139,10 +149,10 @@
 
 // fill spreads the shares over the time before the watch period. It reports false if a step lasts less than stepOverhead
 // or expects less than the wanted calls.
-func fill(now time.Time, shares []model.Share, length time.Duration, rate float64, minCalls int, wanted float64) (schedule, bool) {
-	var s schedule
+func (c Schedule) fill(now time.Time, shares []model.Share, length time.Duration, rate float64, minCalls int, wanted float64) (timetable, bool) {
+	var s timetable
 	ok := true
-	usable := float64(length) - max(slackPart*float64(length), float64(leastSlack))
+	usable := float64(length) - max(c.SlackPart*float64(length), float64(leastSlack))
 	at := now
 	needed := 0
 	for i, share := range shares {
@@ -150,25 +160,25 @@
 		if share == model.FullShare {
 			break
 		}
-		part := firstPart
+		part := c.FirstPart
 		if i > 0 {
-			part = (1 - firstPart) / float64(len(shares)-2)
+			part = (1 - c.FirstPart) / float64(len(shares)-2)
 		}
 		dwell := time.Duration(usable * part)
 		observed := dwell - stepOverhead
-		calls := rate * float64(share) / float64(model.FullShare) * max(observed.Seconds(), 0) * evidencePart
+		calls := rate * float64(share) / float64(model.FullShare) * max(observed.Seconds(), 0) * c.EvidencePart
 		ok = ok && observed > 0 && calls >= wanted
-		needed = evidence(calls, minCalls, shares[i+1])
+		needed = c.evidence(calls, minCalls, shares[i+1])
 		at = at.Add(dwell)
 	}
 	return s, ok
 }
 
 // evidence is in proportion to the next share, as far as the present step can collect it.
-func evidence(calls float64, minCalls int, next model.Share) int {
+func (c Schedule) evidence(calls float64, minCalls int, next model.Share) int {
 	if minCalls > 0 {
 		return minCalls
 	}
-	full := fullEvidence * max(float64(next)/float64(fullShare), 1)
+	full := c.FullEvidence * max(float64(next)/float64(fullShare), 1)
 	return int(math.Round(min(max(calls, leastEvidence), full)))
 }
