--- a/internal/bench/fleet/fleet.go
+++ b/internal/bench/fleet/fleet.go
@@ -109,6 +109,14 @@
 	n.handle(effect.Wake{})
 }
 
+// Move gives a daemon other addresses, as when its VM is replaced, and boots it there.
+func (n *Node) Move(address, peerAddress string) {
+	delete(n.fleet.byAddress, n.Target.PeerAddress)
+	n.Target.Address, n.Target.PeerAddress = address, peerAddress
+	n.fleet.byAddress[peerAddress] = n
+	n.Boot()
+}
+
 // Kill ends a daemon without notice.
 func (n *Node) Kill() {
 	n.Alive = false
--- a/internal/command/agent/agent.go
+++ b/internal/command/agent/agent.go
@@ -35,6 +35,8 @@
 	self model.Target
 	now  time.Time
 	out  []effect.Effect
+	// last is the time of the event before.
+	last time.Time
 
 	timers      [timerCount]time.Time
 	nextRequest effect.RequestID
@@ -92,6 +94,10 @@
 		a.set(timerSeek, a.jitter(startJitter))
 		a.set(timerIsolated, IsolatedAfter)
 	}
+	if gap := now.Sub(a.last); a.serves() && gap > pauseLimit {
+		a.members.Paused(gap)
+	}
+	a.last = now
 	a.event(ev)
 	a.runTimers()
 	if a.extension != nil {
--- a/internal/command/agent/children.go
+++ b/internal/command/agent/children.go
@@ -122,6 +122,11 @@
 	if c == nil || c.InFlight != 0 {
 		return
 	}
+	member := a.members.Member(c.ID)
+	if member == nil {
+		// A daemon whose address is not known yet is asked for a full heartbeat first.
+		return
+	}
 	up := &message.Update{Term: a.term, Roster: a.roster.Since(c.RosterTerm, c.Roster)}
 	up.Configuration, up.Delta = a.replica.Since(c.Own)
 	if c.MarkDigest != membership.MarkDigest(a.markList()) {
@@ -132,7 +137,7 @@
 	}
 	id, incarnation := c.ID, c.Incarnation
 	c.InFlight = 1
-	request := a.send(a.members.Member(id).Target.PeerAddress, up, func(reply message.Reply) {
+	request := a.send(member.Target.PeerAddress, up, func(reply message.Reply) {
 		c := a.members.Child(id)
 		if c == nil || c.Incarnation != incarnation {
 			return
--- a/internal/command/agent/config.go
+++ b/internal/command/agent/config.go
@@ -32,6 +32,9 @@
 	reannounceJitter = 500 * time.Millisecond
 	// sweepInterval is how often a leader or relay looks for silent members.
 	sweepInterval = 500 * time.Millisecond
+	// pauseLimit is the time between two events of a leader or relay, which wakes each sweepInterval, above which it did
+	// not run in between. Without it a resumed daemon would declare all daemons below it silent.
+	pauseLimit = 2 * sweepInterval
 	// rosterDelay collects roster changes before they are sent down, since each costs one message per daemon.
 	rosterDelay = 200 * time.Millisecond
 	// reportDelay collects changes before an early heartbeat.
@@ -46,6 +49,9 @@
 	reachableWithin = 2*exchangeInterval + 500*time.Millisecond
 	// listInterval is how often a leader lists the other leaders.
 	listInterval = 10 * time.Second
+	// missingLists is how many lists in a row must show no leader of a data centre before its targets count as silent.
+	// Its daemons elect another leader within LeaseTTL and a few seconds, unless all are dead or cut off.
+	missingLists = 2
 	// checkInterval is how often a leader reads the configuration although its watch shows nothing.
 	checkInterval = 15 * time.Second
 	// missedBeforeSeek is how many heartbeats in a row may fail before a daemon looks for another parent.
--- a/internal/command/agent/exchange.go
+++ b/internal/command/agent/exchange.go
@@ -21,8 +21,10 @@
 	heard, answered time.Time
 	number          model.Number
 	ahead           int
-	platform        bool
-	driver          bool
+	// missing counts the lists in a row without a leader of this data centre.
+	missing  int
+	platform bool
+	driver   bool
 	// roster is its data centre's roster as received.
 	roster  *membership.Roster
 	inForce model.InForce
@@ -58,7 +60,14 @@
 // renew notes a leader of a higher term, which does not know what its predecessor was sent.
 func (p *peerLeader) renew(term model.Term, address string) {
 	p.term, p.address = term, address
-	p.seqIn, p.acked, p.driver, p.answered, p.lastSent = 0, 0, false, time.Time{}, time.Time{}
+	p.seqIn, p.driver, p.missing = 0, false, 0
+	p.forgetSent()
+}
+
+// forgetSent forgets what the other leader holds, after a change of leaders on either side.
+func (p *peerLeader) forgetSent() {
+	p.acked, p.answered, p.lastSent = 0, time.Time{}, time.Time{}
+	p.sentMarks, p.sentNumbers = 0, [2]model.Number{}
 }
 
 // listLeaders finds the other leaders.
@@ -75,6 +84,9 @@
 		if result.Outcome != store.Applied || a.lead.lease.Term() != term {
 			return
 		}
+		for _, p := range a.lead.peers {
+			p.missing++
+		}
 		for _, entry := range result.Entries {
 			a.leaderListed(entry)
 		}
@@ -90,7 +102,9 @@
 	if err != nil || dc == a.self.DataCentre {
 		return
 	}
-	if p := a.peer(dc); model.Term(entry.CreateRevision) > p.term {
+	p := a.peer(dc)
+	p.missing = 0
+	if model.Term(entry.CreateRevision) > p.term {
 		p.renew(model.Term(entry.CreateRevision), record.PeerAddress)
 	}
 }
@@ -144,11 +158,11 @@
 		a.lead.evidenceFrom = a.now
 	}
 	p.inFlight, p.lastSent, p.sentNumbers, p.sentMarks = true, a.now, numbers, digest
-	version, term := a.lead.local.Version(), p.term
+	version, term, own := a.lead.local.Version(), p.term, a.lead.lease.Term()
 	a.send(p.address, m, func(reply message.Reply) {
 		p.inFlight = false
 		r, ok := reply.(*message.ExchangeReply)
-		if !ok || p.term != term || !a.lead.lease.Held() {
+		if !ok || p.term != term || a.lead.lease.Term() != own {
 			p.sentMarks, p.sentNumbers = 0, [2]model.Number{}
 			return
 		}
@@ -229,10 +243,24 @@
 			}
 		}
 	}
-	a.mergeRoster(c.Targets, a.onlyFrom(p.dc, remove))
+	a.mergeRoster(a.ownedBy(p.dc, c.Targets), a.onlyFrom(p.dc, remove))
 	return true
 }
 
+// ownedBy prepares targets sent by the leader of their data centre. A new leader may list an older incarnation than its
+// predecessor did: the newer one then died, or has not announced itself to the new leader yet, and is silent until then.
+func (a *Agent) ownedBy(dc model.DataCentre, targets []model.Target) []model.Target {
+	owned := slices.Clone(targets)
+	for i, t := range owned {
+		known, ok := a.roster.Target(t.Daemon)
+		if ok && known.DataCentre == dc && known.Incarnation > t.Incarnation {
+			known.State, known.Since = model.TargetSilent, t.Since
+			owned[i] = known
+		}
+	}
+	return owned
+}
+
 // onlyFrom keeps the daemons whose newest incarnation is in a data centre: a daemon that moved is not removed when its
 // former data centre forgets it.
 func (a *Agent) onlyFrom(dc model.DataCentre, ids []model.DaemonID) []model.DaemonID {
@@ -271,17 +299,34 @@
 	return true
 }
 
-// sweepPeers forgets data centres that sent nothing for a day.
+// sweepPeers silences the targets of data centres that have no leader any more, and forgets data centres that sent
+// nothing for a day.
 func (a *Agent) sweepPeers() {
 	for _, p := range a.peerList() {
+		if p.missing >= missingLists && a.now.Sub(p.heard) > BlindAfter {
+			a.silencePeer(p)
+		}
 		if a.now.Sub(p.heard) <= forgetDataCentre {
 			continue
 		}
 		var gone []model.DaemonID
-		for _, t := range p.roster.Targets() {
+		for _, t := range a.roster.Targets() {
 			gone = append(gone, t.Daemon)
 		}
 		a.mergeRoster(nil, a.onlyFrom(p.dc, gone))
 		delete(a.lead.peers, p.dc)
 	}
 }
+
+// silencePeer marks all targets of a data centre silent. Its next leader sends its whole roster.
+func (a *Agent) silencePeer(p *peerLeader) {
+	var silent []model.Target
+	for _, t := range a.roster.Targets() {
+		if t.DataCentre == p.dc && t.State != model.TargetSilent {
+			t.State, t.Since = model.TargetSilent, p.heard
+			silent = append(silent, t)
+		}
+	}
+	p.roster = membership.NewRoster(0)
+	a.mergeRoster(silent, nil)
+}
--- a/internal/command/agent/leader.go
+++ b/internal/command/agent/leader.go
@@ -95,7 +95,10 @@
 	a.stop(timerSeek, timerHeartbeat)
 	var inherited []model.Target
 	for _, t := range a.roster.Targets() {
-		if t.DataCentre == a.self.DataCentre && t.Daemon != a.self.Daemon {
+		switch {
+		case t.DataCentre != a.self.DataCentre:
+			a.peer(t.DataCentre)
+		case t.Daemon != a.self.Daemon:
 			inherited = append(inherited, t)
 		}
 	}
@@ -103,6 +106,11 @@
 	a.lead.tree = membership.NewTree()
 	a.lead.local = membership.NewRoster(term)
 	a.lead.loaded, a.lead.listed, a.lead.evidenceFrom = false, false, a.now
+	for _, p := range a.lead.peers {
+		// What the others hold of this daemon's former terms counts for nothing in the new one.
+		p.forgetSent()
+		p.heard, p.missing = a.now, 0
+	}
 	a.roster.Renumber(term)
 	a.lead.local.Edit(a.members.All(), nil)
 	a.mergeRoster(a.members.All(), nil)
--- a/internal/command/agent/marks.go
+++ b/internal/command/agent/marks.go
@@ -43,7 +43,9 @@
 func (a *Agent) markReceivers() []string {
 	to := map[string]bool{a.parent.address: true}
 	for _, c := range a.members.Children() {
-		to[a.members.Member(c.ID).Target.PeerAddress] = true
+		if m := a.members.Member(c.ID); m != nil {
+			to[m.Target.PeerAddress] = true
+		}
 	}
 	if a.lead.lease.Held() {
 		for _, p := range a.lead.peers {
--- a/internal/command/agent/parent.go
+++ b/internal/command/agent/parent.go
@@ -18,11 +18,13 @@
 	// avoid is the address of a parent that did not answer.
 	avoid string
 	// relay says that this daemon serves members below it.
-	relay    bool
-	seq      uint64
-	attempt  int
-	missed   int
-	behind   int
+	relay   bool
+	seq     uint64
+	attempt int
+	missed  int
+	behind  int
+	// unsynced counts the heartbeats in a row after which the parent asked for a full one.
+	unsynced int
 	full     bool
 	sendAll  bool
 	inFlight bool
@@ -245,6 +247,11 @@
 	a.parent.sendAll = r.MarkDigest != membership.MarkDigest(a.markList())
 	if r.Code == message.Unknown {
 		a.parent.full = true
+		a.parent.unsynced++
+	} else {
+		a.parent.unsynced = 0
+	}
+	if a.parent.unsynced == 1 {
 		a.soon(timerHeartbeat, reportDelay)
 	}
 	a.pullIfBehind(r.Number)
@@ -278,7 +285,11 @@
 	body := &message.Announce{Target: a.self, Number: a.replica.Number(), Probe: true}
 	a.send(a.parent.leader, body, func(reply message.Reply) {
 		r, ok := reply.(*message.AnnounceReply)
-		if ok && r.Code == message.Accepted && r.Term >= a.term && r.Current {
+		switch {
+		case !ok || r.Term < a.term:
+		case r.Code == message.NotLeader && r.Leader != "":
+			a.parent.leader = r.Leader
+		case r.Code == message.Accepted && r.Current:
 			a.vouched, a.required = true, r.Number
 			a.checkReady()
 		}
--- a/internal/command/membership/members.go
+++ b/internal/command/membership/members.go
@@ -128,7 +128,8 @@
 		}
 		member := &Member{Target: t, Floor: 1, Due: now.Add(2 * AttachWithin)}
 		if t.State == model.TargetSilent {
-			member.Silent = t.Since
+			// The time of the silence must not hide the state that the daemon announced before.
+			member.Silent, member.Target.Since = t.Since, time.Time{}
 		}
 		m.members[t.Daemon] = member
 		m.changed[t.Daemon] = true
@@ -254,6 +255,18 @@
 	return dropped
 }
 
+// Paused moves all deadlines by the time in which this daemon itself did not run and could hear nobody.
+func (m *Members) Paused(gap time.Duration) {
+	for _, c := range m.children {
+		c.Heard = c.Heard.Add(gap)
+	}
+	for _, member := range m.members {
+		if !member.Due.IsZero() {
+			member.Due = member.Due.Add(gap)
+		}
+	}
+}
+
 // TakeChanged returns the members whose target or liveness changed since the last call, sorted.
 func (m *Members) TakeChanged() []*Member {
 	list := make([]*Member, 0, len(m.changed))
--- a/internal/command/membership/relays.go
+++ b/internal/command/membership/relays.go
@@ -33,7 +33,7 @@
 	best := model.DaemonID("")
 	for _, c := range m.Children() {
 		n, ok := t.relays[c.ID]
-		if ok && m.members[c.ID].Target.PeerAddress != avoid && (best == "" || n < t.relays[best]) {
+		if ok && m.members[c.ID] != nil && m.members[c.ID].Target.PeerAddress != avoid && (best == "" || n < t.relays[best]) {
 			best = c.ID
 		}
 	}
