reports: never call a change in force, or a feed empty, on partial knowledge

Change: a status that counts fewer daemons than it lists makes "in force" unknown; a numbered configuration without events answers 503; plans are listed without a configuration, with state unknown.

--- a/internal/api/queries/queries.go
+++ b/internal/api/queries/queries.go
@@ -59,14 +59,15 @@
 }
 
 func (s service) plans(c *echo.Context) error {
-	configuration, ok := s.reader.Configuration(c.Request().Context())
-	if !ok {
-		return unavailable(c, "configuration")
-	}
 	plans, ok := s.reader.Plans(c.Request().Context())
 	if !ok {
 		return unavailable(c, "plans")
 	}
+	// There is no configuration before the first plan is confirmed, but that plan must be listed.
+	configuration, ok := s.reader.Configuration(c.Request().Context())
+	if !ok {
+		configuration = nil
+	}
 	return c.JSON(http.StatusOK, List[reports.Plan]{reports.Plans(configuration, plans)})
 }
 
@@ -123,5 +124,9 @@
 	if !ok {
 		return unavailable(c, "configuration")
 	}
-	return c.JSON(http.StatusOK, reports.Events(configuration, after))
+	feed, ok := reports.Events(configuration, after)
+	if !ok {
+		return unavailable(c, "events")
+	}
+	return c.JSON(http.StatusOK, feed)
 }
--- a/internal/query/reports/reports.go
+++ b/internal/query/reports/reports.go
@@ -29,14 +29,15 @@
 	return No
 }
 
-// inForce tells whether every live daemon has acknowledged a number. A data centre without a report makes it unknown.
+// inForce tells whether every live daemon has acknowledged a number. A data centre without a report makes it unknown, and
+// so does a status that counts fewer daemons than it lists, as that of a daemon that is no leader.
 func inForce(s *message.StatusReply, n model.Number) Answer {
 	switch {
 	case s == nil:
 		return Unknown
 	case s.InForce.Number < n:
 		return No
-	case len(s.InForce.Blind) > 0 || s.InForce.Live == 0:
+	case len(s.InForce.Blind) > 0 || s.InForce.Live == 0 || s.InForce.Live < listed(s):
 		return Unknown
 	}
 	return Yes
@@ -51,6 +52,21 @@
 	return inForce(s, m.Number)
 }
 
+// listed counts the daemons of a status that are not silent.
+func listed(s *message.StatusReply) int {
+	silent := map[model.DaemonID]bool{}
+	for _, d := range s.InForce.Silent {
+		silent[d.Daemon] = true
+	}
+	count := 0
+	for i := range s.Targets {
+		if t := &s.Targets[i]; t.State != model.TargetSilent && !silent[t.Daemon] {
+			count++
+		}
+	}
+	return count
+}
+
 // Move is one move, active or finished.
 type Move struct {
 	Move    model.PlanID      `json:"move"`
@@ -164,8 +180,9 @@
 // PlanState tells what became of a plan.
 type PlanState string
 
-// States of a plan. An outdated plan is refused when it is confirmed.
+// States of a plan. An outdated plan is refused when it is confirmed. The state is unknown without a configuration.
 const (
+	PlanUnknown   PlanState = "unknown"
 	PlanOpen      PlanState = "open"
 	PlanConfirmed PlanState = "confirmed"
 	PlanOutdated  PlanState = "outdated"
@@ -177,18 +194,12 @@
 	State PlanState `json:"state"`
 }
 
-// Plans returns plans, latest first.
+// Plans returns plans, latest first. The configuration may be nil.
 func Plans(c *model.Configuration, plans []model.Plan) []Plan {
 	rows := make([]Plan, 0, len(plans))
 	for i := range plans {
 		p := &plans[i]
-		state := PlanOpen
-		if p.Confirmed != nil || confirmed(c, p.ID) {
-			state = PlanConfirmed
-		} else if outdated(c, p) {
-			state = PlanOutdated
-		}
-		rows = append(rows, Plan{Plan: *p, State: state})
+		rows = append(rows, Plan{Plan: *p, State: planState(c, p)})
 	}
 	slices.SortStableFunc(rows, func(a, b Plan) int {
 		return cmp.Or(b.At.Compare(a.At), cmp.Compare(a.ID, b.ID))
@@ -196,6 +207,20 @@
 	return rows
 }
 
+func planState(c *model.Configuration, p *model.Plan) PlanState {
+	switch {
+	case p.Confirmed != nil:
+		return PlanConfirmed
+	case c == nil:
+		return PlanUnknown
+	case confirmed(c, p.ID):
+		return PlanConfirmed
+	case outdated(c, p):
+		return PlanOutdated
+	}
+	return PlanOpen
+}
+
 // confirmed looks in the moves, and for plans of changes in the event feed, since the mark on the plan itself is written
 // after the confirmation.
 func confirmed(c *model.Configuration, id model.PlanID) bool {
--- a/internal/query/reports/reports_test.go
+++ b/internal/query/reports/reports_test.go
@@ -13,10 +13,14 @@
 
 // Each case guards against a report that calls a change in force although a daemon may not have it.
 func TestInForce(t *testing.T) {
+	both := []model.Target{{Daemon: "a", State: model.TargetReady}, {Daemon: "b", State: model.TargetDraining}}
 	cases := map[string]struct {
 		status *message.StatusReply
 		want   Answer
 	}{
+		"status of a daemon that is no leader": {&message.StatusReply{Targets: both, InForce: model.InForce{Number: 7, Live: 1}}, Unknown},
+		"the other daemon is silent": {&message.StatusReply{Targets: both, InForce: model.InForce{Number: 7, Live: 1,
+			Silent: []model.SilentDaemon{{Daemon: "b"}}}}, Yes},
 		"status not known":                  {nil, Unknown},
 		"a daemon has an older number":      {&message.StatusReply{InForce: model.InForce{Number: 6, Live: 3}}, No},
 		"older number and a blind centre":   {&message.StatusReply{InForce: model.InForce{Number: 6, Live: 3, Blind: []model.DataCentre{"x"}}}, No},
@@ -55,6 +59,15 @@
 	is.Equal(rows[0].Reason, "new")
 }
 
+// Guards against an empty feed while the platform is down, which a dashboard would take for "nothing happened".
+func TestEventsOfACopyAreUnknown(t *testing.T) {
+	is := is.New(t)
+	_, ok := Events(&model.Configuration{Number: 7}, 0)
+	is.True(!ok)
+	_, ok = Events(&model.Configuration{}, 0)
+	is.True(ok) // nothing was confirmed yet
+}
+
 // Each case guards against a feed that skips an event without saying so, or repeats one.
 func TestEvents(t *testing.T) {
 	kept := &model.Configuration{LastEvent: 12, Events: []model.MoveEvent{{Token: 10}, {Token: 11}, {Token: 12}}}
@@ -73,7 +86,8 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			feed := Events(kept, c.after)
+			feed, ok := Events(kept, c.after)
+			is.True(ok)
 			var tokens []uint64
 			for _, e := range feed.Events {
 				tokens = append(tokens, e.Token)
@@ -109,6 +123,7 @@
 			is.New(t).Equal(Plans(c, []model.Plan{k.plan})[0].State, k.want)
 		})
 	}
+	is.New(t).Equal(Plans(nil, []model.Plan{{}})[0].State, PlanUnknown)
 }
 
 // Guards against a dashboard that loses a label because the operators renamed another one.
--- a/internal/query/reports/status.go
+++ b/internal/query/reports/status.go
@@ -106,8 +106,12 @@
 	Missed bool `json:"missed"`
 }
 
-// Events returns the kept events after a token.
-func Events(c *model.Configuration, after uint64) Feed {
+// Events returns the kept events after a token. It returns false if the configuration is a copy without its events: each
+// write records an event, so that a numbered configuration has at least one.
+func Events(c *model.Configuration, after uint64) (Feed, bool) {
+	if c.Number > 0 && c.LastEvent == 0 {
+		return Feed{}, false
+	}
 	feed := Feed{Events: []model.MoveEvent{}, Next: max(after, c.LastEvent)}
 	for _, e := range c.Events {
 		if e.Token > after {
@@ -120,7 +124,7 @@
 	default:
 		feed.Missed = c.LastEvent > after
 	}
-	return feed
+	return feed, true
 }
 
 // MoveSample is the value that a dashboard draws for one move.
