api: the metric of moves costs the platform nothing

Cause: a scrape read the configuration from the platform; 1,300 daemons scraped every 15 s are 87 reads/s of the budget of 200. Change: the metric comes from the daemon's own view (api.Options.View), which holds active moves only, and the collector infers from the withdrawn list how a move ended. A finished move keeps the share that it ended with. The daemon must set Options.View.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -11,13 +11,17 @@
 	"sniperail.example/sniperail/internal/api/commands"
 	"sniperail.example/sniperail/internal/api/problem"
 	"sniperail.example/sniperail/internal/api/queries"
+	"sniperail.example/sniperail/internal/model"
 )
 
 // Options are the parts that the interface serves.
 type Options struct {
 	Submitter commands.Submitter
 	Reader    queries.Reader
-	// Metrics are the daemon's own metrics; the metric of moves is added to them. Nil serves only the latter.
+	// View returns the daemon's own configuration, or nil while it knows none. It must be cheap. Without View the metric
+	// of moves is not served.
+	View func() *model.Configuration
+	// Metrics are the daemon's own metrics; the metric of moves is added to them.
 	Metrics prometheus.Gatherer
 	// Ready returns why the daemon is not ready to serve calls; empty means that it is.
 	Ready func() string
@@ -44,10 +48,14 @@
 }
 
 func gatherers(o Options) prometheus.Gatherers {
-	moves := prometheus.NewRegistry()
-	moves.MustRegister(queries.MoveCollector{Reader: o.Reader})
-	if o.Metrics == nil {
-		return prometheus.Gatherers{moves}
+	var all prometheus.Gatherers
+	if o.Metrics != nil {
+		all = append(all, o.Metrics)
 	}
-	return prometheus.Gatherers{o.Metrics, moves}
+	if o.View != nil {
+		moves := prometheus.NewRegistry()
+		moves.MustRegister(queries.NewMoveCollector(o.View))
+		all = append(all, moves)
+	}
+	return all
 }
--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -119,16 +119,27 @@
 	is.Equal(b.by, "jana")
 }
 
-// Guards against dashboards that lose their metric when the operators rename it, or all metrics when the name is not
-// valid.
+// Guards against dashboards that lose their metric when the operators rename it, or that never see how a move ended,
+// because the daemon's own view holds active moves only.
 func TestMoveMetric(t *testing.T) {
 	is := is.New(t)
-	c := &model.Configuration{
-		Services:  []model.Service{{Name: "s", Versions: []model.VersionShare{{Version: "v2", Share: 2500}}}},
-		Moves:     []model.Move{{ID: "m", Service: "s", From: "v1", To: "v2", Phase: model.PhaseRunning}},
+	view := &model.Configuration{
+		Services: []model.Service{{Name: "s", Versions: []model.VersionShare{{Version: "v2", Share: 2500}}}},
+		Moves: []model.Move{{ID: "good", Service: "s", From: "v1", To: "v2", Phase: model.PhaseRunning},
+			{ID: "bad", Service: "u", From: "v1", To: "v2", Phase: model.PhaseWithdrawing}},
 		Dashboard: &model.Dashboard{MoveMetric: "rollout_share"},
 	}
-	response := serve(&backend{configuration: c}, http.MethodGet, "/metrics", "")
-	is.Equal(response.Code, http.StatusOK)
-	is.True(strings.Contains(response.Body.String(), `rollout_share{from="v1",move="m",phase="running",service="s",to="v2"} 0.25`))
+	handler := New(Options{View: func() *model.Configuration { return view }})
+	scrape := func() string {
+		recorder := httptest.NewRecorder()
+		handler.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+		is.Equal(recorder.Code, http.StatusOK)
+		return recorder.Body.String()
+	}
+	is.True(strings.Contains(scrape(), `rollout_share{from="v1",move="good",phase="running",service="s",to="v2"} 0.25`))
+	view = &model.Configuration{Dashboard: view.Dashboard, Withdrawn: []model.VersionRef{{Service: "u", Version: "v2"}}}
+	second := scrape()
+	is.True(strings.Contains(second, `rollout_share{from="v1",move="good",phase="done",service="s",to="v2"} 1`))
+	is.True(strings.Contains(second, `rollout_share{from="v1",move="bad",phase="withdrawn",service="u",to="v2"} 0`))
+	is.Equal(second, scrape()) // an ended move is remembered once
 }
--- a/internal/query/reports/reports.go
+++ b/internal/query/reports/reports.go
@@ -52,6 +52,22 @@
 	return inForce(s, m.Number)
 }
 
+// share returns the new version's share. Later moves change the share of a finished move's version, but not how it ended.
+func share(c *model.Configuration, m *model.Move) model.Share {
+	switch m.Phase {
+	case model.PhaseDone:
+		return model.FullShare
+	case model.PhaseWithdrawn:
+		return 0
+	}
+	if service := c.Service(m.Service); service != nil {
+		if v := service.Version(m.To); v != nil {
+			return v.Share
+		}
+	}
+	return 0
+}
+
 // listed counts the daemons of a status that are not silent.
 func listed(s *message.StatusReply) int {
 	silent := map[model.DaemonID]bool{}
@@ -74,7 +90,7 @@
 	From    model.VersionName `json:"from"`
 	To      model.VersionName `json:"to"`
 	Phase   model.Phase       `json:"phase"`
-	// Share is the new version's share in basis points in the configuration Number.
+	// Share is the new version's share in basis points; of a finished move, the share at its end.
 	Share model.Share `json:"share"`
 	// Step counts from 1; 0 is before the first step.
 	Step     int          `json:"step"`
@@ -97,12 +113,7 @@
 		row := Move{
 			Move: m.ID, Service: m.Service, From: m.From, To: m.To, Phase: m.Phase, Step: m.Step + 1,
 			Steps: len(m.Steps), Deadline: m.Deadline, Since: m.Since, Number: m.Number, InForce: moveInForce(s, m),
-			Withheld: withheld(s, m.Version()), Reason: m.Reason, ConfirmedBy: m.ConfirmedBy,
-		}
-		if service := c.Service(m.Service); service != nil {
-			if v := service.Version(m.To); v != nil {
-				row.Share = v.Share
-			}
+			Withheld: withheld(s, m.Version()), Reason: m.Reason, ConfirmedBy: m.ConfirmedBy, Share: share(c, m),
 		}
 		rows = append(rows, row)
 	}
--- a/internal/query/reports/reports_test.go
+++ b/internal/query/reports/reports_test.go
@@ -135,7 +135,7 @@
 	}
 	want := []MoveSample{{Metric: "rollout", Labels: []string{"move", "svc", "from", "to", "phase"},
 		Values: []string{"m", "s", "v1", "v2", "running"}, Share: 0.25}}
-	if diff := cmp.Diff(want, MoveSamples(c)); diff != "" {
+	if diff := cmp.Diff(want, MoveSamples(c, nil)); diff != "" {
 		t.Error(diff)
 	}
 }
--- a/internal/query/reports/status.go
+++ b/internal/query/reports/status.go
@@ -126,35 +126,3 @@
 	}
 	return feed, true
 }
-
-// MoveSample is the value that a dashboard draws for one move.
-type MoveSample struct {
-	Metric string
-	// Labels and Values belong together by index.
-	Labels, Values []string
-	// Share is the share of the new version, from 0 to 1.
-	Share float64
-}
-
-// DefaultMoveMetric is the metric of a move if the operators' dashboard sets no other name.
-const DefaultMoveMetric = "sniperail_move_share_ratio"
-
-// MoveLabels are the labels of a move's metric, which the operators' dashboard may rename.
-var MoveLabels = []string{"move", "service", "from", "to", "phase"}
-
-// MoveSamples returns one sample for each move under the names that the operators' dashboards keep.
-func MoveSamples(c *model.Configuration) []MoveSample {
-	metric, labels := DefaultMoveMetric, slices.Clone(MoveLabels)
-	if d := c.Dashboard; d != nil {
-		metric = cmp.Or(d.MoveMetric, metric)
-		for i, label := range labels {
-			labels[i] = cmp.Or(d.Labels[label], label)
-		}
-	}
-	var samples []MoveSample
-	for _, m := range Moves(c, nil) {
-		samples = append(samples, MoveSample{Metric: metric, Labels: labels, Share: float64(m.Share) / float64(model.FullShare),
-			Values: []string{string(m.Move), string(m.Service), string(m.From), string(m.To), string(m.Phase)}})
-	}
-	return samples
-}
