--- a/internal/cli/commands/commands.go
+++ b/internal/cli/commands/commands.go
@@ -86,9 +86,9 @@
 		rows = append(rows, table.Row{"MOVE", fmt.Sprintf("%s: %s -> %s", plan.Service, plan.From, plan.To)},
 			table.Row{"SET TIME", output.Time(plan.Intent.By)}, table.Row{"EXPECTED BY", output.Time(plan.Latest)},
 			table.Row{"IN TIME", map[bool]string{true: "yes", false: "no"}[plan.Feasible]},
-			table.Row{"WATCHED FOR", time.Duration(plan.WatchSeconds) * time.Second})
+			table.Row{"WATCHED FOR", time.Duration(plan.WatchSeconds) * time.Second},
+			table.Row{"ROUTES", len(plan.Routes)}, table.Row{"DAEMONS", len(plan.Daemons)})
 	}
-	rows = append(rows, table.Row{"ROUTES", len(plan.Routes)}, table.Row{"DAEMONS", len(plan.Daemons)})
 	if plan.Note != "" {
 		rows = append(rows, table.Row{"NOTE", plan.Note})
 	}
