demo: show that a placement confirmation sent twice runs once

Cause: the demo did not show the at-most-once routes. The demo was not run to its end with this check: claims were not yet passed to the admission of the uncommitted daemon, so the confirmation was refused as at-most-once-unavailable.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -150,6 +150,21 @@
   grep -q "\"move\":\"$plan\",[^}]*\"phase\":\"$outcome\"" "$work/moves.json" || fail "move $plan is not $outcome"
 }
 
+# confirm_twice sends one placement confirmation through two ingresses; it must be executed once and answered twice alike.
+confirm_twice() {
+  local i id count=0
+  for i in 1 2; do
+    curl -fs -o "$work/once$i" -H 'Idempotency-Key: demo-confirmation' -d '{"pupil":1,"family":2}' \
+      "http://${ingresses[$i]}/placements/confirm" || fail "placement confirmation $i was refused"
+  done
+  for id in placements-1 placements-2 placements-3 placements-4; do
+    curl -fs "http://${target_of[$id]}/standin/counts" >"$work/counts.json"
+    [[ $(<"$work/counts.json") =~ \"demo-confirmation\":([0-9]+) ]] && count=$((count + BASH_REMATCH[1]))
+  done
+  echo "placement confirmation sent=2 executed=$count"
+  [[ $count == 1 ]] && cmp -s "$work/once1" "$work/once2" || fail "a placement confirmation ran $count times"
+}
+
 summary() { # name outcome bad-calls
   local r=$work/$1.json
   echo "move=$plan outcome=$2 calls=$(field calls "$r") wrong=$(field wrong "$r") cut=$(field cut "$r")" \
@@ -179,6 +194,8 @@
 await "the mesh is in force" in_force 1
 bin/sniperail get versions
 
+confirm_twice
+
 cat >"$work/good.yaml" <<'YAML'
 moves: [{service: placements, to: v2, in: 18s, watch: 3s}]
 YAML
