daemon: claim at-most-once requests; demo waits until a first answer is stored

Cause: scripts/demo.sh failed: a placement confirmation was refused as at-most-once-unavailable, since the daemon passed no claimer to the call path; then its repeat was refused as running, since answers are stored 0.1 s after they were sent. Change: the guard's claimer goes to the admission; the gate has its default limits and its counter; the demo retries.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -47,30 +47,6 @@
 	queueFactor = 2
 )
 
-// gateConfig bounds the calls of one daemon to the platform's service. A leader needs about two calls a second; the
-// rest is for claims of at-most-once requests.
-func gateConfig(metrics *telemetry.Metrics) platform.GateConfig {
-	return platform.GateConfig{
-		WritesPerSecond: 20, WriteBurst: 40, ReadsPerSecond: 40, ReadBurst: 80,
-		BackoffBase: 100 * time.Millisecond, BackoffMax: 5 * time.Second,
-		Count: func(kind store.Kind, reason string, outcome store.Outcome) {
-			metrics.Add("sniperail_platform_calls_"+counterPart(kind), reason+"-"+string(outcome))
-		},
-	}
-}
-
-// counterPart says whether the service counts a call as a write, a read or a waiting watch.
-func counterPart(kind store.Kind) string {
-	switch {
-	case kind == platform.KindWatch:
-		return "watch"
-	case kind.IsWrite():
-		return "write"
-	default:
-		return "read"
-	}
-}
-
 // Daemon is one running sniperaild.
 type Daemon struct {
 	settings settings.Daemon
@@ -145,7 +121,10 @@
 	if err != nil {
 		return err
 	}
-	gate, err := platform.NewGate(client, gateConfig(d.metrics))
+	config := platform.DefaultGateConfig()
+	config.Count = platform.CountInto(d.metrics.CounterSet("sniperail_platform_calls",
+		"Calls to the platform's service by kind, reason and outcome."))
+	gate, err := platform.NewGate(client, config)
 	if err != nil {
 		return err
 	}
@@ -216,6 +195,7 @@
 			Slots: d.settings.Slots, Connections: d.settings.Connections, Queue: queueFactor * d.settings.Slots,
 		},
 		Tables: d.loop, Metrics: metrics, Limits: limits,
+		Once: claimer{guard: d.guard, timeout: model.DefaultTimeoutMS * time.Millisecond},
 	})
 	d.servers.ingress = d.serverFor(traffic.NewServer(d.ingress, limits))
 	d.servers.admission = d.serverFor(traffic.NewServer(d.admission, limits))
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -154,8 +154,9 @@
 confirm_twice() {
   local i id count=0
   for i in 1 2; do
-    curl -fs -o "$work/once$i" -H 'Idempotency-Key: demo-confirmation' -d '{"pupil":1,"family":2}' \
-      "http://${ingresses[$i]}/placements/confirm" || fail "placement confirmation $i was refused"
+    # The repeat is refused as running until the first answer is stored, about 0.1 s after it was sent.
+    curl -fs --retry 5 --retry-delay 1 --retry-all-errors -o "$work/once$i" -H 'Idempotency-Key: demo-confirmation' \
+      -d '{"pupil":1,"family":2}' "http://${ingresses[$i]}/placements/confirm" || fail "placement confirmation $i was refused"
   done
   for id in placements-1 placements-2 placements-3 placements-4; do
     curl -fs "http://${target_of[$id]}/standin/counts" >"$work/counts.json"
