--- a/internal/bench/moves/policies.go
+++ b/internal/bench/moves/policies.go
@@ -20,12 +20,13 @@
 	PolicySequential = "sequential"
 	// PolicyDriverOnly is the sequential test in the driver alone, without judges in the data centres.
 	PolicyDriverOnly = "sequential, driver only"
+	PolicyBayesian   = "posterior probability"
 	PolicyThreshold  = "fixed steps, threshold"
 	PolicyRamp       = "time-only ramp"
 )
 
 // Policies names all policies; the first three are compared unless Options say otherwise.
-var Policies = []string{PolicySequential, PolicyThreshold, PolicyRamp, PolicyDriverOnly}
+var Policies = []string{PolicySequential, PolicyThreshold, PolicyRamp, PolicyBayesian, PolicyDriverOnly}
 
 // sequential is this project's policy: the driver and a judge in each data centre.
 type sequential struct {
--- a/internal/bench/moves/run.go
+++ b/internal/bench/moves/run.go
@@ -72,6 +72,8 @@
 		return &threshold{start: epoch, length: d.length}
 	case PolicyDriverOnly:
 		return newSequential(constants, 0)
+	case PolicyBayesian:
+		return &bayesian{step: -2}
 	case PolicyRamp:
 		return &ramp{start: epoch, length: d.length}
 	}
--- a/internal/query/plans/schedule.go
+++ b/internal/query/plans/schedule.go
@@ -29,7 +29,7 @@
 
 // DefaultSchedule returns the constants in use.
 func DefaultSchedule() Schedule {
-	return Schedule{FirstEvidence: 30, FullEvidence: 200, EvidencePart: 0.5, FirstPart: 0.5, SlackPart: 0.1, Growth: 2.5}
+	return Schedule{FirstEvidence: 20, FullEvidence: 200, EvidencePart: 0.5, FirstPart: 0.5, SlackPart: 0.1, Growth: 2.5}
 }
 
 const (
