--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -3,6 +3,7 @@
 
 import (
 	"net/http"
+	"strconv"
 
 	"github.com/labstack/echo/v5"
 	"github.com/prometheus/client_golang/prometheus"
@@ -11,14 +12,24 @@
 	"sniperail.example/sniperail/internal/api/commands"
 	"sniperail.example/sniperail/internal/api/problem"
 	"sniperail.example/sniperail/internal/api/queries"
+	"sniperail.example/sniperail/internal/model"
 )
 
+// NumberHeader carries the configuration number in force in the answer of the health endpoint, where a check of many
+// daemons costs least.
+const NumberHeader = "Sniperail-Number"
+
 // Options are the parts that the interface serves.
 type Options struct {
 	Submitter commands.Submitter
 	Reader    queries.Reader
-	// Metrics are the daemon's own metrics; the metric of moves is added to them. Nil serves only the latter.
+	// View returns the daemon's own configuration, or nil while it knows none. It must be cheap. Without View the metric
+	// of moves is not served.
+	View func() *model.Configuration
+	// Metrics are the daemon's own metrics; the metric of moves is added to them.
 	Metrics prometheus.Gatherer
+	// Number returns the configuration number that the daemon has in force.
+	Number func() model.Number
 	// Ready returns why the daemon is not ready to serve calls; empty means that it is.
 	Ready func() string
 }
@@ -29,7 +40,10 @@
 	e.HTTPErrorHandler = problem.Handle
 	commands.Register(e.Group("/v1/command"), o.Submitter)
 	queries.Register(e.Group("/v1/query"), o.Reader)
-	e.GET("/healthz", func(c *echo.Context) error { return c.String(http.StatusOK, "ok\n") })
+	e.GET("/healthz", func(c *echo.Context) error {
+		c.Response().Header().Set(NumberHeader, strconv.FormatUint(uint64(o.Number()), 10))
+		return c.String(http.StatusOK, "ok\n")
+	})
 	e.GET("/readyz", func(c *echo.Context) error {
 		if reason := o.Ready(); reason != "" {
 			return problem.New(http.StatusServiceUnavailable, "not-ready", reason).Write(c)
@@ -44,10 +58,14 @@
 }
 
 func gatherers(o Options) prometheus.Gatherers {
-	moves := prometheus.NewRegistry()
-	moves.MustRegister(queries.MoveCollector{Reader: o.Reader})
-	if o.Metrics == nil {
-		return prometheus.Gatherers{moves}
+	var all prometheus.Gatherers
+	if o.Metrics != nil {
+		all = append(all, o.Metrics)
+	}
+	if o.View != nil {
+		moves := prometheus.NewRegistry()
+		moves.MustRegister(queries.NewMoveCollector(o.View))
+		all = append(all, moves)
 	}
-	return prometheus.Gatherers{o.Metrics, moves}
+	return all
 }
--- a/internal/query/reports/reports.go
+++ b/internal/query/reports/reports.go
@@ -29,14 +29,15 @@
 	return No
 }
 
-// inForce tells whether every live daemon has acknowledged a number. A data centre without a report makes it unknown.
+// inForce tells whether every live daemon has acknowledged a number. A data centre without a report makes it unknown, and
+// so does a status that counts fewer daemons than it lists, as that of a daemon that is no leader.
 func inForce(s *message.StatusReply, n model.Number) Answer {
 	switch {
 	case s == nil:
 		return Unknown
 	case s.InForce.Number < n:
 		return No
-	case len(s.InForce.Blind) > 0 || s.InForce.Live == 0:
+	case len(s.InForce.Blind) > 0 || s.InForce.Live == 0 || s.InForce.Live < listed(s):
 		return Unknown
 	}
 	return Yes
@@ -51,6 +52,37 @@
 	return inForce(s, m.Number)
 }
 
+// share returns the new version's share. Later moves change the share of a finished move's version, but not how it ended.
+func share(c *model.Configuration, m *model.Move) model.Share {
+	switch m.Phase {
+	case model.PhaseDone:
+		return model.FullShare
+	case model.PhaseWithdrawn:
+		return 0
+	}
+	if service := c.Service(m.Service); service != nil {
+		if v := service.Version(m.To); v != nil {
+			return v.Share
+		}
+	}
+	return 0
+}
+
+// listed counts the daemons of a status that are not silent.
+func listed(s *message.StatusReply) int {
+	silent := map[model.DaemonID]bool{}
+	for _, d := range s.InForce.Silent {
+		silent[d.Daemon] = true
+	}
+	count := 0
+	for i := range s.Targets {
+		if t := &s.Targets[i]; t.State != model.TargetSilent && !silent[t.Daemon] {
+			count++
+		}
+	}
+	return count
+}
+
 // Move is one move, active or finished.
 type Move struct {
 	Move    model.PlanID      `json:"move"`
@@ -58,7 +90,7 @@
 	From    model.VersionName `json:"from"`
 	To      model.VersionName `json:"to"`
 	Phase   model.Phase       `json:"phase"`
-	// Share is the new version's share in basis points in the configuration Number.
+	// Share is the new version's share in basis points; of a finished move, the share at its end.
 	Share model.Share `json:"share"`
 	// Step counts from 1; 0 is before the first step.
 	Step     int          `json:"step"`
@@ -81,12 +113,7 @@
 		row := Move{
 			Move: m.ID, Service: m.Service, From: m.From, To: m.To, Phase: m.Phase, Step: m.Step + 1,
 			Steps: len(m.Steps), Deadline: m.Deadline, Since: m.Since, Number: m.Number, InForce: moveInForce(s, m),
-			Withheld: withheld(s, m.Version()), Reason: m.Reason, ConfirmedBy: m.ConfirmedBy,
-		}
-		if service := c.Service(m.Service); service != nil {
-			if v := service.Version(m.To); v != nil {
-				row.Share = v.Share
-			}
+			Withheld: withheld(s, m.Version()), Reason: m.Reason, ConfirmedBy: m.ConfirmedBy, Share: share(c, m),
 		}
 		rows = append(rows, row)
 	}
@@ -164,8 +191,9 @@
 // PlanState tells what became of a plan.
 type PlanState string
 
-// States of a plan. An outdated plan is refused when it is confirmed.
+// States of a plan. An outdated plan is refused when it is confirmed. The state is unknown without a configuration.
 const (
+	PlanUnknown   PlanState = "unknown"
 	PlanOpen      PlanState = "open"
 	PlanConfirmed PlanState = "confirmed"
 	PlanOutdated  PlanState = "outdated"
@@ -177,18 +205,12 @@
 	State PlanState `json:"state"`
 }
 
-// Plans returns plans, latest first.
+// Plans returns plans, latest first. The configuration may be nil.
 func Plans(c *model.Configuration, plans []model.Plan) []Plan {
 	rows := make([]Plan, 0, len(plans))
 	for i := range plans {
 		p := &plans[i]
-		state := PlanOpen
-		if p.Confirmed != nil || confirmed(c, p.ID) {
-			state = PlanConfirmed
-		} else if outdated(c, p) {
-			state = PlanOutdated
-		}
-		rows = append(rows, Plan{Plan: *p, State: state})
+		rows = append(rows, Plan{Plan: *p, State: planState(c, p)})
 	}
 	slices.SortStableFunc(rows, func(a, b Plan) int {
 		return cmp.Or(b.At.Compare(a.At), cmp.Compare(a.ID, b.ID))
@@ -196,6 +218,20 @@
 	return rows
 }
 
+func planState(c *model.Configuration, p *model.Plan) PlanState {
+	switch {
+	case p.Confirmed != nil:
+		return PlanConfirmed
+	case c == nil:
+		return PlanUnknown
+	case confirmed(c, p.ID):
+		return PlanConfirmed
+	case outdated(c, p):
+		return PlanOutdated
+	}
+	return PlanOpen
+}
+
 // confirmed looks in the moves, and for plans of changes in the event feed, since the mark on the plan itself is written
 // after the confirmation.
 func confirmed(c *model.Configuration, id model.PlanID) bool {
--- a/internal/query/reports/status.go
+++ b/internal/query/reports/status.go
@@ -106,8 +106,12 @@
 	Missed bool `json:"missed"`
 }
 
-// Events returns the kept events after a token.
-func Events(c *model.Configuration, after uint64) Feed {
+// Events returns the kept events after a token. It returns false if the configuration is a copy without its events: each
+// write records an event, so that a numbered configuration has at least one.
+func Events(c *model.Configuration, after uint64) (Feed, bool) {
+	if c.Number > 0 && c.LastEvent == 0 {
+		return Feed{}, false
+	}
 	feed := Feed{Events: []model.MoveEvent{}, Next: max(after, c.LastEvent)}
 	for _, e := range c.Events {
 		if e.Token > after {
@@ -120,37 +124,5 @@
 	default:
 		feed.Missed = c.LastEvent > after
 	}
-	return feed
-}
-
-// MoveSample is the value that a dashboard draws for one move.
-type MoveSample struct {
-	Metric string
-	// Labels and Values belong together by index.
-	Labels, Values []string
-	// Share is the share of the new version, from 0 to 1.
-	Share float64
-}
-
-// DefaultMoveMetric is the metric of a move if the operators' dashboard sets no other name.
-const DefaultMoveMetric = "sniperail_move_share_ratio"
-
-// MoveLabels are the labels of a move's metric, which the operators' dashboard may rename.
-var MoveLabels = []string{"move", "service", "from", "to", "phase"}
-
-// MoveSamples returns one sample for each move under the names that the operators' dashboards keep.
-func MoveSamples(c *model.Configuration) []MoveSample {
-	metric, labels := DefaultMoveMetric, slices.Clone(MoveLabels)
-	if d := c.Dashboard; d != nil {
-		metric = cmp.Or(d.MoveMetric, metric)
-		for i, label := range labels {
-			labels[i] = cmp.Or(d.Labels[label], label)
-		}
-	}
-	var samples []MoveSample
-	for _, m := range Moves(c, nil) {
-		samples = append(samples, MoveSample{Metric: metric, Labels: labels, Share: float64(m.Share) / float64(model.FullShare),
-			Values: []string{string(m.Move), string(m.Service), string(m.From), string(m.To), string(m.Phase)}})
-	}
-	return samples
+	return feed, true
 }
