--- a/internal/bench/moves/policies.go
+++ b/internal/bench/moves/policies.go
@@ -19,10 +19,10 @@
 const (
 	PolicySequential = "sequential"
 	// PolicyDriverOnly is the sequential test in the driver alone, without judges in the data centres.
-	PolicyDriverOnly = "sequential, driver only"
-	PolicyBayesian   = "posterior probability"
-	PolicyThreshold  = "fixed steps, threshold"
-	PolicyRamp       = "time-only ramp"
+	PolicyDriverOnly = "driver-only"
+	PolicyBayesian   = "posterior"
+	PolicyThreshold  = "threshold"
+	PolicyRamp       = "ramp"
 )
 
 // Policies names all policies; the first three are compared unless Options say otherwise.
--- a/internal/bench/moves/report.go
+++ b/internal/bench/moves/report.go
@@ -1,6 +1,7 @@
 package moves
 
 import (
+	"encoding/json"
 	"fmt"
 	"math"
 	"slices"
@@ -59,6 +60,15 @@
 	return fmt.Sprintf("%.2f [%.2f, %.2f]", e.Value, e.Low, e.High)
 }
 
+// MarshalJSON writes null for a figure without runs, since JSON has no NaN.
+func (e Estimate) MarshalJSON() ([]byte, error) {
+	if math.IsNaN(e.Value) {
+		return []byte("null"), nil
+	}
+	type plain Estimate
+	return json.Marshal(plain(e))
+}
+
 // z95 is the two-sided 95% quantile of the normal distribution.
 const z95 = 1.959964
 
--- a/internal/bench/moves/run_test.go
+++ b/internal/bench/moves/run_test.go
@@ -1,6 +1,7 @@
 package moves
 
 import (
+	"encoding/json"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -29,6 +30,15 @@
 	is.True(err != nil)
 }
 
+// Guards against a report that cannot be written as JSON: good versions have no exposure.
+func TestReportIsValidJSON(t *testing.T) {
+	is := is.New(t)
+	report, err := Run(Options{Customer: "granite-ledger", Seed: 1, Runs: 2, Policies: []string{PolicyRamp}})
+	is.NoErr(err)
+	_, err = json.Marshal(report)
+	is.NoErr(err)
+}
+
 // Guards against a harness that protects callers by itself: without judgement a version bad at once must get calls.
 func TestTimeOnlyRampExposesCallers(t *testing.T) {
 	is := is.New(t)
