bench/distribution: convergence, bytes and platform calls of the real agents

Change: Run(Options) Report: agents with gob messages over links with delays, changes, a burst, restarts, killed relays, outcomes of calls under a move, a return of all daemons; two naive baselines.

--- /dev/null
+++ b/internal/bench/distribution/naive.go
@@ -0,0 +1,76 @@
+package distribution
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sniperail.example/sniperail/internal/bench/fleet"
+	"sniperail.example/sniperail/internal/model"
+)
+
+const (
+	// storeRate is how many reads or deliveries per second the platform serves.
+	storeRate = 2000
+	// pollInterval is the interval of the polling baseline; half of it is the least mean convergence.
+	pollInterval = 5 * time.Second
+)
+
+// Naive is the result of a baseline in which daemons get the whole document from the platform. Membership is left out,
+// in favour of the baseline.
+type Naive struct {
+	Name                 string
+	P50, P99, Max        time.Duration
+	BytesPerDaemon       float64
+	Reads, Writes, Watch float64
+}
+
+func documentSize(c *model.Configuration) int {
+	data, err := fleet.Codec{}.EncodeConfiguration(c)
+	if err != nil {
+		panic(errors.Wrap(err, "encode configuration"))
+	}
+	return len(data)
+}
+
+// watchAll lets every daemon hold a watch on the document; the platform sends the whole document to each of them.
+func watchAll(o Options, c *model.Configuration) Naive {
+	n := Naive{Name: "every daemon watches"}
+	var samples []time.Duration
+	free := time.Duration(0)
+	deliver := func(at time.Duration) {
+		for range o.Daemons {
+			free = max(free, at) + time.Second/storeRate
+			samples = append(samples, free-at+storeDelay)
+		}
+	}
+	span := time.Duration(o.Changes+1) * changeInterval
+	for i := range o.Changes {
+		deliver(time.Duration(i) * changeInterval)
+	}
+	for i := range burst {
+		deliver(time.Duration(o.Changes)*changeInterval + time.Duration(i)*burstInterval)
+	}
+	n.P50, n.P99, n.Max = percentiles(samples)
+	n.BytesPerDaemon = float64(len(samples)*documentSize(c)) / float64(o.Daemons) / span.Seconds()
+	n.Reads = float64(len(samples)) / span.Seconds()
+	n.Watch = float64(o.Daemons)
+	return n
+}
+
+// pollAll lets every daemon read the document each pollInterval, at its own phase.
+func pollAll(o Options, c *model.Configuration) Naive {
+	n := Naive{Name: "every daemon polls each " + pollInterval.String()}
+	random := rand.New(rand.NewPCG(o.Seed, 2))
+	var samples []time.Duration
+	for range o.Changes + burst {
+		for range o.Daemons {
+			samples = append(samples, time.Duration(random.Int64N(int64(pollInterval)))+storeDelay)
+		}
+	}
+	n.P50, n.P99, n.Max = percentiles(samples)
+	n.Reads = float64(o.Daemons) / pollInterval.Seconds()
+	n.BytesPerDaemon = float64(documentSize(c)) / pollInterval.Seconds()
+	return n
+}
--- /dev/null
+++ b/internal/bench/distribution/wire.go
@@ -0,0 +1,110 @@
+package distribution
+
+import (
+	"bytes"
+	"encoding/gob"
+	"net/rpc"
+	"reflect"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sniperail.example/sniperail/internal/bench/fleet"
+)
+
+// wire encodes messages as net/rpc does: one gob stream per connection and direction, a header before each body. It
+// counts bytes without those of TCP and IP.
+type wire struct {
+	links map[link]*stream
+	usage map[*fleet.Node]*usage
+}
+
+// link is one direction of the connection from client to server.
+type link struct {
+	client, server *fleet.Node
+	request        bool
+}
+
+type stream struct {
+	lives   [2]int
+	buffer  bytes.Buffer
+	encoder *gob.Encoder
+	decoder *gob.Decoder
+	seq     uint64
+}
+
+// usage sums what one daemon used.
+type usage struct {
+	sent, received int
+	messages       int
+	cpu            time.Duration
+}
+
+func newWire() *wire {
+	return &wire{links: map[link]*stream{}, usage: map[*fleet.Node]*usage{}}
+}
+
+func (w *wire) of(n *fleet.Node) *usage {
+	u := w.usage[n]
+	if u == nil {
+		u = &usage{}
+		w.usage[n] = u
+	}
+	return u
+}
+
+func (w *wire) stream(l link) *stream {
+	lives := [2]int{l.client.Life(), l.server.Life()}
+	s := w.links[l]
+	if s == nil || s.lives != lives {
+		s = &stream{lives: lives}
+		s.encoder, s.decoder = gob.NewEncoder(&s.buffer), gob.NewDecoder(&s.buffer)
+		w.links[l] = s
+	}
+	return s
+}
+
+// carry encodes a body, counts its bytes and returns what the receiver decodes.
+func (w *wire) carry(from, to *fleet.Node, request bool, body any) any {
+	l := link{client: from, server: to, request: true}
+	if !request {
+		l = link{client: to, server: from}
+	}
+	s := w.stream(l)
+	s.seq++
+	name := "Command." + reflect.TypeOf(body).Elem().Name()
+	begin := time.Now()
+	must(s.encoder.Encode(header(request, name, s.seq)))
+	must(s.encoder.Encode(body))
+	size := s.buffer.Len()
+	middle := time.Now()
+	must(s.decoder.Decode(header(request, "", 0)))
+	got := reflect.New(reflect.TypeOf(body).Elem())
+	must(s.decoder.DecodeValue(got))
+	end := time.Now()
+	a, b := w.of(from), w.of(to)
+	a.sent, a.messages, a.cpu = a.sent+size, a.messages+1, a.cpu+middle.Sub(begin)
+	b.received, b.cpu = b.received+size, b.cpu+end.Sub(middle)
+	return got.Interface()
+}
+
+func header(request bool, name string, seq uint64) any {
+	if request {
+		return &rpc.Request{ServiceMethod: name, Seq: seq}
+	}
+	return &rpc.Response{ServiceMethod: name, Seq: seq}
+}
+
+// must stops the run on an encoding error: every message must be encodable.
+func must(err error) {
+	if err != nil {
+		panic(errors.Wrap(err, "gob"))
+	}
+}
+
+// handling measures the time that a daemon spends deciding.
+func (w *wire) handling(n *fleet.Node, run func()) {
+	begin := time.Now()
+	run()
+	w.of(n).cpu += time.Since(begin)
+}
--- a/internal/bench/fleet/fleet.go
+++ b/internal/bench/fleet/fleet.go
@@ -29,8 +29,8 @@
 	Delay func(from, to *Node) time.Duration
 	// Fault decides the fate of a message or reply; nil delivers everything.
 	Fault func(from, to *Node) Fate
-	// Sent sees each request and reply that is put on a link.
-	Sent func(from, to *Node, request bool, body any)
+	// Carry encodes and decodes each request and reply that is put on a link; nil hands over the value itself.
+	Carry func(from, to *Node, request bool, body any) any
 	// Effect sees each effect of a daemon.
 	Effect func(n *Node, e effect.Effect)
 	// Handling runs the handler of an event; the experiment measures its time there.
@@ -117,6 +117,9 @@
 	n.Boot()
 }
 
+// Life counts the processes of a daemon; a connection does not outlive the process at either end.
+func (n *Node) Life() int { return n.life }
+
 // Kill ends a daemon without notice.
 func (n *Node) Kill() {
 	n.Alive = false
@@ -231,17 +234,18 @@
 		return
 	}
 	n.finish(SendTimeout, e.Request, nil)
-	if f.Sent != nil {
-		f.Sent(n, to, true, e.Body)
+	body := e.Body
+	if f.Carry != nil {
+		body = f.Carry(n, to, true, body).(message.Request)
 	}
 	fate := f.fate(n, to)
 	if fate.Lost {
 		return
 	}
 	back := origin{node: n, life: n.life, request: e.Request}
-	f.deliver(to, f.Delay(n, to)+fate.Extra, e.Body, back)
+	f.deliver(to, f.Delay(n, to)+fate.Extra, body, back)
 	if fate.Twice {
-		f.deliver(to, 2*f.Delay(n, to)+2*fate.Extra+time.Millisecond, e.Body, origin{})
+		f.deliver(to, 2*f.Delay(n, to)+2*fate.Extra+time.Millisecond, body, origin{})
 	}
 }
 
@@ -264,14 +268,15 @@
 	if back.node == nil || back.node.life != back.life {
 		return
 	}
-	if f.Sent != nil {
-		f.Sent(n, back.node, false, e.Body)
+	body := e.Body
+	if f.Carry != nil {
+		body = f.Carry(n, back.node, false, body).(message.Reply)
 	}
 	fate := f.fate(n, back.node)
 	if fate.Lost {
 		return
 	}
-	back.node.finish(f.Delay(n, back.node)+fate.Extra, back.request, e.Body)
+	back.node.finish(f.Delay(n, back.node)+fate.Extra, back.request, body)
 }
 
 // finish ends a send after a delay unless it ended before.
--- a/internal/bench/fleet/store.go
+++ b/internal/bench/fleet/store.go
@@ -18,8 +18,8 @@
 	Down bool
 	// LoseAnswer makes a call take effect and its answer get lost.
 	LoseAnswer func(call store.Call) bool
-	// Delay is the time from a call to its answer.
-	Delay func() time.Duration
+	// Delay is the time from a call of a daemon to its answer, and from a change to its delivery.
+	Delay func(n *Node) time.Duration
 	// Reads, Writes and Watches count calls.
 	Reads, Writes, Watches int
 	// Called sees each call.
@@ -40,7 +40,7 @@
 func newStore(f *Fleet) *Store {
 	return &Store{
 		fleet: f, entries: map[string]store.Entry{}, leases: map[store.LeaseID]*lease{}, watchers: map[*Node]int64{},
-		Delay: func() time.Duration { return 3 * time.Millisecond },
+		Delay: func(*Node) time.Duration { return 3 * time.Millisecond },
 	}
 }
 
@@ -53,7 +53,7 @@
 	for _, n := range s.fleet.Nodes {
 		if _, ok := s.watchers[n]; ok {
 			delete(s.watchers, n)
-			n.later(s.Delay(), effect.Watched{Key: store.KeyConfiguration, Event: store.WatchEvent{Lost: true}})
+			n.later(s.Delay(n), effect.Watched{Key: store.KeyConfiguration, Event: store.WatchEvent{Lost: true}})
 		}
 	}
 }
@@ -68,7 +68,7 @@
 	if s.Called != nil {
 		s.Called(n, e.Call)
 	}
-	d := s.Delay()
+	d := s.Delay(n)
 	life := n.life
 	s.fleet.After(d/2, func() {
 		result := store.Result{Outcome: store.Unavailable}
@@ -164,7 +164,7 @@
 	if p.Key == store.KeyConfiguration {
 		for _, n := range s.fleet.Nodes {
 			if _, ok := s.watchers[n]; ok {
-				n.later(s.Delay(), effect.Watched{Key: p.Key, Event: store.WatchEvent{Entry: e}})
+				n.later(s.Delay(n), effect.Watched{Key: p.Key, Event: store.WatchEvent{Entry: e}})
 			}
 		}
 	}
@@ -186,12 +186,12 @@
 func (s *Store) watch(n *Node, key string, after int64) {
 	s.Watches++
 	if s.Down {
-		n.later(s.Delay(), effect.Watched{Key: key, Event: store.WatchEvent{Lost: true}})
+		n.later(s.Delay(n), effect.Watched{Key: key, Event: store.WatchEvent{Lost: true}})
 		return
 	}
 	s.watchers[n] = after
 	if e, ok := s.entries[key]; ok && e.ModRevision > after {
-		n.later(s.Delay(), effect.Watched{Key: key, Event: store.WatchEvent{Entry: e}})
+		n.later(s.Delay(n), effect.Watched{Key: key, Event: store.WatchEvent{Entry: e}})
 	}
 }
 
--- a/internal/command/agent/extension.go
+++ b/internal/command/agent/extension.go
@@ -58,6 +58,28 @@
 	}
 }
 
+// Role is the place of a daemon in the tree of its data centre.
+type Role string
+
+// Roles of a daemon.
+const (
+	RoleLeader Role = "leader"
+	RoleRelay  Role = "relay"
+	RoleLeaf   Role = "leaf"
+)
+
+// Role returns the daemon's present role.
+func (a *Agent) Role() Role {
+	switch {
+	case a.lead.lease.Held():
+		return RoleLeader
+	case a.parent.relay:
+		return RoleRelay
+	default:
+		return RoleLeaf
+	}
+}
+
 // View returns the view as it stands.
 func (a *Agent) View() *model.View { return a.view() }
 
