agent: members of a dead relay find another parent within a second

Change: a missed heartbeat is repeated after 150 ms; a relay that is late, or that a member or an update could not reach, gets no members; a new leader gives its predecessor one interval to announce itself; sorted targets are shared.

--- a/internal/command/agent/children.go
+++ b/internal/command/agent/children.go
@@ -143,9 +143,12 @@
 			return
 		}
 		c.InFlight = 0
-		if r, ok := reply.(*message.UpdateReply); ok {
-			a.pushed(c, r)
+		r, ok := reply.(*message.UpdateReply)
+		if !ok {
+			c.Suspect = true
+			return
 		}
+		a.pushed(c, r)
 	})
 	c.InFlight = uint64(request)
 }
--- a/internal/command/agent/config.go
+++ b/internal/command/agent/config.go
@@ -56,6 +56,9 @@
 	checkInterval = 15 * time.Second
 	// missedBeforeSeek is how many heartbeats in a row may fail before a daemon looks for another parent.
 	missedBeforeSeek = 2
+	// repeatDelay is the time to the next heartbeat after a missed one. Waiting a whole interval would add a second to the
+	// convergence of every daemon below a relay that dies during a change.
+	repeatDelay = 150 * time.Millisecond
 	// markRetention is how long marks of a finished move are kept.
 	markRetention = time.Hour
 	// forgetDataCentre is how long a data centre that sends nothing stays listed.
--- a/internal/command/agent/leader.go
+++ b/internal/command/agent/leader.go
@@ -27,6 +27,8 @@
 	revision int64
 	loaded   bool
 	reading  bool
+	// watching says that the watch on the document has not ended as far as known.
+	watching bool
 
 	evidenceFrom time.Time
 	driver       bool
@@ -91,6 +93,7 @@
 	a.log("leader", "term", termText(term))
 	a.count("leader_changes", "elected")
 	a.term = max(a.term, term)
+	lost := a.parent.avoid
 	a.parent = parent{seq: a.parent.seq}
 	a.stop(timerSeek, timerHeartbeat)
 	var inherited []model.Target
@@ -102,10 +105,10 @@
 			inherited = append(inherited, t)
 		}
 	}
-	a.members.Inherit(a.now, inherited)
+	a.members.Inherit(a.now, inherited, lost)
 	a.lead.tree = membership.NewTree()
 	a.lead.local = membership.NewRoster(term)
-	a.lead.loaded, a.lead.listed, a.lead.evidenceFrom = false, false, a.now
+	a.lead.loaded, a.lead.watching, a.lead.listed, a.lead.evidenceFrom = false, false, false, a.now
 	for _, p := range a.lead.peers {
 		// What the others hold of this daemon's former terms counts for nothing in the new one.
 		p.forgetSent()
@@ -164,7 +167,7 @@
 		reply.Code = message.Stale
 		return reply
 	}
-	reply.Parent, reply.Relay = a.lead.tree.Assign(a.members, m.Target.Daemon, m.Relay, m.Avoid)
+	reply.Parent, reply.Relay = a.lead.tree.Assign(a.now, a.members, m.Target.Daemon, m.Relay, m.Avoid)
 	a.membersChanged()
 	return reply
 }
@@ -236,13 +239,16 @@
 			a.set(timerCheck, time.Second+a.jitter(time.Second))
 			return
 		}
-		after := result.Revision
+		after, known := result.Revision, a.lead.revision
 		for _, entry := range result.Entries {
 			a.takeEntry(entry)
 			after = entry.ModRevision
 		}
-		a.lead.loaded = true
-		a.emit(effect.Watch{Key: store.KeyConfiguration, After: after})
+		if !a.lead.watching || a.lead.revision > known {
+			// A read that shows what the watch did not deliver means that the watch may have ended unnoticed.
+			a.emit(effect.Watch{Key: store.KeyConfiguration, After: after})
+		}
+		a.lead.loaded, a.lead.watching = true, true
 		if a.replica.Number() > 0 {
 			a.vouched, a.required = true, a.replica.Number()
 		}
@@ -256,6 +262,7 @@
 	}
 	switch {
 	case ev.Event.Lost:
+		a.lead.watching = false
 		a.set(timerCheck, a.jitter(time.Second))
 	case ev.Event.Deleted:
 		a.log("configuration deleted", "revision", "ignored")
--- a/internal/command/agent/parent.go
+++ b/internal/command/agent/parent.go
@@ -214,7 +214,9 @@
 	a.parent.full = true
 	if a.parent.missed >= missedBeforeSeek {
 		a.loseParent("no answer")
+		return
 	}
+	a.soon(timerHeartbeat, repeatDelay)
 }
 
 // loseParent starts the search for another parent with jitter, so that the members of a dead relay do not come at once.
--- /dev/null
+++ b/internal/command/agent/ready_test.go
@@ -0,0 +1,146 @@
+package agent_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sniperail.example/sniperail/internal/bench/fleet"
+	"sniperail.example/sniperail/internal/command/agent"
+	"sniperail.example/sniperail/internal/effect"
+	"sniperail.example/sniperail/internal/message"
+	"sniperail.example/sniperail/internal/model"
+	"sniperail.example/sniperail/internal/store"
+)
+
+// member drives one agent by hand up to its announcement to a leader.
+type member struct {
+	*agent.Agent
+	now time.Time
+}
+
+func newMember() *member {
+	return &member{now: fleet.Start, Agent: agent.New(agent.Config{
+		Target: model.Target{Daemon: "d", Incarnation: 1, DataCentre: "dc", PeerAddress: "self"},
+		Rand:   rand.New(rand.NewPCG(1, 1)), Codec: fleet.Codec{},
+	})}
+}
+
+func (m *member) handle(ev effect.Event) []effect.Effect {
+	m.now = m.now.Add(time.Millisecond)
+	return m.Handle(m.now, ev)
+}
+
+// join wakes the agent until it announced itself, and answers the announcement.
+func (m *member) join(reply *message.AnnounceReply) {
+	value, _ := fleet.Codec{}.EncodeLeader(agent.LeaderRecord{Daemon: "leader", PeerAddress: "leader"})
+	entry := store.Entry{Key: store.PrefixLeaders + "dc", Value: value, CreateRevision: 7, ModRevision: 7}
+	m.handle(effect.Wake{})
+	m.now = m.NextWake()
+	for _, e := range m.handle(effect.Wake{}) {
+		call, ok := e.(effect.StoreCall)
+		if !ok {
+			continue
+		}
+		result := store.Result{Outcome: store.Applied, Entries: []store.Entry{entry}}
+		for _, e := range m.handle(effect.StoreDone{Request: call.Request, Result: result}) {
+			if s, ok := e.(effect.Send); ok {
+				m.handle(effect.SendDone{Request: s.Request, Reply: reply})
+			}
+		}
+	}
+}
+
+// Guards against a restarted daemon that serves what a relay holds although its leader already sent a higher number,
+// which the daemon may have served before the restart.
+func TestServesOnlyTheNumberOfTheLeader(t *testing.T) {
+	is := is.New(t)
+	m := newMember()
+	m.join(&message.AnnounceReply{Code: message.Accepted, Term: 7, Parent: "relay", Number: 5, Current: true})
+	m.handle(effect.Received{Body: &message.Update{Term: 7, Configuration: fleet.Sample(4, 2)}})
+	is.True(!m.View().Ready)
+	m.handle(effect.Received{Body: &message.Update{Term: 7, Configuration: fleet.Sample(5, 2)}})
+	is.True(m.View().Ready)
+}
+
+// Guards against a daemon that serves a number which its leader itself may hold in an old state.
+func TestServesNothingWithoutVouch(t *testing.T) {
+	is := is.New(t)
+	m := newMember()
+	m.join(&message.AnnounceReply{Code: message.Accepted, Term: 7, Number: 4})
+	m.handle(effect.Received{Body: &message.Update{Term: 7, Configuration: fleet.Sample(4, 2)}})
+	is.True(!m.View().Ready)
+}
+
+// Guards against an update of a leader that lost its term to another one.
+func TestIgnoresUpdatesOfLowerTerms(t *testing.T) {
+	is := is.New(t)
+	m := newMember()
+	m.join(&message.AnnounceReply{Code: message.Accepted, Term: 7, Number: 4, Current: true})
+	for _, e := range m.handle(effect.Received{Body: &message.Update{Term: 6, Configuration: fleet.Sample(9, 2)}}) {
+		if r, ok := e.(effect.Reply); ok {
+			is.Equal(r.Body.(*message.UpdateReply).Code, message.Stale)
+		}
+	}
+	is.Equal(m.View().Configuration.Number, model.Number(0))
+}
+
+// probe asks the leader of the first data centre whether its number is current.
+func probe(f *fleet.Fleet, leader *fleet.Node, target model.Target) bool {
+	current := false
+	f.Effect = func(n *fleet.Node, e effect.Effect) {
+		if r, ok := e.(effect.Reply); ok && n == leader {
+			if a, ok := r.Body.(*message.AnnounceReply); ok {
+				current = a.Current
+			}
+		}
+	}
+	leader.Handle(effect.Received{Body: &message.Announce{Target: target, Probe: true}})
+	return current
+}
+
+func leaderOf(f *fleet.Fleet, dc model.DataCentre) *fleet.Node {
+	record, _ := f.Store.Leader(dc)
+	for _, n := range f.Nodes {
+		if n.Target.Daemon == record.Daemon {
+			return n
+		}
+	}
+	return nil
+}
+
+// Guards against a leader that vouches for its number after a pause in which another leader may have been elected, or
+// in an outage in which it cannot reach the other leaders.
+func TestVouchesOnlyUnderALeaseOrWithAllLeaders(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(8, 2)
+	leader := leaderOf(f, "dc0")
+	is.True(probe(f, leader, leader.Target))
+	other := leaderOf(f, "dc1")
+	f.Store.SetDown(true)
+	f.Run(10 * time.Second)
+	is.True(probe(f, leader, leader.Target)) // lease lapsed, but all leaders answer and none reaches the platform
+	other.Kill()
+	f.Run(10 * time.Second)
+	is.True(!probe(f, leader, leader.Target))
+}
+
+// Guards against a leader that vouches before it read the document in its own term: the number that it held as a
+// member may be lower than what its predecessor sent.
+func TestVouchesOnlyAfterReading(t *testing.T) {
+	is := is.New(t)
+	f := fleet.New(rand.New(rand.NewPCG(1, 2)))
+	f.Fill(1, 1, 2)
+	f.Store.Write(fleet.Sample(1, 2))
+	n := f.Nodes[0]
+	f.Store.Delay = func(*fleet.Node) time.Duration { return 100 * time.Millisecond }
+	n.Boot()
+	for n.Agent.Role() != agent.RoleLeader {
+		f.Run(10 * time.Millisecond)
+	}
+	is.True(!probe(f, n, n.Target))
+	f.Run(time.Second)
+	is.True(probe(f, n, n.Target))
+}
--- a/internal/command/agent/view.go
+++ b/internal/command/agent/view.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"cmp"
 	"slices"
 
 	"sniperail.example/sniperail/internal/effect"
@@ -56,11 +57,7 @@
 			known[model.VersionRef{Service: s.Name, Version: version.Version}] = true
 		}
 	}
-	for _, t := range a.Roster() {
-		if known[t.Ref()] {
-			v.Targets = append(v.Targets, t)
-		}
-	}
+	v.Targets = onlyKnown(a.Roster(), known)
 	for _, m := range a.markList() {
 		if move := c.Move(m.Move); move != nil && move.Phase.Active() && known[m.VersionRef] {
 			v.Marks = append(v.Marks, m)
@@ -69,32 +66,33 @@
 	return v
 }
 
-// Roster returns every known target sorted by daemon, the one beside this daemon in its own present state.
+// onlyKnown returns the targets whose version is known, and the given slice itself if that is all of them.
+func onlyKnown(targets []model.Target, known map[model.VersionRef]bool) []model.Target {
+	missing := func(t model.Target) bool { return !known[t.Ref()] }
+	if !slices.ContainsFunc(targets, missing) {
+		return targets
+	}
+	return slices.DeleteFunc(slices.Clone(targets), missing)
+}
+
+// Roster returns every known target sorted by daemon, the one beside this daemon in its own present state. The slice is
+// shared and must not be changed.
 func (a *Agent) Roster() []model.Target {
 	list := a.roster.Targets()
 	i, ok := slices.BinarySearchFunc(list, a.self.Daemon, func(t model.Target, id model.DaemonID) int {
-		return compareIDs(t.Daemon, id)
+		return cmp.Compare(t.Daemon, id)
 	})
 	switch {
 	case !ok:
-		list = slices.Insert(list, i, a.self)
-	case list[i].Incarnation <= a.self.Incarnation:
-		list[i] = a.self
+		return slices.Insert(slices.Clone(list), i, a.self)
+	case list[i] == a.self || list[i].Incarnation > a.self.Incarnation:
+		return list
 	}
+	list = slices.Clone(list)
+	list[i] = a.self
 	return list
 }
 
-func compareIDs(x, y model.DaemonID) int {
-	switch {
-	case x < y:
-		return -1
-	case x > y:
-		return 1
-	default:
-		return 0
-	}
-}
-
 // summary summarises this daemon and the live daemons below it.
 func (a *Agent) summary() model.InForce {
 	own := a.replica.Number()
--- a/internal/command/membership/members.go
+++ b/internal/command/membership/members.go
@@ -36,6 +36,8 @@
 	RosterTerm  model.Term
 	MarkDigest  uint64
 	Refusals    []model.Refusal
+	// Suspect says that it could not be reached since its last heartbeat.
+	Suspect bool
 	// InFlight is the request ID of an update that was not answered yet, or 0.
 	InFlight uint64
 }
@@ -120,13 +122,17 @@
 }
 
 // Inherit records targets that the view of a new leader lists, so that its data centre does not vanish from the roster
-// until the daemons announce themselves. Their numbers are unknown, so the lowest possible one holds them back.
-func (m *Members) Inherit(now time.Time, targets []model.Target) {
+// until the daemons announce themselves. Their numbers are unknown, so the lowest possible one holds them back. The
+// daemon at the address lost did not answer before and gets only one heartbeat interval: it is the former leader.
+func (m *Members) Inherit(now time.Time, targets []model.Target, lost string) {
 	for _, t := range targets {
 		if known := m.members[t.Daemon]; known != nil && known.Live() {
 			continue
 		}
 		member := &Member{Target: t, Floor: 1, Due: now.Add(2 * AttachWithin)}
+		if t.PeerAddress == lost {
+			member.Due = now.Add(HeartbeatInterval)
+		}
 		if t.State == model.TargetSilent {
 			// The time of the silence must not hide the state that the daemon announced before.
 			member.Silent, member.Target.Since = t.Since, time.Time{}
@@ -166,6 +172,7 @@
 	if hb.Seq <= c.Seq {
 		return true, true
 	}
+	c.Suspect = false
 	c.Heard, c.Seq, c.Live, c.MarkDigest, c.Refusals = now, hb.Seq, hb.Live, hb.MarkDigest, hb.Refusals
 	c.Own, c.Number = max(c.Own, hb.Own), hb.Number
 	c.Roster, c.RosterTerm = hb.Roster, hb.RosterTerm
@@ -240,7 +247,7 @@
 	for _, id := range slices.Sorted(maps.Keys(m.members)) {
 		member := m.members[id]
 		if member.Live() && !member.Due.IsZero() && now.After(member.Due) {
-			m.silence(id, member.Due.Add(-AttachWithin))
+			m.silence(id, now)
 		}
 		if member.Live() {
 			continue
--- /dev/null
+++ b/internal/command/membership/membership_test.go
@@ -0,0 +1,146 @@
+package membership_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"sniperail.example/sniperail/internal/command/membership"
+	"sniperail.example/sniperail/internal/message"
+	"sniperail.example/sniperail/internal/model"
+	_ "sniperail.example/sniperail/internal/testseed"
+)
+
+var start = time.Date(2026, 1, 5, 8, 0, 0, 0, time.UTC)
+
+func target(id int, incarnation model.Incarnation) model.Target {
+	return model.Target{
+		Daemon: model.DaemonID(fmt.Sprintf("d%02d", id)), Incarnation: incarnation, State: model.TargetReady,
+		PeerAddress: fmt.Sprintf("p%02d-%d", id, incarnation),
+	}
+}
+
+// Guards against a roster that differs from its source after lost, repeated or crossing changes.
+func TestRosterFollowsItsSource(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		source, follower := membership.NewRoster(5), membership.NewRoster(0)
+		late := []*message.RosterChange{}
+		states := map[uint64][]model.Target{0: nil}
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			id := rapid.IntRange(0, 5).Draw(t, "daemon")
+			if rapid.Bool().Draw(t, "remove") {
+				source.Edit(nil, []model.DaemonID{target(id, 0).Daemon})
+			} else {
+				source.Edit([]model.Target{target(id, model.Incarnation(rapid.IntRange(1, 3).Draw(t, "inc")))}, nil)
+			}
+			states[source.Version()] = source.Targets()
+			if c := source.Since(follower.Term(), follower.Version()); c != nil {
+				late = append(late, c)
+			}
+			if len(late) > 0 && rapid.Bool().Draw(t, "deliver") {
+				follower.Apply(late[rapid.IntRange(0, len(late)-1).Draw(t, "which")])
+			}
+			if diff := cmp.Diff(fmt.Sprint(states[follower.Version()]), fmt.Sprint(follower.Targets())); diff != "" {
+				t.Fatalf("version %d: %s", follower.Version(), diff)
+			}
+		}
+		if c := source.Since(follower.Term(), follower.Version()); c != nil {
+			follower.Apply(c)
+		}
+		if diff := cmp.Diff(fmt.Sprint(source.Targets()), fmt.Sprint(follower.Targets())); diff != "" {
+			t.Fatal(diff)
+		}
+	})
+}
+
+// Guards against a change that starts from a version which the roster does not have.
+func TestRosterReportsGap(t *testing.T) {
+	is := is.New(t)
+	r := membership.NewRoster(5)
+	_, gap := r.Apply(&message.RosterChange{Term: 5, Base: 3, Version: 4, Targets: []model.Target{target(1, 1)}})
+	is.True(gap)
+	is.Equal(r.Version(), uint64(0))
+}
+
+// Guards against an older process of a replaced daemon that takes its place back.
+func TestNewerIncarnationStays(t *testing.T) {
+	is := is.New(t)
+	r := membership.NewRoster(1)
+	r.Edit([]model.Target{target(1, 2)}, nil)
+	is.True(!r.Edit([]model.Target{target(1, 1)}, nil))
+	is.Equal(r.Targets()[0].PeerAddress, "p01-2")
+
+	m := membership.NewMembers(target(0, 1))
+	is.True(m.Announce(start, target(1, 2), 1))
+	is.True(!m.Announce(start, target(1, 1), 1))
+	_, ok := m.Heartbeat(start, &message.Heartbeat{From: "d01", Incarnation: 1, Seq: 1})
+	is.True(!ok)
+	is.Equal(m.Member("d01").Target.Incarnation, model.Incarnation(2))
+}
+
+func beat(m *membership.Members, at time.Time, id int, seq uint64, full bool) bool {
+	t := target(id, 1)
+	one := membership.NewMembers(t)
+	hb := &message.Heartbeat{From: t.Daemon, Incarnation: 1, Seq: seq, Live: 1, Own: 3, Number: 3, Digest: one.Digest(""), Full: full}
+	if full {
+		hb.Changed = []model.Target{t}
+	}
+	inSync, _ := m.Heartbeat(at, hb)
+	return inSync
+}
+
+// Guards against a dead daemon that stays in the roster after three missed heartbeats, and a live one that leaves it
+// because its parent itself did not run.
+func TestSilentAfterThreeHeartbeats(t *testing.T) {
+	is := is.New(t)
+	m := membership.NewMembers(target(0, 1))
+	is.True(!beat(m, start, 1, 1, false)) // unknown below: a full heartbeat is asked for
+	is.True(beat(m, start, 1, 2, true))
+	m.Sweep(start.Add(3*membership.HeartbeatInterval), membership.ForgetLeader)
+	is.True(m.Member("d01").Live())
+	m.Paused(time.Minute)
+	m.Sweep(start.Add(time.Minute), membership.ForgetLeader)
+	is.True(m.Member("d01").Live())
+	m.Sweep(start.Add(time.Minute+membership.SilentAfter+1), membership.ForgetLeader)
+	is.True(!m.Member("d01").Live())
+	is.Equal(m.InForce(9, "dc").Silent[0].Daemon, model.DaemonID("d01"))
+	is.Equal(m.InForce(9, "dc").Number, model.Number(9)) // a silent daemon is reported and not counted
+}
+
+// Guards against a tree whose leader or relays have far more than sqrt(n) children.
+func TestTreeHasAboutRootRelays(t *testing.T) {
+	is := is.New(t)
+	m, tree := membership.NewMembers(target(0, 1)), membership.NewTree()
+	relays, below := 0, map[string]int{}
+	for i := 1; i < 163; i++ {
+		m.Announce(start, target(i, 1), 0)
+		parent, relay := tree.Assign(start, m, target(i, 1).Daemon, false, "")
+		if relay {
+			relays++
+			beat(m, start, i, 1, true)
+		} else {
+			below[parent]++
+		}
+	}
+	is.Equal(relays, 13)
+	for _, n := range below {
+		is.True(n <= 26)
+	}
+}
+
+// Guards against retries that come in step.
+func TestBackoffHasFullJitter(t *testing.T) {
+	is := is.New(t)
+	r := rand.New(rand.NewPCG(1, 1))
+	low, high := time.Hour, time.Duration(0)
+	for range 1000 {
+		d := membership.Backoff(r, 30, time.Second, 8*time.Second)
+		low, high = min(low, d), max(high, d)
+	}
+	is.True(low < 100*time.Millisecond && high > 7*time.Second && high <= 8*time.Second)
+}
--- a/internal/command/membership/relays.go
+++ b/internal/command/membership/relays.go
@@ -7,6 +7,10 @@
 	"sniperail.example/sniperail/internal/model"
 )
 
+// lateAfter is how long after its last heartbeat a relay gets no new members: it may be dead, which is certain only
+// after SilentAfter, and members sent to a dead relay would lose more time than those sent to another one.
+const lateAfter = HeartbeatInterval + 300*time.Millisecond
+
 // Tree assigns the members of a data centre to relays.
 type Tree struct {
 	// relays maps a relay to the members assigned to it.
@@ -22,7 +26,7 @@
 // Assign returns the relay of a member that announces itself, or relay set if it shall be one. A member that already is
 // a relay stays one. The leader makes about sqrt(n) relays for n members, so that it and each relay have about as many
 // children.
-func (t *Tree) Assign(m *Members, id model.DaemonID, isRelay bool, avoid string) (parent string, relay bool) {
+func (t *Tree) Assign(now time.Time, m *Members, id model.DaemonID, isRelay bool, avoid string) (parent string, relay bool) {
 	t.remove(id)
 	t.prune(m)
 	want := int(math.Ceil(math.Sqrt(float64(len(m.members)))))
@@ -33,7 +37,14 @@
 	best := model.DaemonID("")
 	for _, c := range m.Children() {
 		n, ok := t.relays[c.ID]
-		if ok && m.members[c.ID] != nil && m.members[c.ID].Target.PeerAddress != avoid && (best == "" || n < t.relays[best]) {
+		member := m.members[c.ID]
+		if !ok || member == nil {
+			continue
+		}
+		if member.Target.PeerAddress == avoid {
+			c.Suspect = true
+		}
+		if !c.Suspect && now.Sub(c.Heard) < lateAfter && (best == "" || n < t.relays[best]) {
 			best = c.ID
 		}
 	}
--- a/internal/command/membership/roster.go
+++ b/internal/command/membership/roster.go
@@ -22,13 +22,16 @@
 	targets map[model.DaemonID]model.Target
 	changed map[model.DaemonID]uint64
 	removed map[model.DaemonID]uint64
+	// list is the sorted form handed out last; stale names the daemons that changed since.
+	list  []model.Target
+	stale map[model.DaemonID]bool
 }
 
 // NewRoster returns an empty roster of a term.
 func NewRoster(term model.Term) *Roster {
 	return &Roster{
 		term: term, targets: map[model.DaemonID]model.Target{},
-		changed: map[model.DaemonID]uint64{}, removed: map[model.DaemonID]uint64{},
+		changed: map[model.DaemonID]uint64{}, removed: map[model.DaemonID]uint64{}, stale: map[model.DaemonID]bool{},
 	}
 }
 
@@ -75,12 +78,14 @@
 	r.targets[t.Daemon] = t
 	r.changed[t.Daemon] = version
 	delete(r.removed, t.Daemon)
+	r.stale[t.Daemon] = true
 }
 
 func (r *Roster) drop(id model.DaemonID, version uint64) {
 	delete(r.targets, id)
 	delete(r.changed, id)
 	r.removed[id] = version
+	r.stale[id] = true
 	if len(r.removed) <= maxTombstones {
 		return
 	}
@@ -137,11 +142,41 @@
 	return true, false
 }
 
-// Targets returns the targets sorted by daemon.
+// Targets returns the targets sorted by daemon. The slice is shared and must not be changed.
 func (r *Roster) Targets() []model.Target {
-	return slices.SortedFunc(maps.Values(r.targets), func(a, b model.Target) int { return cmp.Compare(a.Daemon, b.Daemon) })
+	if len(r.stale) == 0 && r.list != nil {
+		return r.list
+	}
+	if 8*len(r.stale) > len(r.list) {
+		r.list = slices.SortedFunc(maps.Values(r.targets), compareTargets)
+	} else {
+		r.list = r.patched()
+	}
+	clear(r.stale)
+	return r.list
 }
 
+// patched returns a copy of the list with the stale entries replaced. Sorting all targets again for each change would
+// take most of the processor time of a daemon in a large fleet.
+func (r *Roster) patched() []model.Target {
+	list := slices.Clone(r.list)
+	for id := range r.stale {
+		i, found := slices.BinarySearchFunc(list, model.Target{Daemon: id}, compareTargets)
+		t, ok := r.targets[id]
+		switch {
+		case ok && found:
+			list[i] = t
+		case ok:
+			list = slices.Insert(list, i, t)
+		case found:
+			list = slices.Delete(list, i, i+1)
+		}
+	}
+	return list
+}
+
+func compareTargets(a, b model.Target) int { return cmp.Compare(a.Daemon, b.Daemon) }
+
 // Target returns the target of a daemon.
 func (r *Roster) Target(id model.DaemonID) (model.Target, bool) {
 	t, ok := r.targets[id]
