traffic: an abandoned call keeps its slot until the target ends it

Cause: a call whose caller hung up freed its slot while the target still worked on it, so a target with two slots could hold three calls. Change: the admission side ends its half of the connection and waits, for at most 5 s, until the target closes it. Tests for slots, drain, at-most-once calls, slow callers, versions, outcomes and the probe.

--- a/internal/traffic/admission.go
+++ b/internal/traffic/admission.go
@@ -39,11 +39,13 @@
 // NewAdmission returns an admission handler whose target is starting; see SetTarget.
 func NewAdmission(options AdmissionOptions) *Admission {
 	s := &slots{state: admission.New(options.Settings), waiting: map[admission.Ticket]chan admission.Reason{}}
-	return &Admission{
+	a := &Admission{
 		options: options, slots: s,
 		pool:    newPool(options.Settings.Slots, options.Settings.Slots, options.Limits.HeaderBytes, s),
 		service: url.QueryEscape(string(options.Service)), version: url.QueryEscape(string(options.Version)),
 	}
+	a.pool.lingers = true
+	return a
 }
 
 // SetTarget records the state of the target. Calls are admitted only while it is ready.
--- /dev/null
+++ b/internal/traffic/admission_test.go
@@ -0,0 +1,324 @@
+package traffic_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sniperail.example/sniperail/internal/model"
+	"sniperail.example/sniperail/internal/traffic"
+)
+
+// Guards against more calls at the target than it has slots while callers come, hang up and time out at once, against
+// lost slots, and against a refusal that says "not executed" of an executed call.
+func TestSlotsHoldUnderRaces(t *testing.T) {
+	is := is.New(t)
+	var running, peak, executed atomic.Int64
+	m := newMesh(t, nil, func(w http.ResponseWriter, r *http.Request) {
+		now := running.Add(1)
+		defer running.Add(-1)
+		for old := peak.Load(); now > old; old = peak.Load() {
+			peak.CompareAndSwap(old, now)
+		}
+		executed.Add(1)
+		ok(w, r)
+	})
+	var good, doubtful atomic.Int64
+	var wg sync.WaitGroup
+	for worker := range 16 {
+		wg.Go(func() {
+			for i := range 40 {
+				ctx, cancel := context.WithCancel(context.Background())
+				if (worker+i)%5 == 0 {
+					go cancel()
+				}
+				a := m.callContext(ctx, "POST", "/a", strings.NewReader("x"))
+				cancel()
+				switch {
+				case a.err != nil || a.executed == "unknown":
+					doubtful.Add(1)
+				case a.status == 200:
+					good.Add(1)
+				case a.executed != "no":
+					t.Errorf("neither good nor a refusal: %+v", a)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	is.NoErr(m.ingress.Wait(context.Background()))
+	is.NoErr(m.admissions[0].Wait(context.Background()))
+	is.True(peak.Load() <= 2)
+	is.True(executed.Load() >= good.Load())
+	is.True(executed.Load() <= good.Load()+doubtful.Load()) // each "not executed" is true
+	for busy := 1; busy > 0; {                              // abandoned calls end soon after
+		busy, _, _ = m.admissions[0].Occupancy()
+	}
+	is.True(good.Load() > 0)
+}
+
+// Guards against two calls in a slot: while the target holds its calls, the next waits or is refused.
+func TestFullTargetRefusesAsNotExecuted(t *testing.T) {
+	is := is.New(t)
+	var executed atomic.Int64
+	arrived, release := make(chan struct{}, 10), make(chan struct{})
+	m := newMesh(t, nil, func(w http.ResponseWriter, r *http.Request) {
+		executed.Add(1)
+		arrived <- struct{}{}
+		<-release
+		ok(w, r)
+	})
+	var wg sync.WaitGroup
+	for range 4 { // two slots and two queue places
+		wg.Go(func() { is.Equal(m.call("POST", "/a", "").status, 200) })
+	}
+	<-arrived
+	<-arrived
+	until(func() bool {
+		_, _, queued := m.admissions[0].Occupancy()
+		return queued == 2
+	})
+	a := m.call("POST", "/a", "")
+	is.Equal(a.refusal, "queue-full")
+	is.Equal(a.executed, "no")
+	is.Equal(a.header.Get("Retry-After") != "" || a.status == 503, true)
+	is.Equal(executed.Load(), int64(2))
+	close(release)
+	wg.Wait()
+	is.Equal(executed.Load(), int64(4))
+}
+
+// Guards against a third call at a target with two slots that still works on two calls whose callers left.
+func TestAbandonedCallKeepsItsSlot(t *testing.T) {
+	is := is.New(t)
+	arrived, release := make(chan struct{}, 2), make(chan struct{})
+	m := newMesh(t, nil, func(w http.ResponseWriter, r *http.Request) {
+		arrived <- struct{}{}
+		<-release // ignores that the caller left
+		ok(w, r)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for range 2 {
+		wg.Go(func() { is.True(m.callContext(ctx, "POST", "/a", nil).err != nil) })
+	}
+	<-arrived
+	<-arrived
+	cancel()
+	wg.Wait()
+	is.NoErr(m.ingress.Wait(context.Background()))
+	is.NoErr(m.admissions[0].Wait(context.Background()))
+	busy, _, _ := m.admissions[0].Occupancy()
+	is.Equal(busy, 2)
+	close(release)
+	until(func() bool {
+		busy, _, _ := m.admissions[0].Occupancy()
+		return busy == 0
+	})
+}
+
+// Guards against a shutdown that interrupts a call in flight or accepts a new one.
+func TestDrainFinishesCallsInFlight(t *testing.T) {
+	is := is.New(t)
+	arrived, release := make(chan struct{}), make(chan struct{})
+	m := newMesh(t, nil, func(w http.ResponseWriter, r *http.Request) {
+		close(arrived)
+		<-release
+		ok(w, r)
+	})
+	var wg sync.WaitGroup
+	wg.Go(func() { is.Equal(m.call("POST", "/slow", "x").body, "ok /slow x") })
+	<-arrived
+	m.admissions[0].Drain()
+	a := m.call("POST", "/a", "")
+	is.Equal(a.refusal, "draining")
+	is.Equal(a.executed, "no")
+	m.ingress.Drain()
+	is.Equal(m.call("POST", "/a", "").refusal, "draining")
+	expired, cancel := context.WithCancel(context.Background())
+	cancel()
+	is.True(m.ingress.Wait(expired) != nil) // the call is still in flight
+	close(release)
+	is.NoErr(m.ingress.Wait(context.Background()))
+	is.NoErr(m.admissions[0].Wait(context.Background()))
+	wg.Wait()
+}
+
+// Guards against calls at a target of another version and at a withheld version, when the ingress has an old view.
+func TestAdmissionChecksTheVersion(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(t, nil, ok)
+	m.change(func(v *model.View) {
+		v.Configuration.Services = []model.Service{{Name: "s", Versions: []model.VersionShare{{Version: "v 2", Share: model.FullShare}}}}
+		v.Targets[0].Version = "v 2"
+	})
+	a := m.call("POST", "/a", "")
+	is.Equal(a.refusal, "wrong-target")
+	is.Equal(a.executed, "no")
+	m.change(func(v *model.View) {
+		v.Marks = []model.Mark{{VersionRef: model.VersionRef{Service: "s", Version: "v 2"}}}
+	})
+	is.Equal(m.call("POST", "/a", "").refusal, "no-version")
+}
+
+// Guards against a slow caller that holds a slot while it sends its body, and one that never ends it.
+func TestSlowCallerHoldsNoSlot(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(t, nil, ok)
+	conn, err := net.Dial("tcp", strings.TrimPrefix(m.url, "http://"))
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "POST /short HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nab")
+	is.NoErr(err)
+	until(func() bool { return m.ingress.InFlight() > 0 })
+	busy, _, _ := m.admissions[0].Occupancy()
+	is.Equal(busy, 0)
+	is.Equal(m.call("POST", "/a", "x").status, 200)
+	var answers bytes.Buffer
+	_, _ = io.Copy(&answers, conn) // ends after the deadline of the route
+	is.True(strings.HasPrefix(answers.String(), "HTTP/1.1 400"))
+	is.True(strings.Contains(answers.String(), `"executed":"no"`))
+}
+
+// Guards against evidence that is lost, doubled or taken from refusals, and against a full channel that goes unnoticed.
+func TestOutcomesAreReported(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(t, nil, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/bad" {
+			w.WriteHeader(500)
+		}
+		ok(w, r)
+	})
+	for range 3 {
+		m.call("GET", "/a", "")
+	}
+	m.call("GET", "/bad", "")
+	m.admissions[0].Drain()
+	m.call("GET", "/a", "") // refused
+	is.NoErr(m.ingress.Wait(context.Background()))
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	m.ingress.Run(ctx) // reports once and returns
+	sum := m.sums[model.OutcomeKey{Service: "s", Route: "all", Version: "v1"}]
+	is.Equal(sum.Calls, uint32(4))
+	is.Equal(sum.Failures, uint32(1))
+	is.True(strings.Contains(m.scrape(), `sniperail_calls_total{outcome="ok",route="all",service="s",version="v1"} 3`))
+}
+
+// onceStub records claims in memory.
+type onceStub struct {
+	mu      sync.Mutex
+	refuse  bool
+	answers map[string]*traffic.Answer
+	begun   map[string]bool
+	results []traffic.OnceOutcome
+}
+
+func (o *onceStub) Begin(_ context.Context, r traffic.OnceRequest) traffic.OnceDecision {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	switch {
+	case o.refuse:
+		return traffic.OnceDecision{Kind: traffic.OnceRefused, Reason: "platform-unavailable"}
+	case o.answers[r.Identity] != nil:
+		return traffic.OnceDecision{Kind: traffic.OnceReplay, Answer: o.answers[r.Identity]}
+	case o.begun[r.Identity]:
+		return traffic.OnceDecision{Kind: traffic.OnceUnknown}
+	}
+	o.begun[r.Identity] = true
+	return traffic.OnceDecision{Kind: traffic.OnceRun}
+}
+
+func (o *onceStub) Finish(_ context.Context, r traffic.OnceRequest, _ traffic.OnceDecision, result traffic.OnceResult) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.results = append(o.results, result.Outcome)
+	if result.Outcome == traffic.OnceAnswered {
+		o.answers[r.Identity] = result.Answer
+	}
+}
+
+// Guards against a second execution of an identified request, a lost answer, an execution without a claim, and an
+// unknown outcome that looks like a refusal before execution.
+func TestOnce(t *testing.T) {
+	is := is.New(t)
+	var executed atomic.Int64
+	once := &onceStub{answers: map[string]*traffic.Answer{}, begun: map[string]bool{}}
+	m := newMesh(t, once, func(w http.ResponseWriter, r *http.Request) {
+		executed.Add(1)
+		if r.Header.Get(traffic.HeaderIdempotencyKey) == "dies" {
+			breakAfter("")(w, r)
+			return
+		}
+		ok(w, r)
+	})
+	for range 2 {
+		a := m.call("POST", "/once", "x", traffic.HeaderIdempotencyKey, "k")
+		is.Equal(a.status, 200)
+		is.Equal(a.body, "ok /once x") // the second is the stored answer
+	}
+	is.Equal(executed.Load(), int64(1))
+	is.Equal(m.call("POST", "/once", `{"n": 1, "m": 1}`).status, 200)
+	is.Equal(m.call("POST", "/once", `{"m": 2, "n":1}`).body, `ok /once {"n": 1, "m": 1}`) // the same digest
+	is.Equal(executed.Load(), int64(2))
+	a := m.call("POST", "/once", "", traffic.HeaderIdempotencyKey, "dies")
+	is.Equal(a.executed, "unknown")
+	a = m.call("POST", "/once", "", traffic.HeaderIdempotencyKey, "dies")
+	is.Equal(a.status, 409)
+	is.Equal(a.refusal, "outcome-unknown")
+	is.Equal(executed.Load(), int64(3))
+	once.refuse = true
+	a = m.call("POST", "/once", "", traffic.HeaderIdempotencyKey, "new")
+	is.Equal(a.refusal, "platform-unavailable")
+	is.Equal(a.executed, "no")
+	is.Equal(executed.Load(), int64(3))
+	is.Equal(once.results, []traffic.OnceOutcome{traffic.OnceAnswered, traffic.OnceAnswered, traffic.OnceInDoubt})
+
+	without := newMesh(t, nil, ok)
+	a = without.call("POST", "/once", "", traffic.HeaderIdempotencyKey, "k")
+	is.Equal(a.refusal, "at-most-once-unavailable")
+	is.Equal(a.executed, "no")
+}
+
+// Guards against a probe that misses a target that starts or dies.
+func TestProbe(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var dials atomic.Int64
+		states := make(chan model.TargetState, 10)
+		probe := traffic.NewProbe(traffic.ProbeOptions{
+			Address: "target", Every: time.Second, Warmup: 2 * time.Second, Changed: func(s model.TargetState) { states <- s },
+			Dial: func(context.Context, string, string) (net.Conn, error) {
+				if n := dials.Add(1); n < 3 || n > 10 {
+					return nil, io.ErrUnexpectedEOF
+				}
+				client, server := net.Pipe()
+				_ = server.Close()
+				return client, nil
+			},
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		start := time.Now()
+		go func() {
+			probe.Run(ctx)
+			close(done)
+		}()
+		is.Equal(<-states, model.TargetReady)
+		is.Equal(time.Since(start), 4*time.Second) // two failed dials, then the warm-up
+		is.Equal(<-states, model.TargetDown)
+		is.Equal(dials.Load(), int64(13))
+		cancel()
+		<-done
+	})
+}
--- a/internal/traffic/mesh_test.go
+++ b/internal/traffic/mesh_test.go
@@ -11,6 +11,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"go.uber.org/goleak"
 
@@ -192,3 +193,12 @@
 	body, _ := io.ReadAll(r.Body)
 	_, _ = w.Write(append([]byte("ok "+r.URL.Path+" "), body...))
 }
+
+// until waits for a condition without a notification.
+func until(condition func() bool) {
+	ticker := time.NewTicker(time.Millisecond)
+	defer ticker.Stop()
+	for !condition() {
+		<-ticker.C
+	}
+}
--- a/internal/traffic/pool.go
+++ b/internal/traffic/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -20,6 +21,8 @@
 	idleTimeout = 60 * time.Second
 	// sweepEvery is how often all idle connections are checked for idleTimeout.
 	sweepEvery = 10 * time.Second
+	// maxLinger bounds the wait for a target that works on after its caller left. It is the default deadline of a call.
+	maxLinger = 5 * time.Second
 	// maxInterim bounds 1xx responses before the final one.
 	maxInterim = 5
 )
@@ -43,6 +46,8 @@
 type pool struct {
 	perPeer, total, headerBytes int
 	limit                       connectionLimit
+	// lingers leaves the connection of an abandoned exchange open for exchange.linger.
+	lingers bool
 
 	mu    sync.Mutex
 	idle  map[string][]*poolConn
@@ -218,6 +223,8 @@
 	response *http.Response
 	stop     func() bool
 	writing  chan error
+	// abandoned says that the connection is open and the other end may still work on the request.
+	abandoned bool
 }
 
 // do sends a request and reads the header of its response. The exchange is never nil; finish must follow if err is nil.
@@ -299,17 +306,36 @@
 		}
 	}
 	if !whole || !stopped || !written || e.response.Close || e.conn.r.Buffered() > 0 {
-		e.pool.close(e.conn)
+		e.discard(whole)
 		return
 	}
 	e.pool.put(e.conn)
 }
 
+// discard closes the connection, or leaves it to linger if the other end may still work on the request.
+func (e *exchange) discard(whole bool) {
+	if e.pool.lingers && e.conn.sent && !whole {
+		e.abandoned = true
+		return
+	}
+	e.pool.close(e.conn)
+}
+
+// linger ends the sending side of an abandoned exchange, which tells the other end to stop, and waits until that end
+// closes the connection.
+func (e *exchange) linger() {
+	defer e.pool.close(e.conn)
+	if conn, ok := e.conn.Conn.(*net.TCPConn); ok && conn.CloseWrite() == nil {
+		_ = conn.SetDeadline(time.Now().Add(maxLinger))
+		_, _ = io.Copy(io.Discard, conn)
+	}
+}
+
 // abort closes the connection of a failed exchange.
 func (e *exchange) abort(err error) error {
 	e.sent = e.conn.sent
 	e.stop()
-	e.pool.close(e.conn)
+	e.discard(false)
 	return err
 }
 
--- a/internal/traffic/probe.go
+++ b/internal/traffic/probe.go
@@ -22,6 +22,8 @@
 	// Every is the interval of probes, 500 ms if zero. Three failed dials then show a dead target within 1.5 s.
 	Every  time.Duration
 	Warmup time.Duration
+	// Dial opens connections; nil means net.Dialer.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Changed is called with each new state of the target.
 	Changed func(model.TargetState)
 }
@@ -37,8 +39,11 @@
 	if options.Every <= 0 {
 		options.Every = 500 * time.Millisecond
 	}
+	if options.Dial == nil {
+		options.Dial = (&net.Dialer{}).DialContext
+	}
 	return &Probe{options: options, client: &http.Client{
-		Timeout: probeTimeout, Transport: &http.Transport{DisableKeepAlives: true},
+		Timeout: probeTimeout, Transport: &http.Transport{DisableKeepAlives: true, DialContext: options.Dial},
 	}}
 }
 
@@ -68,8 +73,7 @@
 func (p *Probe) probe(ctx context.Context, askHealth bool) (dialled, healthy bool) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	var dialer net.Dialer
-	conn, err := dialer.DialContext(ctx, "tcp", p.options.Address)
+	conn, err := p.options.Dial(ctx, "tcp", p.options.Address)
 	if err != nil {
 		return false, false
 	}
--- a/internal/traffic/visit.go
+++ b/internal/traffic/visit.go
@@ -173,6 +173,7 @@
 		return nil, notExecuted(http.StatusGatewayTimeout, reasonDeadline, "the deadline passed before the call was sent")
 	}
 	e, err := v.admission.pool.do(v.ctx, v.admission.options.Address, v.deadline, v.outgoing())
+	held.exchange = e
 	if err != nil {
 		if !e.sent {
 			held.giveBack()
@@ -219,6 +220,8 @@
 	// took is the time to the response's headers. The rest depends on the caller's speed too.
 	took  time.Duration
 	freed bool
+	// exchange is the exchange with the target, if it took place.
+	exchange *exchange
 }
 
 func (h *hold) answered() { h.took = time.Since(h.start) }
@@ -231,7 +234,15 @@
 	if h.took == 0 {
 		h.answered()
 	}
-	h.slots.release(h.took, overloaded)
+	if h.exchange == nil || !h.exchange.abandoned {
+		h.slots.release(h.took, overloaded)
+		return
+	}
+	// The target executes an abandoned call until it notices; its slot is taken until then.
+	go func() {
+		h.exchange.linger()
+		h.slots.release(h.took, overloaded)
+	}()
 }
 
 func (h *hold) giveBack() {
