--- a/internal/bench/load/load.go
+++ b/internal/bench/load/load.go
@@ -61,14 +61,12 @@
 		return Result{}, errors.Wrap(err, "load URL")
 	}
 	arrivals := make(chan time.Time, int(o.Rate*o.Duration.Seconds())+o.Workers)
-	var sums sums
+	sums := newSums()
 	var wg sync.WaitGroup
-	histograms := make([]*hdrhistogram.Histogram, o.Workers)
-	for i := range o.Workers {
-		histograms[i] = hdrhistogram.New(1, maxMicros, digits)
+	for range o.Workers {
 		wg.Go(func() {
 			for intended := range arrivals {
-				sums.add(ctx, client, o, intended, histograms[i])
+				sums.add(ctx, client, o, intended)
 			}
 		})
 	}
@@ -76,14 +74,10 @@
 	schedule(ctx, o, start, arrivals)
 	close(arrivals)
 	wg.Wait()
-	out := Result{
+	return Result{
 		Sent: sums.sent.Load(), Good: sums.good.Load(), Failed: sums.sent.Load() - sums.good.Load(),
-		Latency: hdrhistogram.New(1, maxMicros, digits), Elapsed: time.Since(start),
-	}
-	for _, h := range histograms {
-		out.Latency.Merge(h)
-	}
-	return out, nil
+		Latency: sums.latency, Elapsed: time.Since(start),
+	}, nil
 }
 
 // schedule sends the intended start times. Timers are coarser than the gaps, so arrivals that are due go out together.
@@ -113,9 +107,15 @@
 	}
 }
 
-type sums struct{ sent, good atomic.Int64 }
+type sums struct {
+	sent, good atomic.Int64
+	mu         sync.Mutex
+	latency    *hdrhistogram.Histogram
+}
+
+func newSums() *sums { return &sums{latency: hdrhistogram.New(1, maxMicros, digits)} }
 
-func (s *sums) add(ctx context.Context, client *http.Client, o Options, intended time.Time, latency *hdrhistogram.Histogram) {
+func (s *sums) add(ctx context.Context, client *http.Client, o Options, intended time.Time) {
 	n := s.sent.Add(1)
 	if o.Deadline > 0 {
 		var cancel context.CancelFunc
@@ -126,7 +126,9 @@
 		return
 	}
 	s.good.Add(1)
-	_ = latency.RecordValue(min(max(time.Since(intended).Microseconds(), 1), maxMicros)) // in range by the bounds
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_ = s.latency.RecordValue(min(max(time.Since(intended).Microseconds(), 1), maxMicros)) // in range by the bounds
 }
 
 // call reports whether the response was complete, successful and the one to this request.
@@ -157,14 +159,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, o.Duration)
 	defer cancel()
-	var sums sums
+	sums := newSums()
 	var wg sync.WaitGroup
 	start := time.Now()
 	for range o.Workers {
 		wg.Go(func() {
-			latency := hdrhistogram.New(1, maxMicros, digits)
 			for ctx.Err() == nil {
-				sums.add(ctx, client, o, time.Now(), latency)
+				sums.add(ctx, client, o, time.Now())
 			}
 		})
 	}
