--- a/internal/command/controller/controller_test.go
+++ b/internal/command/controller/controller_test.go
@@ -207,7 +207,7 @@
 	check("move without calls")
 	m.Store.SetDown(true)
 	check("platform down")
-	m.Store.Delay = func() time.Duration { return 3 * time.Second }
+	m.Store.Delay = func(*fleet.Node) time.Duration { return 3 * time.Second }
 	m.Store.SetDown(false)
 	check("platform slow")
 }
