sniperail-bench: commands for distribution, latency, overload, once and daemons

Cause: the experiments could only be run from code. Change: one kong command per experiment with text and JSON output; make measure and make daemons.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GOLANGCI = go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 SEED ?= 1
 
-.PHONY: build demo test test-seed lint format
+.PHONY: build measure daemons demo test test-seed lint format
 
 build:
 	go build -o bin/ ./cmd/...
@@ -16,6 +16,20 @@
 test-seed:
 	SNIPERAIL_TEST_SEED=$(SEED) go test -race ./...
 
+# Every experiment with its baseline, about five minutes. Tables of earlier runs are in docs/measurements.
+measure: build
+	bin/sniperail-bench latency --seed=$(SEED)
+	bin/sniperail-bench overload --seed=$(SEED)
+	bin/sniperail-bench once --seed=$(SEED)
+	bin/sniperail-bench moves --seed=$(SEED) --customer=most-mladych
+	bin/sniperail-bench moves --seed=$(SEED) --customer=granite-ledger
+	bin/sniperail-bench distribution --seed=$(SEED)
+
+# Real daemons on loopback, COUNT of them in 4 data centres.
+COUNT ?= 100
+daemons: build
+	scripts/daemons.sh $(COUNT) 4 bash -c 'bin/sniperail-bench daemons --api=$$API'
+
 lint:
 	$(GOLANGCI) run ./...
 
--- a/cmd/sniperail-bench/main.go
+++ b/cmd/sniperail-bench/main.go
@@ -5,21 +5,29 @@
 	"github.com/alecthomas/kong"
 
 	"sniperail.example/sniperail/internal/bench/daemons"
+	"sniperail.example/sniperail/internal/bench/distribution"
+	"sniperail.example/sniperail/internal/bench/latency"
 	"sniperail.example/sniperail/internal/bench/load"
 	"sniperail.example/sniperail/internal/bench/moves"
+	"sniperail.example/sniperail/internal/bench/once"
+	"sniperail.example/sniperail/internal/bench/overload"
 )
 
 const description = `Loads and measures sniperail. Each experiment runs its baseline beside it.
 
 Example:
-  sniperail-bench load --ingress 127.0.0.1:7000 --path /placements/1 --rate 100 --calls 1000
+  sniperail-bench moves --customer granite-ledger --runs 200 --seed 1
 
 Every flag can also be set by SNIPERAIL_BENCH_ and its name.`
 
 type cli struct {
-	Daemons daemons.Command `cmd:"" help:"Memory, processor time, control bytes and convergence of real daemons."`
-	Load    load.Command    `cmd:"" help:"Steady load on real daemons that checks every response."`
-	Moves   moves.Command   `cmd:"" help:"Many moves of drawn versions under this policy and naive ones."`
+	Load         load.Command         `cmd:"" help:"Steady load on real daemons that checks every response."`
+	Daemons      daemons.Command      `cmd:"" help:"Memory, processor time, control bytes and convergence of real daemons."`
+	Distribution distribution.Command `cmd:"" help:"Convergence, control bytes and platform calls of the real agents over in-memory links, beside two naive designs."`
+	Moves        moves.Command        `cmd:"" help:"Many moves of drawn versions under this policy and naive ones."`
+	Latency      latency.Command      `cmd:"" help:"Latency and processor time that the two daemons on a call's path add, against direct calls."`
+	Overload     overload.Command     `cmd:"" help:"Goodput above capacity, against a naive balancer with blind retries."`
+	Once         once.Command         `cmd:"" help:"Executions per identity under kills, lost answers and platform faults."`
 }
 
 func main() {
--- a/internal/bench/daemons/command.go
+++ b/internal/bench/daemons/command.go
@@ -2,17 +2,14 @@
 
 import (
 	"context"
-	"encoding/json"
-	"fmt"
-	"os"
 
-	"github.com/pkg/errors"
+	"sniperail.example/sniperail/internal/bench/output"
 )
 
 // Command is the kong command "daemons" of sniperail-bench.
 type Command struct {
 	Options
-	Output string `short:"o" default:"markdown" enum:"markdown,json" help:"markdown or json."`
+	output.Format
 }
 
 // Run measures and prints the report.
@@ -21,9 +18,5 @@
 	if err != nil {
 		return err
 	}
-	if c.Output == "json" {
-		return errors.Wrap(json.NewEncoder(os.Stdout).Encode(report), "print report")
-	}
-	_, err = fmt.Print(report.Text())
-	return errors.Wrap(err, "print report")
+	return c.Print(report, report.Text)
 }
--- a/internal/bench/latency/latency.go
+++ b/internal/bench/latency/latency.go
@@ -29,7 +29,7 @@
 	Workers int
 }
 
-// Row is the figures for one size and openloop. Latencies are in microseconds.
+// Row is the figures for one size and load. Latencies are in microseconds.
 type Row struct {
 	Size int
 	Load float64
@@ -38,7 +38,7 @@
 	Direct, Through Percentiles
 	Added           Percentiles
 	Failed          int64
-	// CPUMicros is the processor time that both daemons add per call at this openloop.
+	// CPUMicros is the processor time that both daemons add per call at this load.
 	CPUMicros float64
 	// CallsPerCore is the calls per second that one core of daemon carries when all cores are busy: both hops of a call,
 	// without client and target. Allocations is what both daemons add per call then.
