--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GOLANGCI = go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 SEED ?= 1
 
-.PHONY: build measure daemons demo test test-seed lint format
+.PHONY: build faults measure daemons demo test test-seed lint format
 
 build:
 	go build -o bin/ ./cmd/...
@@ -16,7 +16,11 @@
 test-seed:
 	SNIPERAIL_TEST_SEED=$(SEED) go test -race ./...
 
+
 # Every experiment with its baseline, about five minutes. Tables of earlier runs are in docs/measurements.
+faults: build
+	scripts/faults.sh
+
 measure: build
 	bin/sniperail-bench latency --seed=$(SEED)
 	bin/sniperail-bench overload --seed=$(SEED)
