api: a withdrawal during an outage may have an effect; daemon: serve the metric of moves

Cause: during an outage of the platform "sniperail withdraw" answered "executed: no", although the version was withheld at once and withdrawn when the platform returned. The daemon did not set api.Options.View, so that dashboards had no metric of moves.

--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -72,6 +72,17 @@
 	}
 }
 
+// Guards against a withdrawal that is reported as without effect during an outage, although the version is withheld.
+func TestUnavailableWithdrawalMayHaveAnEffect(t *testing.T) {
+	is := is.New(t)
+	b := &backend{outcome: model.Refused(model.OutcomeUnavailable, "", "the platform did not answer")}
+	response := serve(b, http.MethodPost, "/v1/command/withdraw", `{"move":"m","reason":"late"}`)
+	is.Equal(response.Code, http.StatusServiceUnavailable)
+	var d problem.Document
+	is.NoErr(json.Unmarshal(response.Body.Bytes(), &d))
+	is.Equal(d.Executed, problem.ExecutedUnknown)
+}
+
 // Each case guards against a request that is answered wrongly without reaching the backend, or reaches it although it is
 // malformed.
 func TestRequestsRefusedBeforeTheBackend(t *testing.T) {
--- a/internal/api/commands/commands.go
+++ b/internal/api/commands/commands.go
@@ -44,12 +44,25 @@
 		}
 		outcome := s.Submit(c.Request().Context(), operator(c.Request()), command)
 		if !outcome.OK() {
-			return problem.FromOutcome(outcome).Write(c)
+			return refused(command, outcome).Write(c)
 		}
 		return c.JSON(http.StatusOK, outcome)
 	}
 }
 
+// refused returns the document of a refused command. A withdrawal that the platform did not take may still have an
+// effect: the daemon withholds the version and spreads a mark, which the driver writes as a withdrawal later.
+func refused(command configuration.Command, outcome model.Outcome) problem.Document {
+	d := problem.FromOutcome(outcome)
+	if _, ok := command.(configuration.Withdraw); ok && outcome.Code == model.OutcomeUnavailable {
+		d.Executed = problem.ExecutedUnknown
+		d.Problems = append(d.Problems, model.Problem{
+			Reason: "the version may be withheld already; the withdrawal is then written when the platform answers",
+		})
+	}
+	return d
+}
+
 // decode refuses unknown fields and trailing data: a misspelt field must not turn into a different command.
 func decode(w http.ResponseWriter, r *http.Request, command any) error {
 	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, model.MaxDocumentBytes))
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -210,6 +210,7 @@
 func (d *Daemon) buildAPI() error {
 	handler := api.New(api.Options{
 		Submitter: submitter{d.loop}, Reader: d.reader(),
+		View:    func() *model.Configuration { return d.loop.Table().View.Configuration },
 		Metrics: d.metrics.Gatherer(), Ready: d.notReady, Number: d.number,
 	})
 	err := d.metrics.Gauge("sniperail_configuration_number", "Configuration number in force on this daemon.",
