message: rosters in groups of targets that share service, version and place

Cause: in the experiment whole rosters for starting daemons were the largest part of the bytes of leaders.

--- a/internal/bench/distribution/options.go
+++ b/internal/bench/distribution/options.go
@@ -38,7 +38,7 @@
 	Daemons, Centres, Services int
 	// Changes is the number of single changes before the burst.
 	Changes int
-	// Kill is the share of relays killed during every second change, between 0 and 1.
+	// Kill is the share of relays killed during the middle change, between 0 and 1.
 	Kill float64
 	Seed uint64
 }
--- a/internal/bench/distribution/report.go
+++ b/internal/bench/distribution/report.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"sniperail.example/sniperail/internal/command/agent"
@@ -36,6 +38,8 @@
 	Bytes, MaxBytes    float64
 	Sent, MaxSent      float64
 	Processor, MaxProc float64
+	// Kinds are the bytes sent and received per second and daemon by kind of message.
+	Kinds map[string]float64
 	// State is the mean heap per daemon in bytes.
 	State float64
 }
@@ -77,6 +81,12 @@
 		t := rep.Roles[n.Agent.Role()]
 		both, sent, share := float64(u.sent+u.received)/seconds, float64(u.sent)/seconds, u.cpu.Seconds()/seconds
 		t.Daemons++
+		if t.Kinds == nil {
+			t.Kinds = map[string]float64{}
+		}
+		for kind, bytes := range u.kinds {
+			t.Kinds[kind] += float64(bytes) / seconds
+		}
 		t.Bytes, t.MaxBytes = t.Bytes+both, max(t.MaxBytes, both)
 		t.Sent, t.MaxSent = t.Sent+sent, max(t.MaxSent, sent)
 		t.Processor, t.MaxProc = t.Processor+share, max(t.MaxProc, share)
@@ -85,6 +95,9 @@
 	for role, t := range rep.Roles {
 		n := float64(t.Daemons)
 		t.Bytes, t.Sent, t.Processor = t.Bytes/n, t.Sent/n, t.Processor/n
+		for kind := range t.Kinds {
+			t.Kinds[kind] /= n
+		}
 		rep.Roles[role] = t
 	}
 	rep.Messages = float64(messages) / seconds / float64(r.o.Daemons)
@@ -106,7 +119,7 @@
 		lines = append(lines, fmt.Sprintf(
 			"%-6s %4d: bytes/s sent+received mean %.0f max %.0f, sent mean %.0f max %.0f; cpu %% mean %.3f max %.3f; "+
 				"state KB %.0f", role, u.Daemons, u.Bytes, u.MaxBytes, u.Sent, u.MaxSent, 100*u.Processor,
-			100*u.MaxProc, u.State/1024))
+			100*u.MaxProc, u.State/1024), "       bytes/s by message:"+kinds(u.Kinds))
 	}
 	lines = append(lines,
 		fmt.Sprintf("messages per daemon and second %.2f; cpu per change %v", rep.Messages, rep.CPUPerChange),
@@ -131,3 +144,11 @@
 	return fmt.Sprintf("%d ready after %.1f s, peak reads/s %d, peak writes/s %d", s.Ready, s.All.Seconds(), s.PeakReads,
 		s.PeakWrites)
 }
+
+func kinds(bytes map[string]float64) string {
+	text := ""
+	for _, kind := range slices.Sorted(maps.Keys(bytes)) {
+		text += fmt.Sprintf(" %s %.0f", strings.TrimPrefix(kind, "Command."), bytes[kind])
+	}
+	return text
+}
--- a/internal/bench/distribution/wire.go
+++ b/internal/bench/distribution/wire.go
@@ -38,6 +38,8 @@
 	sent, received int
 	messages       int
 	cpu            time.Duration
+	// kinds are the bytes sent and received by kind of message.
+	kinds map[string]int
 }
 
 func newWire() *wire {
@@ -47,7 +49,7 @@
 func (w *wire) of(n *fleet.Node) *usage {
 	u := w.usage[n]
 	if u == nil {
-		u = &usage{}
+		u = &usage{kinds: map[string]int{}}
 		w.usage[n] = u
 	}
 	return u
@@ -85,6 +87,8 @@
 	a, b := w.of(from), w.of(to)
 	a.sent, a.messages, a.cpu = a.sent+size, a.messages+1, a.cpu+middle.Sub(begin)
 	b.received, b.cpu = b.received+size, b.cpu+end.Sub(middle)
+	a.kinds[name] += size
+	b.kinds[name] += size
 	return got.Interface()
 }
 
--- a/internal/command/agent/agent.go
+++ b/internal/command/agent/agent.go
@@ -71,6 +71,8 @@
 
 // New returns the core of a daemon that knows nothing yet. The first event should be a Wake.
 func New(cfg Config) *Agent {
+	// Times cross messages as UTC without a monotonic part; targets are compared by value.
+	cfg.Target.Since = cfg.Target.Since.UTC().Round(0)
 	return &Agent{
 		cfg: cfg, self: cfg.Target,
 		sends:    map[effect.RequestID]func(message.Reply){},
--- a/internal/command/agent/children.go
+++ b/internal/command/agent/children.go
@@ -289,7 +289,7 @@
 	if a.self.State == state {
 		return
 	}
-	a.self.State, a.self.Since = state, later(a.now, a.self.Since)
+	a.self.State, a.self.Since = state, later(a.now.UTC().Round(0), a.self.Since)
 	a.cfg.Target = a.self
 	a.members.SetSelf(a.self)
 	a.dirty = true
--- a/internal/command/agent/exchange.go
+++ b/internal/command/agent/exchange.go
@@ -231,11 +231,11 @@
 	if !applied {
 		return true
 	}
-	remove := c.Removed
+	remove, targets := c.Removed, c.Targets()
 	if c.Base == 0 {
 		listed := map[model.DaemonID]bool{}
-		for i := range c.Targets {
-			listed[c.Targets[i].Daemon] = true
+		for i := range targets {
+			listed[targets[i].Daemon] = true
 		}
 		for _, t := range a.roster.Targets() {
 			if t.DataCentre == p.dc && !listed[t.Daemon] {
@@ -243,7 +243,7 @@
 			}
 		}
 	}
-	a.mergeRoster(a.ownedBy(p.dc, c.Targets), a.onlyFrom(p.dc, remove))
+	a.mergeRoster(a.ownedBy(p.dc, targets), a.onlyFrom(p.dc, remove))
 	return true
 }
 
--- a/internal/command/membership/roster.go
+++ b/internal/command/membership/roster.go
@@ -103,11 +103,13 @@
 		base = 0
 	}
 	change := &message.RosterChange{Term: r.term, Base: base, Version: r.version}
-	for _, id := range slices.Sorted(maps.Keys(r.targets)) {
-		if r.changed[id] > base {
-			change.Targets = append(change.Targets, r.targets[id])
+	var targets []model.Target
+	for _, t := range r.Targets() {
+		if r.changed[t.Daemon] > base {
+			targets = append(targets, t)
 		}
 	}
+	change.Groups = message.GroupTargets(targets)
 	if base == 0 {
 		return change
 	}
@@ -132,7 +134,7 @@
 		*r = *NewRoster(c.Term)
 		r.floor = c.Version
 	}
-	for _, t := range c.Targets {
+	for _, t := range c.Targets() {
 		r.put(t, c.Version)
 	}
 	for _, id := range c.Removed {
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -133,7 +133,7 @@
 type RosterChange struct {
 	Term          model.Term
 	Base, Version uint64
-	Targets       []model.Target
+	Groups        []TargetGroup
 	Removed       []model.DaemonID
 }
 
