agent: evidence of quiet services is kept until it is sent

Cause: a leader dropped outcomes five seconds after it last sent some, even if new ones had just arrived, so that a service with few calls lost most of its evidence. Change: the window of evidence starts with its first outcome. Tests of the extension seam: evidence arrives once also when messages are repeated, leaving targets are known within 3 s and dead ones within 5 s, silent daemons and blind data centres are named. The loss itself was not measured.

--- a/internal/command/agent/exchange.go
+++ b/internal/command/agent/exchange.go
@@ -126,7 +126,6 @@
 func (a *Agent) expireSums() {
 	if a.now.Sub(a.lead.evidenceFrom) > 5*membership.HeartbeatInterval {
 		clear(a.sums)
-		a.lead.evidenceFrom = a.now
 	}
 }
 
@@ -155,7 +154,6 @@
 		m.Evidence = model.Evidence{
 			DataCentre: a.self.DataCentre, From: a.lead.evidenceFrom, To: a.now, Sums: a.takeSums(),
 		}
-		a.lead.evidenceFrom = a.now
 	}
 	p.inFlight, p.lastSent, p.sentNumbers, p.sentMarks = true, a.now, numbers, digest
 	version, term, own := a.lead.local.Version(), p.term, a.lead.lease.Term()
--- a/internal/command/agent/extension.go
+++ b/internal/command/agent/extension.go
@@ -100,7 +100,6 @@
 		a.addEvidence(model.Evidence{
 			DataCentre: a.self.DataCentre, From: a.lead.evidenceFrom, To: a.now, Sums: a.takeSums(),
 		})
-		a.lead.evidenceFrom = a.now
 	}
 	list := make([]model.Evidence, 0, len(a.evidence))
 	for _, dc := range slices.Sorted(maps.Keys(a.evidence)) {
--- a/internal/command/agent/marks.go
+++ b/internal/command/agent/marks.go
@@ -92,6 +92,9 @@
 		if c.ActiveMove(s.Service) == nil {
 			continue
 		}
+		if len(a.sums) == 0 {
+			a.lead.evidenceFrom = a.now
+		}
 		sum := a.sums[s.OutcomeKey]
 		sum.Add(s.OutcomeSum)
 		a.sums[s.OutcomeKey] = sum
