membership: a new leader counts roster versions on

Cause: after a change of leaders every daemon of the data centre received the whole roster, about 100 bytes a target. Change: a roster change names the term of its base; a new leader sends the difference to daemons that hold a version which it has as well. Bytes after a change of leaders: not measured, the experiment kills relays only.

--- a/internal/command/membership/membership_test.go
+++ b/internal/command/membership/membership_test.go
@@ -58,6 +58,39 @@
 	})
 }
 
+// Guards against a daemon that keeps a target which only the former leader listed, because the versions of the new
+// leader count on from an earlier one.
+func TestRosterOfNewTermDropsUnknownVersions(t *testing.T) {
+	is := is.New(t)
+	former, next, follower := membership.NewRoster(5), membership.NewRoster(0), membership.NewRoster(0)
+	former.Edit([]model.Target{target(1, 1)}, nil)
+	next.Apply(former.Since(0, 0))
+	follower.Apply(former.Since(0, 0))
+	crossing := follower.Version()
+	former.Edit([]model.Target{target(2, 1)}, nil)
+	follower.Apply(former.Since(5, follower.Version()))
+	next.Renumber(6)
+	_, gap := follower.Apply(next.Since(5, crossing))
+	is.True(gap)
+	follower.Apply(next.Since(follower.Term(), follower.Version()))
+	is.Equal(len(follower.Targets()), 1)
+}
+
+// Guards against a new leader that sends its whole roster to daemons which hold all of it.
+func TestRosterOfNewTermSendsTheDifference(t *testing.T) {
+	is := is.New(t)
+	former, next, follower := membership.NewRoster(5), membership.NewRoster(0), membership.NewRoster(0)
+	former.Edit([]model.Target{target(1, 1), target(2, 1)}, nil)
+	next.Apply(former.Since(0, 0))
+	follower.Apply(former.Since(0, 0))
+	next.Renumber(6)
+	next.Edit([]model.Target{target(3, 1)}, nil)
+	c := next.Since(follower.Term(), follower.Version())
+	is.Equal(len(c.Targets()), 1)
+	follower.Apply(c)
+	is.Equal(follower.Targets(), next.Targets())
+}
+
 // Guards against a change that starts from a version which the roster does not have.
 func TestRosterReportsGap(t *testing.T) {
 	is := is.New(t)
--- a/internal/command/membership/roster.go
+++ b/internal/command/membership/roster.go
@@ -17,6 +17,9 @@
 type Roster struct {
 	term    model.Term
 	version uint64
+	// before is the term from which this one was counted on, until is its last version that is part of this roster.
+	before model.Term
+	until  uint64
 	// floor is the lowest version that a change can start from.
 	floor   uint64
 	targets map[model.DaemonID]model.Target
@@ -41,13 +44,12 @@
 // Version returns the version; 0 is empty.
 func (r *Roster) Version() uint64 { return r.version }
 
-// Renumber starts a new term with the present targets.
+// Renumber starts a new term with the present targets. Versions count on, so that a daemon which holds a version of the
+// term before gets the difference and not the whole roster.
 func (r *Roster) Renumber(term model.Term) {
-	r.term, r.version, r.floor = term, 1, 1
-	clear(r.removed)
-	for id := range r.targets {
-		r.changed[id] = 1
-	}
+	r.before, r.until = r.term, r.version
+	r.term = term
+	r.version++
 }
 
 // Edit sets and removes targets as one new version. An older incarnation never replaces a newer one. It reports whether
@@ -99,10 +101,11 @@
 	if r.version == 0 || (term == r.term && base == r.version) {
 		return nil
 	}
-	if term != r.term || base < r.floor || base > r.version {
+	known := (term == r.term && base <= r.version) || (term == r.before && base <= r.until)
+	if !known || base < r.floor {
 		base = 0
 	}
-	change := &message.RosterChange{Term: r.term, Base: base, Version: r.version}
+	change := &message.RosterChange{Term: r.term, BaseTerm: term, Base: base, Version: r.version}
 	var targets []model.Target
 	for _, t := range r.Targets() {
 		if r.changed[t.Daemon] > base {
@@ -127,13 +130,20 @@
 	if c.Term < r.term || (c.Term == r.term && c.Version <= r.version) {
 		return false, false
 	}
-	if c.Base != 0 && (c.Term != r.term || c.Base > r.version) {
+	if c.Base != 0 && (c.BaseTerm != r.term || c.Base > r.version) {
+		return false, true
+	}
+	if c.Base != 0 && c.Term != r.term && c.Base != r.version {
+		// The present roster may hold versions of the former leader that the new one never had.
 		return false, true
 	}
 	if c.Base == 0 {
 		*r = *NewRoster(c.Term)
 		r.floor = c.Version
 	}
+	if c.Term != r.term {
+		r.before, r.until, r.term = r.term, c.Base, c.Term
+	}
 	for _, t := range c.Targets() {
 		r.put(t, c.Version)
 	}
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -128,13 +128,13 @@
 	Checksum uint64
 }
 
-// RosterChange turns roster version Base into Version; Base 0 is a snapshot. Versions are counted by one leader in one
-// term, so a change applies only to a roster of the same term.
+// RosterChange turns roster version Base of BaseTerm into Version of Term; Base 0 is a snapshot. A leader counts the
+// versions of its term on from the version that it held of the term before.
 type RosterChange struct {
-	Term          model.Term
-	Base, Version uint64
-	Groups        []TargetGroup
-	Removed       []model.DaemonID
+	Term, BaseTerm model.Term
+	Base, Version  uint64
+	Groups         []TargetGroup
+	Removed        []model.DaemonID
 }
 
 // UpdateReply answers an Update.
