--- a/internal/command/agent/exchange.go
+++ b/internal/command/agent/exchange.go
@@ -126,7 +126,6 @@
 func (a *Agent) expireSums() {
 	if a.now.Sub(a.lead.evidenceFrom) > 5*membership.HeartbeatInterval {
 		clear(a.sums)
-		a.lead.evidenceFrom = a.now
 	}
 }
 
@@ -155,7 +154,6 @@
 		m.Evidence = model.Evidence{
 			DataCentre: a.self.DataCentre, From: a.lead.evidenceFrom, To: a.now, Sums: a.takeSums(),
 		}
-		a.lead.evidenceFrom = a.now
 	}
 	p.inFlight, p.lastSent, p.sentNumbers, p.sentMarks = true, a.now, numbers, digest
 	version, term, own := a.lead.local.Version(), p.term, a.lead.lease.Term()
@@ -231,11 +229,11 @@
 	if !applied {
 		return true
 	}
-	remove := c.Removed
+	remove, targets := c.Removed, c.Targets()
 	if c.Base == 0 {
 		listed := map[model.DaemonID]bool{}
-		for i := range c.Targets {
-			listed[c.Targets[i].Daemon] = true
+		for i := range targets {
+			listed[targets[i].Daemon] = true
 		}
 		for _, t := range a.roster.Targets() {
 			if t.DataCentre == p.dc && !listed[t.Daemon] {
@@ -243,7 +241,7 @@
 			}
 		}
 	}
-	a.mergeRoster(a.ownedBy(p.dc, c.Targets), a.onlyFrom(p.dc, remove))
+	a.mergeRoster(a.ownedBy(p.dc, targets), a.onlyFrom(p.dc, remove))
 	return true
 }
 
