moves: a driver that takes over in the watch period gathers calls; blindness by arrival

Cause: a fresh driver could finish a move at 100% without having judged a call, and clocks that differ between data centres could make one look blind. A move that is paused at 100% gave no sign of suspicion. Change: a move is done only after this driver counted the calls that the first step asks for; a data centre is blind by the arrival of its last report; the hold of a move paused at 100% names the suspicion.

--- a/internal/command/moves/driver.go
+++ b/internal/command/moves/driver.go
@@ -15,10 +15,14 @@
 	policy   Policy
 	judge    *Judge
 	progress map[model.PlanID]*progress
-	reported map[model.DataCentre]time.Time
+	reports  map[model.DataCentre]reported
 	load     load
 }
 
+// reported is the last report of a data centre: the end of its window by that centre's clock, and its arrival by the
+// driver's. Only the arrival tells whether the centre is blind, since clocks may differ.
+type reported struct{ to, arrived time.Time }
+
 // progress is what the driver saw of one move since its present number.
 type progress struct {
 	number model.Number
@@ -37,7 +41,7 @@
 func NewDriver(policy Policy) *Driver {
 	return &Driver{
 		policy: policy, judge: NewJudge(policy, Level{Judges: 1}),
-		progress: map[model.PlanID]*progress{}, reported: map[model.DataCentre]time.Time{}, load: load{},
+		progress: map[model.PlanID]*progress{}, reports: map[model.DataCentre]reported{}, load: load{},
 	}
 }
 
@@ -46,7 +50,7 @@
 func (d *Driver) Decide(in Inputs) []Decision {
 	d.judge.Track(in.Configuration)
 	d.follow(in)
-	d.observe(in.Evidence)
+	d.observe(in.Now, in.Evidence)
 	var decisions []Decision
 	for i := range in.Configuration.Moves {
 		m := &in.Configuration.Moves[i]
@@ -91,13 +95,13 @@
 }
 
 // observe hands the new evidence to the judge. A window that was already reported, or that overlaps one, is dropped.
-func (d *Driver) observe(evidence []model.Evidence) {
+func (d *Driver) observe(now time.Time, evidence []model.Evidence) {
 	var batches []Batch
 	for _, e := range evidence {
-		if e.From.Before(d.reported[e.DataCentre]) {
+		if e.From.Before(d.reports[e.DataCentre].to) {
 			continue
 		}
-		d.reported[e.DataCentre] = e.To
+		d.reports[e.DataCentre] = reported{to: e.To, arrived: now}
 		batches = append(batches, Batch{DataCentre: e.DataCentre, From: e.From, Sums: e.Sums})
 		d.load.add(e)
 	}
@@ -112,10 +116,13 @@
 	if reason, own := d.proof(in, m); reason != "" {
 		return withdraw(in, m, reason, own)
 	}
+	last := len(m.Steps) - 1
 	if m.Phase == model.PhasePaused {
+		if m.Step >= last && d.judge.Verdict(m.ID).Suspect {
+			return hold(m, "paused by an operator, suspect at 100%: resume to compare with the old version, or withdraw")
+		}
 		return hold(m, "paused by an operator")
 	}
-	last := len(m.Steps) - 1
 	if m.Step >= last {
 		return d.watch(in, m)
 	}
@@ -191,8 +198,7 @@
 	}
 	for i := range in.Targets {
 		t := &in.Targets[i]
-		at, ok := d.reported[t.DataCentre]
-		if live(t) && (!ok || in.Now.Sub(at) > d.policy.BlindAfter) {
+		if live(t) && in.Now.Sub(d.reports[t.DataCentre].arrived) > d.policy.BlindAfter {
 			blind = append(blind, string(t.DataCentre))
 		}
 	}
@@ -221,6 +227,10 @@
 	if end := m.Since.Add(time.Duration(m.WatchSeconds) * time.Second); in.Now.Before(end) {
 		return hold(m, "observed at 100% until "+end.UTC().Format(time.TimeOnly))
 	}
+	if judged := m.Steps[min(1, last)].MinCalls; v.Calls < judged {
+		// A driver that took over has not seen the watch period.
+		return []Decision{Hold{Move: m.ID, Reason: "too few calls at 100%", Detail: fmt.Sprintf("%d of %d", v.Calls, judged)}}
+	}
 	if v.Kind == BothBad {
 		return []Decision{Hold{Move: m.ID, Reason: v.Why, Detail: v.Evidence}}
 	}
--- a/internal/command/moves/golden_test.go
+++ b/internal/command/moves/golden_test.go
@@ -103,6 +103,19 @@
 			}
 		},
 	},
+	"takeover-in-watch": {before: func(s *session, second int) {
+		if second == 272 {
+			s.driver = moves.NewDriver(moves.DefaultPolicy())
+		}
+	}},
+	"bad-while-paused-at-100": {fresh: between(262, 9999, failing(0.5)), before: func(s *session, second int) {
+		switch second {
+		case 260:
+			pause(s, second)
+		case 300:
+			s.command(second, configuration.Resume{Move: moveID})
+		}
+	}},
 	"operator-pause":   {before: pauseAndResume},
 	"bad-while-paused": {fresh: between(100, 9999, failing(0.5)), before: pauseAndResume},
 	"not-in-force":     {before: func(s *session, second int) { s.frozen = second >= 50 && second < 200 }},
