traffic: idle check of a connection without allocations

Cause: the check of an idle connection allocated a raw connection and a closure per call. Change: both are made once per connection.

--- a/internal/traffic/pool.go
+++ b/internal/traffic/pool.go
@@ -70,6 +70,9 @@
 	// headerLeft bounds the bytes read while the header is awaited; negative means no bound.
 	headerLeft int
 	idleSince  time.Time
+	raw        syscall.RawConn
+	peek       func(fd uintptr) bool
+	peeked     error
 }
 
 func (c *poolConn) Write(p []byte) (int, error) {
@@ -95,21 +98,28 @@
 // quiet reports whether an idle connection is open and has nothing to read. A peer that closed it, or bytes that belong
 // to no request, make it unusable.
 func (c *poolConn) quiet() bool {
+	if c.raw == nil || c.raw.Read(c.peek) != nil {
+		return false
+	}
+	return c.peeked == syscall.EAGAIN
+}
+
+// watchIdle prepares quiet, which then allocates nothing.
+func (c *poolConn) watchIdle() {
 	conn, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return false
+		return
 	}
 	raw, err := conn.SyscallConn()
 	if err != nil {
-		return false
+		return
 	}
-	var buffer [1]byte
-	var readErr error
-	err = raw.Read(func(fd uintptr) bool {
-		_, readErr = syscall.Read(int(fd), buffer[:])
+	buffer := make([]byte, 1)
+	c.raw = raw
+	c.peek = func(fd uintptr) bool {
+		_, c.peeked = syscall.Read(int(fd), buffer)
 		return true
-	})
-	return err == nil && (readErr == syscall.EAGAIN || readErr == syscall.EWOULDBLOCK)
+	}
 }
 
 // take returns an idle connection, or nil.
@@ -211,6 +221,7 @@
 	}
 	c := &poolConn{Conn: conn, address: address}
 	c.r, c.w = bufio.NewReader(c), bufio.NewWriter(c)
+	c.watchIdle()
 	return c, nil
 }
 
