bench: alternate both ways, sleep accurately, collect garbage less often

Cause: Go timers made each arrival about 1 ms late, which hid the added latency, and other work on the host disturbed one of two long runs. The default garbage collection target cost 15% of the processor time. Change: arrivals sleep on a thread of their own, direct and through alternate in nine rounds, and the benchmarks use traffic.GCPercent, which the daemon should set too.

--- a/internal/bench/latency/latency.go
+++ b/internal/bench/latency/latency.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net/http"
 	"runtime"
+	"runtime/debug"
+	"slices"
 	"syscall"
 	"time"
 
@@ -14,6 +16,7 @@
 	"sniperail.example/sniperail/internal/bench/load"
 	"sniperail.example/sniperail/internal/command/admission"
 	"sniperail.example/sniperail/internal/standin/target"
+	"sniperail.example/sniperail/internal/traffic"
 )
 
 // Options describe a measurement.
@@ -37,7 +40,9 @@
 	Rate, Capacity  float64
 	Direct, Through Percentiles
 	Added           Percentiles
-	Failed          int64
+	// QuietP99 is the added p99 in the median round. Other work on the host disturbs single rounds.
+	QuietP99 float64
+	Failed   int64
 	// CPUMicros is the processor time that both daemons add per call at this load.
 	CPUMicros float64
 	// CallsPerCore is the calls per second that one core of daemon carries when all cores are busy: both hops of a call,
@@ -58,8 +63,8 @@
 
 // String renders a row.
 func (r Row) String() string {
-	return fmt.Sprintf("size=%d load=%.0f%% rate=%.0f/s capacity=%.0f/s direct=%v through=%v added=%v failed=%d cpu=%.1fus calls_per_core=%.0f/s allocations=%.0f",
-		r.Size, r.Load*100, r.Rate, r.Capacity, r.Direct, r.Through, r.Added, r.Failed, r.CPUMicros, r.CallsPerCore, r.Allocations)
+	return fmt.Sprintf("size=%d load=%.0f%% rate=%.0f/s capacity=%.0f/s direct=%v through=%v added=%v quiet_p99=%.0f failed=%d cpu=%.1fus calls_per_core=%.0f/s allocations=%.0f",
+		r.Size, r.Load*100, r.Rate, r.Capacity, r.Direct, r.Through, r.Added, r.QuietP99, r.Failed, r.CPUMicros, r.CallsPerCore, r.Allocations)
 }
 
 func (o Options) withDefaults() Options {
@@ -81,6 +86,7 @@
 // Run measures each size at each load: directly and through both daemons, at the same rate and with the same arrivals.
 func Run(ctx context.Context, o Options) ([]Row, error) {
 	o = o.withDefaults()
+	defer debug.SetGCPercent(debug.SetGCPercent(traffic.GCPercent))
 	var rows []Row
 	for _, size := range o.Sizes {
 		// More slots than workers: the measurement is of the path, not of admission.
@@ -116,22 +122,46 @@
 			Size: size, Load: part, Rate: capacity * part, Capacity: capacity,
 			CallsPerCore: 1e6 / (through.cpu - direct.cpu), Allocations: through.allocations - direct.allocations,
 		}
-		direct, directUse, err := run(ctx, o, client, mesh.TargetURLs[0]+"/c", row.Rate)
-		if err != nil {
-			return rows, err
-		}
-		through, throughUse, err := run(ctx, o, client, mesh.IngressURL+"/c", row.Rate)
-		if err != nil {
+		if err := compare(ctx, o, client, mesh, &row); err != nil {
 			return rows, err
 		}
-		row.Direct, row.Through, row.Failed = percentiles(direct), percentiles(through), direct.Failed+through.Failed
-		row.Added = row.Through.minus(row.Direct)
-		row.CPUMicros = throughUse.cpu - directUse.cpu
 		rows = append(rows, row)
 	}
 	return rows, nil
 }
 
+// rounds is how often both ways alternate, so that other work on the host disturbs both alike.
+const rounds = 9
+
+// compare fills in the latencies of a row.
+func compare(ctx context.Context, o Options, client *http.Client, mesh *load.Mesh, row *Row) error {
+	var sums [2]load.Result
+	var cpu [2]float64
+	var added []float64
+	for round := range rounds {
+		var p99 [2]float64
+		for way, url := range []string{mesh.TargetURLs[0], mesh.IngressURL} {
+			before, _ := processUse()
+			result, err := load.Run(ctx, client, load.Options{
+				URL: url + "/c", Rate: row.Rate, Duration: o.Duration / rounds, Seed: o.Seed + uint64(round), Workers: o.Workers,
+			})
+			if err != nil {
+				return errors.Wrap(err, "load")
+			}
+			after, _ := processUse()
+			cpu[way] += float64(after-before) / 1e3
+			p99[way] = result.Micros(99)
+			sums[way].Add(result)
+		}
+		added = append(added, p99[1]-p99[0])
+	}
+	slices.Sort(added)
+	row.Direct, row.Through, row.QuietP99 = percentiles(sums[0]), percentiles(sums[1]), added[rounds/2]
+	row.Added, row.Failed = row.Through.minus(row.Direct), sums[0].Failed+sums[1].Failed
+	row.CPUMicros = cpu[1]/float64(max(sums[1].Sent, 1)) - cpu[0]/float64(max(sums[0].Sent, 1))
+	return nil
+}
+
 // saturate measures the closed-loop maximum and what a call uses then.
 func saturate(ctx context.Context, o Options, client *http.Client, url string) (float64, use, error) {
 	cpu, allocations := processUse()
@@ -148,17 +178,6 @@
 // use is what the process used per call.
 type use struct{ cpu, allocations float64 }
 
-func run(ctx context.Context, o Options, client *http.Client, url string, rate float64) (load.Result, use, error) {
-	cpu, allocations := processUse()
-	result, err := load.Run(ctx, client, load.Options{URL: url, Rate: rate, Duration: o.Duration, Seed: o.Seed, Workers: o.Workers})
-	if err != nil {
-		return result, use{}, errors.Wrap(err, "load")
-	}
-	cpuAfter, allocationsAfter := processUse()
-	calls := float64(max(result.Sent, 1))
-	return result, use{float64(cpuAfter-cpu) / 1e3 / calls, float64(allocationsAfter-allocations) / calls}, nil
-}
-
 // processUse returns the processor time and the allocations of this process so far.
 func processUse() (time.Duration, uint64) {
 	var usage syscall.Rusage
--- a/internal/bench/load/load.go
+++ b/internal/bench/load/load.go
@@ -5,11 +5,14 @@
 import (
 	"context"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net/http"
+	"runtime"
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -48,6 +51,15 @@
 // Micros returns a latency quantile (0 to 100) in microseconds.
 func (r Result) Micros(quantile float64) float64 { return float64(r.Latency.ValueAtQuantile(quantile)) }
 
+// Add adds another run with the same options.
+func (r *Result) Add(o Result) {
+	if r.Latency == nil {
+		r.Latency = hdrhistogram.New(1, maxMicros, digits)
+	}
+	r.Latency.Merge(o.Latency)
+	r.Sent, r.Good, r.Failed, r.Elapsed = r.Sent+o.Sent, r.Good+o.Good, r.Failed+o.Failed, r.Elapsed+o.Elapsed
+}
+
 // Client returns an HTTP client with enough idle connections for the workers.
 func Client(workers int) *http.Client {
 	return &http.Client{Transport: &http.Transport{
@@ -60,7 +72,9 @@
 	if _, err := http.NewRequest(http.MethodGet, o.URL, nil); err != nil {
 		return Result{}, errors.Wrap(err, "load URL")
 	}
-	arrivals := make(chan time.Time, int(o.Rate*o.Duration.Seconds())+o.Workers)
+	// Exponential gaps give the expected number of arrivals and a few standard deviations.
+	expected := o.Rate * o.Duration.Seconds()
+	arrivals := make(chan time.Time, int(expected+10*math.Sqrt(expected))+o.Workers)
 	sums := newSums()
 	var wg sync.WaitGroup
 	for range o.Workers {
@@ -80,33 +94,29 @@
 	}, nil
 }
 
-// schedule sends the intended start times. Timers are coarser than the gaps, so arrivals that are due go out together.
+// schedule sends the intended start times. It sleeps on a thread of its own, because the timers of the Go runtime are
+// about 1 ms late, which would hide the added latency.
 func schedule(ctx context.Context, o Options, start time.Time, arrivals chan<- time.Time) {
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
 	random := rand.New(rand.NewPCG(o.Seed, 0))
-	timer := time.NewTimer(0)
-	defer timer.Stop()
 	next, end := start, start.Add(o.Duration)
-	for {
+	for ctx.Err() == nil {
 		next = next.Add(time.Duration(random.ExpFloat64() / o.Rate * float64(time.Second)))
 		if next.After(end) {
 			return
 		}
-		if wait := time.Until(next); wait > 0 {
-			timer.Reset(wait)
-			select {
-			case <-timer.C:
-			case <-ctx.Done():
-				return
-			}
-		}
-		select {
-		case arrivals <- next:
-		case <-ctx.Done():
-			return
+		if wait := time.Until(next); wait > minSleep {
+			pause := syscall.NsecToTimespec(int64(wait))
+			_ = syscall.Nanosleep(&pause, nil) // an interrupted sleep only sends the call early by its rest
 		}
+		arrivals <- next // has room for all arrivals
 	}
 }
 
+// minSleep is about the accuracy of the kernel's sleep.
+const minSleep = 50 * time.Microsecond
+
 type sums struct {
 	sent, good atomic.Int64
 	mu         sync.Mutex
--- a/internal/bench/overload/overload.go
+++ b/internal/bench/overload/overload.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -15,6 +16,7 @@
 	"sniperail.example/sniperail/internal/bench/load"
 	"sniperail.example/sniperail/internal/command/admission"
 	"sniperail.example/sniperail/internal/standin/target"
+	"sniperail.example/sniperail/internal/traffic"
 )
 
 // Options describe a measurement.
@@ -78,6 +80,7 @@
 // Run measures both ways at each factor. Capacity is the peak of a closed loop with one caller per slot.
 func Run(ctx context.Context, o Options) ([]Row, error) {
 	o = o.withDefaults()
+	defer debug.SetGCPercent(debug.SetGCPercent(traffic.GCPercent))
 	var configs []target.Config
 	for i := range o.Targets {
 		configs = append(configs, target.Config{
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -123,6 +123,10 @@
 	AnswerBytes int
 }
 
+// GCPercent is the garbage collection target for a process with these handlers. A call allocates about 10 KB per hop on a
+// live heap of a few MB; the default of 100 spent 15% more processor time per call, and memory stays small either way.
+const GCPercent = 400
+
 // DefaultLimits returns limits for the size in the design page.
 func DefaultLimits() Limits {
 	return Limits{
