message: outcomes in packed form, from relays every second heartbeat

Cause: while a move is active outcomes were half of what a leader receives. Change: names once per version, no empty buckets at the ends; relays send outcomes with every second heartbeat.

--- a/internal/command/agent/children.go
+++ b/internal/command/agent/children.go
@@ -39,7 +39,7 @@
 		reply.Code = message.Unknown
 	}
 	if fresh {
-		a.addSums(hb.Sums)
+		a.addSums(message.UnpackSums(hb.Sums))
 	}
 	a.AddMarks(hb.Marks)
 	a.membersChanged()
--- a/internal/command/agent/exchange.go
+++ b/internal/command/agent/exchange.go
@@ -151,9 +151,7 @@
 		m.Marks = a.markList()
 	}
 	if evidence {
-		m.Evidence = model.Evidence{
-			DataCentre: a.self.DataCentre, From: a.lead.evidenceFrom, To: a.now, Sums: a.takeSums(),
-		}
+		m.From, m.To, m.Sums = a.lead.evidenceFrom, a.now, message.PackSums(a.takeSums())
 	}
 	p.inFlight, p.lastSent, p.sentNumbers, p.sentMarks = true, a.now, numbers, digest
 	version, term, own := a.lead.local.Version(), p.term, a.lead.lease.Term()
@@ -209,7 +207,7 @@
 	p.seqIn, p.heard, p.platform, p.driver, p.inForce = m.Seq, a.now, m.Platform, m.Driver, m.InForce
 	p.number = max(p.number, m.Number)
 	a.AddMarks(m.Marks)
-	a.addEvidence(m.Evidence)
+	a.addEvidence(model.Evidence{DataCentre: m.DataCentre, From: m.From, To: m.To, Sums: message.UnpackSums(m.Sums)})
 	if m.Roster != nil && !a.takePeerRoster(p, m.Roster) {
 		reply.Code = message.Gap
 		if p.roster.Term() == m.Term {
--- a/internal/command/agent/parent.go
+++ b/internal/command/agent/parent.go
@@ -189,7 +189,11 @@
 		Own: a.replica.Number(), Number: f.Number, Live: f.Live,
 		Roster: a.roster.Version(), RosterTerm: a.roster.Term(),
 		Digest: a.members.Digest(""), MarkDigest: membership.MarkDigest(a.markList()),
-		Silent: f.Silent, Sums: a.takeSums(), Refusals: f.Refusals,
+		Silent: f.Silent, Refusals: f.Refusals,
+	}
+	if !a.parent.relay || a.parent.seq%2 == 0 {
+		// A leader has a heartbeat of each relay every second, and sums are its largest part.
+		hb.Sums = message.PackSums(a.takeSums())
 	}
 	if a.parent.sendAll {
 		hb.Marks = a.markList()
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -81,7 +81,7 @@
 	Changed []model.Target
 	Silent  []model.SilentDaemon
 	// Sums holds request outcomes of services with an active move.
-	Sums     []model.KeyedSum
+	Sums     []ServiceSums
 	Refusals []model.Refusal
 	Marks    []model.Mark
 }
@@ -163,9 +163,11 @@
 	// Driver says that the sender drives the moves and wants the evidence of all data centres.
 	Driver bool
 	// Roster changes the targets of the sender's data centre.
-	Roster   *RosterChange
-	InForce  model.InForce
-	Evidence model.Evidence
+	Roster  *RosterChange
+	InForce model.InForce
+	// Sums are the outcomes of the sender's data centre from From to To, sent to the driver only.
+	Sums     []ServiceSums
+	From, To time.Time
 	Marks    []model.Mark
 }
 
