bench/distribution: a leader dies during a change

Cause: a change must be in force within 13 s also when a leader dies right after it was written. Change: the run kills a leader 2 ms after a change and reports when all live daemons show it and when it is in force.

--- a/internal/bench/distribution/report.go
+++ b/internal/bench/distribution/report.go
@@ -29,7 +29,10 @@
 	// Heap is the memory of the whole process, links and store included.
 	Heap          uint64
 	Start, Return Surge
-	Naive         []Naive
+	// LeaderLost is the time from a change until all live daemons show it and until it is reported in force, when a
+	// leader dies right after the change.
+	LeaderLost [2]time.Duration
+	Naive      []Naive
 }
 
 // Usage is what the daemons of one role use. Bytes are sent plus received per second.
@@ -124,6 +127,8 @@
 	lines = append(lines,
 		fmt.Sprintf("messages per daemon and second %.2f; cpu per change %v", rep.Messages, rep.CPUPerChange),
 		fmt.Sprintf("platform calls/s: reads %.2f writes %.2f watch starts %.3f", rep.Reads, rep.Writes, rep.Watches),
+		fmt.Sprintf("a leader dies during a change: shown everywhere after %.2f s, in force after %.2f s",
+			rep.LeaderLost[0].Seconds(), rep.LeaderLost[1].Seconds()),
 		fmt.Sprintf("first start within %v: %s", returnWithin, rep.Start),
 		fmt.Sprintf("all return within %v: %s", returnWithin, rep.Return))
 	for _, n := range rep.Naive {
--- a/internal/bench/distribution/run.go
+++ b/internal/bench/distribution/run.go
@@ -19,9 +19,10 @@
 	f    *fleet.Fleet
 	wire *wire
 	last model.Number
-	// changes are the written numbers with their times; pending maps a daemon to the first number it has not shown.
+	// written are the times of the numbers; shown is the highest number that a daemon showed, since shownAt.
 	written map[model.Number]time.Time
 	shown   map[*fleet.Node]model.Number
+	shownAt map[*fleet.Node]time.Time
 	// upSince is since when a daemon serves; samples of changes written before are not taken from it.
 	upSince map[*fleet.Node]time.Time
 	samples []time.Duration
@@ -34,7 +35,7 @@
 	before := heap()
 	r := &runner{
 		o: o, f: fleet.New(rand.New(rand.NewPCG(o.Seed, 1))), wire: newWire(),
-		written: map[model.Number]time.Time{}, shown: map[*fleet.Node]model.Number{},
+		written: map[model.Number]time.Time{}, shown: map[*fleet.Node]model.Number{}, shownAt: map[*fleet.Node]time.Time{},
 		upSince: map[*fleet.Node]time.Time{}, calls: map[int64]*[2]int{},
 	}
 	r.f.Delay, r.f.Store.Delay = delay, storeDelayOf
@@ -45,6 +46,7 @@
 	rep := Report{Options: o}
 	rep.Start = r.start()
 	r.steady(&rep)
+	rep.LeaderLost = r.loseLeader()
 	rep.Return = r.returnAll()
 	r.state(&rep, before)
 	rep.Naive = []Naive{watchAll(o, r.document()), pollAll(o, r.document())}
@@ -86,7 +88,9 @@
 			r.samples = append(r.samples, r.f.Now.Sub(at))
 		}
 	}
-	r.shown[n] = max(r.shown[n], number)
+	if number > r.shown[n] {
+		r.shown[n], r.shownAt[n] = number, r.f.Now
+	}
 }
 
 func (r *runner) called(_ *fleet.Node, call store.Call) {
@@ -202,6 +206,40 @@
 	r.inForce = append(r.inForce, r.f.Now.Sub(r.written[r.last]))
 }
 
+// loseLeader kills a leader right after a change, and returns the time until every live daemon shows the change and
+// until another leader reports it in force.
+func (r *runner) loseLeader() [2]time.Duration {
+	lost := r.leader()
+	r.write()
+	r.f.Run(killAfter)
+	if lost != nil {
+		lost.Kill()
+	}
+	shown := time.Duration(0)
+	for range 600 {
+		if r.f.Now.Sub(r.written[r.last]) > time.Second && r.allShow(r.last) {
+			break
+		}
+		r.f.Run(100 * time.Millisecond)
+	}
+	for n, number := range r.shown {
+		if n.Alive && number >= r.last {
+			shown = max(shown, r.shownAt[n].Sub(r.written[r.last]))
+		}
+	}
+	r.waitInForce()
+	return [2]time.Duration{shown, r.inForce[len(r.inForce)-1]}
+}
+
+func (r *runner) allShow(number model.Number) bool {
+	for _, n := range r.f.Nodes {
+		if n.Alive && r.shown[n] < number {
+			return false
+		}
+	}
+	return true
+}
+
 // leader returns the first leader, or nil.
 func (r *runner) leader() *fleet.Node {
 	for _, n := range r.f.Nodes {
