agent: a leader behind its members learns from them and vouches for nothing

Cause: a leader that restarts while the stored document is invalid held no configuration, so that its data centre had nothing to serve although its members held the last valid one; a refused configuration was sent again each second. Change: a leader or relay pulls from a child with a higher number; a leader vouches only when no child is ahead, and without a valid document in its term only if all other leaders answer and its members had time to report. A child is not sent a number again that it refused. A stored number below the distributed one is refused and reported.

--- a/internal/command/agent/children.go
+++ b/internal/command/agent/children.go
@@ -48,9 +48,20 @@
 	}
 	a.soon(timerSweep, sweepInterval)
 	a.push(a.members.Child(hb.From))
+	a.followChild()
 	return reply
 }
 
+// followChild catches up with a child that holds a higher number, as when this daemon restarted while the stored
+// document is invalid.
+func (a *Agent) followChild() {
+	if c := a.members.Ahead(a.replica.Number()); c != nil {
+		if m := a.members.Member(c.ID); m != nil {
+			a.pull(m.Target.PeerAddress)
+		}
+	}
+}
+
 // membersChanged carries changes of the members on: into the roster at the leader, up at a relay.
 func (a *Agent) membersChanged() {
 	if !a.members.HasChanged() {
@@ -128,7 +139,10 @@
 		return
 	}
 	up := &message.Update{Term: a.term, Roster: a.roster.Since(c.RosterTerm, c.Roster)}
-	up.Configuration, up.Delta = a.replica.Since(c.Own)
+	number := a.replica.Number()
+	if c.Refused != number {
+		up.Configuration, up.Delta = a.replica.Since(c.Own)
+	}
 	if c.MarkDigest != membership.MarkDigest(a.markList()) {
 		up.Marks = a.markList()
 	}
@@ -148,6 +162,9 @@
 			c.Suspect = true
 			return
 		}
+		if r.Code == message.Refused {
+			c.Refused = number
+		}
 		a.pushed(c, r)
 	})
 	c.InFlight = uint64(request)
@@ -159,9 +176,6 @@
 		a.heardTerm(r.Term)
 		return
 	}
-	if r.Code == message.Refused {
-		return
-	}
 	before := a.summary().Number
 	c.Own, c.Roster, c.RosterTerm = max(c.Own, r.Number), r.Roster, r.RosterTerm
 	c.MarkDigest = r.MarkDigest
--- a/internal/command/agent/extension.go
+++ b/internal/command/agent/extension.go
@@ -54,7 +54,6 @@
 func (a *Agent) TakeEntry(entry store.Entry) {
 	if a.lead.lease.Held() {
 		a.takeEntry(entry)
-		a.checkReady()
 	}
 }
 
--- a/internal/command/agent/leader.go
+++ b/internal/command/agent/leader.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"sniperail.example/sniperail/internal/command/distribution"
 	"sniperail.example/sniperail/internal/command/membership"
 	"sniperail.example/sniperail/internal/effect"
 	"sniperail.example/sniperail/internal/message"
@@ -27,6 +28,9 @@
 	revision int64
 	loaded   bool
 	reading  bool
+	// sound says that a valid document was read in this term; elected is when the term began.
+	sound   bool
+	elected time.Time
 	// watching says that the watch on the document has not ended as far as known.
 	watching bool
 
@@ -109,6 +113,7 @@
 	a.lead.tree = membership.NewTree()
 	a.lead.local = membership.NewRoster(term)
 	a.lead.loaded, a.lead.watching, a.lead.listed, a.lead.evidenceFrom = false, false, false, a.now
+	a.lead.sound, a.lead.elected = false, a.now
 	for _, p := range a.lead.peers {
 		// What the others hold of this daemon's former terms counts for nothing in the new one.
 		p.forgetSent()
@@ -188,16 +193,23 @@
 }
 
 // current reports whether this leader's number cannot be older than a number that a daemon of its data centre serves.
-// Under a valid lease no other leader can have sent a higher one, and the document was read after the lease was taken.
-// In an outage the numbers of all other leaders stand in for the platform, if none of them reaches it either.
+// Under a valid lease no other leader can have sent a higher one, and a valid document was read after the lease was
+// taken. Otherwise the numbers of all other leaders and of the members stand in for it: in an outage if no leader reaches
+// the platform, and while the stored document is invalid once the members had the time to report theirs.
 func (a *Agent) current() bool {
-	if !a.lead.lease.Held() || !a.lead.loaded {
+	if !a.lead.lease.Held() || !a.lead.loaded || a.replica.Number() == 0 || a.members.Ahead(a.replica.Number()) != nil {
 		return false
 	}
-	if a.lead.lease.Valid(a.now) {
+	valid := a.lead.lease.Valid(a.now)
+	if valid && a.lead.sound {
 		return true
 	}
-	return a.allPeersReachable(func(p *peerLeader) bool { return !p.platform && p.number <= a.replica.Number() })
+	if !a.lead.sound && a.now.Sub(a.lead.elected) < membership.AttachWithin {
+		return false
+	}
+	return a.allPeersReachable(func(p *peerLeader) bool {
+		return (valid || !p.platform) && p.number <= a.replica.Number()
+	})
 }
 
 // connected reports whether changes of the configuration reach this leader.
@@ -208,8 +220,12 @@
 	return a.lead.lease.Valid(a.now) || a.allPeersReachable(func(*peerLeader) bool { return true })
 }
 
-// observeRoot notes that a leader is connected, and plans the moment at which the daemon is isolated.
+// observeRoot notes that a leader is connected and lets it serve, and plans the moment at which the daemon is isolated.
 func (a *Agent) observeRoot() {
+	if !a.ready && a.current() {
+		a.vouched, a.required = true, a.replica.Number()
+		a.checkReady()
+	}
 	if a.connected() {
 		a.rootSeen = a.now
 	}
@@ -249,10 +265,6 @@
 			a.emit(effect.Watch{Key: store.KeyConfiguration, After: after})
 		}
 		a.lead.loaded, a.lead.watching = true, true
-		if a.replica.Number() > 0 {
-			a.vouched, a.required = true, a.replica.Number()
-		}
-		a.checkReady()
 	})
 }
 
@@ -268,13 +280,12 @@
 		a.log("configuration deleted", "revision", "ignored")
 	default:
 		a.takeEntry(ev.Event.Entry)
-		a.checkReady()
 	}
 }
 
 // takeEntry takes the stored document. One that cannot be decoded or is invalid is refused as a whole and reported.
 func (a *Agent) takeEntry(entry store.Entry) {
-	if entry.ModRevision <= a.lead.revision {
+	if entry.ModRevision < a.lead.revision || (entry.ModRevision == a.lead.revision && a.lead.loaded) {
 		return
 	}
 	c, err := a.cfg.Codec.DecodeConfiguration(entry.Value)
@@ -283,5 +294,11 @@
 		return
 	}
 	a.lead.document, a.lead.revision = c, entry.ModRevision
-	a.apply(a.replica.Apply(c))
+	if held := a.replica.Number(); c.Number < held {
+		a.refuse(c.Number, "the number is below "+numberText(held)+", which is already distributed")
+		return
+	}
+	result, reason := a.replica.Apply(c)
+	a.lead.sound = a.lead.sound || result != distribution.Refused
+	a.apply(result, reason)
 }
--- a/internal/command/agent/ready_test.go
+++ b/internal/command/agent/ready_test.go
@@ -144,3 +144,38 @@
 	f.Run(time.Second)
 	is.True(probe(f, n, n.Target))
 }
+
+// Guards against a data centre that has nothing to serve, or serves a lower number, after its leader restarted while the
+// stored document is invalid: the members still hold the last valid one.
+func TestLeaderLearnsFromItsMembers(t *testing.T) {
+	is := is.New(t)
+	s := newSession(4)
+	s.write()
+	s.f.Run(time.Second)
+	s.writeBad()
+	s.f.Run(time.Second)
+	for _, n := range s.f.Nodes[:3] {
+		s.boot(n)
+	}
+	s.f.Run(20 * time.Second)
+	is.Equal(s.broken, nil)
+	for _, n := range s.f.Nodes {
+		is.True(n.View.Ready)
+		is.Equal(n.View.Configuration.Number, s.valid.Number)
+	}
+}
+
+// Guards against a source that was set back to an earlier document: daemons keep theirs and report the refusal.
+func TestLowerNumberInTheStoreIsRefused(t *testing.T) {
+	is := is.New(t)
+	s := newSession(3)
+	s.write()
+	s.f.Run(time.Second)
+	s.f.Store.Write(fleet.Sample(1, services))
+	s.f.Run(time.Second)
+	is.Equal(s.broken, nil)
+	for _, n := range s.f.Nodes {
+		is.Equal(n.View.Configuration.Number, model.Number(2))
+	}
+	is.Equal(s.leader().Agent.InForce().Refusals[0].Number, model.Number(1))
+}
--- a/internal/command/membership/members.go
+++ b/internal/command/membership/members.go
@@ -36,6 +36,8 @@
 	RosterTerm  model.Term
 	MarkDigest  uint64
 	Refusals    []model.Refusal
+	// Refused is the number of a configuration that it refused, which is not sent again.
+	Refused model.Number
 	// Suspect says that it could not be reached since its last heartbeat.
 	Suspect bool
 	// InFlight is the request ID of an update that was not answered yet, or 0.
--- a/internal/command/membership/summary.go
+++ b/internal/command/membership/summary.go
@@ -40,6 +40,17 @@
 	return sum
 }
 
+// Ahead returns the child with the highest number above the given one, or nil.
+func (m *Members) Ahead(number model.Number) *Child {
+	var ahead *Child
+	for _, c := range m.Children() {
+		if c.Own > number {
+			ahead, number = c, c.Own
+		}
+	}
+	return ahead
+}
+
 // InForce summarises the daemons at and below this one, whose own number is given.
 func (m *Members) InForce(own model.Number, dc model.DataCentre) model.InForce {
 	f := model.InForce{Number: own}
