traffic: broken request bodies end the call; slow callers are no evidence

Cause: after a streamed request body broke off, the call waited for a response until its deadline; a response that a slow caller did not read in time counted as a failure of the version; a caller that read nothing could hold up a drain; a digest did not cover the path. Change: a broken body ends the exchange at once, stream tells which side broke off, the server has a write timeout, the digest covers method and path, a stored answer is flushed before Finish. Gauges for slots and queue. Measured: go test -race -count=2 ./internal/traffic: passes, with new tests for broken bodies, unsolicited responses and the retry budget.

--- a/internal/traffic/admission.go
+++ b/internal/traffic/admission.go
@@ -124,8 +124,8 @@
 	return v, v.identify(table, selected.once == "once")
 }
 
-// maxDeadline bounds calls whose sender sets no deadline.
-const maxDeadline = time.Minute
+// maxDeadline bounds the deadline of any call.
+const maxDeadline = 10 * time.Minute
 
 // slots is the admission state with its lock and the calls that wait.
 type slots struct {
--- a/internal/traffic/body.go
+++ b/internal/traffic/body.go
@@ -19,6 +19,19 @@
 	rest   io.Reader
 	length int64
 	used   atomic.Bool
+	// broken is set when the caller's part of a streamed body fails.
+	broken atomic.Bool
+}
+
+// source reads the streamed part of a body and notes when its sender fails.
+type source struct{ body *requestBody }
+
+func (s source) Read(p []byte) (int, error) {
+	n, err := s.body.rest.Read(p)
+	if err != nil && err != io.EOF {
+		s.body.broken.Store(true)
+	}
+	return n, err
 }
 
 // readRequestBody reads a body of up to replayBytes. A longer one is streamed.
@@ -115,30 +128,44 @@
 	return body, err == nil && len(body) <= limit, err
 }
 
-// stream copies a body. It panics with http.ErrAbortHandler if the body breaks off, which resets the connection, so that
-// a cut response never looks complete.
-func stream(w http.ResponseWriter, body io.Reader, flush bool, deadline time.Time) {
+// breakOff says why a response could not be passed on whole.
+type breakOff uint8
+
+const (
+	brokenBySender breakOff = iota + 1
+	// brokenByCaller also covers a caller that reads so slowly that the deadline passes.
+	brokenByCaller
+)
+
+// stream copies a body and returns 0 if it did so to the end. After any other result the caller must panic with
+// http.ErrAbortHandler, which resets the connection, so that a cut response never looks complete.
+func stream(w http.ResponseWriter, body io.Reader, flush bool, deadline time.Time) breakOff {
 	control := http.NewResponseController(w)
 	// A caller that reads too slowly is cut off soon after the deadline of the call.
 	_ = control.SetWriteDeadline(deadline.Add(time.Second))
 	defer func() { _ = control.SetWriteDeadline(time.Time{}) }()
 	buffer := copyBuffers.Get().(*[]byte)
 	defer copyBuffers.Put(buffer)
+	start, writing := time.Now(), time.Duration(0)
 	for {
 		n, err := body.Read(*buffer)
 		if n > 0 {
+			before := time.Now()
 			if _, werr := w.Write((*buffer)[:n]); werr != nil {
-				panic(http.ErrAbortHandler)
+				return brokenByCaller
 			}
 			if flush && control.Flush() != nil {
-				panic(http.ErrAbortHandler)
+				return brokenByCaller
 			}
+			writing += time.Since(before)
 		}
-		if err == io.EOF {
-			return
-		}
-		if err != nil {
-			panic(http.ErrAbortHandler)
+		switch {
+		case err == io.EOF:
+			return 0
+		case err != nil && timedOut(err) && writing > time.Since(start)/2:
+			return brokenByCaller
+		case err != nil:
+			return brokenBySender
 		}
 	}
 }
--- a/internal/traffic/call.go
+++ b/internal/traffic/call.go
@@ -76,7 +76,7 @@
 	decision := retry.Decide(&b.budget, retry.Attempt{
 		Number: c.attempt, Executed: out.refused.executed, Idempotent: c.idempotent(), Nested: c.nested,
 		Replayable: c.body.replayable(), Remaining: time.Until(c.deadline),
-	}, source{})
+	}, random{})
 	b.mu.Unlock()
 	if !decision.Retry {
 		c.ingress.options.Metrics.notRetried.Add(c.ctx, string(decision.Reason), 1)
@@ -101,7 +101,7 @@
 }
 
 func (c *call) hasUntried() bool {
-	_, reason := c.version.Pick(&signals{c.ingress.peers, time.Now()}, source{}, c.tried)
+	_, reason := c.version.Pick(&signals{c.ingress.peers, time.Now()}, random{}, c.tried)
 	return reason == routing.Found
 }
 
@@ -128,7 +128,7 @@
 		}
 		c.version = version
 	}
-	target, reason := c.version.Pick(&signals{c.ingress.peers, time.Now()}, source{}, c.tried)
+	target, reason := c.version.Pick(&signals{c.ingress.peers, time.Now()}, random{}, c.tried)
 	if reason != routing.Found {
 		return nil, notExecuted(http.StatusServiceUnavailable, string(reason), "no target of the version is ready").after(time.Second)
 	}
@@ -191,6 +191,9 @@
 	if c.request.Context().Err() != nil {
 		return inDoubt(http.StatusServiceUnavailable, reasonLost, "the caller is gone")
 	}
+	if c.body.broken.Load() {
+		return inDoubt(http.StatusBadRequest, reasonBody, "the request body broke off or is over the limit")
+	}
 	late := timedOut(err) && !time.Now().Before(c.deadline)
 	switch {
 	case late && arrived:
@@ -252,22 +255,19 @@
 		_, _ = w.Write(out.body) // a caller that is gone needs no response
 		return
 	}
-	defer func() {
-		// The target counts as failed only if the caller still waited for the rest.
-		if broken := recover(); broken != nil {
-			out.exchange.finish(false)
-			if c.request.Context().Err() == nil {
-				c.settle(out, true)
-			}
-			panic(broken)
-		}
-		out.exchange.finish(true)
-		c.settle(out, failed)
-	}()
 	out.peer.inFlight.Add(1)
 	defer out.peer.inFlight.Add(-1)
 	w.WriteHeader(response.StatusCode)
-	stream(w, response.Body, response.ContentLength < 0, c.deadline)
+	broken := stream(w, response.Body, response.ContentLength < 0, c.deadline)
+	out.exchange.finish(broken == 0)
+	switch {
+	case broken == 0:
+		c.settle(out, failed)
+		return
+	case broken == brokenBySender && c.request.Context().Err() == nil:
+		c.settle(out, true)
+	}
+	panic(http.ErrAbortHandler)
 }
 
 // settle records an answered attempt.
--- a/internal/traffic/call_test.go
+++ b/internal/traffic/call_test.go
@@ -274,3 +274,74 @@
 	is.NoErr(m.ingress.Wait(context.Background()))
 	is.NoErr(m.admissions[0].Wait(context.Background()))
 }
+
+// Guards against bytes that belong to no request: a second response on the same connection must not reach the next call.
+func TestUnsolicitedResponse(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(t, nil, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/twice" {
+			conn, _, err := http.NewResponseController(w).Hijack()
+			is.NoErr(err)
+			answer := "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst"
+			_, _ = io.WriteString(conn, answer+strings.Replace(answer, "first", "wrong", 1))
+			t.Cleanup(func() { _ = conn.Close() })
+			return
+		}
+		ok(w, r)
+	})
+	for range 5 {
+		is.Equal(m.call("POST", "/twice", "").body, "first")
+		is.Equal(m.call("POST", "/a", "mine").body, "ok /a mine")
+	}
+}
+
+// Guards against a request body that breaks off or is too long and reaches the target as complete.
+func TestBrokenRequestBodies(t *testing.T) {
+	is := is.New(t)
+	var complete atomic.Int64
+	m := newMesh(t, nil, func(w http.ResponseWriter, r *http.Request) {
+		if _, err := io.ReadAll(r.Body); err == nil {
+			complete.Add(1)
+		}
+		ok(w, r)
+	})
+	long := strings.Repeat("x", 100<<10)
+	for _, request := range []string{
+		"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 200000\r\n\r\n" + long,
+		"POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 20\r\n\r\nabc",
+		"POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+		"POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n19000\r\n" + long + "\r\n",
+	} {
+		conn, err := net.Dial("tcp", strings.TrimPrefix(m.url, "http://"))
+		is.NoErr(err)
+		_, err = io.WriteString(conn, request)
+		is.NoErr(err)
+		is.NoErr(conn.(*net.TCPConn).CloseWrite())
+		answer, _ := io.ReadAll(conn)
+		is.True(!strings.Contains(string(answer), "200 OK"))
+		_ = conn.Close()
+	}
+	a := m.callContext(context.Background(), "POST", "/a", io.MultiReader(strings.NewReader(strings.Repeat(long, 330))))
+	is.True(a.err != nil || a.status >= 400) // over 32 MB without a length
+	is.NoErr(m.ingress.Wait(context.Background()))
+	is.Equal(complete.Load(), int64(0))
+}
+
+// Guards against a storm of retries when every target is gone: at most 10% of the calls.
+func TestRetryBudgetHolds(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(t, nil, ok, ok)
+	gone, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	is.NoErr(gone.Close())
+	m.change(func(v *model.View) {
+		v.Targets[0].Address, v.Targets[1].Address = gone.Addr().String(), gone.Addr().String()
+	})
+	for range 95 {
+		a := m.call("GET", "/a", "")
+		is.Equal(a.refusal, "target-unreachable")
+		is.Equal(a.executed, "no")
+	}
+	is.True(strings.Contains(m.scrape(), `sniperail_retries_total{reason="not-executed"} 9`))
+	is.True(strings.Contains(m.scrape(), `sniperail_retries_refused_total{reason="budget-exhausted"}`))
+}
--- a/internal/traffic/identity.go
+++ b/internal/traffic/identity.go
@@ -10,13 +10,14 @@
 	"sniperail.example/sniperail/internal/model"
 )
 
-// requestIdentity returns the identity of a request: the header, else a digest of fields of its JSON body, else none.
-func requestIdentity(once *model.Once, h http.Header, body *requestBody) (string, time.Duration) {
+// requestIdentity returns the identity of a request: the header, else a digest of its method, path and the chosen fields
+// of its JSON body, else none.
+func requestIdentity(once *model.Once, r *http.Request, body *requestBody) (string, time.Duration) {
 	name := once.Header
 	if name == "" {
 		name = HeaderIdempotencyKey
 	}
-	if id := h.Get(name); id != "" {
+	if id := r.Header.Get(name); id != "" {
 		return "key:" + id, 0
 	}
 	if len(once.DigestFields) == 0 || body.rest != nil {
@@ -27,6 +28,7 @@
 		return "", 0
 	}
 	digest := sha256.New()
+	digest.Write([]byte(r.Method + " " + r.URL.Path + "\n"))
 	for _, field := range once.DigestFields {
 		value, ok := fields[field]
 		if !ok {
--- a/internal/traffic/ingress.go
+++ b/internal/traffic/ingress.go
@@ -51,7 +51,7 @@
 		pool:     newPool(options.Limits.IdlePerPeer, options.Limits.IdleTotal, options.Limits.HeaderBytes, nil),
 		counters: map[model.RouteName]*atomic.Uint64{}, budgets: map[model.ServiceName]*budget{},
 	}
-	i.calls.Store(source{}.Uint64())
+	i.calls.Store(random{}.Uint64())
 	return i
 }
 
@@ -105,7 +105,7 @@
 	if reason != routing.Found {
 		return nil, notExecuted(http.StatusNotFound, string(reason), "no route matches the path")
 	}
-	left, ok := remaining(r.Header, route.Timeout)
+	left, ok := remaining(r.Header, min(route.Timeout, maxDeadline))
 	if !ok {
 		return nil, notExecuted(http.StatusBadRequest, reasonBadDeadline, HeaderDeadline+" must be one whole number of milliseconds")
 	}
@@ -134,7 +134,7 @@
 	defer i.mu.Unlock()
 	if c = i.counters[route]; c == nil {
 		c = &atomic.Uint64{}
-		c.Store(source{}.Uint64() >> 1)
+		c.Store(random{}.Uint64() >> 1)
 		i.counters[route] = c
 	}
 	return c
--- a/internal/traffic/metrics.go
+++ b/internal/traffic/metrics.go
@@ -51,6 +51,25 @@
 	}, nil
 }
 
+// WatchAdmission adds gauges of the slots and the queue of a target. It fails only if a name is invalid.
+func (m *Metrics) WatchAdmission(a *Admission) error {
+	for name, value := range map[string]func() int{
+		"sniperail_slots_used":  func() int { running, _, _ := a.Occupancy(); return running },
+		"sniperail_slots_limit": func() int { _, limit, _ := a.Occupancy(); return limit },
+		"sniperail_queue_calls": func() int { _, _, queued := a.Occupancy(); return queued },
+	} {
+		observe := func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(int64(value()))
+			return nil
+		}
+		if _, err := m.meter.Int64ObservableGauge(name, metric.WithInt64Callback(observe),
+			metric.WithDescription("Occupancy of the target beside the daemon.")); err != nil {
+			return errors.Wrap(err, name)
+		}
+	}
+	return nil
+}
+
 // series holds the outcomes of one service, route and version, and its cached attribute sets.
 type series struct {
 	key       model.OutcomeKey
--- a/internal/traffic/outgoing.go
+++ b/internal/traffic/outgoing.go
@@ -76,7 +76,7 @@
 	if _, err := dst.Write(b.buffered); err != nil {
 		return err
 	}
-	n, err := io.Copy(dst, b.rest)
+	n, err := io.Copy(dst, source{b})
 	if err != nil {
 		return err
 	}
--- a/internal/traffic/pool.go
+++ b/internal/traffic/pool.go
@@ -282,7 +282,14 @@
 	e.conn.sent = true
 	o.body.used.Store(true)
 	e.writing = make(chan error, 1)
-	go func() { e.writing <- o.body.stream(e.conn.w) }()
+	go func() {
+		err := o.body.stream(e.conn.w)
+		if o.body.broken.Load() {
+			// The rest of the body never comes, and neither does the response.
+			_ = e.conn.SetDeadline(time.Unix(1, 0))
+		}
+		e.writing <- err
+	}()
 	return nil
 }
 
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -152,12 +152,14 @@
 		Handler:           handler,
 		MaxHeaderBytes:    limits.HeaderBytes,
 		ReadHeaderTimeout: 5 * time.Second,
+		// A caller that does not read its response must not hold up a drain for ever.
+		WriteTimeout: maxDeadline + time.Minute,
 		// Longer than the idle time of the pools, so that the client end of a connection closes it first.
 		IdleTimeout: idleTimeout + 30*time.Second,
 	}
 }
 
-// source is the shared random source; it is safe for concurrent use and takes no lock.
-type source struct{}
+// random is the shared random source; it is safe for concurrent use and takes no lock.
+type random struct{}
 
-func (source) Uint64() uint64 { return rand.Uint64() }
+func (random) Uint64() uint64 { return rand.Uint64() }
--- a/internal/traffic/visit.go
+++ b/internal/traffic/visit.go
@@ -37,7 +37,7 @@
 		}
 		return nil
 	}
-	identity, window := requestIdentity(route.Once, v.request.Header, v.body)
+	identity, window := requestIdentity(route.Once, v.request, v.body)
 	if v.admission.options.Once == nil {
 		return notExecuted(http.StatusServiceUnavailable, reasonOnceMissing, "at-most-once claims are not available")
 	}
@@ -116,13 +116,14 @@
 	response := e.response
 	overloaded := response.StatusCode == http.StatusServiceUnavailable
 	if streams(v.request.Method, response) {
-		whole := false
-		defer func() { e.finish(whole) }()
 		copyHeader(w.Header(), response.Header, internalResponse)
 		w.WriteHeader(response.StatusCode)
-		stream(w, response.Body, response.ContentLength < 0, v.deadline)
-		whole = true
+		broken := stream(w, response.Body, response.ContentLength < 0, v.deadline)
+		e.finish(broken == 0)
 		held.release(overloaded)
+		if broken != 0 {
+			panic(http.ErrAbortHandler)
+		}
 		return
 	}
 	body, _, err := readAnswer(v.request.Method, response, bufferedBytes)
@@ -163,6 +164,8 @@
 	answer := &Answer{Status: response.StatusCode, Header: http.Header{}, Body: body}
 	copyHeader(answer.Header, response.Header, internalResponse)
 	writeAnswer(w, answer)
+	// Finish follows and may wait for the platform; the caller need not.
+	_ = http.NewResponseController(w).Flush()
 	return OnceResult{Outcome: OnceAnswered, Answer: answer}
 }
 
@@ -190,6 +193,9 @@
 
 // broken turns a failed exchange with the target into a refusal.
 func (v *visit) broken(err error, arrived bool) *refusal {
+	if v.body.broken.Load() {
+		return inDoubt(http.StatusBadRequest, reasonBody, "the request body broke off or is over the limit")
+	}
 	late := timedOut(err) && !time.Now().Before(v.deadline)
 	switch {
 	case arrived && late:
