--- a/internal/bench/latency/latency.go
+++ b/internal/bench/latency/latency.go
@@ -13,7 +13,7 @@
 
 	"github.com/pkg/errors"
 
-	"sniperail.example/sniperail/internal/bench/load"
+	"sniperail.example/sniperail/internal/bench/openloop"
 	"sniperail.example/sniperail/internal/command/admission"
 	"sniperail.example/sniperail/internal/standin/target"
 	"sniperail.example/sniperail/internal/traffic"
@@ -53,7 +53,7 @@
 // Percentiles are latencies in microseconds.
 type Percentiles struct{ P50, P99, P999 float64 }
 
-func percentiles(r load.Result) Percentiles {
+func percentiles(r openloop.Result) Percentiles {
 	return Percentiles{r.Micros(50), r.Micros(99), r.Micros(99.9)}
 }
 
@@ -90,7 +90,7 @@
 	var rows []Row
 	for _, size := range o.Sizes {
 		// More slots than workers: the measurement is of the path, not of admission.
-		mesh, err := load.NewMesh(admission.Settings{Slots: 2 * o.Workers, Connections: 4 * o.Workers, Queue: o.Workers},
+		mesh, err := openloop.NewMesh(admission.Settings{Slots: 2 * o.Workers, Connections: 4 * o.Workers, Queue: o.Workers},
 			target.Config{Name: "t", Version: "v1", Slots: 4 * o.Workers, Bad: target.BadNone, ColdFactor: 1, AnswerBytes: size})
 		if err != nil {
 			return rows, errors.Wrap(err, "mesh")
@@ -105,8 +105,8 @@
 	return rows, nil
 }
 
-func measure(ctx context.Context, o Options, mesh *load.Mesh, size int) ([]Row, error) {
-	client := load.Client(o.Workers)
+func measure(ctx context.Context, o Options, mesh *openloop.Mesh, size int) ([]Row, error) {
+	client := openloop.Client(o.Workers)
 	defer client.CloseIdleConnections()
 	_, direct, err := saturate(ctx, o, client, mesh.TargetURLs[0]+"/c")
 	if err != nil {
@@ -134,15 +134,15 @@
 const rounds = 9
 
 // compare fills in the latencies of a row.
-func compare(ctx context.Context, o Options, client *http.Client, mesh *load.Mesh, row *Row) error {
-	var sums [2]load.Result
+func compare(ctx context.Context, o Options, client *http.Client, mesh *openloop.Mesh, row *Row) error {
+	var sums [2]openloop.Result
 	var cpu [2]float64
 	var added []float64
 	for round := range rounds {
 		var p99 [2]float64
 		for way, url := range []string{mesh.TargetURLs[0], mesh.IngressURL} {
 			before, _ := processUse()
-			result, err := load.Run(ctx, client, load.Options{
+			result, err := openloop.Run(ctx, client, openloop.Options{
 				URL: url + "/c", Rate: row.Rate, Duration: o.Duration / rounds, Seed: o.Seed + uint64(round), Workers: o.Workers,
 			})
 			if err != nil {
@@ -166,7 +166,7 @@
 func saturate(ctx context.Context, o Options, client *http.Client, url string) (float64, use, error) {
 	cpu, allocations := processUse()
 	start := time.Now()
-	rate, err := load.Closed(ctx, client, load.Options{URL: url, Duration: o.Duration / 2, Workers: o.Workers})
+	rate, err := openloop.Closed(ctx, client, openloop.Options{URL: url, Duration: o.Duration / 2, Workers: o.Workers})
 	if err != nil {
 		return 0, use{}, errors.Wrap(err, "capacity")
 	}
--- a/internal/bench/load/mesh.go
+++ b/internal/bench/openloop/mesh.go
@@ -1,4 +1,4 @@
-package load
+package openloop
 
 import (
 	"context"
--- a/internal/bench/overload/overload.go
+++ b/internal/bench/overload/overload.go
@@ -13,7 +13,7 @@
 
 	"github.com/pkg/errors"
 
-	"sniperail.example/sniperail/internal/bench/load"
+	"sniperail.example/sniperail/internal/bench/openloop"
 	"sniperail.example/sniperail/internal/command/admission"
 	"sniperail.example/sniperail/internal/standin/target"
 	"sniperail.example/sniperail/internal/traffic"
@@ -88,7 +88,7 @@
 			Seed: o.Seed + uint64(i), Bad: target.BadNone, ColdFactor: 1, AnswerBytes: 1 << 10,
 		})
 	}
-	mesh, err := load.NewMesh(admission.Settings{Slots: o.Slots, Connections: 10 * o.Slots, Queue: o.Slots}, configs...)
+	mesh, err := openloop.NewMesh(admission.Settings{Slots: o.Slots, Connections: 10 * o.Slots, Queue: o.Slots}, configs...)
 	if err != nil {
 		return nil, errors.Wrap(err, "mesh")
 	}
@@ -98,10 +98,10 @@
 		return nil, err
 	}
 	defer naive.close()
-	client := load.Client(o.Workers)
+	client := openloop.Client(o.Workers)
 	defer client.CloseIdleConnections()
 	before := mesh.Executions()
-	peak, err := load.Closed(ctx, client, load.Options{
+	peak, err := openloop.Closed(ctx, client, openloop.Options{
 		URL: mesh.IngressURL + "/c", Duration: o.Duration / 2, Workers: o.Targets * (o.Slots + 2),
 	})
 	if err != nil {
@@ -121,9 +121,9 @@
 	return rows, nil
 }
 
-func measure(ctx context.Context, o Options, client *http.Client, mesh *load.Mesh, url string, peak, factor float64) (Row, error) {
+func measure(ctx context.Context, o Options, client *http.Client, mesh *openloop.Mesh, url string, peak, factor float64) (Row, error) {
 	before := mesh.Executions()
-	result, err := load.Run(ctx, client, load.Options{
+	result, err := openloop.Run(ctx, client, openloop.Options{
 		URL: url, Rate: peak * factor, Duration: o.Duration, Seed: o.Seed, Workers: o.Workers, Deadline: o.Deadline,
 		Header: http.Header{"Sniperail-Deadline-Ms": {fmt.Sprint(o.Deadline.Milliseconds())}},
 	})
@@ -154,7 +154,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
-	n := &naive{targets: targets, client: load.Client(workers), url: "http://" + listener.Addr().String()}
+	n := &naive{targets: targets, client: openloop.Client(workers), url: "http://" + listener.Addr().String()}
 	n.server = &http.Server{Handler: n, ReadHeaderTimeout: time.Second}
 	go func() { _ = n.server.Serve(listener) }() // ends with close
 	return n, nil
--- a/internal/model/evidence.go
+++ b/internal/model/evidence.go
@@ -39,6 +39,16 @@
 	return min(b, LatencyBuckets-1)
 }
 
+var latencyBounds = func() (bounds [LatencyBuckets]time.Duration) {
+	for i := range bounds {
+		bounds[i] = time.Duration(float64(latencyBase) * math.Pow(latencyGrowth, float64(i)))
+	}
+	return bounds
+}()
+
+// LatencyBound returns the upper bound of a bucket.
+func LatencyBound(bucket int) time.Duration { return latencyBounds[bucket] }
+
 // Add adds another sum.
 func (s *OutcomeSum) Add(o OutcomeSum) {
 	s.Calls += o.Calls
@@ -57,6 +67,18 @@
 	s.Latency[LatencyBucket(latency)]++
 }
 
+// MeanLatency estimates the mean latency from the buckets: each call counts as the geometric mean of its bucket's bounds.
+func (s *OutcomeSum) MeanLatency() time.Duration {
+	if s.Calls == 0 {
+		return 0
+	}
+	var sum float64
+	for i, n := range s.Latency {
+		sum += float64(n) * float64(latencyBase) * math.Pow(latencyGrowth, float64(i)-0.5)
+	}
+	return time.Duration(sum / float64(s.Calls))
+}
+
 // KeyedSum is an OutcomeSum with its key.
 type KeyedSum struct {
 	OutcomeKey
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.opentelemetry.io/otel/attribute"
 	otelprometheus "go.opentelemetry.io/otel/exporters/prometheus"
@@ -22,11 +23,13 @@
 
 	mu       sync.Mutex
 	counters map[string]metric.Int64Counter
+	sets     map[string]*CounterSet
 }
 
 // NewMetrics returns an empty registry.
 func NewMetrics(program string) (*Metrics, error) {
 	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	exporter, err := otelprometheus.New(otelprometheus.WithRegisterer(registry), otelprometheus.WithoutScopeInfo())
 	if err != nil {
 		return nil, errors.Wrap(err, "prometheus exporter")
@@ -34,13 +37,28 @@
 	provider := sdkmetric.NewMeterProvider(sdkmetric.WithReader(exporter))
 	return &Metrics{
 		provider: provider, registry: registry, meter: provider.Meter(program),
-		counters: map[string]metric.Int64Counter{},
+		counters: map[string]metric.Int64Counter{}, sets: map[string]*CounterSet{},
 	}, nil
 }
 
 // Meter creates instruments. Names carry their unit, such as sniperail_call_seconds.
 func (m *Metrics) Meter() metric.Meter { return m.meter }
 
+// Add adds one to a counter under a reason. It suits rare events; the call path keeps a CounterSet.
+func (m *Metrics) Add(counter, reason string) {
+	m.mu.Lock()
+	set, ok := m.sets[counter]
+	if !ok {
+		set = &CounterSet{counter: m.counter(counter, "Events of the control loop by reason.")}
+		m.sets[counter] = set
+	}
+	m.mu.Unlock()
+	set.Add(context.Background(), reason, 1)
+}
+
+// Gatherer returns the registry, for an endpoint that serves further metrics beside it.
+func (m *Metrics) Gatherer() prometheus.Gatherer { return m.registry }
+
 // Handler serves the Prometheus text format.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
@@ -49,6 +67,16 @@
 // Shutdown releases the instruments.
 func (m *Metrics) Shutdown(ctx context.Context) error { return m.provider.Shutdown(ctx) }
 
+// Gauge registers a value that is read when the metrics are.
+func (m *Metrics) Gauge(name, description string, read func() float64) error {
+	_, err := m.meter.Float64ObservableGauge(name, metric.WithDescription(description),
+		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
+			o.Observe(read())
+			return nil
+		}))
+	return errors.Wrapf(err, "gauge %s", name)
+}
+
 // CounterSet is one counter with a label "reason" whose attribute sets are cached, so that counting on the call path
 // allocates nothing.
 type CounterSet struct {
@@ -58,6 +86,8 @@
 
 // CounterSet returns a counter, labelled by reason. The name ends in _total in the Prometheus output.
 func (m *Metrics) CounterSet(name, description string) *CounterSet {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	return &CounterSet{counter: m.counter(name, description)}
 }
 
@@ -71,9 +101,8 @@
 	c.counter.Add(ctx, n, cached.([]metric.AddOption)...)
 }
 
+// counter returns the instrument of a name. The caller holds the lock.
 func (m *Metrics) counter(name, description string) metric.Int64Counter {
-	m.mu.Lock()
-	defer m.mu.Unlock()
 	if c, ok := m.counters[name]; ok {
 		return c
 	}
