traffic: doubt about an attempt outlives its retry

Cause: after an idempotent call broke and its retry was refused, the caller read "executed: no", which was false. Change: once an attempt may have been executed, every refusal of the call says "unknown". Measured: TestDoubtOutlivesARetry fails without the change and passes with it.

--- a/internal/traffic/call.go
+++ b/internal/traffic/call.go
@@ -26,6 +26,8 @@
 	version *routing.Version
 	tried   []model.DaemonID
 	attempt int
+	// doubtful says that an earlier attempt may have been executed.
+	doubtful bool
 }
 
 // result is how one attempt ended: with a response of the target or with a refusal.
@@ -51,7 +53,7 @@
 		c.attempt++
 		target, refused := c.selectTarget()
 		if refused != nil {
-			refused.write(w, c.request, c.ingress.options.Metrics)
+			c.refuse(w, refused)
 			return
 		}
 		out := c.send(target)
@@ -63,13 +65,22 @@
 			// The caller is gone, and nobody reads a refusal.
 			panic(http.ErrAbortHandler)
 		}
+		c.doubtful = c.doubtful || out.refused.executed != retry.ExecutedNo
 		if !c.retry(budget, target, out) {
-			out.refused.write(w, c.request, c.ingress.options.Metrics)
+			c.refuse(w, out.refused)
 			return
 		}
 	}
 }
 
+// refuse answers with a refusal. It says "not executed" only if that holds for each attempt.
+func (c *call) refuse(w http.ResponseWriter, refused *refusal) {
+	if c.doubtful {
+		refused.executed = retry.ExecutedUnknown
+	}
+	refused.write(w, c.request, c.ingress.options.Metrics)
+}
+
 // retry decides on the next attempt and waits for it.
 func (c *call) retry(b *budget, target *model.Target, out result) bool {
 	b.mu.Lock()
--- a/internal/traffic/call_test.go
+++ b/internal/traffic/call_test.go
@@ -213,6 +213,26 @@
 	is.True(strings.Contains(m.scrape(), `sniperail_ejections_total{reason="unreachable"}`))
 }
 
+// Guards against a refusal of the second attempt that says "not executed" after the first may have been executed.
+func TestDoubtOutlivesARetry(t *testing.T) {
+	is := is.New(t)
+	var m *mesh
+	m = newMesh(t, nil, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/earn" {
+			ok(w, r)
+			return
+		}
+		m.admissions[1].Drain()
+		breakAfter("")(w, r)
+	}, ok)
+	m.change(func(v *model.View) { v.Targets[1].DataCentre = "b" })
+	m.earn(20)
+	a := m.call("GET", "/a", "")
+	is.Equal(a.status, 503)
+	is.Equal(a.refusal, "draining")
+	is.Equal(a.executed, "unknown")
+}
+
 // Guards against retries that multiply along a chain of calls.
 func TestNestedCallsAreNotRetried(t *testing.T) {
 	is := is.New(t)
