--- a/internal/traffic/call.go
+++ b/internal/traffic/call.go
@@ -83,6 +83,11 @@
 
 // retry decides on the next attempt and waits for it.
 func (c *call) retry(b *budget, target *model.Target, out result) bool {
+	c.tried = append(c.tried, target.Daemon)
+	if !c.redirect(out.elsewhere) {
+		c.ingress.options.Metrics.notRetried.Add(c.ctx, "no-other-target", 1)
+		return false
+	}
 	b.mu.Lock()
 	decision := retry.Decide(&b.budget, retry.Attempt{
 		Number: c.attempt, Executed: out.refused.executed, Idempotent: c.idempotent(), Nested: c.nested,
@@ -94,12 +99,6 @@
 		return false
 	}
 	c.ingress.options.Metrics.retries.Add(c.ctx, string(decision.Reason), 1)
-	c.tried = append(c.tried, target.Daemon)
-	if out.elsewhere || !c.hasUntried() {
-		if other := c.route.Service.Fallback(c.version); other != nil {
-			c.version = other
-		}
-	}
 	timer := time.NewTimer(decision.Wait)
 	defer timer.Stop()
 	select {
@@ -111,11 +110,27 @@
 	}
 }
 
-func (c *call) hasUntried() bool {
-	_, reason := c.version.Pick(&signals{c.ingress.peers, time.Now()}, random{}, c.tried)
+// redirect makes sure that the version has a target that was not tried, or goes to the fallback version. It reports
+// whether another attempt is possible.
+func (c *call) redirect(elsewhere bool) bool {
+	if _, reason := c.pick(c.version); reason == routing.Found && !elsewhere {
+		return true
+	}
+	other := c.route.Service.Fallback(c.version)
+	if other == nil {
+		return false
+	}
+	_, reason := c.pick(other)
+	if reason == routing.Found {
+		c.version = other
+	}
 	return reason == routing.Found
 }
 
+func (c *call) pick(version *routing.Version) (*model.Target, routing.Reason) {
+	return version.Pick(&signals{c.ingress.peers, time.Now()}, random{}, c.tried)
+}
+
 // idempotent reports whether a second execution does no harm. An at-most-once route is never idempotent, whatever its
 // method.
 func (c *call) idempotent() bool {
@@ -139,7 +154,7 @@
 		}
 		c.version = version
 	}
-	target, reason := c.version.Pick(&signals{c.ingress.peers, time.Now()}, random{}, c.tried)
+	target, reason := c.pick(c.version)
 	if reason != routing.Found {
 		return nil, notExecuted(http.StatusServiceUnavailable, string(reason), "no target of the version is ready").after(time.Second)
 	}
