--- a/internal/traffic/call.go
+++ b/internal/traffic/call.go
@@ -26,6 +26,8 @@
 	version *routing.Version
 	tried   []model.DaemonID
 	attempt int
+	// doubtful says that an earlier attempt may have been executed.
+	doubtful bool
 }
 
 // result is how one attempt ended: with a response of the target or with a refusal.
@@ -51,7 +53,7 @@
 		c.attempt++
 		target, refused := c.selectTarget()
 		if refused != nil {
-			refused.write(w, c.request, c.ingress.options.Metrics)
+			c.refuse(w, refused)
 			return
 		}
 		out := c.send(target)
@@ -63,32 +65,40 @@
 			// The caller is gone, and nobody reads a refusal.
 			panic(http.ErrAbortHandler)
 		}
+		c.doubtful = c.doubtful || out.refused.executed != retry.ExecutedNo
 		if !c.retry(budget, target, out) {
-			out.refused.write(w, c.request, c.ingress.options.Metrics)
+			c.refuse(w, out.refused)
 			return
 		}
 	}
 }
 
+// refuse answers with a refusal. It says "not executed" only if that holds for each attempt.
+func (c *call) refuse(w http.ResponseWriter, refused *refusal) {
+	if c.doubtful {
+		refused.executed = retry.ExecutedUnknown
+	}
+	refused.write(w, c.request, c.ingress.options.Metrics)
+}
+
 // retry decides on the next attempt and waits for it.
 func (c *call) retry(b *budget, target *model.Target, out result) bool {
+	c.tried = append(c.tried, target.Daemon)
+	if !c.redirect(out.elsewhere) {
+		c.ingress.options.Metrics.notRetried.Add(c.ctx, "no-other-target", 1)
+		return false
+	}
 	b.mu.Lock()
 	decision := retry.Decide(&b.budget, retry.Attempt{
 		Number: c.attempt, Executed: out.refused.executed, Idempotent: c.idempotent(), Nested: c.nested,
 		Replayable: c.body.replayable(), Remaining: time.Until(c.deadline),
-	}, source{})
+	}, random{})
 	b.mu.Unlock()
 	if !decision.Retry {
 		c.ingress.options.Metrics.notRetried.Add(c.ctx, string(decision.Reason), 1)
 		return false
 	}
 	c.ingress.options.Metrics.retries.Add(c.ctx, string(decision.Reason), 1)
-	c.tried = append(c.tried, target.Daemon)
-	if out.elsewhere || !c.hasUntried() {
-		if other := c.route.Service.Fallback(c.version); other != nil {
-			c.version = other
-		}
-	}
 	timer := time.NewTimer(decision.Wait)
 	defer timer.Stop()
 	select {
@@ -100,11 +110,27 @@
 	}
 }
 
-func (c *call) hasUntried() bool {
-	_, reason := c.version.Pick(&signals{c.ingress.peers, time.Now()}, source{}, c.tried)
+// redirect makes sure that the version has a target that was not tried, or goes to the fallback version. It reports
+// whether another attempt is possible.
+func (c *call) redirect(elsewhere bool) bool {
+	if _, reason := c.pick(c.version); reason == routing.Found && !elsewhere {
+		return true
+	}
+	other := c.route.Service.Fallback(c.version)
+	if other == nil {
+		return false
+	}
+	_, reason := c.pick(other)
+	if reason == routing.Found {
+		c.version = other
+	}
 	return reason == routing.Found
 }
 
+func (c *call) pick(version *routing.Version) (*model.Target, routing.Reason) {
+	return version.Pick(&signals{c.ingress.peers, time.Now()}, random{}, c.tried)
+}
+
 // idempotent reports whether a second execution does no harm. An at-most-once route is never idempotent, whatever its
 // method.
 func (c *call) idempotent() bool {
@@ -128,7 +154,7 @@
 		}
 		c.version = version
 	}
-	target, reason := c.version.Pick(&signals{c.ingress.peers, time.Now()}, source{}, c.tried)
+	target, reason := c.pick(c.version)
 	if reason != routing.Found {
 		return nil, notExecuted(http.StatusServiceUnavailable, string(reason), "no target of the version is ready").after(time.Second)
 	}
@@ -191,6 +217,9 @@
 	if c.request.Context().Err() != nil {
 		return inDoubt(http.StatusServiceUnavailable, reasonLost, "the caller is gone")
 	}
+	if c.body.broken.Load() {
+		return inDoubt(http.StatusBadRequest, reasonBody, "the request body broke off or is over the limit")
+	}
 	late := timedOut(err) && !time.Now().Before(c.deadline)
 	switch {
 	case late && arrived:
@@ -252,22 +281,19 @@
 		_, _ = w.Write(out.body) // a caller that is gone needs no response
 		return
 	}
-	defer func() {
-		// The target counts as failed only if the caller still waited for the rest.
-		if broken := recover(); broken != nil {
-			out.exchange.finish(false)
-			if c.request.Context().Err() == nil {
-				c.settle(out, true)
-			}
-			panic(broken)
-		}
-		out.exchange.finish(true)
-		c.settle(out, failed)
-	}()
 	out.peer.inFlight.Add(1)
 	defer out.peer.inFlight.Add(-1)
 	w.WriteHeader(response.StatusCode)
-	stream(w, response.Body, response.ContentLength < 0, c.deadline)
+	broken := stream(w, response.Body, response.ContentLength < 0, c.deadline)
+	out.exchange.finish(broken == 0)
+	switch {
+	case broken == 0:
+		c.settle(out, failed)
+		return
+	case broken == brokenBySender && c.request.Context().Err() == nil:
+		c.settle(out, true)
+	}
+	panic(http.ErrAbortHandler)
 }
 
 // settle records an answered attempt.
