--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -35,7 +35,7 @@
 change() { # confirms a change of one route and sets number; fails if it is refused
   changes=$((changes + 1))
   cat >"$work/change.yaml" <<YAML
-routes: [{name: schools, service: schools, pathPrefix: /schools, timeoutMs: $((1000 + changes))}]
+routes: [{name: schools, service: schools, pathPrefix: /schools, timeoutMs: $((4000 + changes))}]
 YAML
   bin/sniperail declare -f "$work/change.yaml" -o json >"$work/declare.json" 2>"$work/declare.log" || return 1
   bin/sniperail confirm "$(plan_of "$work/declare.json")" -o json >"$work/confirm.json" 2>"$work/confirm.log" || return 1
