--- a/internal/query/plans/schedule.go
+++ b/internal/query/plans/schedule.go
@@ -23,13 +23,15 @@
 	FirstPart float64
 	// SlackPart is the part of the time that stays free for delays, at least leastSlack.
 	SlackPart float64
+	// ControlShare is the last share before 100%. The higher it is, the fewer calls the old version has to compare with.
+	ControlShare model.Share
 	// Growth is the largest ratio of neighbouring shares up to evenShare.
 	Growth float64
 }
 
 // DefaultSchedule returns the constants in use.
 func DefaultSchedule() Schedule {
-	return Schedule{FirstEvidence: 20, FullEvidence: 200, EvidencePart: 0.5, FirstPart: 0.5, SlackPart: 0.1, Growth: 2.5}
+	return Schedule{FirstEvidence: 20, FullEvidence: 200, EvidencePart: 0.5, FirstPart: 0.5, SlackPart: 0.1, Growth: 2.5, ControlShare: 6000}
 }
 
 const (
@@ -56,9 +58,7 @@
 	largestFirst = model.Share(2500)
 	// evenShare gives both versions the same number of calls, where a comparison sees most.
 	evenShare = model.Share(5000)
-	// controlShare is the last share before 100%. Above it the old version gets too few calls to compare with soon.
-	controlShare = model.Share(7500)
-	// shortShare is the first share from which a move is too short for a step of controlShare.
+	// shortShare is the first share from which a move is too short for a step of ControlShare.
 	shortShare = model.Share(1500)
 )
 
@@ -74,7 +74,7 @@
 	if first >= shortShare {
 		return append(shares, model.FullShare)
 	}
-	return append(shares, controlShare, model.FullShare)
+	return append(shares, c.ControlShare, model.FullShare)
 }
 
 // timetable is the steps of a plan and what it says of them.
