routing, traffic: refuse at the ingress what every target would refuse

Change: a refusal for load carries the target's estimate of the wait; the target is passed over for half of it, and if all targets are passed over the call is refused as overloaded and not executed. Leaving is a signal of its own.

--- a/internal/query/routing/routing.go
+++ b/internal/query/routing/routing.go
@@ -20,6 +20,7 @@
 	MethodNotAllowed Reason = "method-not-allowed"
 	NoVersion        Reason = "no-version"
 	NoTarget         Reason = "no-target"
+	Overloaded       Reason = "overloaded"
 )
 
 // Table is the compiled form of a view that traffic goroutines read. It is immutable.
--- a/internal/query/routing/routing_test.go
+++ b/internal/query/routing/routing_test.go
@@ -205,6 +205,7 @@
 	warm := routing.Signal{Age: routing.SlowStart}
 	ejected := routing.Signal{Age: routing.SlowStart, Ejected: true}
 	busy := routing.Signal{Age: routing.SlowStart, Busy: true}
+	leaving := routing.Signal{Age: routing.SlowStart, Leaving: true}
 	for name, test := range map[string]struct {
 		signals fixedSignals
 		tried   []model.DaemonID
@@ -214,7 +215,7 @@
 		"then the region":            {signals: fixedSignals{"a1": warm}, tried: []model.DaemonID{"a1"}, want: "b1"},
 		"then another region":        {signals: fixedSignals{}, tried: []model.DaemonID{"a1", "b1"}, want: "z1"},
 		"busy is passed over":        {signals: fixedSignals{"a1": busy, "b1": warm}, want: "b1"},
-		"ejected after busy":         {signals: fixedSignals{"a1": ejected, "b1": busy, "z1": busy}, want: "b1"},
+		"ejected after leaving":      {signals: fixedSignals{"a1": ejected, "b1": leaving, "z1": leaving}, want: "b1"},
 		"ejected if no other left":   {signals: fixedSignals{"a1": ejected, "b1": ejected, "z1": ejected}, want: "a1"},
 		"slow start alone is usable": {signals: fixedSignals{"a1": {}}, want: "a1"},
 	} {
@@ -225,8 +226,11 @@
 			is.New(t).Equal(string(target.Daemon), test.want)
 		})
 	}
-	v, _ := routing.NewTable(pickView()).Service(service).Version(0)
-	_, reason := v.Pick(fixedSignals{}, rand.NewPCG(1, 1), nil)
+	v, _ := routing.NewTable(pickView("a1", "b1")).Service(service).Version(0)
+	_, reason := v.Pick(fixedSignals{"a1": busy, "b1": ejected}, rand.NewPCG(1, 1), nil)
+	is.New(t).Equal(reason, routing.Overloaded) // a call that would only be refused
+	v, _ = routing.NewTable(pickView()).Service(service).Version(0)
+	_, reason = v.Pick(fixedSignals{}, rand.NewPCG(1, 1), nil)
 	is.New(t).Equal(reason, routing.NoTarget)
 }
 
--- a/internal/query/routing/targets.go
+++ b/internal/query/routing/targets.go
@@ -27,7 +27,9 @@
 	Age time.Duration
 	// Ejected says that calls to the target failed in a row.
 	Ejected bool
-	// Busy says that the target refused calls a moment ago.
+	// Leaving says that the target refused a call because it drains or is not ready.
+	Leaving bool
+	// Busy says that the target refused a call for its load, and is expected to refuse the next one too.
 	Busy bool
 }
 
@@ -40,10 +42,14 @@
 type Source interface{ Uint64() uint64 }
 
 // Pick selects a ready target that is not in tried: the better of two random choices by requests in flight and latency,
-// of the own data centre before the region before other regions. Targets that are busy or ejected are used only if no
-// other is left.
+// of the own data centre before the region before other regions. Targets that are leaving or ejected are used only if no
+// other is left. If the others are busy the call is refused here, because a second hop only to be refused costs both
+// daemons time that calls in progress need.
 func (v *Version) Pick(signals Signals, random Source, tried []model.DaemonID) (*model.Target, Reason) {
 	for level := range 3 {
+		if level == 1 && v.anyBusy(signals, tried) {
+			return nil, Overloaded
+		}
 		for _, tier := range v.tiers {
 			if target := pickTier(tier, picker{signals, random, tried, level}); target != nil {
 				return target, Found
@@ -53,6 +59,17 @@
 	return nil, NoTarget
 }
 
+func (v *Version) anyBusy(signals Signals, tried []model.DaemonID) bool {
+	for _, tier := range v.tiers {
+		for _, target := range tier {
+			if !slices.Contains(tried, target.Daemon) && signals.Signal(target).Busy {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // MayEject reports whether one more target of the version may be ejected. At least half stay, because a fault that
 // affects most targets is a fault of the version or of the network and not of the targets.
 func (v *Version) MayEject(signals Signals) bool {
@@ -71,7 +88,7 @@
 	signals Signals
 	random  Source
 	tried   []model.DaemonID
-	// level 0 skips busy and ejected targets, level 1 ejected ones, level 2 none.
+	// level 0 skips busy, leaving and ejected targets, level 1 ejected ones, level 2 none.
 	level int
 }
 
@@ -113,7 +130,7 @@
 		return Signal{}, false
 	}
 	signal := p.signals.Signal(target)
-	if signal.Ejected && p.level < 2 || signal.Busy && p.level < 1 {
+	if signal.Ejected && p.level < 2 || (signal.Busy || signal.Leaving) && p.level < 1 {
 		return signal, false
 	}
 	return signal, true
--- a/internal/traffic/admission.go
+++ b/internal/traffic/admission.go
@@ -207,7 +207,9 @@
 	case admission.Deadline:
 		return notExecuted(http.StatusServiceUnavailable, string(reason), "the call cannot finish before its deadline").after(after)
 	case admission.QueueFull:
-		return notExecuted(http.StatusServiceUnavailable, string(reason), "all slots and queue places are taken").after(after)
+		r := notExecuted(http.StatusServiceUnavailable, string(reason), "all slots and queue places are taken").after(after)
+		r.wait = after
+		return r
 	}
 	return notExecuted(http.StatusServiceUnavailable, string(reason), "the target takes no calls").after(after)
 }
--- a/internal/traffic/call.go
+++ b/internal/traffic/call.go
@@ -155,6 +155,12 @@
 		c.version = version
 	}
 	target, reason := c.pick(c.version)
+	if reason != routing.Found && c.redirect(false) {
+		target, reason = c.pick(c.version)
+	}
+	if reason == routing.Overloaded {
+		return nil, notExecuted(http.StatusServiceUnavailable, string(reason), "all targets of the version are at their limit").after(time.Second)
+	}
 	if reason != routing.Found {
 		return nil, notExecuted(http.StatusServiceUnavailable, string(reason), "no target of the version is ready").after(time.Second)
 	}
@@ -241,10 +247,10 @@
 func (c *call) refusedBy(out result, refused *refusal) {
 	now := time.Now()
 	switch refused.reason {
-	case string(admission.QueueFull), string(admission.Deadline), string(admission.Connections):
-		out.peer.busy(now, busyFor)
+	case string(admission.QueueFull), string(admission.Connections):
+		out.peer.busy(now, refused.wait)
 	case string(admission.Draining), string(admission.NotReady), reasonWrongTarget:
-		out.peer.busy(now, leavingFor)
+		out.peer.leaving(now)
 	case reasonUnreachable:
 		c.eject(out, true, "target-unreachable")
 	}
--- a/internal/traffic/header.go
+++ b/internal/traffic/header.go
@@ -16,7 +16,7 @@
 }
 
 // internalResponse are headers that only a daemon may set on a response.
-var internalResponse = map[string]bool{HeaderRefusal: true, HeaderExecuted: true, HeaderCall: true}
+var internalResponse = map[string]bool{HeaderRefusal: true, HeaderExecuted: true, HeaderCall: true, HeaderWait: true}
 
 // copyHeader copies end-to-end headers. It shares the value slices, which nobody changes.
 func copyHeader(dst, src http.Header, drop map[string]bool) {
--- a/internal/traffic/peers.go
+++ b/internal/traffic/peers.go
@@ -17,9 +17,10 @@
 	// ejectBase and ejectMax bound an ejection. A refused dial ends within the base if the daemon only restarts.
 	ejectBase = time.Second
 	ejectMax  = 30 * time.Second
-	// busyFor is how long a target that refused a call for its load is passed over. It is about one service time, since
-	// a slot is free again after one.
-	busyFor = 10 * time.Millisecond
+	// A target that refused a call for its load is passed over for half of the wait that it estimates, within these
+	// bounds. Half, because its queue must not run empty before the next call comes.
+	minBusy = time.Millisecond
+	maxBusy = 100 * time.Millisecond
 	// leavingFor is how long a target that refused because it drains or is not ready is passed over; the roster takes
 	// over within this time.
 	leavingFor = 3 * time.Second
@@ -37,6 +38,7 @@
 	ejections    atomic.Int64 // in a row
 	ejectedUntil atomic.Int64 // Unix nanoseconds
 	busyUntil    atomic.Int64 // Unix nanoseconds
+	leavingUntil atomic.Int64 // Unix nanoseconds
 }
 
 // peers holds a peer per target of the table in use.
@@ -100,7 +102,7 @@
 	now := s.now.UnixNano()
 	return routing.Signal{
 		InFlight: int(p.inFlight.Load()), Latency: time.Duration(p.latency.Load()), Age: s.now.Sub(p.since),
-		Ejected: p.ejectedUntil.Load() > now, Busy: p.busyUntil.Load() > now,
+		Ejected: p.ejectedUntil.Load() > now, Busy: p.busyUntil.Load() > now, Leaving: p.leavingUntil.Load() > now,
 	}
 }
 
@@ -134,4 +136,9 @@
 	p.failures.Store(0)
 }
 
-func (p *peer) busy(now time.Time, d time.Duration) { p.busyUntil.Store(now.Add(d).UnixNano()) }
+// busy passes the target over for a part of the estimated wait.
+func (p *peer) busy(now time.Time, wait time.Duration) {
+	p.busyUntil.Store(now.Add(min(max(wait/2, minBusy), maxBusy)).UnixNano())
+}
+
+func (p *peer) leaving(now time.Time) { p.leavingUntil.Store(now.Add(leavingFor).UnixNano()) }
--- a/internal/traffic/refusal.go
+++ b/internal/traffic/refusal.go
@@ -39,6 +39,8 @@
 	executed   retry.Executed
 	detail     string
 	retryAfter time.Duration
+	// wait is the target's own estimate, finer than Retry-After.
+	wait time.Duration
 }
 
 func notExecuted(status int, reason, detail string) *refusal {
@@ -84,6 +86,9 @@
 		// Retry-After counts whole seconds.
 		h.Set("Retry-After", strconv.Itoa(int((r.retryAfter+time.Second-1)/time.Second)))
 	}
+	if r.wait > 0 {
+		h.Set(HeaderWait, strconv.FormatInt(r.wait.Microseconds(), 10))
+	}
 	w.WriteHeader(r.status)
 	_, _ = w.Write(body) // a caller that is gone needs no refusal
 }
@@ -108,5 +113,8 @@
 	if s, err := strconv.Atoi(response.Header.Get("Retry-After")); err == nil {
 		r.retryAfter = time.Duration(s) * time.Second
 	}
+	if us, err := strconv.ParseInt(response.Header.Get(HeaderWait), 10, 64); err == nil && us > 0 && us < int64(maxDeadline/time.Microsecond) {
+		r.wait = time.Duration(us) * time.Microsecond
+	}
 	return r
 }
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -25,6 +25,8 @@
 	// HeaderRefusal and HeaderExecuted mark a refusal by a daemon. Those of a target are removed.
 	HeaderRefusal  = "Sniperail-Refusal"
 	HeaderExecuted = "Sniperail-Executed"
+	// HeaderWait is the wait in microseconds that a refusing target estimates.
+	HeaderWait = "Sniperail-Wait-Us"
 	// HeaderIdempotencyKey is the default identity of a request.
 	HeaderIdempotencyKey = "Idempotency-Key"
 )
