traffic: a full queue always says when to try again

Cause: before the first response of a target its refusals carried no Retry-After, and the test accepted that.

--- a/internal/traffic/admission.go
+++ b/internal/traffic/admission.go
@@ -207,6 +207,8 @@
 	case admission.Deadline:
 		return notExecuted(http.StatusServiceUnavailable, string(reason), "the call cannot finish before its deadline").after(after)
 	case admission.QueueFull:
+		// Before the first response there is no estimate.
+		after = max(after, time.Millisecond)
 		r := notExecuted(http.StatusServiceUnavailable, string(reason), "all slots and queue places are taken").after(after)
 		r.wait = after
 		return r
