traffic: http.Transport in place of the own HTTP/1.1 client

Cause: HTTP towards targets must go through well-known libraries, and the project must not bring a client or a parser of its own. Change: pools use http.Transport. A net.Conn wrapper counts writes, refuses writes after a failed exchange, counts the target's connections exactly and lingers for an abandoned call: it closes the sending side, waits for the target's end for at most 5 s and only then frees connection and slot. Requests carry no GetBody, an empty body for safe methods and idempotency keys under lower-case names, so that the transport never sends them again after a byte was written. A pooled connection that was closed before a byte was written to it is replaced by another. New tests: no replay for any method, body and key; 101, long and repeated interim headers; the linger. TestTransportNeverReplays fails without either of the two measures (2 executions).

--- a/internal/traffic/admission.go
+++ b/internal/traffic/admission.go
@@ -41,10 +41,12 @@
 	s := &slots{state: admission.New(options.Settings), waiting: map[admission.Ticket]chan admission.Reason{}}
 	a := &Admission{
 		options: options, slots: s,
-		pool:    newPool(options.Settings.Slots, options.Settings.Slots, options.Limits.HeaderBytes, s),
+		pool: newPool(transportOptions{
+			idlePerPeer: options.Settings.Slots, idleTotal: options.Settings.Slots, headerBytes: options.Limits.HeaderBytes,
+			connections: options.Settings.Connections, limit: s, lingers: true,
+		}),
 		service: url.QueryEscape(string(options.Service)), version: url.QueryEscape(string(options.Version)),
 	}
-	a.pool.lingers = true
 	return a
 }
 
--- a/internal/traffic/ingress.go
+++ b/internal/traffic/ingress.go
@@ -48,7 +48,9 @@
 func NewIngress(options IngressOptions) *Ingress {
 	i := &Ingress{
 		options: options, peers: newPeers(), recorder: newRecorder(options.Metrics, options.Observer),
-		pool:     newPool(options.Limits.IdlePerPeer, options.Limits.IdleTotal, options.Limits.HeaderBytes, nil),
+		pool: newPool(transportOptions{
+			idlePerPeer: options.Limits.IdlePerPeer, idleTotal: options.Limits.IdleTotal, headerBytes: options.Limits.HeaderBytes,
+		}),
 		counters: map[model.RouteName]*atomic.Uint64{}, budgets: map[model.ServiceName]*budget{},
 	}
 	i.calls.Store(source{}.Uint64())
--- a/internal/traffic/outgoing.go
+++ b/internal/traffic/outgoing.go
@@ -1,12 +1,11 @@
 package traffic
 
 import (
-	"bufio"
+	"bytes"
+	"context"
 	"io"
 	"net/http"
-	"net/http/httputil"
 	"net/url"
-	"strconv"
 	"strings"
 )
 
@@ -18,46 +17,48 @@
 	headers []string
 }
 
-// writeHead writes the request line and the header. Errors are kept by the writer and return with Flush. The parts of
-// the received request were checked by the server that parsed them.
-func (o *outgoing) writeHead(w *bufio.Writer) {
+// build returns the request for http.Transport.
+func (o *outgoing) build(ctx context.Context, address string) *http.Request {
 	r := o.request
-	target := r.RequestURI
-	if !strings.HasPrefix(target, "/") {
-		// The absolute form is for proxies; a target expects the path.
-		target = r.URL.RequestURI()
+	out := (&http.Request{
+		Method: r.Method, Host: r.Host, Header: o.header(), Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		URL: nextURL(r, address),
+	}).WithContext(ctx)
+	o.body.attach(out)
+	return out
+}
+
+// nextURL keeps the path and query as received, with their escapes.
+func nextURL(r *http.Request, address string) *url.URL {
+	if strings.HasPrefix(r.RequestURI, "/") && !strings.HasPrefix(r.RequestURI, "//") {
+		return &url.URL{Scheme: "http", Host: address, Opaque: r.RequestURI}
 	}
-	for _, s := range [...]string{r.Method, " ", target, " HTTP/1.1\r\nHost: ", r.Host, "\r\n"} {
-		_, _ = w.WriteString(s)
+	// The absolute form is for proxies, and an opaque part that starts with // is taken for one; a target expects the path.
+	u := *r.URL
+	u.Scheme, u.Host, u.User = "http", address, nil
+	return &u
+}
+
+func (o *outgoing) header() http.Header {
+	src := o.request.Header
+	dst := make(http.Header, len(src)+len(o.headers)/2+1)
+	copyHeader(dst, src, replaced)
+	for i := 0; i < len(o.headers); i += 2 {
+		dst[o.headers[i]] = o.headers[i+1 : i+2 : i+2]
 	}
-	named := connectionOptions(r.Header)
-	for name, values := range r.Header {
-		if hopByHop[name] || replaced[name] || named[name] {
-			continue
-		}
-		for _, value := range values {
-			writeHeader(w, name, value)
+	// http.Transport takes a request without body for replayable if it finds one of these names. Names are compared
+	// without case on the wire.
+	for _, name := range [...]string{HeaderIdempotencyKey, "X-Idempotency-Key"} {
+		if values, ok := dst[name]; ok {
+			delete(dst, name)
+			dst[strings.ToLower(name)] = values
 		}
 	}
-	for i := 0; i < len(o.headers); i += 2 {
-		writeHeader(w, o.headers[i], o.headers[i+1])
-	}
-	switch {
-	case o.body.length > 0:
-		writeHeader(w, "Content-Length", strconv.FormatInt(o.body.length, 10))
-	case o.body.length < 0:
-		writeHeader(w, "Transfer-Encoding", "chunked")
-	case r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch:
-		writeHeader(w, "Content-Length", "0")
+	if _, ok := dst["User-Agent"]; !ok {
+		// Without an entry net/http sends its own name.
+		dst["User-Agent"] = nil
 	}
-	_, _ = w.WriteString("\r\n")
-}
-
-func writeHeader(w *bufio.Writer, name, value string) {
-	_, _ = w.WriteString(name)
-	_, _ = w.WriteString(": ")
-	_, _ = w.WriteString(value)
-	_, _ = w.WriteString("\r\n")
+	return dst
 }
 
 // replaced are headers of a request that the next hop gets anew or not at all.
@@ -65,35 +66,55 @@
 	"Content-Length": true, HeaderDeadline: true, HeaderAttempt: true, HeaderCall: true, HeaderRefusal: true, HeaderExecuted: true,
 }
 
-// stream sends a body that is longer than the buffer.
-func (b *requestBody) stream(w *bufio.Writer) error {
-	var dst io.Writer = w
-	var chunks io.WriteCloser
-	if b.length < 0 {
-		chunks = httputil.NewChunkedWriter(w)
-		dst = chunks
-	}
-	if _, err := dst.Write(b.buffered); err != nil {
-		return err
-	}
-	n, err := io.Copy(dst, b.rest)
-	if err != nil {
-		return err
-	}
-	if chunks == nil && n+int64(len(b.buffered)) != b.length {
-		return io.ErrUnexpectedEOF
-	}
-	if chunks != nil {
-		if err := chunks.Close(); err != nil {
-			return err
-		}
-		if _, err := w.WriteString("\r\n"); err != nil {
-			return err
+var (
+	identityEncoding = []string{"identity"}
+	chunkedEncoding  = []string{"chunked"}
+)
+
+// attach sets the body of an outgoing request. The request has no GetBody, so that http.Transport never sends it twice
+// after a byte was sent.
+func (b *requestBody) attach(out *http.Request) {
+	switch {
+	case b.length == 0 && safeMethod(out.Method):
+		// http.Transport sends a request with a safe method and no body again on its own, outside the retry budget. An
+		// empty body that is not http.NoBody prevents this, and identity keeps it off the wire.
+		out.Body = io.NopCloser(bytes.NewReader(nil))
+		out.TransferEncoding = identityEncoding
+	case b.length == 0:
+		out.Body = http.NoBody
+	case b.rest == nil:
+		out.Body = io.NopCloser(bytes.NewReader(b.buffered))
+		out.ContentLength = b.length
+	default:
+		out.Body = &streamedBody{body: b, r: io.MultiReader(bytes.NewReader(b.buffered), b.rest)}
+		out.ContentLength = b.length
+		if b.length < 0 {
+			out.TransferEncoding = chunkedEncoding
 		}
 	}
-	return w.Flush()
 }
 
+func safeMethod(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		return true
+	}
+	return false
+}
+
+// streamedBody notes that the body was read. Closing it does nothing: the server closes the body of its request.
+type streamedBody struct {
+	body *requestBody
+	r    io.Reader
+}
+
+func (s *streamedBody) Read(p []byte) (int, error) {
+	s.body.used.Store(true)
+	return s.r.Read(p)
+}
+
+func (s *streamedBody) Close() error { return nil }
+
 // ticket is the content of HeaderCall: what the ingress selected. Its parts are escaped, so that they hold no space and
 // no control character.
 type ticket struct{ id, service, version, route, once string }
--- /dev/null
+++ b/internal/traffic/transport.go
@@ -0,0 +1,228 @@
+package traffic
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// dialTimeout is long for data centres 1.5 ms apart and short enough to try another target.
+	dialTimeout = 250 * time.Millisecond
+	// idleTimeout closes pooled connections; one burst of connections is not kept for long.
+	idleTimeout = 60 * time.Second
+	// maxLinger bounds the wait for a target that works on after its caller left. It is the default deadline of a call.
+	maxLinger = 5 * time.Second
+	// maxStale bounds the pooled connections tried in a row that were closed before a byte was written to them.
+	maxStale = 3
+)
+
+var (
+	// errConnections is returned by a dial that would exceed the target's connections.
+	errConnections = errors.New("the target has no connection left")
+	errUpgrade     = errors.New("the response switches protocols")
+)
+
+// connectionLimit bounds open connections. A nil limit allows all.
+type connectionLimit interface {
+	openConnection() bool
+	closeConnection()
+}
+
+// transportOptions configure a pool.
+type transportOptions struct {
+	idlePerPeer, idleTotal, headerBytes int
+	// connections bounds the connections to one address; 0 allows any number.
+	connections int
+	// limit also counts connections that linger, which http.Transport takes for closed.
+	limit connectionLimit
+	// lingers keeps the connection of an abandoned exchange open until the other end closes it.
+	lingers bool
+}
+
+// pool sends requests with http.Transport over HTTP/1.1. It never sends a request twice, and it knows whether a byte of
+// a failed request was sent.
+type pool struct{ transport *http.Transport }
+
+func newPool(o transportOptions) *pool {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		if o.limit != nil && !o.limit.openConnection() {
+			return nil, errConnections
+		}
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			if o.limit != nil {
+				o.limit.closeConnection()
+			}
+			return nil, err
+		}
+		return &trackedConn{Conn: conn, limit: o.limit, lingers: o.lingers, ended: make(chan struct{})}, nil
+	}
+	return &pool{transport: &http.Transport{
+		DialContext: dial, DisableCompression: true, MaxConnsPerHost: o.connections,
+		MaxIdleConns: o.idleTotal, MaxIdleConnsPerHost: o.idlePerPeer, IdleConnTimeout: idleTimeout,
+		MaxResponseHeaderBytes: int64(o.headerBytes),
+	}}
+}
+
+// closeIdle closes all idle connections.
+func (p *pool) closeIdle() { p.transport.CloseIdleConnections() }
+
+// trackedConn counts writes, so that a failed exchange knows whether a byte may have reached the other end.
+type trackedConn struct {
+	net.Conn
+	limit   connectionLimit
+	lingers bool
+	writes  atomic.Int64
+	// closed refuses later writes. A write counts itself before it looks at closed, and seal closes before it looks at
+	// the count, so no write that seal missed is sent.
+	closed atomic.Bool
+	// current is the exchange that has not read its whole response, or nil.
+	current atomic.Pointer[exchange]
+	reading sync.Mutex
+	closing sync.Once
+	// ended is closed with the connection, after a linger.
+	ended chan struct{}
+}
+
+func (c *trackedConn) Write(p []byte) (int, error) {
+	c.writes.Add(1)
+	if c.closed.Load() {
+		return 0, net.ErrClosed
+	}
+	return c.Conn.Write(p)
+}
+
+func (c *trackedConn) Read(p []byte) (int, error) {
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	if c.closed.Load() {
+		return 0, net.ErrClosed
+	}
+	return c.Conn.Read(p)
+}
+
+// seal refuses later writes and returns the number of earlier ones.
+func (c *trackedConn) seal() int64 {
+	c.closed.Store(true)
+	return c.writes.Load()
+}
+
+// Close closes the connection. While the other end may still work on a request, only the sending side is closed, which
+// tells that end to stop, and the rest follows when that end closes the connection or after maxLinger.
+func (c *trackedConn) Close() error {
+	var err error
+	c.closing.Do(func() {
+		c.closed.Store(true)
+		half, ok := c.Conn.(interface{ CloseWrite() error })
+		if e := c.current.Load(); ok && c.lingers && e != nil && c.writes.Load() > e.before {
+			// Ends reads and writes in progress, whose goroutines belong to http.Transport.
+			_ = c.SetDeadline(time.Unix(1, 0))
+			if half.CloseWrite() == nil {
+				go c.linger()
+				return
+			}
+		}
+		err = c.end()
+	})
+	return err
+}
+
+func (c *trackedConn) linger() {
+	c.reading.Lock()
+	defer c.reading.Unlock()
+	_ = c.SetDeadline(time.Now().Add(maxLinger))
+	_, _ = io.Copy(io.Discard, c.Conn)
+	_ = c.end() // the other end has closed the connection or gets no more time
+}
+
+func (c *trackedConn) end() error {
+	err := c.Conn.Close()
+	if c.limit != nil {
+		c.limit.closeConnection()
+	}
+	close(c.ended)
+	return err
+}
+
+// exchange is one request and its response.
+type exchange struct {
+	trace    httptrace.ClientTrace
+	cancel   context.CancelFunc
+	response *http.Response
+	conn     *trackedConn
+	reused   bool
+	// before is the number of writes to the connection before this exchange.
+	before int64
+	// sent says that a byte of the request may have reached the other end.
+	sent bool
+	// abandoned says that the other end may still work on the request until the connection has ended.
+	abandoned bool
+}
+
+// do sends a request and reads the header of its response. The exchange is never nil; finish must follow if err is nil.
+func (p *pool) do(ctx context.Context, address string, deadline time.Time, o *outgoing) (*exchange, error) {
+	e := &exchange{}
+	ctx, e.cancel = context.WithDeadline(ctx, deadline)
+	e.trace.GotConn = e.gotConn
+	traced := httptrace.WithClientTrace(ctx, &e.trace)
+	for tries := 1; ; tries++ {
+		e.conn, e.reused = nil, false
+		response, err := p.transport.RoundTrip(o.build(traced, address))
+		if err == nil {
+			e.sent, e.response = true, response
+			break
+		}
+		e.sent = e.conn != nil && e.conn.seal() > e.before
+		// A pooled connection that the other end closed says nothing about a new one.
+		if !e.sent && e.reused && tries < maxStale && ctx.Err() == nil && o.body.replayable() {
+			continue
+		}
+		e.abandoned = e.sent
+		e.cancel()
+		return e, err
+	}
+	if e.response.StatusCode == http.StatusSwitchingProtocols {
+		e.finish(false)
+		return e, errUpgrade
+	}
+	return e, nil
+}
+
+// gotConn is called on the goroutine of RoundTrip.
+func (e *exchange) gotConn(info httptrace.GotConnInfo) {
+	conn, ok := info.Conn.(*trackedConn)
+	if !ok {
+		panic(errors.New("a connection of the pool is not tracked"))
+	}
+	e.conn, e.reused, e.before = conn, info.Reused, conn.writes.Load()
+	conn.current.Store(e)
+}
+
+// finish ends an exchange. Whole says that the response was read to its end; only then the connection is used again.
+func (e *exchange) finish(whole bool) {
+	e.abandoned = !whole
+	if whole {
+		// The connection may serve the next exchange already.
+		e.conn.current.CompareAndSwap(e, nil)
+	}
+	_ = e.response.Body.Close() // closes the connection unless the body was read to its end
+	e.cancel()
+}
+
+// wait returns when the other end has ended an abandoned exchange.
+func (e *exchange) wait() { <-e.conn.ended }
+
+// timedOut reports whether an exchange failed because its deadline passed.
+func timedOut(err error) bool {
+	return errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, context.DeadlineExceeded)
+}
--- /dev/null
+++ b/internal/traffic/transport_test.go
@@ -0,0 +1,119 @@
+package traffic_test
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sniperail.example/sniperail/internal/traffic"
+)
+
+// Guards against a second send by http.Transport itself, outside the retry budget: a pooled connection that dies after
+// the request was written must not lead to another execution, whatever the method, body and idempotency header.
+func TestTransportNeverReplays(t *testing.T) {
+	is := is.New(t)
+	var executed, broken atomic.Int64
+	m := newMesh(t, nil, func(w http.ResponseWriter, r *http.Request) {
+		if broken.Load() == 0 {
+			ok(w, r)
+			return
+		}
+		executed.Add(1)
+		breakAfter("")(w, r)
+	})
+	for _, method := range []string{"GET", "HEAD", "OPTIONS", "TRACE", "POST", "PUT", "DELETE"} {
+		for _, body := range []string{"", "body"} {
+			for _, name := range []string{traffic.HeaderIdempotencyKey, "X-Idempotency-Key", "X-Other"} {
+				broken.Store(0)
+				is.Equal(m.call("GET", "/a", "", traffic.HeaderAttempt, "1").status, 200) // leaves pooled connections
+				broken.Store(1)
+				executed.Store(0)
+				a := m.call(method, "/a", body, traffic.HeaderAttempt, "1", name, "k")
+				is.Equal(a.executed, "unknown")
+				is.Equal(executed.Load(), int64(1))
+			}
+		}
+	}
+}
+
+// Guards against a response that switches protocols or has an endless header and is passed on, and against an interim
+// response that is taken for the final one.
+func TestUnexpectedResponseHeaders(t *testing.T) {
+	is := is.New(t)
+	var response string
+	m := newMesh(t, nil, func(w http.ResponseWriter, r *http.Request) { breakAfter(response)(w, r) })
+	for _, response = range []string{
+		"HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\nbytes",
+		"HTTP/1.1 200 OK\r\nX-Long: " + strings.Repeat("x", 64<<10) + "\r\nContent-Length: 0\r\n\r\n",
+		strings.Repeat("HTTP/1.1 103 Early Hints\r\nX-Long: "+strings.Repeat("x", 8<<10)+"\r\n\r\n", 20) + "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+	} {
+		a := m.call("POST", "/a", "body")
+		is.Equal(a.status, http.StatusBadGateway)
+		is.Equal(a.executed, "unknown")
+	}
+	response = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	a := m.call("POST", "/a", "body")
+	is.Equal(a.status, 200)
+	is.Equal(a.body, "ok")
+}
+
+// limitStub counts open connections.
+type limitStub struct{ open atomic.Int64 }
+
+func (l *limitStub) OpenConnection() bool { l.open.Add(1); return true }
+func (l *limitStub) CloseConnection()     { l.open.Add(-1) }
+
+// halfConn is a pipe whose other end sees that the sending side was closed.
+type halfConn struct {
+	net.Conn
+	half chan struct{}
+}
+
+func (h *halfConn) CloseWrite() error {
+	close(h.half)
+	return nil
+}
+
+// Guards against a connection that is free again while the target may still work on an abandoned request, one that is
+// held forever, and one that is held although its request was answered or never written.
+func TestAbandonedConnectionLingers(t *testing.T) {
+	for _, test := range []struct {
+		name               string
+		written, answered  bool
+		closedBy, wantHeld time.Duration
+	}{
+		{"target closes", true, false, 2 * time.Second, 2 * time.Second},
+		{"target works on", true, false, time.Minute, 5 * time.Second},
+		{"answered", true, true, time.Minute, 0},
+		{"never written", false, false, time.Minute, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				limit := &limitStub{}
+				near, far := net.Pipe()
+				conn, ended := traffic.TrackConn(&halfConn{near, make(chan struct{})}, limit, test.written, test.answered)
+				var wg sync.WaitGroup
+				wg.Go(func() { _, _ = conn.Read(make([]byte, 1)) }) // http.Transport reads all the time
+				synctest.Wait()
+				start := time.Now()
+				is.NoErr(conn.Close())
+				wg.Wait() // ends the read at once
+				timer := time.AfterFunc(test.closedBy, func() { _ = far.Close() })
+				<-ended
+				is.Equal(time.Since(start), test.wantHeld)
+				is.Equal(limit.open.Load(), int64(0))
+				_, err := conn.Write([]byte("late"))
+				is.Equal(err, net.ErrClosed)
+				timer.Stop()
+			})
+		})
+	}
+}
--- a/internal/traffic/visit.go
+++ b/internal/traffic/visit.go
@@ -240,7 +240,7 @@
 	}
 	// The target executes an abandoned call until it notices; its slot is taken until then.
 	go func() {
-		h.exchange.linger()
+		h.exchange.wait()
 		h.slots.release(h.took, overloaded)
 	}()
 }
