traffic: calls in flight to a lost target end at once

Cause: a daemon stopped by SIGSTOP keeps accepting connections. On real processes 28 of 4694 idempotent calls in flight to it waited until their deadline of 5 s and were refused as deadline-exceeded, executed unknown. Change: the peer record of a target holds its calls in flight. When the published table shows the target as silent, gone or replaced by a newer incarnation, they are cancelled: the retry rules then send idempotent calls to another target (retry reason target-lost), others are refused as in doubt with reason target-lost. Ingress.Run looks at the table every 250 ms, as does each new call; only the published table counts, so that a call accepted with an older one cancels nothing. Calls to a target that drains, is down or starts finish, and so do those to a version that left the configuration, whose targets a view does not list.

--- a/internal/traffic/call.go
+++ b/internal/traffic/call.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"sniperail.example/sniperail/internal/command/admission"
 	"sniperail.example/sniperail/internal/command/retry"
 	"sniperail.example/sniperail/internal/model"
@@ -82,7 +84,11 @@
 		c.ingress.options.Metrics.notRetried.Add(c.ctx, string(decision.Reason), 1)
 		return false
 	}
-	c.ingress.options.Metrics.retries.Add(c.ctx, string(decision.Reason), 1)
+	reason := string(decision.Reason)
+	if out.refused.reason == reasonTargetLost {
+		reason = reasonTargetLost
+	}
+	c.ingress.options.Metrics.retries.Add(c.ctx, reason, 1)
 	c.tried = append(c.tried, target.Daemon)
 	if out.elsewhere || !c.hasUntried() {
 		if other := c.route.Service.Fallback(c.version); other != nil {
@@ -140,7 +146,7 @@
 	out := result{started: time.Now(), peer: c.ingress.peers.find(target)}
 	out.peer.inFlight.Add(1)
 	defer out.peer.inFlight.Add(-1)
-	e, err := c.ingress.pool.do(c.ctx, target.Address, c.deadline, c.outgoing())
+	e, err := c.ingress.pool.do(c.ctx, out.peer.calls, target.Address, c.deadline, c.outgoing())
 	if err != nil {
 		out.refused = c.failed(out, target, err, e.sent)
 		return out
@@ -168,7 +174,7 @@
 	out.body, out.buffered, err = readAnswer(c.request.Method, response, bufferedBytes)
 	e.finish(err == nil)
 	if err != nil {
-		out.refused = c.failed(out, target, err, true)
+		out.refused = c.failed(out, target, e.reason(err), true)
 	}
 	return out
 }
@@ -193,6 +199,11 @@
 	}
 	late := timedOut(err) && !time.Now().Before(c.deadline)
 	switch {
+	case errors.Is(err, errLost) && arrived:
+		c.observe(out, true)
+		return inDoubt(http.StatusBadGateway, reasonTargetLost, "the daemon "+string(target.Daemon)+" is silent, gone or replaced")
+	case errors.Is(err, errLost):
+		return notExecuted(http.StatusBadGateway, reasonTargetLost, "the daemon "+string(target.Daemon)+" is silent, gone or replaced")
 	case late && arrived:
 		c.observe(out, true)
 		c.eject(out, false, "deadline")
--- a/internal/traffic/export_test.go
+++ b/internal/traffic/export_test.go
@@ -1,6 +1,12 @@
 package traffic
 
-import "net"
+import (
+	"net"
+	"time"
+
+	"sniperail.example/sniperail/internal/model"
+	"sniperail.example/sniperail/internal/query/routing"
+)
 
 // testLimit is connectionLimit for tests outside the package.
 type testLimit interface {
@@ -26,3 +32,12 @@
 	}
 	return c, c.ended
 }
+
+// LostAfter reports whether the calls to the first target of the published table are lost after a request that was
+// accepted with an older table.
+func LostAfter(published Tables, older *routing.Table, now time.Time) bool {
+	p := newPeers(published)
+	p.follow(published.Table(), now)
+	p.follow(older, now)
+	return p.find(&model.Target{Daemon: published.Table().View.Targets[0].Daemon}).calls.lost
+}
--- a/internal/traffic/ingress.go
+++ b/internal/traffic/ingress.go
@@ -47,7 +47,7 @@
 // NewIngress returns an ingress. Run must run for its outcomes to be reported.
 func NewIngress(options IngressOptions) *Ingress {
 	i := &Ingress{
-		options: options, peers: newPeers(), recorder: newRecorder(options.Metrics, options.Observer),
+		options: options, peers: newPeers(options.Tables), recorder: newRecorder(options.Metrics, options.Observer),
 		pool: newPool(transportOptions{
 			idlePerPeer: options.Limits.IdlePerPeer, idleTotal: options.Limits.IdleTotal, headerBytes: options.Limits.HeaderBytes,
 		}),
@@ -57,8 +57,21 @@
 	return i
 }
 
-// Run reports outcomes until ctx ends.
-func (i *Ingress) Run(ctx context.Context) { i.recorder.run(ctx, flushEvery) }
+// Run reports outcomes and cancels calls to lost targets until ctx ends. Outcomes are reported once more then.
+func (i *Ingress) Run(ctx context.Context) {
+	ticker := time.NewTicker(flushEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			i.peers.follow(i.options.Tables.Table(), time.Now())
+			i.recorder.flush(ctx)
+		case <-ctx.Done():
+			i.recorder.flush(context.WithoutCancel(ctx))
+			return
+		}
+	}
+}
 
 // Drain refuses all later calls as not executed.
 func (i *Ingress) Drain() { i.gate.drain() }
--- a/internal/traffic/metrics.go
+++ b/internal/traffic/metrics.go
@@ -139,18 +139,3 @@
 	}
 	r.metrics.dropped.Add(ctx, "channel-full", lost)
 }
-
-// run flushes until ctx ends, and once more then.
-func (r *recorder) run(ctx context.Context, every time.Duration) {
-	ticker := time.NewTicker(every)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			r.flush(ctx)
-		case <-ctx.Done():
-			r.flush(context.WithoutCancel(ctx))
-			return
-		}
-	}
-}
--- a/internal/traffic/peers.go
+++ b/internal/traffic/peers.go
@@ -2,6 +2,8 @@
 
 import (
 	"maps"
+	"math"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,8 +31,12 @@
 
 // peer is what this daemon's calls have shown about one target.
 type peer struct {
-	incarnation  model.Incarnation
-	since        time.Time
+	incarnation model.Incarnation
+	ref         model.VersionRef
+	ready       bool
+	since       time.Time
+	// calls outlives a peer whose target leaves the state ready or returns to it.
+	calls        *callSet
 	inFlight     atomic.Int64
 	latency      atomic.Int64 // nanoseconds
 	failures     atomic.Int64 // in a row
@@ -39,54 +45,131 @@
 	busyUntil    atomic.Int64 // Unix nanoseconds
 }
 
-// peers holds a peer per target of the table in use.
+// callSet holds the calls in flight to one incarnation of a target.
+type callSet struct {
+	mu    sync.Mutex
+	lost  bool
+	calls map[*exchange]struct{}
+}
+
+func newCallSet() *callSet { return &callSet{calls: map[*exchange]struct{}{}} }
+
+// add enters a call; remove must follow. It returns false if the target is lost.
+func (s *callSet) add(e *exchange) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lost {
+		return false
+	}
+	s.calls[e] = struct{}{}
+	return true
+}
+
+func (s *callSet) remove(e *exchange) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.calls, e)
+}
+
+func (s *callSet) busy() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.calls) > 0
+}
+
+// lose cancels all calls and refuses later ones.
+func (s *callSet) lose() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lost = true
+	for e := range s.calls {
+		e.lose()
+	}
+}
+
+// peers holds a peer per target of the table in use that is not silent.
 type peers struct {
+	tables Tables
+	// lost stands for all targets that the table does not have or shows as silent.
+	lost  *peer
 	mu    sync.Mutex
 	table atomic.Pointer[routing.Table]
 	known atomic.Pointer[map[model.DaemonID]*peer]
 }
 
-func newPeers() *peers {
-	p := &peers{}
+func newPeers(tables Tables) *peers {
+	p := &peers{tables: tables, lost: &peer{calls: &callSet{lost: true}}}
+	p.lost.ejectedUntil.Store(math.MaxInt64)
 	p.known.Store(&map[model.DaemonID]*peer{})
 	return p
 }
 
-// follow adds and removes peers when the table changes.
+// follow adds and removes peers when the table changes. The calls in flight to a target that is silent, gone or replaced
+// by a newer incarnation are cancelled, because nobody may answer them; those to a draining target finish.
 func (p *peers) follow(table *routing.Table, now time.Time) {
 	if p.table.Load() == table {
 		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.table.Load() == table {
+	// The caller's table may be older than the one in use by now.
+	table = p.tables.Table()
+	if table == nil || table.View == nil || p.table.Load() == table {
 		return
 	}
 	old := *p.known.Load()
 	next := make(map[model.DaemonID]*peer, len(table.View.Targets))
 	for i := range table.View.Targets {
 		t := &table.View.Targets[i]
-		if t.State != model.TargetReady {
-			continue
+		if t.State != model.TargetSilent {
+			next[t.Daemon] = renew(old[t.Daemon], t, now)
 		}
-		if known := old[t.Daemon]; known != nil && known.incarnation == t.Incarnation {
-			next[t.Daemon] = known
-		} else {
-			next[t.Daemon] = &peer{incarnation: t.Incarnation, since: now}
+	}
+	for daemon, known := range old {
+		// A view does not list targets of a version that its configuration does not have, so their absence shows no loss.
+		if next[daemon] == nil && unlisted(table.View, daemon, known.ref) && known.calls.busy() {
+			next[daemon] = known
 		}
 	}
 	if !maps.Equal(old, next) {
 		p.known.Store(&next)
 	}
 	p.table.Store(table)
+	for daemon, known := range old {
+		if kept := next[daemon]; kept == nil || kept.calls != known.calls {
+			known.calls.lose()
+		}
+	}
+}
+
+// unlisted reports whether a view has neither the daemon nor the version that its target ran.
+func unlisted(view *model.View, daemon model.DaemonID, ref model.VersionRef) bool {
+	if view.Configuration != nil {
+		if s := view.Configuration.Service(ref.Service); s != nil && s.Version(ref.Version) != nil {
+			return false
+		}
+	}
+	return !slices.ContainsFunc(view.Targets, func(t model.Target) bool { return t.Daemon == daemon })
+}
+
+// renew returns the peer of a target in a new table. Known is its present peer, or nil.
+func renew(known *peer, t *model.Target, now time.Time) *peer {
+	ready := t.State == model.TargetReady
+	switch {
+	case known == nil || known.incarnation != t.Incarnation:
+		return &peer{incarnation: t.Incarnation, ref: t.Ref(), ready: ready, since: now, calls: newCallSet()}
+	case known.ready != ready:
+		return &peer{incarnation: t.Incarnation, ref: t.Ref(), ready: ready, since: now, calls: known.calls}
+	}
+	return known
 }
 
-// find returns the peer of a target. A target that a newer table no longer has gets a peer of its own.
+// find returns the peer of a target.
 func (p *peers) find(target *model.Target) *peer {
 	if known := (*p.known.Load())[target.Daemon]; known != nil {
 		return known
 	}
-	return &peer{}
+	return p.lost
 }
 
 // signals implements routing.Signals at one moment.
--- a/internal/traffic/refusal.go
+++ b/internal/traffic/refusal.go
@@ -21,6 +21,7 @@
 	reasonBodyTooLarge  = "body-too-large"
 	reasonUnreachable   = "target-unreachable"
 	reasonLost          = "connection-lost"
+	reasonTargetLost    = "target-lost"
 	reasonMismatch      = "response-mismatch"
 	reasonUnframed      = "response-unframed"
 	reasonWrongTarget   = "wrong-target"
--- a/internal/traffic/transport.go
+++ b/internal/traffic/transport.go
@@ -29,6 +29,7 @@
 	// errConnections is returned by a dial that would exceed the target's connections.
 	errConnections = errors.New("the target has no connection left")
 	errUpgrade     = errors.New("the response switches protocols")
+	errLost        = errors.New("the target is silent, gone or replaced")
 )
 
 // connectionLimit bounds open connections. A nil limit allows all.
@@ -156,8 +157,12 @@
 
 // exchange is one request and its response.
 type exchange struct {
-	trace    httptrace.ClientTrace
-	cancel   context.CancelFunc
+	trace  httptrace.ClientTrace
+	cancel context.CancelFunc
+	// calls holds the exchange while it is in flight; nil if nothing cancels it but its context.
+	calls *callSet
+	// lost says that the target was lost during the exchange.
+	lost     atomic.Bool
 	response *http.Response
 	conn     *trackedConn
 	reused   bool
@@ -170,9 +175,14 @@
 }
 
 // do sends a request and reads the header of its response. The exchange is never nil; finish must follow if err is nil.
-func (p *pool) do(ctx context.Context, address string, deadline time.Time, o *outgoing) (*exchange, error) {
-	e := &exchange{}
+// Calls may be nil.
+func (p *pool) do(ctx context.Context, calls *callSet, address string, deadline time.Time, o *outgoing) (*exchange, error) {
+	e := &exchange{calls: calls}
 	ctx, e.cancel = context.WithDeadline(ctx, deadline)
+	if calls != nil && !calls.add(e) {
+		e.cancel()
+		return e, errLost
+	}
 	e.trace.GotConn = e.gotConn
 	traced := httptrace.WithClientTrace(ctx, &e.trace)
 	for tries := 1; ; tries++ {
@@ -188,8 +198,8 @@
 			continue
 		}
 		e.abandoned = e.sent
-		e.cancel()
-		return e, err
+		e.leave()
+		return e, e.reason(err)
 	}
 	if e.response.StatusCode == http.StatusSwitchingProtocols {
 		e.finish(false)
@@ -216,9 +226,30 @@
 		e.conn.current.CompareAndSwap(e, nil)
 	}
 	_ = e.response.Body.Close() // closes the connection unless the body was read to its end
+	e.leave()
+}
+
+func (e *exchange) leave() {
+	if e.calls != nil {
+		e.calls.remove(e)
+	}
 	e.cancel()
 }
 
+// lose cancels the exchange because its target is lost.
+func (e *exchange) lose() {
+	e.lost.Store(true)
+	e.cancel()
+}
+
+// reason returns errLost for the failure of an exchange whose target is lost, and err otherwise.
+func (e *exchange) reason(err error) error {
+	if e.lost.Load() {
+		return errLost
+	}
+	return err
+}
+
 // wait returns when the other end has ended an abandoned exchange.
 func (e *exchange) wait() { <-e.conn.ended }
 
--- a/internal/traffic/visit.go
+++ b/internal/traffic/visit.go
@@ -172,7 +172,7 @@
 		held.giveBack()
 		return nil, notExecuted(http.StatusGatewayTimeout, reasonDeadline, "the deadline passed before the call was sent")
 	}
-	e, err := v.admission.pool.do(v.ctx, v.admission.options.Address, v.deadline, v.outgoing())
+	e, err := v.admission.pool.do(v.ctx, nil, v.admission.options.Address, v.deadline, v.outgoing())
 	held.exchange = e
 	if err != nil {
 		if !e.sent {
