--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -69,12 +70,17 @@
 
 type servers struct{ ingress, admission, api *http.Server }
 
+// memoryLimit is the limit of docs/design.md for control in a daemon, in bytes. The collector works harder near it.
+const memoryLimit = 256 << 20
+
 // New opens the listeners and assembles the daemon. Nothing runs before Run.
 func New(s settings.Daemon, logger *zap.Logger) (*Daemon, error) {
 	metrics, err := telemetry.NewMetrics("sniperaild")
 	if err != nil {
 		return nil, err
 	}
+	debug.SetGCPercent(traffic.GCPercent)
+	debug.SetMemoryLimit(memoryLimit)
 	d := &Daemon{settings: s, logger: logger, metrics: metrics}
 	steps := []func() error{d.listen, d.connectPlatform, d.buildControl, d.buildTraffic, d.buildAPI}
 	for _, step := range steps {
@@ -197,6 +203,7 @@
 		Tables: d.loop, Metrics: metrics, Limits: limits,
 		Once: claimer{guard: d.guard, timeout: model.DefaultTimeoutMS * time.Millisecond},
 	})
+	metrics.WatchAdmission(d.admission)
 	d.servers.ingress = d.serverFor(traffic.NewServer(d.ingress, limits))
 	d.servers.admission = d.serverFor(traffic.NewServer(d.admission, limits))
 	return nil
--- /dev/null
+++ b/internal/traffic/export_test.go
@@ -0,0 +1,43 @@
+package traffic
+
+import (
+	"net"
+	"time"
+
+	"sniperail.example/sniperail/internal/model"
+	"sniperail.example/sniperail/internal/query/routing"
+)
+
+// testLimit is connectionLimit for tests outside the package.
+type testLimit interface {
+	OpenConnection() bool
+	CloseConnection()
+}
+
+type limitAdapter struct{ testLimit }
+
+func (l limitAdapter) openConnection() bool { return l.OpenConnection() }
+func (l limitAdapter) closeConnection()     { l.CloseConnection() }
+
+// TrackConn wraps a connection as the pool beside a target does, with one exchange on it.
+func TrackConn(conn net.Conn, limit testLimit, written, answered bool) (net.Conn, <-chan struct{}) {
+	limit.OpenConnection()
+	c := &trackedConn{Conn: conn, limit: limitAdapter{limit}, lingers: true, ended: make(chan struct{})}
+	e := &exchange{}
+	if !answered {
+		c.current.Store(e)
+	}
+	if written {
+		c.writes.Add(1)
+	}
+	return c, c.ended
+}
+
+// LostAfter reports whether the calls to the first target of the published table are lost after a request that was
+// accepted with an older table.
+func LostAfter(published Tables, older *routing.Table, now time.Time) bool {
+	p := newPeers(published)
+	p.follow(published.Table(), now)
+	p.follow(older, now)
+	return p.find(&model.Target{Daemon: published.Table().View.Targets[0].Daemon}).calls.lost
+}
