--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -203,7 +203,9 @@
 		Tables: d.loop, Metrics: metrics, Limits: limits,
 		Once: claimer{guard: d.guard, timeout: model.DefaultTimeoutMS * time.Millisecond},
 	})
-	metrics.WatchAdmission(d.admission)
+	if err := metrics.WatchAdmission(d.admission); err != nil {
+		return err
+	}
 	d.servers.ingress = d.serverFor(traffic.NewServer(d.ingress, limits))
 	d.servers.admission = d.serverFor(traffic.NewServer(d.admission, limits))
 	return nil
--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -101,7 +101,7 @@
 ids+=(ticket-desk-1 ticket-desk-2 schools-1)
 add_upstream ticket-desk-1 worcester new-england ticket-desk v1 10 110 none
 add_upstream ticket-desk-2 worcester new-england ticket-desk v1 10 110 none
-add_upstream schools-1 praha cz-central schools v1 12 130 none 1500ms
+add_upstream schools-1 praha cz-central schools v1 12 130 none 700ms
 SNIPERAIL_SERVER=$(IFS=,; echo "${apis[*]}")
 export SNIPERAIL_SERVER SNIPERAIL_OPERATOR=faults
 for api in "${apis[@]}"; do await "daemon $api runs" answers "$api/healthz"; done
@@ -109,6 +109,7 @@
 bin/sniperail confirm "$(plan_of "$work/declare.json")"
 for api in "${apis[@]}"; do await "daemon $api is ready" answers "$api/readyz"; done
 await "the mesh is in force" in_force 1
+sleep 3 # the targets are known everywhere within this time
 all_ingresses=("${ingresses[@]}")
 # Callers do not use the ingress of a daemon that a check kills: its own connections die with it.
 use_ingresses() { ingresses=("${all_ingresses[@]:6:2}"); }
@@ -205,11 +206,11 @@
 check data-centre-returned-change-converges converges
 end data-centre-returns
 
-# in_flight sends a call that takes 1.5 s, ends a daemon on its path meanwhile, and requires the whole answer.
+# in_flight sends a call that takes 0.7 s, ends a daemon on its path meanwhile, and requires the whole answer.
 in_flight() { # name ingress id-of-daemon
   curl -fs -m 10 -o "$work/$1.body" -H 'X-Request-Id: '"$1" "http://$2/schools/1" &
   local caller=$!
-  sleep 0.5
+  sleep 0.2
   kill -TERM "${pid_of[$3]}"
   wait "$caller"
 }
