--- a/internal/command/moves/policy.go
+++ b/internal/command/moves/policy.go
@@ -31,6 +31,8 @@
 	LongestWindow time.Duration
 	// SuspicionFactor is the factor of evidence at which a step is held although nothing is proven.
 	SuspicionFactor float64
+	// SuspectFactor is the factor of evidence at which a version at 100% is suspect. A step back costs only time.
+	SuspectFactor float64
 	// FaultyRate is the failure rate of both versions above which the comparison says "both bad".
 	FaultyRate float64
 	// UnknownRate is the failure rate taken for the old version when none was measured.
@@ -57,6 +59,7 @@
 		WindowCalls:      1,
 		LongestWindow:    10 * time.Second,
 		SuspicionFactor:  10,
+		SuspectFactor:    30,
 		FaultyRate:       0.2,
 		UnknownRate:      0.05,
 		SlotUse:          0.8,
--- a/internal/command/moves/trial.go
+++ b/internal/command/moves/trial.go
@@ -271,7 +271,7 @@
 		}
 		suspicion = max(suspicion, l.suspicion())
 	}
-	v.Suspect = suspicion >= bound
+	v.Suspect = suspicion >= math.Log(t.policy.SuspectFactor)
 	n, o := &t.recentNew, &t.recentOld
 	switch {
 	case worst.log >= bound:
