traffic: a call without a connection to the target is refused at once again

Cause: with Transport.MaxConnsPerHost a call waited for a connection, with a slot, until its deadline if the settings give the target fewer connections than slots. Change: the count in the dial function alone bounds the connections. It covers every connection from its dial to its end, lingering ones included, which MaxConnsPerHost takes for closed. The mesh of the tests can add a target with its own settings. Calls per core not measured again: the path of a call is the same.

--- a/internal/traffic/admission.go
+++ b/internal/traffic/admission.go
@@ -43,7 +43,7 @@
 		options: options, slots: s,
 		pool: newPool(transportOptions{
 			idlePerPeer: options.Settings.Slots, idleTotal: options.Settings.Slots, headerBytes: options.Limits.HeaderBytes,
-			connections: options.Settings.Connections, limit: s, lingers: true,
+			limit: s, lingers: true,
 		}),
 		service: url.QueryEscape(string(options.Service)), version: url.QueryEscape(string(options.Version)),
 	}
--- a/internal/traffic/mesh_test.go
+++ b/internal/traffic/mesh_test.go
@@ -27,15 +27,16 @@
 
 // mesh is one ingress and a daemon with a target per handler, on loopback listeners.
 type mesh struct {
-	t          *testing.T
-	table      atomic.Pointer[routing.Table]
-	metrics    *telemetry.Metrics
-	ingress    *traffic.Ingress
-	admissions []*traffic.Admission
-	url        string
-	mu         sync.Mutex
-	sums       map[model.OutcomeKey]model.OutcomeSum
-	once       traffic.Once
+	t           *testing.T
+	table       atomic.Pointer[routing.Table]
+	metrics     *telemetry.Metrics
+	instruments *traffic.Metrics
+	ingress     *traffic.Ingress
+	admissions  []*traffic.Admission
+	url         string
+	mu          sync.Mutex
+	sums        map[model.OutcomeKey]model.OutcomeSum
+	once        traffic.Once
 }
 
 func (m *mesh) Table() *routing.Table { return m.table.Load() }
@@ -71,23 +72,13 @@
 			{Name: "short", Service: "s", PathPrefix: "/short", TimeoutMS: 100},
 		},
 	}}
-	for i, h := range handlers {
+	m.table.Store(routing.NewTable(view))
+	m.instruments = metrics
+	for _, h := range handlers {
 		target := httptest.NewServer(h)
 		t.Cleanup(target.Close)
-		a := traffic.NewAdmission(traffic.AdmissionOptions{
-			Address: target.Listener.Addr().String(), Service: "s", Version: "v1", Tables: m, Metrics: metrics, Once: once,
-			Settings: admission.Settings{Slots: 2, Connections: 4, Queue: 2}, Limits: traffic.DefaultLimits(),
-		})
-		a.SetTarget(model.TargetReady)
-		m.admissions = append(m.admissions, a)
-		address := m.serve(a)
-		t.Cleanup(a.Close)
-		view.Targets = append(view.Targets, model.Target{
-			Daemon: model.DaemonID("d" + string(rune('0'+i))), Service: "s", Version: "v1", DataCentre: "a", Region: "r",
-			Address: address, State: model.TargetReady,
-		})
+		m.add(target.Listener.Addr().String(), admission.Settings{Slots: 2, Connections: 4, Queue: 2})
 	}
-	m.table.Store(routing.NewTable(view))
 	m.ingress = traffic.NewIngress(traffic.IngressOptions{Tables: m, Observer: m, Metrics: metrics, Limits: traffic.DefaultLimits()})
 	m.url = "http://" + m.serve(m.ingress)
 	t.Cleanup(m.ingress.Close)
@@ -95,6 +86,22 @@
 	return m
 }
 
+// add starts a daemon beside the target at an address.
+func (m *mesh) add(address string, settings admission.Settings) {
+	a := traffic.NewAdmission(traffic.AdmissionOptions{
+		Address: address, Service: "s", Version: "v1", Tables: m, Metrics: m.instruments, Once: m.once,
+		Settings: settings, Limits: traffic.DefaultLimits(),
+	})
+	a.SetTarget(model.TargetReady)
+	target := model.Target{
+		Daemon: model.DaemonID("d" + string(rune('0'+len(m.admissions)))), Service: "s", Version: "v1", DataCentre: "a", Region: "r",
+		Address: m.serve(a), State: model.TargetReady,
+	}
+	m.admissions = append(m.admissions, a)
+	m.t.Cleanup(a.Close)
+	m.change(func(v *model.View) { v.Targets = append(v.Targets, target) })
+}
+
 func (m *mesh) serve(h http.Handler) string {
 	server := httptest.NewUnstartedServer(nil)
 	server.Config = traffic.NewServer(h, traffic.DefaultLimits())
--- a/internal/traffic/transport.go
+++ b/internal/traffic/transport.go
@@ -41,9 +41,8 @@
 // transportOptions configure a pool.
 type transportOptions struct {
 	idlePerPeer, idleTotal, headerBytes int
-	// connections bounds the connections to one address; 0 allows any number.
-	connections int
-	// limit also counts connections that linger, which http.Transport takes for closed.
+	// limit counts every connection from its dial to its end, lingering ones included. MaxConnsPerHost is not used: it
+	// takes a lingering connection for closed, and a call over it waits with a slot instead of being refused.
 	limit connectionLimit
 	// lingers keeps the connection of an abandoned exchange open until the other end closes it.
 	lingers bool
@@ -69,7 +68,7 @@
 		return &trackedConn{Conn: conn, limit: o.limit, lingers: o.lingers, ended: make(chan struct{})}, nil
 	}
 	return &pool{transport: &http.Transport{
-		DialContext: dial, DisableCompression: true, MaxConnsPerHost: o.connections,
+		DialContext: dial, DisableCompression: true,
 		MaxIdleConns: o.idleTotal, MaxIdleConnsPerHost: o.idlePerPeer, IdleConnTimeout: idleTimeout,
 		MaxResponseHeaderBytes: int64(o.headerBytes),
 	}}
--- a/internal/traffic/transport_test.go
+++ b/internal/traffic/transport_test.go
@@ -1,8 +1,10 @@
 package traffic_test
 
 import (
+	"context"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -12,6 +14,7 @@
 
 	"github.com/matryer/is"
 
+	"sniperail.example/sniperail/internal/command/admission"
 	"sniperail.example/sniperail/internal/traffic"
 )
 
@@ -64,6 +67,78 @@
 	is.Equal(a.body, "ok")
 }
 
+// countedListener counts the connections that are open at once.
+type countedListener struct {
+	net.Listener
+	open, peak atomic.Int64
+}
+
+func (l *countedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.peak.Store(max(l.peak.Load(), l.open.Add(1))) // one goroutine accepts
+	return &countedConn{Conn: conn, open: &l.open}, nil
+}
+
+// countedConn counts itself as closed before its other end can see that it is.
+type countedConn struct {
+	net.Conn
+	open *atomic.Int64
+	once sync.Once
+}
+
+func (c *countedConn) Close() error {
+	c.once.Do(func() { c.open.Add(-1) })
+	return c.Conn.Close()
+}
+
+// Guards against more connections to the target than it accepts, while it answers and while it works on an abandoned
+// call, and against calls that wait for a connection with a slot instead of going to another target.
+func TestConnectionsAreExhausted(t *testing.T) {
+	is := is.New(t)
+	arrived, release := make(chan struct{}, 2), make(chan struct{})
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/held" {
+			arrived <- struct{}{}
+			<-release // ignores that the caller left
+		}
+		ok(w, r)
+	}
+	m := newMesh(t, nil)
+	target := httptest.NewUnstartedServer(http.HandlerFunc(handler))
+	counted := &countedListener{Listener: target.Listener}
+	target.Listener = counted
+	target.Start()
+	t.Cleanup(target.Close)
+	m.add(target.Listener.Addr().String(), admission.Settings{Slots: 3, Connections: 1, Queue: 2})
+	for _, abandoned := range []bool{false, true} {
+		ctx, cancel := context.WithCancel(context.Background())
+		var held sync.WaitGroup
+		held.Go(func() { is.Equal(m.callContext(ctx, "POST", "/held", nil).status == 200, !abandoned) })
+		<-arrived
+		if abandoned {
+			cancel()
+			held.Wait()
+		}
+		for range 3 {
+			a := m.call("POST", "/a", "")
+			is.Equal(a.refusal, "connections-exhausted")
+			is.Equal(a.executed, "no")
+		}
+		release <- struct{}{}
+		held.Wait()
+		cancel()
+		until(func() bool {
+			busy, _, _ := m.admissions[0].Occupancy()
+			return busy == 0
+		})
+		is.Equal(m.call("POST", "/a", "").status, 200)
+		is.Equal(counted.peak.Load(), int64(1))
+	}
+}
+
 // limitStub counts open connections.
 type limitStub struct{ open atomic.Int64 }
 
