--- a/internal/command/configuration/apply.go
+++ b/internal/command/configuration/apply.go
@@ -217,11 +217,15 @@
 	service.SetShare(m.To, share)
 	service.SetShare(m.From, model.FullShare-share)
 	m.Step = cmd.To
-	phase, kind := model.PhaseRunning, model.EventStep
-	if share == model.FullShare {
+	phase, kind, reason := model.PhaseRunning, model.EventStep, ""
+	switch {
+	case share == model.FullShare:
 		phase, kind = model.PhaseWatching, model.EventWatching
+	case m.Phase == model.PhasePaused:
+		// A step down does not end the operator's pause.
+		phase, reason, m.Resume = model.PhasePaused, m.Reason, model.PhaseRunning
 	}
-	e.enter(m, phase, "")
+	e.enter(m, phase, reason)
 	e.record(kind, m, share, cmd.Detail)
 	return nil
 }
@@ -233,8 +237,8 @@
 		return false
 	}
 	up := m.Phase == model.PhaseRunning && a.To == a.From+1
-	down := m.Phase == model.PhaseWatching && a.To == a.From-1
-	return up || down
+	watching := m.Phase == model.PhaseWatching || m.Phase == model.PhasePaused && m.Resume == model.PhaseWatching
+	return up || watching && a.To == a.From-1
 }
 
 func (e *edit) finish(cmd Finish) *model.Outcome {
--- a/internal/command/configuration/writer_test.go
+++ b/internal/command/configuration/writer_test.go
@@ -292,3 +292,21 @@
 	answers := w.Result(now, m.Do(*read))
 	is.Equal(answers[0].Outcome.Code, model.OutcomeApplied)
 }
+
+// Guards against a step down at 100% that ends an operator's pause, or that a pause prevents.
+func TestStepDownKeepsThePause(t *testing.T) {
+	is := is.New(t)
+	w, m := newWriter(6), storetest.NewMemory()
+	move := confirmedMove(t, w, m)
+	do := func(cmd configuration.Command) model.OutcomeCode {
+		return run(w, m, configuration.Request{By: "driver", Command: cmd}).Code
+	}
+	is.Equal(do(configuration.Advance{Move: move, From: -1, To: 0}), model.OutcomeApplied)
+	is.Equal(do(configuration.Advance{Move: move, From: 0, To: 1}), model.OutcomeApplied)
+	is.Equal(do(configuration.Pause{Move: move}), model.OutcomeApplied)
+	is.Equal(do(configuration.Advance{Move: move, From: 1, To: 0}), model.OutcomeApplied)
+	is.Equal(stored(t, m).Move(move).Phase, model.PhasePaused)
+	is.Equal(do(configuration.Advance{Move: move, From: 0, To: 1}), model.OutcomeConflict)
+	is.Equal(do(configuration.Resume{Move: move}), model.OutcomeApplied)
+	is.Equal(stored(t, m).Move(move).Phase, model.PhaseRunning)
+}
--- a/internal/command/controller/drive.go
+++ b/internal/command/controller/drive.go
@@ -111,7 +111,7 @@
 	}
 	c.holds[d.Move] = d.Reason
 	c.agent.Emit(effect.Log{Event: "move held", Fields: []effect.Field{
-		{Key: "move", Value: string(d.Move)}, {Key: "reason", Value: d.Reason},
+		{Key: "move", Value: string(d.Move)}, {Key: "reason", Value: d.Reason}, {Key: "detail", Value: d.Detail},
 	}})
 }
 
