reports: show why the driver holds a move

Cause: a held move, such as one with too few calls to judge, said so only in the log of the driver's daemon. Change: the driver gives its holds to its agent, which shows them in its status and sends them with its exchanges; the moves report and watch print them.

--- a/internal/command/agent/exchange.go
+++ b/internal/command/agent/exchange.go
@@ -28,6 +28,7 @@
 	// roster is its data centre's roster as received.
 	roster  *membership.Roster
 	inForce model.InForce
+	holds   []message.Hold
 	seqIn   uint64
 
 	// acked is the version of the own roster that it holds; sent are the values that it was last sent.
@@ -150,6 +151,9 @@
 	if digest != p.sentMarks {
 		m.Marks = a.markList()
 	}
+	if a.lead.driver {
+		m.Holds = a.lead.holds
+	}
 	if p.driver && a.moving() {
 		m.From, m.To, m.Sums = a.lead.evidenceFrom, a.now, message.PackSums(a.takeSums())
 	}
@@ -206,6 +210,7 @@
 	}
 	p.seqIn, p.heard, p.platform, p.driver, p.inForce = m.Seq, a.now, m.Platform, m.Driver, m.InForce
 	p.number = max(p.number, m.Number)
+	p.holds = m.Holds
 	a.AddMarks(m.Marks)
 	a.addEvidence(model.Evidence{DataCentre: m.DataCentre, From: m.From, To: m.To, Sums: message.UnpackSums(m.Sums)})
 	if m.Roster != nil && !a.takePeerRoster(p, m.Roster) {
--- a/internal/command/agent/extension.go
+++ b/internal/command/agent/extension.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"sniperail.example/sniperail/internal/effect"
+	"sniperail.example/sniperail/internal/message"
 	"sniperail.example/sniperail/internal/model"
 	"sniperail.example/sniperail/internal/store"
 )
@@ -126,3 +127,19 @@
 	}
 	return f
 }
+
+// SetHolds sets why moves do not go on, for reports. Only the driver knows.
+func (a *Agent) SetHolds(holds []message.Hold) { a.lead.holds = holds }
+
+// holds returns what the driver last reported, here or to this leader.
+func (a *Agent) holds() []message.Hold {
+	if a.lead.driver {
+		return a.lead.holds
+	}
+	for _, p := range a.peerList() {
+		if p.driver {
+			return p.holds
+		}
+	}
+	return nil
+}
--- a/internal/command/agent/leader.go
+++ b/internal/command/agent/leader.go
@@ -36,6 +36,7 @@
 
 	evidenceFrom time.Time
 	driver       bool
+	holds        []message.Hold
 }
 
 func newLeadership(cfg *Config) leadership {
--- a/internal/command/agent/view.go
+++ b/internal/command/agent/view.go
@@ -109,7 +109,7 @@
 func (a *Agent) status() *message.StatusReply {
 	s := &message.StatusReply{
 		DataCentre: a.self.DataCentre, Leader: a.leaderOf(a.self.DataCentre), Term: a.term,
-		Targets: a.Roster(), Marks: a.markList(), At: a.now,
+		Targets: a.Roster(), Marks: a.markList(), Holds: a.holds(), At: a.now,
 	}
 	if a.lead.lease.Held() {
 		s.InForce = a.InForce()
--- a/internal/command/controller/drive.go
+++ b/internal/command/controller/drive.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"sniperail.example/sniperail/internal/command/configuration"
 	"sniperail.example/sniperail/internal/command/moves"
 	"sniperail.example/sniperail/internal/effect"
+	"sniperail.example/sniperail/internal/message"
 	"sniperail.example/sniperail/internal/model"
 	"sniperail.example/sniperail/internal/store"
 )
@@ -87,6 +90,16 @@
 	for _, d := range decisions {
 		c.decided(d)
 	}
+	c.reportHolds()
+}
+
+// reportHolds gives the reasons of held moves to the agent, which shows them in its status and to the other leaders.
+func (c *Controller) reportHolds() {
+	holds := make([]message.Hold, 0, len(c.holds))
+	for _, move := range slices.Sorted(maps.Keys(c.holds)) {
+		holds = append(holds, message.Hold{Move: move, Reason: c.holds[move]})
+	}
+	c.agent.SetHolds(holds)
 }
 
 func (c *Controller) decided(d moves.Decision) {
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -171,6 +171,8 @@
 	Sums     []ServiceSums
 	From, To time.Time
 	Marks    []model.Mark
+	// Holds come from the driver only.
+	Holds []Hold
 }
 
 // ExchangeReply answers an Exchange. Gap asks for the roster from version Roster.
@@ -247,10 +249,18 @@
 	InForce    model.InForce
 	Targets    []model.Target
 	Marks      []model.Mark
+	// Holds says why moves do not go on, as the driver last reported.
+	Holds []Hold
 	// At is when the reply was made.
 	At time.Time
 }
 
+// Hold says why a move does not go on.
+type Hold struct {
+	Move   model.PlanID
+	Reason string
+}
+
 func (*Announce) request()      {}
 func (*Heartbeat) request()     {}
 func (*Update) request()        {}
--- a/internal/query/reports/reports.go
+++ b/internal/query/reports/reports.go
@@ -113,7 +113,7 @@
 		row := Move{
 			Move: m.ID, Service: m.Service, From: m.From, To: m.To, Phase: m.Phase, Step: m.Step + 1,
 			Steps: len(m.Steps), Deadline: m.Deadline, Since: m.Since, Number: m.Number, InForce: moveInForce(s, m),
-			Withheld: withheld(s, m.Version()), Reason: m.Reason, ConfirmedBy: m.ConfirmedBy, Share: share(c, m),
+			Withheld: withheld(s, m.Version()), Reason: reason(s, m), ConfirmedBy: m.ConfirmedBy, Share: share(c, m),
 		}
 		rows = append(rows, row)
 	}
@@ -129,6 +129,19 @@
 	return rows
 }
 
+// reason returns why a move ended or stands, or why the driver holds it, such as too few calls to judge.
+func reason(s *message.StatusReply, m *model.Move) string {
+	if m.Reason != "" || s == nil || !m.Phase.Active() {
+		return m.Reason
+	}
+	for _, h := range s.Holds {
+		if h.Move == m.ID {
+			return "held: " + h.Reason
+		}
+	}
+	return ""
+}
+
 func withheld(s *message.StatusReply, ref model.VersionRef) Answer {
 	if s == nil {
 		return Unknown
--- a/internal/query/reports/reports_test.go
+++ b/internal/query/reports/reports_test.go
@@ -139,3 +139,16 @@
 		t.Error(diff)
 	}
 }
+
+// Guards against a held move without a visible reason, such as one with too few calls to judge.
+func TestHeldMoveSaysWhy(t *testing.T) {
+	is := is.New(t)
+	c := &model.Configuration{Moves: []model.Move{
+		{ID: "a", Phase: model.PhaseRunning}, {ID: "b", Phase: model.PhaseWithdrawn, Reason: "errors"},
+	}}
+	s := &message.StatusReply{Holds: []message.Hold{{Move: "a", Reason: "too few calls"}, {Move: "b", Reason: "old"}}}
+	rows := Moves(c, s)
+	is.Equal(rows[0].Reason, "held: too few calls")
+	is.Equal(rows[1].Reason, "errors")
+	is.Equal(Moves(c, nil)[0].Reason, "")
+}
