--- a/internal/traffic/transport.go
+++ b/internal/traffic/transport.go
@@ -128,7 +128,7 @@
 			// Ends reads and writes in progress, whose goroutines belong to http.Transport.
 			_ = c.SetDeadline(time.Unix(1, 0))
 			if half.CloseWrite() == nil {
-				go c.linger()
+				go c.linger(e)
 				return
 			}
 		}
@@ -137,10 +137,13 @@
 	return err
 }
 
-func (c *trackedConn) linger() {
+func (c *trackedConn) linger(e *exchange) {
 	c.reading.Lock()
 	defer c.reading.Unlock()
 	_ = c.SetDeadline(time.Now().Add(maxLinger))
+	if e.whole.Load() {
+		_ = c.SetDeadline(time.Unix(1, 0))
+	}
 	_, _ = io.Copy(io.Discard, c.Conn)
 	_ = c.end() // the other end has closed the connection or gets no more time
 }
@@ -169,6 +172,8 @@
 	before int64
 	// sent says that a byte of the request may have reached the other end.
 	sent bool
+	// whole says that the response was read to its end.
+	whole atomic.Bool
 	// abandoned says that the other end may still work on the request until the connection has ended.
 	abandoned bool
 }
@@ -223,11 +228,21 @@
 	if whole {
 		// The connection may serve the next exchange already.
 		e.conn.current.CompareAndSwap(e, nil)
+		e.endLinger()
 	}
 	_ = e.response.Body.Close() // closes the connection unless the body was read to its end
 	e.leave()
 }
 
+// endLinger frees a connection that http.Transport closed between the end of the response and finish, such as for bytes
+// that follow the response: nobody works on the request any more.
+func (e *exchange) endLinger() {
+	e.whole.Store(true)
+	if e.conn.closed.Load() {
+		_ = e.conn.SetDeadline(time.Unix(1, 0))
+	}
+}
+
 func (e *exchange) leave() {
 	if e.calls != nil {
 		e.calls.remove(e)
