--- a/internal/traffic/lost_test.go
+++ b/internal/traffic/lost_test.go
@@ -214,7 +214,7 @@
 		running.Wait()
 	})
 	stopped.Store(true)
-	a := m.call("GET", "/a", "", traffic.HeaderDeadline, "600000")
+	a := m.call("GET", "/a", "", traffic.HeaderDeadline, "9000")
 	is.Equal(a.status, http.StatusOK) // the other target answered
 	is.Equal(<-arrived, "GET")
 	is.True(strings.Contains(m.scrape(), `sniperail_retries_total{reason="target-stalled"} 1`))
--- a/internal/traffic/peers.go
+++ b/internal/traffic/peers.go
@@ -26,9 +26,9 @@
 	// leavingFor is how long a target that refused because it drains or is not ready is passed over; the roster takes
 	// over within this time.
 	leavingFor = 3 * time.Second
-	// stallFloor and stallFactor say when a target that used to answer is taken for stopped: no response for the floor and
-	// for that many times its usual latency. It stays below half of the default deadline, which leaves a retry its time.
-	stallFloor  = 1500 * time.Millisecond
+	// stallPart and stallFactor say when a target that used to answer is taken for stopped: no response for that part of
+	// the time that the call had, and for that many times the target's usual latency. The rest is left to a retry.
+	stallPart   = 3
 	stallFactor = 8
 	// latencyWeight is the weight of one call in the smoothed latency, as 1/latencyWeight.
 	latencyWeight = 8
@@ -84,12 +84,13 @@
 	return len(s.calls) > 0
 }
 
-// stall cancels the calls that can be sent again and have waited since before a time without any response.
-func (s *callSet) stall(since time.Time) {
+// stall cancels the calls that can be sent again and have waited too long, if the target has answered nothing meanwhile.
+func (s *callSet) stall(now, answered time.Time, usual time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for e := range s.calls {
-		if e.retryable && e.started.Before(since) {
+		since := now.Add(-max(e.patience, stallFactor*usual))
+		if e.patience > 0 && e.started.Before(since) && answered.Before(since) {
 			e.stall()
 		}
 	}
@@ -168,10 +169,7 @@
 		if usual == 0 || known.inFlight.Load() == 0 {
 			continue
 		}
-		since := now.Add(-max(stallFloor, stallFactor*usual))
-		if known.answered.Load() < since.UnixNano() {
-			known.calls.stall(since)
-		}
+		known.calls.stall(now, time.Unix(0, known.answered.Load()), usual)
 	}
 }
 
--- a/internal/traffic/transport.go
+++ b/internal/traffic/transport.go
@@ -166,14 +166,14 @@
 	calls *callSet
 	// lost says that the target was lost during the exchange.
 	lost atomic.Bool
-	// started and retryable say when the exchange began and whether the call can be sent again; stalled says that it was
-	// cancelled because the target stopped answering.
-	started   time.Time
-	retryable bool
-	stalled   atomic.Bool
-	response  *http.Response
-	conn      *trackedConn
-	reused    bool
+	// started is when the exchange began, and patience how long it may wait for a target that stopped answering before
+	// the call is sent again; 0 if it must not be. stalled says that this happened.
+	started  time.Time
+	patience time.Duration
+	stalled  atomic.Bool
+	response *http.Response
+	conn     *trackedConn
+	reused   bool
 	// before is the number of writes to the connection before this exchange.
 	before int64
 	// sent says that a byte of the request may have reached the other end.
@@ -187,7 +187,10 @@
 // do sends a request and reads the header of its response. The exchange is never nil; finish must follow if err is nil.
 // Calls may be nil.
 func (p *pool) do(ctx context.Context, calls *callSet, address string, deadline time.Time, o *outgoing) (*exchange, error) {
-	e := &exchange{calls: calls, started: time.Now(), retryable: o.retryable}
+	e := &exchange{calls: calls, started: time.Now()}
+	if o.retryable {
+		e.patience = deadline.Sub(e.started) / stallPart
+	}
 	ctx, e.cancel = context.WithDeadline(ctx, deadline)
 	if calls != nil && !calls.add(e) {
 		e.cancel()
