agent: the extension reads the published view

Cause: the controller built a view, a copy of the whole roster, for each batch of outcomes, four a second. Change: View returns the published view unless something changed since.

--- a/internal/command/agent/agent.go
+++ b/internal/command/agent/agent.go
@@ -60,6 +60,7 @@
 	required model.Number
 	// dirty says that the view must be published; shownIsolated is the isolation that it last showed.
 	dirty         bool
+	published     *model.View
 	shownIsolated bool
 
 	parent parent
--- a/internal/command/agent/extension.go
+++ b/internal/command/agent/extension.go
@@ -80,8 +80,14 @@
 	}
 }
 
-// View returns the view as it stands.
-func (a *Agent) View() *model.View { return a.view() }
+// View returns the view as it stands. It is the published one unless something changed since, because building a view
+// copies the roster and the traffic goroutines report outcomes several times a second.
+func (a *Agent) View() *model.View {
+	if a.published == nil || a.dirty {
+		return a.view()
+	}
+	return a.published
+}
 
 // SetDriver says whether this daemon drives the moves; the other leaders then send it their evidence.
 func (a *Agent) SetDriver(driver bool) {
--- a/internal/command/agent/view.go
+++ b/internal/command/agent/view.go
@@ -31,7 +31,8 @@
 		a.log("isolation", "isolated", boolText(isolated))
 	}
 	a.dirty, a.shownIsolated = false, isolated
-	a.emit(effect.Publish{View: a.view()})
+	a.published = a.view()
+	a.emit(effect.Publish{View: a.published})
 }
 
 func boolText(b bool) string {
