controller: one keep-alive interval, one set-up of a moving mesh

Cause: the interval that belongs to agent.LeaseTTL stood in two packages, three tests repeated the same set-up, and a comment named a case that nextRoundWake does not have. Change: agent.KeepAliveInterval serves both leases; newMovingMesh serves the tests, whose assertions are unchanged.

--- a/internal/command/agent/config.go
+++ b/internal/command/agent/config.go
@@ -14,8 +14,8 @@
 	// LeaseTTL bounds how long a data centre is without a leader after its death. Shorter leases expire while a busy
 	// leader waits for the processor.
 	LeaseTTL = 5 * time.Second
-	// keepAliveInterval leaves two more attempts before the lease expires.
-	keepAliveInterval = 1500 * time.Millisecond
+	// KeepAliveInterval leaves two more attempts before a lease of LeaseTTL expires.
+	KeepAliveInterval = 1500 * time.Millisecond
 	// IsolatedAfter is how long a daemon goes without news from a connected leader before it is isolated. It exceeds
 	// the time in which a dead leader is replaced (LeaseTTL and about a second for the election), so that a change of
 	// leaders does not take the share of versions under move to zero and back.
--- a/internal/command/agent/leader.go
+++ b/internal/command/agent/leader.go
@@ -123,7 +123,7 @@
 	a.roster.Renumber(term)
 	a.lead.local.Edit(a.members.All(), nil)
 	a.mergeRoster(a.members.All(), nil)
-	a.set(timerKeepAlive, keepAliveInterval)
+	a.set(timerKeepAlive, KeepAliveInterval)
 	a.set(timerSweep, sweepInterval)
 	a.set(timerFlush, 0)
 	a.flush()
@@ -148,7 +148,7 @@
 	if !a.lead.lease.Held() {
 		return
 	}
-	a.set(timerKeepAlive, keepAliveInterval)
+	a.set(timerKeepAlive, KeepAliveInterval)
 	call := a.lead.lease.KeepAlive()
 	sent := a.now
 	a.Store(call, func(result store.Result) {
--- a/internal/command/controller/controller_test.go
+++ b/internal/command/controller/controller_test.go
@@ -53,6 +53,15 @@
 	return m
 }
 
+// newMovingMesh returns a mesh with calls, in which a move to v2 was just confirmed.
+func newMovingMesh(t *testing.T) *mesh {
+	m := newMesh(t, 4)
+	m.declareService()
+	m.call(10*time.Second, 30, "")
+	m.confirm(m.Nodes[5], intent)
+	return m
+}
+
 // effect records answers and changes.
 func (m *mesh) effect(_ *fleet.Node, e effect.Effect) {
 	switch e := e.(type) {
@@ -215,10 +224,7 @@
 // Guards against a good version that does not arrive: the whole chain of calls, evidence, steps and acknowledgements.
 func TestGoodVersionIsDone(t *testing.T) {
 	is := is.New(t)
-	m := newMesh(t, 4)
-	m.declareService()
-	m.call(10*time.Second, 30, "")
-	m.confirm(m.Nodes[5], intent)
+	m := newMovingMesh(t)
 	m.call(5*time.Minute, 30, "")
 	is.True(m.ended(model.PhaseDone))
 	is.Equal(m.shares("v2"), map[model.Share]int{model.FullShare: 12})
@@ -227,10 +233,7 @@
 // Guards against a bad version that keeps a share, on any daemon, after the evidence is there.
 func TestBadVersionIsWithdrawn(t *testing.T) {
 	is := is.New(t)
-	m := newMesh(t, 4)
-	m.declareService()
-	m.call(10*time.Second, 30, "")
-	m.confirm(m.Nodes[5], intent)
+	m := newMovingMesh(t)
 	m.call(2*time.Minute, 30, "v2")
 	is.True(m.ended(model.PhaseWithdrawn))
 	is.Equal(m.shares("v2"), map[model.Share]int{0: 12})
@@ -239,10 +242,7 @@
 // Guards against a withdrawal that waits for the platform: the mark alone must end the calls of a bad version.
 func TestBadVersionIsWithheldWithoutPlatform(t *testing.T) {
 	is := is.New(t)
-	m := newMesh(t, 4)
-	m.declareService()
-	m.call(10*time.Second, 30, "")
-	m.confirm(m.Nodes[5], intent)
+	m := newMovingMesh(t)
 	m.call(30*time.Second, 30, "")
 	step := m.shares("v2")
 	is.Equal(len(step), 1)
--- a/internal/command/controller/drive.go
+++ b/internal/command/controller/drive.go
@@ -47,7 +47,7 @@
 	}
 }
 
-// nextRoundWake is the time of the driver's next round, or zero if this daemon does not drive or no move is active.
+// nextRoundWake is the time of the driver's next round, or zero if this daemon does not drive.
 func (c *Controller) nextRoundWake() time.Time {
 	if c.driver == nil {
 		return time.Time{}
--- a/internal/command/controller/election.go
+++ b/internal/command/controller/election.go
@@ -3,17 +3,14 @@
 import (
 	"time"
 
+	"sniperail.example/sniperail/internal/command/agent"
 	"sniperail.example/sniperail/internal/command/membership"
 	"sniperail.example/sniperail/internal/store"
 )
 
-const (
-	// keepAliveInterval leaves two more attempts before the lease expires.
-	keepAliveInterval = 1500 * time.Millisecond
-	// seekInterval is the mean time between two looks at the driver's key by a leader that does not drive: eight leaders
-	// then read about three times a second.
-	seekInterval = 3 * time.Second
-)
+// seekInterval is the mean time between two looks at the driver's key by a leader that does not drive: eight leaders
+// then read about three times a second.
+const seekInterval = 3 * time.Second
 
 // election competes for the driver's lease. Only leaders take part, so that the driver receives all leaders' exchanges.
 type election struct {
@@ -113,7 +110,7 @@
 	switch {
 	case result.Outcome == store.Applied:
 		e.lease.Created(result)
-		e.next = e.c.now.Add(keepAliveInterval)
+		e.next = e.c.now.Add(agent.KeepAliveInterval)
 	case result.Outcome == store.Conflict && len(result.Entries) > 0:
 		e.lease.Found(result.Entries[0])
 	}
@@ -122,7 +119,7 @@
 func (e *election) keepAlive() {
 	call := e.lease.KeepAlive()
 	e.call(call, func(sent time.Time, result store.Result) {
-		e.next = e.c.now.Add(keepAliveInterval)
+		e.next = e.c.now.Add(agent.KeepAliveInterval)
 		e.lease.Renewed(sent, call.Lease, result)
 	})
 }
