model, routing: routes by host, splits, attempts, target latency, priority; limits of callers

Cause: the platform's operators declare routes by host and prefix that are divided among services, with attempts, a target latency and a rank. The model had one service and a path prefix a route. Change: model.Route grows Host, Split, TargetLatencyMS, MaxAttempts and Priority, Service grows Connections, Configuration grows Limits. The routing table matches by host, a split rotates exactly, and the version of a call is selected by the number of calls that its service had before, so that split and shares do not alias.

--- a/internal/command/distribution/checksum.go
+++ b/internal/command/distribution/checksum.go
@@ -61,12 +61,13 @@
 		d.text(string(w.Service), string(w.Version))
 	}
 	d.dashboard(c.Dashboard)
+	d.limits(c.Limits)
 	return d.hash.Sum64()
 }
 
 func (d *digest) service(s *model.Service) {
 	d.text(string(s.Name), s.Customer)
-	d.number(uint64(s.Changed), uint64(len(s.Versions)), uint64(len(s.DependsOn)))
+	d.number(uint64(s.Changed), uint64(len(s.Versions)), uint64(len(s.DependsOn)), uint64(s.Connections))
 	for _, v := range s.Versions {
 		d.text(string(v.Version))
 		d.number(uint64(v.Share))
@@ -77,7 +78,12 @@
 }
 
 func (d *digest) route(r *model.Route) {
-	d.text(string(r.Name), string(r.Service), r.PathPrefix)
+	d.text(string(r.Name), string(r.Service), r.Host, r.PathPrefix)
+	d.number(uint64(len(r.Split)), uint64(r.TargetLatencyMS), uint64(r.MaxAttempts), uint64(r.Priority))
+	for _, part := range r.Split {
+		d.text(string(part.Service))
+		d.number(uint64(part.Weight))
+	}
 	d.number(uint64(len(r.Methods)))
 	d.text(r.Methods...)
 	d.flag(r.Idempotent)
@@ -100,6 +106,13 @@
 	}
 }
 
+func (d *digest) limits(l *model.CallerLimits) {
+	d.flag(l != nil)
+	if l != nil {
+		d.number(uint64(l.HeaderBytes), uint64(l.BodyBytes), uint64(l.HeaderTimeoutMS), uint64(l.IdleTimeoutMS))
+	}
+}
+
 func (d *digest) dashboard(b *model.Dashboard) {
 	d.flag(b != nil)
 	if b == nil {
--- a/internal/command/distribution/delta.go
+++ b/internal/command/distribution/delta.go
@@ -16,6 +16,7 @@
 		Routes:    sortedBy(c.Routes, routeKey),
 		Withdrawn: c.Withdrawn,
 		Dashboard: c.Dashboard,
+		Limits:    c.Limits,
 	}
 	for _, m := range sortedBy(c.Moves, moveKey) {
 		if m.Phase.Active() {
@@ -33,7 +34,7 @@
 func Diff(base, next *model.Configuration) *message.Delta {
 	d := &message.Delta{
 		Base: base.Number, Number: next.Number, Withdrawn: next.Withdrawn, Dashboard: next.Dashboard,
-		Checksum: Checksum(next),
+		Limits: next.Limits, Checksum: Checksum(next),
 	}
 	var removed []string
 	d.Services, removed = diff(base.Services, next.Services, serviceKey)
@@ -57,6 +58,7 @@
 		Moves:     patch(base.Moves, d.Moves, names[string](d.RemovedMoves), moveKey),
 		Withdrawn: d.Withdrawn,
 		Dashboard: d.Dashboard,
+		Limits:    d.Limits,
 	}
 	if Checksum(next) != d.Checksum {
 		return nil, false
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -123,9 +123,10 @@
 	RemovedRoutes   []model.RouteName
 	Moves           []model.Move
 	RemovedMoves    []model.PlanID
-	// Withdrawn and Dashboard replace the old values as a whole.
+	// Withdrawn, Dashboard and Limits replace the old values as a whole.
 	Withdrawn []model.VersionRef
 	Dashboard *model.Dashboard
+	Limits    *model.CallerLimits
 	// Checksum covers the resulting configuration.
 	Checksum uint64
 }
--- a/internal/model/configuration.go
+++ b/internal/model/configuration.go
@@ -17,6 +17,17 @@
 	LastEvent uint64       `json:"lastEvent,omitempty"`
 	LastWrite WriteStamp   `json:"lastWrite"`
 	Recent    []WriteStamp `json:"recent,omitempty"`
+	// Limits bounds what callers may send; nil leaves the daemon's own limits.
+	Limits *CallerLimits `json:"limits,omitempty"`
+}
+
+// CallerLimits bounds requests and connections of callers. A zero field sets no limit.
+type CallerLimits struct {
+	HeaderBytes     int   `json:"headerBytes,omitempty"`
+	BodyBytes       int64 `json:"bodyBytes,omitempty"`
+	HeaderTimeoutMS int   `json:"headerTimeoutMs,omitempty"`
+	// IdleTimeoutMS is how long a caller may keep a connection open without a request, in milliseconds.
+	IdleTimeoutMS int `json:"idleTimeoutMs,omitempty"`
 }
 
 // WriteStamp identifies the write that produced a configuration number. A writer whose answer was lost looks for its
@@ -36,6 +47,8 @@
 	DependsOn []ServiceName  `json:"dependsOn,omitempty"`
 	// Changed is the configuration number of the last change that affects this service or one of its routes.
 	Changed Number `json:"changed,omitempty"`
+	// Connections is the number of connections that each target of the service accepts; 0 leaves what the target announced.
+	Connections int `json:"connections,omitempty"`
 }
 
 // VersionShare is the share of a service's calls that one version receives. The shares of a service sum to FullShare.
@@ -44,11 +57,15 @@
 	Share   Share       `json:"share"`
 }
 
-// Route maps requests to a service by the longest matching path prefix.
+// Route maps requests to a service by host and the longest matching path prefix.
 type Route struct {
-	Name       RouteName   `json:"name"`
-	Service    ServiceName `json:"service"`
-	PathPrefix string      `json:"pathPrefix"`
+	Name    RouteName   `json:"name"`
+	Service ServiceName `json:"service"`
+	// Split divides the requests among several services; Service is then empty.
+	Split []ServiceWeight `json:"split,omitempty"`
+	// Host limits the route to requests for this host; empty means any host.
+	Host       string `json:"host,omitempty"`
+	PathPrefix string `json:"pathPrefix"`
 	// Methods limits the route to these HTTP methods; empty means all.
 	Methods []string `json:"methods,omitempty"`
 	// Idempotent allows retries of methods that HTTP does not define as idempotent.
@@ -57,6 +74,26 @@
 	Once *Once `json:"once,omitempty"`
 	// TimeoutMS is the total deadline of a call in milliseconds; 0 means DefaultTimeoutMS.
 	TimeoutMS int `json:"timeoutMs,omitempty"`
+	// TargetLatencyMS is the time in milliseconds within which a response has its full value; 0 means the timeout.
+	TargetLatencyMS int `json:"targetLatencyMs,omitempty"`
+	// MaxAttempts bounds the targets that one request is sent to; 0 means the daemon's own limit.
+	MaxAttempts int `json:"maxAttempts,omitempty"`
+	// Priority ranks the route; 0 is the most important.
+	Priority int `json:"priority,omitempty"`
+}
+
+// ServiceWeight is the part of a route's requests that a service receives, relative to the other weights.
+type ServiceWeight struct {
+	Service ServiceName `json:"service"`
+	Weight  int         `json:"weight"`
+}
+
+// Services returns the services that a route leads to.
+func (r *Route) Services() []ServiceWeight {
+	if len(r.Split) > 0 {
+		return r.Split
+	}
+	return []ServiceWeight{{Service: r.Service, Weight: 1}}
 }
 
 // DefaultTimeoutMS is the total deadline of a call on a route that sets none.
--- a/internal/model/validate.go
+++ b/internal/model/validate.go
@@ -79,13 +79,18 @@
 			v.add(field+".name", "route %q is declared twice", r.Name)
 		}
 		names[r.Name] = true
-		if c.Service(r.Service) == nil {
-			v.add(field+".service", "service %q does not exist", r.Service)
+		for _, part := range r.Services() {
+			if c.Service(part.Service) == nil {
+				v.add(field+".service", "service %q does not exist", part.Service)
+			}
+			if part.Weight < 0 {
+				v.add(field+".split", "weight %d of service %q is negative", part.Weight, part.Service)
+			}
 		}
 		if !strings.HasPrefix(r.PathPrefix, "/") {
 			v.add(field+".pathPrefix", "path prefix %q does not start with /", r.PathPrefix)
 		}
-		key := r.PathPrefix + " " + strings.Join(r.Methods, ",")
+		key := r.Host + r.PathPrefix + " " + strings.Join(r.Methods, ",")
 		if other, ok := prefixes[key]; ok {
 			v.add(field+".pathPrefix", "route %q has the same path prefix and methods", other)
 		}
--- a/internal/query/routing/routing.go
+++ b/internal/query/routing/routing.go
@@ -37,8 +37,21 @@
 	model.Route
 	// Timeout is the total deadline of a call.
 	Timeout time.Duration
-	// Service is never nil for a validated configuration.
-	Service *Service
+	// TargetLatency is the time within which a response has its full value.
+	TargetLatency time.Duration
+	// services and weights are the parts of the route; services is never empty.
+	services []*Service
+	weights  []uint64
+	total    uint64
+}
+
+// ServiceOf selects the service of the call with the given counter, and the counter that selects its version. Over any
+// window of total weight calls each service of a split receives exactly its weight.
+func (r *Route) ServiceOf(counter uint64) (service *Service, versionCounter uint64) {
+	if i, nth, ok := rotate(r.weights, r.total, counter); ok {
+		return r.services[i], nth
+	}
+	return r.services[0], counter
 }
 
 // NewTable compiles a view.
@@ -70,20 +83,32 @@
 }
 
 func (t *Table) addRoute(r model.Route) {
-	service := t.services[r.Service]
-	if service == nil {
-		return
-	}
 	timeout := time.Duration(r.TimeoutMS) * time.Millisecond
 	if timeout <= 0 {
 		timeout = model.DefaultTimeoutMS * time.Millisecond
 	}
-	prefix := strings.TrimRight(r.PathPrefix, "/")
-	t.routes[prefix] = append(t.routes[prefix], &Route{Route: r, Timeout: timeout, Service: service})
+	latency := time.Duration(r.TargetLatencyMS) * time.Millisecond
+	if latency <= 0 {
+		latency = timeout
+	}
+	compiled := &Route{Route: r, Timeout: timeout, TargetLatency: latency}
+	for _, part := range r.Services() {
+		service := t.services[part.Service]
+		if service == nil {
+			return
+		}
+		compiled.services = append(compiled.services, service)
+		compiled.weights = append(compiled.weights, uint64(max(part.Weight, 0)))
+		compiled.total += uint64(max(part.Weight, 0))
+	}
+	key := routeKey(r.Host, r.PathPrefix)
+	t.routes[key] = append(t.routes[key], compiled)
 	// A route for named methods goes before a route for all methods.
-	slices.SortStableFunc(t.routes[prefix], func(a, b *Route) int { return allMethods(a) - allMethods(b) })
+	slices.SortStableFunc(t.routes[key], func(a, b *Route) int { return allMethods(a) - allMethods(b) })
 }
 
+func routeKey(host, prefix string) string { return host + strings.TrimRight(prefix, "/") }
+
 func allMethods(r *Route) int {
 	if len(r.Methods) == 0 {
 		return 1
@@ -91,12 +116,25 @@
 	return 0
 }
 
-// Match returns the route with the longest path prefix that allows the method. A prefix ends at a path segment: /a
-// matches /a and /a/b but not /ab.
-func (t *Table) Match(method, path string) (*Route, Reason) {
+// Match returns the route of the host, or else of any host, with the longest path prefix that allows the method. A prefix
+// ends at a path segment: /a matches /a and /a/b but not /ab. A prefix of a route with a host matches as written: /a/
+// matches /a/b but not /a.
+func (t *Table) Match(host, method, path string) (*Route, Reason) {
+	if host != "" {
+		if r, reason := t.match(host, method, path); reason != NoRoute {
+			return r, reason
+		}
+	}
+	return t.match("", method, path)
+}
+
+func (t *Table) match(host, method, path string) (*Route, Reason) {
 	reason := NoRoute
 	for end := len(path); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
-		for _, r := range t.routes[strings.TrimRight(path[:end], "/")] {
+		for _, r := range t.routes[routeKey(host, path[:end])] {
+			if r.Host != "" && !strings.HasPrefix(path, r.PathPrefix) {
+				continue
+			}
 			if len(r.Methods) == 0 || slices.Contains(r.Methods, method) {
 				return r, Found
 			}
--- a/internal/query/routing/routing_test.go
+++ b/internal/query/routing/routing_test.go
@@ -168,16 +168,16 @@
 		{"GET", "/", "root"}, {"GET", "/ticketsx", "root"}, {"GET", "/tickets", "tickets"}, {"POST", "/tickets/1", "issue"},
 		{"GET", "/tickets/log/x/y", "log"}, {"DELETE", "/tickets/log/x", "tickets"}, {"GET", "/tickets/log", "tickets"},
 	} {
-		r, reason := table.Match(call.method, call.path)
+		r, reason := table.Match("", call.method, call.path)
 		if reason != routing.Found || string(r.Name) != call.route {
 			t.Errorf("%s %s: got %v %q, want %s", call.method, call.path, r, reason, call.route)
 		}
 	}
 	c.Routes = c.Routes[3:]
 	table = routing.NewTable(&model.View{Configuration: c})
-	_, reason := table.Match("POST", "/tickets/log/x")
+	_, reason := table.Match("", "POST", "/tickets/log/x")
 	is.New(t).Equal(reason, routing.MethodNotAllowed)
-	_, reason = table.Match("POST", "*")
+	_, reason = table.Match("", "POST", "*")
 	is.New(t).Equal(reason, routing.NoRoute)
 }
 
--- a/internal/query/routing/versions.go
+++ b/internal/query/routing/versions.go
@@ -22,20 +22,29 @@
 // Version selects the version of the call with the given counter. Over any window of total weight calls each version
 // receives exactly its weight. Over the first calls of a window each of two versions is off by less than one call.
 func (s *Service) Version(counter uint64) (*Version, Reason) {
-	if s.total == 0 {
-		return nil, NoVersion
+	if i, _, ok := rotate(s.weights, s.total, counter); ok {
+		return s.versions[i], Found
 	}
-	c, n := counter%s.total, s.total
-	for i, w := range s.weights {
+	return nil, NoVersion
+}
+
+// rotate selects one of several weights for the call with the given counter, and counts the calls that the weight took
+// before; false means that the weights sum to 0.
+func rotate(weights []uint64, total, counter uint64) (index int, nth uint64, ok bool) {
+	if total == 0 {
+		return 0, 0, false
+	}
+	c, n := counter%total, total
+	for i, w := range weights {
 		before := c * w / n
 		if (c+1)*w/n > before {
-			return s.versions[i], Found
+			return i, counter/total*w + before, true
 		}
-		// The calls that version i does not take rotate over the versions after it.
+		// The calls that this weight does not take rotate over the weights after it.
 		c -= before
 		n -= w
 	}
-	return nil, NoVersion
+	return 0, 0, false
 }
 
 // Fallback returns the version that takes a call which version v could not execute, or nil. The new version of a move
--- a/internal/traffic/call.go
+++ b/internal/traffic/call.go
@@ -24,7 +24,10 @@
 	deadline time.Time
 	id       string
 	nested   bool
+	// rotation selects the version.
+	rotation uint64
 
+	service *routing.Service
 	version *routing.Version
 	tried   []model.DaemonID
 	attempt int
@@ -47,7 +50,7 @@
 
 // run makes attempts until one is answered or no retry is allowed.
 func (c *call) run(w http.ResponseWriter) {
-	budget := c.ingress.budget(c.route.Service.Name)
+	budget := c.ingress.budget(c.service.Name)
 	budget.mu.Lock()
 	budget.budget.Call()
 	budget.mu.Unlock()
@@ -122,7 +125,7 @@
 	if _, reason := c.pick(c.version); reason == routing.Found && !elsewhere {
 		return true
 	}
-	other := c.route.Service.Fallback(c.version)
+	other := c.service.Fallback(c.version)
 	if other == nil {
 		return false
 	}
@@ -153,8 +156,7 @@
 // selectTarget selects a version on the first attempt and a target on each.
 func (c *call) selectTarget() (*model.Target, *refusal) {
 	if c.version == nil {
-		counter := c.ingress.counter(c.route.Name).Add(1)
-		version, reason := c.route.Service.Version(counter)
+		version, reason := c.service.Version(c.rotation)
 		if reason != routing.Found {
 			return nil, notExecuted(http.StatusServiceUnavailable, string(reason), "no version of the service receives calls").after(time.Second)
 		}
--- a/internal/traffic/header.go
+++ b/internal/traffic/header.go
@@ -82,3 +82,11 @@
 	}
 	return time.Duration(ms) * time.Millisecond, true
 }
+
+// hostName returns the host of a Host header in the form that routes have: in lower case and without a port.
+func hostName(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:i]
+	}
+	return strings.ToLower(host)
+}
--- a/internal/traffic/ingress.go
+++ b/internal/traffic/ingress.go
@@ -115,7 +115,7 @@
 	case ambiguousPath(r.URL.Path):
 		return nil, notExecuted(http.StatusBadRequest, reasonPath, "the path has empty or dot segments or a backslash")
 	}
-	route, reason := table.Match(r.Method, r.URL.Path)
+	route, reason := table.Match(hostName(r.Host), r.Method, r.URL.Path)
 	if reason == routing.MethodNotAllowed {
 		return nil, notExecuted(http.StatusMethodNotAllowed, string(reason), "the route does not allow the method")
 	}
@@ -132,7 +132,9 @@
 		return nil, refused
 	}
 	i.peers.follow(table, now)
+	service, rotation := route.ServiceOf(i.counter(route.Name).Add(1))
 	return &call{
+		service: service, rotation: rotation,
 		ingress: i, request: r, ctx: r.Context(), route: route, body: body, deadline: deadline,
 		id: strconv.FormatUint(i.calls.Add(1), 36), nested: len(r.Header[HeaderAttempt]) > 0,
 	}, nil
--- a/internal/traffic/visit.go
+++ b/internal/traffic/visit.go
@@ -28,7 +28,7 @@
 func (v *visit) identify(table *routing.Table, announced bool) *refusal {
 	var route *routing.Route
 	if table != nil {
-		route, _ = table.Match(v.request.Method, v.request.URL.Path)
+		route, _ = table.Match(hostName(v.request.Host), v.request.Method, v.request.URL.Path)
 	}
 	if route == nil || route.Once == nil {
 		if announced {
@@ -42,7 +42,7 @@
 		return notExecuted(http.StatusServiceUnavailable, reasonOnceMissing, "at-most-once claims are not available")
 	}
 	if identity != "" {
-		v.once = &OnceRequest{Service: route.Service.Name, Route: route.Name, Identity: identity, Window: window}
+		v.once = &OnceRequest{Service: v.admission.options.Service, Route: route.Name, Identity: identity, Window: window}
 	}
 	return nil
 }
