--- /dev/null
+++ b/cmd/sniperail-sidecar/main.go
@@ -0,0 +1,134 @@
+// Command sniperail-sidecar is the daemon beside a target on the users' platform.
+package main
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"sniperail.example/sniperail/internal/settings"
+	"sniperail.example/sniperail/internal/sidecar"
+	"sniperail.example/sniperail/internal/telemetry"
+	"sniperail.example/sniperail/platform"
+)
+
+const description = `Daemon beside a target on the users' platform: it takes the requests of its VM, places them on targets,
+and is the only way to its own target.
+
+Every flag can also be set by SNIPERAIL_ and its name in upper snake case, in the environment or in the settings file that
+the platform names. SIGTERM drains and ends, SIGHUP reads the settings file again.`
+
+// settingsEvery is how often the settings file is compared, since it may change without a signal.
+const settingsEvery = 2 * time.Second
+
+type cli struct {
+	settings.Sidecar `embed:""`
+	Bounds           platform.Bounds `help:"Limits of the platform as name=value, separated by commas."`
+}
+
+// parse reads flags, the environment and the settings file.
+func parse(args []string, path string, exit func(int)) (*cli, error) {
+	c := &cli{}
+	options := []kong.Option{
+		kong.Name("sniperail-sidecar"), kong.Description(description), kong.DefaultEnvars("SNIPERAIL"),
+		kong.UsageOnError(), kong.Exit(exit),
+	}
+	if path != "" {
+		options = append(options, kong.Configuration(platform.Loader, path))
+	}
+	parser, err := kong.New(c, options...)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	if _, err := parser.Parse(args); err != nil {
+		return nil, errors.WithStack(err)
+	}
+	if err := c.Bounds.Apply(&c.Sidecar); err != nil {
+		return nil, err
+	}
+	c.Seeds, err = platform.SeedPeers(c.Seeds, c.Peer)
+	if err != nil {
+		return nil, err
+	}
+	return c, c.Validate()
+}
+
+func main() {
+	path := platform.SettingsPath()
+	out := telemetry.NewBoundedWriter(os.Stdout)
+	c, err := parse(os.Args[1:], path, settings.Exit)
+	if err != nil {
+		_, _ = os.Stderr.WriteString(err.Error() + "\n")
+		settings.Exit(settings.ExitUsage)
+	}
+	logger, err := telemetry.NewLogger(out, c.LogLevel)
+	if err != nil {
+		settings.Exit(settings.ExitUsage)
+	}
+	d, err := sidecar.New(c.Sidecar, platform.NewAdapter(), logger)
+	if err != nil {
+		logger.Error("start-failed", zap.Error(err))
+		out.Close()
+		os.Exit(1)
+	}
+	first, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	go reload(first, d, logger, path)
+	d.Run(first, secondSignal(first))
+	out.Close()
+}
+
+// reload follows the settings file until ctx ends.
+func reload(ctx context.Context, d *sidecar.Sidecar, logger *zap.Logger, path string) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	ticker := time.NewTicker(settingsEvery)
+	defer ticker.Stop()
+	known, _ := os.ReadFile(path) // a file that cannot be read shows as a change once it can
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+			logger.Info("reload-asked", zap.String("by", "SIGHUP"))
+		case <-ticker.C:
+		}
+		if path == "" {
+			continue
+		}
+		now, err := os.ReadFile(path)
+		if err != nil {
+			logger.Warn("reload-failed", zap.Error(err))
+			continue
+		}
+		if bytes.Equal(known, now) {
+			continue
+		}
+		known = now
+		next, err := parse(os.Args[1:], path, func(int) {})
+		if err != nil {
+			logger.Warn("reload-failed", zap.Error(err))
+			continue
+		}
+		d.Reload(ctx, next.Sidecar)
+	}
+}
+
+// secondSignal returns a context that ends with the first signal after ctx has ended.
+func secondSignal(ctx context.Context) context.Context {
+	abort, cancel := context.WithCancel(context.Background())
+	context.AfterFunc(ctx, func() {
+		signals := make(chan os.Signal, 1)
+		signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+		<-signals
+		cancel()
+	})
+	return abort
+}
--- /dev/null
+++ b/internal/command/admission/ordered.go
@@ -0,0 +1,254 @@
+package admission
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// assumedRun stands in for the time that a call takes before one has ended.
+	assumedRun = 100 * time.Millisecond
+	// runWeight is the weight of one call in the smoothed time of a route, as 1/runWeight.
+	runWeight = 10
+	// shortRun is the part of the expected time that a call needs at least; a call with less time left is taken for lost.
+	shortRun = 0.5
+	// overloadHold is how long a target that reported waiting calls of its own gets fewer calls.
+	overloadHold = 300 * time.Millisecond
+)
+
+// Reasons of refusals by an Ordered queue, besides those of State.
+const (
+	// Busy means that the call would wait longer than its sender allows.
+	Busy Reason = "busy"
+	// Abandoned means that the caller left.
+	Abandoned Reason = "abandoned"
+)
+
+// Work describes a call that asks for a slot.
+type Work struct {
+	// Kind groups calls of similar length; the queue learns how long they take.
+	Kind string
+	// Nested says that the call was made by a request that runs: its parent holds a slot while it waits.
+	Nested bool
+	// Rank orders calls; 0 goes first.
+	Rank int
+	// Objective is when the call loses part of its value, Deadline when it loses all.
+	Objective, Deadline time.Time
+	// MaxWait is the longest wait that the sender prefers to another target; 0 accepts any.
+	MaxWait time.Duration
+}
+
+// queued is a waiting call.
+type queued struct {
+	Work
+	ticket Ticket
+}
+
+// Ordered is the queue of one target. Slots are counted exactly, and the waiting call that loses most goes first: calls
+// made by running requests, then calls that can still meet their objective by rank and objective, then late ones by rank
+// and deadline. A call that cannot end before its deadline is refused as soon as that is clear.
+type Ordered struct {
+	slots   int
+	open    bool
+	next    Ticket
+	running int
+	queue   []queued
+	// runs holds the smoothed time of each kind, and mean that of all calls.
+	runs map[string]time.Duration
+	mean time.Duration
+	// excess is how many calls the target had waiting by its own account, until excessUntil.
+	excess      int
+	excessUntil time.Time
+}
+
+// NewOrdered returns the queue of a target that takes no calls yet.
+func NewOrdered() *Ordered { return &Ordered{runs: map[string]time.Duration{}} }
+
+// SetTarget opens or closes the queue and sets the slots. Calls that wait at a target that closes are refused.
+func (q *Ordered) SetTarget(now time.Time, slots int, open bool) []Settled {
+	q.slots, q.open = slots, open
+	if open {
+		return q.advance(now)
+	}
+	settled := make([]Settled, 0, len(q.queue))
+	for _, w := range q.queue {
+		settled = append(settled, Settled{w.ticket, Draining})
+	}
+	q.queue = nil
+	return settled
+}
+
+// Offer asks for a slot.
+func (q *Ordered) Offer(now time.Time, w Work) Decision {
+	if !q.open {
+		return Decision{Verdict: Refuse, Reason: Draining}
+	}
+	run := q.Run(w.Kind)
+	at := q.position(now, w)
+	wait := q.wait(now, at)
+	switch {
+	case !now.Add(wait + scaled(run)).Before(w.Deadline):
+		return Decision{Verdict: Refuse, Reason: Deadline, RetryAfter: q.wait(now, len(q.queue))}
+	case w.MaxWait > 0 && wait > w.MaxWait:
+		return Decision{Verdict: Refuse, Reason: Busy, RetryAfter: wait}
+	}
+	q.next++
+	if len(q.queue) == 0 && q.running < q.usable(now) {
+		q.running++
+		return Decision{Verdict: Run, Ticket: q.next}
+	}
+	q.queue = slices.Insert(q.queue, at, queued{w, q.next})
+	return Decision{Verdict: Wait, Ticket: q.next}
+}
+
+// Release frees the slot of a call of a kind that ran for took, and returns the waits that end.
+func (q *Ordered) Release(now time.Time, kind string, took time.Duration) []Settled {
+	q.running--
+	q.runs[kind] = smooth(q.runs[kind], took)
+	q.mean = smooth(q.mean, took)
+	return q.advance(now)
+}
+
+// Return frees the slot of a call that says nothing about the target's speed.
+func (q *Ordered) Return(now time.Time) []Settled {
+	q.running--
+	return q.advance(now)
+}
+
+// Abandon removes a waiting call. It reports whether the call still waited.
+func (q *Ordered) Abandon(ticket Ticket) bool {
+	before := len(q.queue)
+	q.queue = slices.DeleteFunc(q.queue, func(w queued) bool { return w.ticket == ticket })
+	return len(q.queue) < before
+}
+
+// Overloaded notes that the target had calls waiting by its own account: calls that were given up still hold its slots.
+func (q *Ordered) Overloaded(now time.Time, waiting int) {
+	q.excess = waiting
+	q.excessUntil = now.Add(overloadHold)
+}
+
+// Running returns the number of occupied slots, Queued that of waiting calls, Slots the slots of the target.
+func (q *Ordered) Running() int { return q.running }
+
+// Queued returns the number of waiting calls.
+func (q *Ordered) Queued() int { return len(q.queue) }
+
+// Slots returns the slots of the target.
+func (q *Ordered) Slots() int { return q.slots }
+
+// Mean returns how long a call is expected to take.
+func (q *Ordered) Mean() time.Duration {
+	if q.mean == 0 {
+		return assumedRun
+	}
+	return q.mean
+}
+
+// Run returns how long a call of a kind is expected to take.
+func (q *Ordered) Run(kind string) time.Duration {
+	if run := q.runs[kind]; run > 0 {
+		return run
+	}
+	return q.Mean()
+}
+
+// usable returns the slots that calls may occupy now.
+func (q *Ordered) usable(now time.Time) int {
+	if now.Before(q.excessUntil) {
+		return max(q.slots-q.excess, 1)
+	}
+	return q.slots
+}
+
+// wait estimates when a slot is free for a call with ahead calls before it.
+func (q *Ordered) wait(now time.Time, ahead int) time.Duration {
+	slots := max(q.usable(now), 1)
+	if missing := q.running + ahead + 1 - slots; missing > 0 {
+		return q.Mean() * time.Duration(missing) / time.Duration(slots)
+	}
+	return 0
+}
+
+// position returns where a call stands in the queue.
+func (q *Ordered) position(now time.Time, w Work) int {
+	key := q.key(now, w)
+	for i := range q.queue {
+		if key.before(q.key(now, q.queue[i].Work)) {
+			return i
+		}
+	}
+	return len(q.queue)
+}
+
+// sortKey orders waiting calls.
+type sortKey struct {
+	class, rank int
+	due         time.Time
+}
+
+func (a sortKey) before(b sortKey) bool {
+	if a.class != b.class {
+		return a.class < b.class
+	}
+	if a.rank != b.rank {
+		return a.rank < b.rank
+	}
+	return a.due.Before(b.due)
+}
+
+const (
+	classNested = iota
+	classInTime
+	classLate
+)
+
+func (q *Ordered) key(now time.Time, w Work) sortKey {
+	switch {
+	case w.Nested:
+		return sortKey{classNested, 0, w.Deadline}
+	case now.Add(scaled(q.Run(w.Kind))).Before(w.Objective):
+		return sortKey{classInTime, w.Rank, w.Objective}
+	}
+	return sortKey{classLate, w.Rank, w.Deadline}
+}
+
+// advance gives free slots to the waiting calls that go first, and refuses the calls that cannot end in time.
+func (q *Ordered) advance(now time.Time) []Settled {
+	var settled []Settled
+	kept := q.queue[:0]
+	for _, w := range q.queue {
+		if now.Add(scaled(q.Run(w.Kind))).Before(w.Deadline) {
+			kept = append(kept, w)
+			continue
+		}
+		settled = append(settled, Settled{w.ticket, Deadline})
+	}
+	q.queue = kept
+	// Calls become late while they wait, which changes their order.
+	slices.SortStableFunc(q.queue, func(a, b queued) int {
+		ka, kb := q.key(now, a.Work), q.key(now, b.Work)
+		switch {
+		case ka.before(kb):
+			return -1
+		case kb.before(ka):
+			return 1
+		}
+		return 0
+	})
+	for len(q.queue) > 0 && q.running < q.usable(now) {
+		settled = append(settled, Settled{q.queue[0].ticket, Admitted})
+		q.queue = slices.Delete(q.queue, 0, 1)
+		q.running++
+	}
+	return settled
+}
+
+func scaled(run time.Duration) time.Duration { return time.Duration(float64(run) * shortRun) }
+
+func smooth(old, took time.Duration) time.Duration {
+	if old == 0 {
+		return took
+	}
+	return old + (took-old)/runWeight
+}
--- /dev/null
+++ b/internal/command/retry/shared.go
@@ -0,0 +1,57 @@
+package retry
+
+import "time"
+
+// SharedLimit bounds the retries of all daemons together for one service, over any window: a part of the calls, and a
+// fixed number beyond it.
+type SharedLimit struct {
+	// Ratio is the retries that each call allows, Slack the retries allowed beyond that within a Window.
+	Ratio, Slack float64
+	Window       time.Duration
+}
+
+const (
+	// ratioPart is the part of the ratio that daemons use themselves: calls made by a repeated request count as repeats
+	// too, and the calls that a daemon counts may reach their targets in a later window.
+	ratioPart = 0.5
+	// slackPart is the part of the slack that may be used at once. It is refilled within a window, so that any window
+	// holds at most twice that.
+	slackPart = 0.5
+	// savedCalls bounds the calls whose retries are kept for later.
+	savedCalls = 30
+)
+
+// Shared is one daemon's part of a SharedLimit. The zero value has its whole part of the slack.
+type Shared struct {
+	// calls counts calls whose retries are not used.
+	calls float64
+	// used is the retries taken from the slack, as of at.
+	used float64
+	at   time.Time
+}
+
+// Call records a first attempt. Calls made by running requests earn nothing, because their parents may be repeats.
+func (s *Shared) Call(nested bool) {
+	if !nested {
+		s.calls = min(s.calls+1, savedCalls)
+	}
+}
+
+// Take takes a retry; false means that none is left. Daemons is the number of daemons that share the limit.
+func (s *Shared) Take(now time.Time, limit SharedLimit, daemons int) bool {
+	part := limit.Slack * slackPart / float64(max(daemons, 1))
+	if limit.Window > 0 && !s.at.IsZero() {
+		s.used = max(s.used-part*float64(now.Sub(s.at))/float64(limit.Window), 0)
+	}
+	s.at = now
+	perCall := limit.Ratio * ratioPart
+	if perCall > 0 && s.calls*perCall >= 1 {
+		s.calls -= 1 / perCall
+		return true
+	}
+	if s.used+1 <= max(part, 1) {
+		s.used++
+		return true
+	}
+	return false
+}
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -54,6 +54,8 @@
 	observed chan []model.KeyedSum
 	table    atomic.Pointer[routing.Table]
 	workers  sync.WaitGroup
+	// published is called with each new view, on the loop goroutine.
+	published func(*model.View)
 
 	// The fields below belong to the loop goroutine.
 	pending   map[effect.Token]chan any
@@ -80,6 +82,10 @@
 	return l
 }
 
+// OnPublish sets a function that takes each new view on the loop goroutine, before the effects that follow the view are
+// performed. It must be set before Run and must not block.
+func (l *Loop) OnPublish(take func(*model.View)) { l.published = take }
+
 // Table returns the published routing table. It never returns nil.
 func (l *Loop) Table() *routing.Table { return l.table.Load() }
 
@@ -122,6 +128,33 @@
 	return got.(*message.StatusReply), true
 }
 
+// Report hands over what the target beside this daemon says of itself, and returns once its consequence is sure.
+func (l *Loop) Report(ctx context.Context, report model.TargetReport) model.Outcome {
+	got, ok := l.ask(ctx, func(t effect.Token) effect.Event { return effect.TargetReported{Token: t, Report: report} })
+	if !ok {
+		return model.Refused(model.OutcomeUnknown, "", "the daemon did not answer in time")
+	}
+	return got.(model.Outcome)
+}
+
+// ObserveTarget hands over the outcomes of the target's calls. It never blocks: it returns false if they were dropped.
+func (l *Loop) ObserveTarget(ev effect.TargetObserved) bool {
+	select {
+	case l.inputs <- input{event: func(effect.Token) effect.Event { return ev }}:
+		return true
+	default:
+		return false
+	}
+}
+
+// Stopping says that the daemon was asked to end.
+func (l *Loop) Stopping(ctx context.Context) { l.post(ctx, effect.Stopping{}) }
+
+// SeedsChanged replaces the peers that are asked while the platform cannot be read.
+func (l *Loop) SeedsChanged(ctx context.Context, seeds []string) {
+	l.post(ctx, effect.SeedsChanged{Seeds: seeds})
+}
+
 // TargetChanged reports the state of the target beside this daemon.
 func (l *Loop) TargetChanged(ctx context.Context, state model.TargetState) {
 	l.post(ctx, effect.TargetChanged{State: state})
--- a/internal/control/perform.go
+++ b/internal/control/perform.go
@@ -27,6 +27,9 @@
 		l.unwatch(e.Key)
 	case effect.Publish:
 		l.table.Store(routing.NewTable(e.View))
+		if l.published != nil {
+			l.published(e.View)
+		}
 	case effect.Reply:
 		l.answer(e.Token, e.Body)
 	case effect.Answer:
--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -46,3 +46,27 @@
 	}
 	return *r, nil
 }
+
+// EncodeTarget returns the record of a target.
+func (JSON) EncodeTarget(t *model.Target) ([]byte, error) { return json.Marshal(t) }
+
+// DecodeTarget reads the record of a target.
+func (JSON) DecodeTarget(data []byte) (*model.Target, error) {
+	t, err := decode[model.Target](data, "target record")
+	if err == nil && (t.Daemon == "" || t.Address == "" || t.PeerAddress == "") {
+		return nil, errors.New("target record: a name or an address is missing")
+	}
+	return t, err
+}
+
+// EncodeMove returns the record of a move.
+func (JSON) EncodeMove(m *model.Move) ([]byte, error) { return json.Marshal(m) }
+
+// DecodeMove reads the record of a move.
+func (JSON) DecodeMove(data []byte) (*model.Move, error) {
+	m, err := decode[model.Move](data, "move record")
+	if err == nil && (m.ID == "" || m.Service == "" || m.Step >= len(m.Steps)) {
+		return nil, errors.New("move record: a field is missing")
+	}
+	return m, err
+}
--- a/internal/effect/effect.go
+++ b/internal/effect/effect.go
@@ -3,6 +3,8 @@
 package effect
 
 import (
+	"time"
+
 	"sniperail.example/sniperail/internal/message"
 	"sniperail.example/sniperail/internal/model"
 	"sniperail.example/sniperail/internal/store"
@@ -45,8 +47,25 @@
 	}
 	// Observed is a batch of request outcomes from the traffic goroutines.
 	Observed struct{ Sums []model.KeyedSum }
+	// TargetObserved is a batch of outcomes of the calls of the target beside this daemon.
+	TargetObserved struct {
+		Sums []model.KeyedSum
+		// Running counts the calls at the target, and Arrived is when the last one arrived.
+		Running int
+		Arrived time.Time
+	}
 	// TargetChanged reports the state of the target beside this daemon.
 	TargetChanged struct{ State model.TargetState }
+	// TargetReported is what the target beside this daemon says of itself; answer it with an Answer effect once its
+	// consequence is sure.
+	TargetReported struct {
+		Token  Token
+		Report model.TargetReport
+	}
+	// Stopping says that this daemon was asked to end: its target takes no new calls.
+	Stopping struct{}
+	// SeedsChanged replaces the peer addresses that are asked while the platform cannot be read.
+	SeedsChanged struct{ Seeds []string }
 	// Submitted is an operator's command; answer it with an Answer effect.
 	Submitted struct {
 		Token   Token
@@ -111,15 +130,19 @@
 	Value string
 }
 
-func (Wake) event()          {}
-func (Received) event()      {}
-func (SendDone) event()      {}
-func (StoreDone) event()     {}
-func (Watched) event()       {}
-func (Observed) event()      {}
-func (TargetChanged) event() {}
-func (Submitted) event()     {}
-func (Inspect) event()       {}
+func (Wake) event()           {}
+func (Received) event()       {}
+func (SendDone) event()       {}
+func (StoreDone) event()      {}
+func (Watched) event()        {}
+func (Observed) event()       {}
+func (TargetObserved) event() {}
+func (TargetChanged) event()  {}
+func (TargetReported) event() {}
+func (Stopping) event()       {}
+func (SeedsChanged) event()   {}
+func (Submitted) event()      {}
+func (Inspect) event()        {}
 
 func (Send) effect()      {}
 func (Reply) effect()     {}
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"sniperail.example/sniperail/internal/model"
+	"sniperail.example/sniperail/internal/store"
 )
 
 // Code answers a message.
@@ -28,6 +29,37 @@
 // Reply answers a Request.
 type Reply interface{ reply() }
 
+// CatalogQuery asks a peer for the stored entries that changed after the revisions that the sender has seen.
+type CatalogQuery struct {
+	// Operator and Mesh are the latest revisions seen of what the operator wrote and of what daemons share.
+	Operator, Mesh int64
+}
+
+// CatalogReply holds entries as the platform stores them.
+type CatalogReply struct {
+	// Loaded says that the receiver has read everything once; only then Entries may be complete.
+	Loaded  bool
+	Entries []store.Entry
+}
+
+// TargetQuery asks a daemon for the target beside it.
+type TargetQuery struct{}
+
+// TargetReply describes the target, in state model.TargetGone if there is none.
+type TargetReply struct{ Target model.Target }
+
+// EvidenceQuery asks the daemon beside a target for the outcomes of the target's calls.
+type EvidenceQuery struct{}
+
+// EvidenceReply holds sums since the start of the daemon.
+type EvidenceReply struct {
+	Target model.Target
+	Sums   []model.KeyedSum
+	// Running counts the calls at the target, and Idle says for how long none has arrived.
+	Running int
+	Idle    time.Duration
+}
+
 // Announce introduces a daemon to the leader of its data centre.
 type Announce struct {
 	Target model.Target
@@ -270,6 +302,9 @@
 func (*SnapshotQuery) request() {}
 func (*StatusQuery) request()   {}
 func (*LoadQuery) request()     {}
+func (*CatalogQuery) request()  {}
+func (*TargetQuery) request()   {}
+func (*EvidenceQuery) request() {}
 
 func (*AnnounceReply) reply()  {}
 func (*HeartbeatReply) reply() {}
@@ -279,3 +314,6 @@
 func (*SnapshotReply) reply()  {}
 func (*StatusReply) reply()    {}
 func (*LoadReply) reply()      {}
+func (*CatalogReply) reply()   {}
+func (*TargetReply) reply()    {}
+func (*EvidenceReply) reply()  {}
--- a/internal/model/names.go
+++ b/internal/model/names.go
@@ -19,6 +19,8 @@
 	Region string
 	// DaemonID names a daemon and the upstream beside it. It survives restarts.
 	DaemonID string
+	// InstanceID names one run of a target, as the target calls itself. A target may start again under the same one.
+	InstanceID string
 	// PlanID names a plan and the move that confirming it starts.
 	PlanID string
 	// Incarnation is the start time of a daemon process in Unix nanoseconds. The higher one wins.
--- a/internal/model/target.go
+++ b/internal/model/target.go
@@ -12,6 +12,8 @@
 	TargetDraining TargetState = "draining"
 	TargetDown     TargetState = "down"
 	TargetSilent   TargetState = "silent"
+	// TargetGone is a target that has said that it ends.
+	TargetGone TargetState = "gone"
 )
 
 // Target is one upstream: a back end of one version of a service and the daemon beside it.
@@ -31,6 +33,49 @@
 	State       TargetState `json:"state"`
 	// Since is when the target entered State.
 	Since time.Time `json:"since"`
+	// Instance is what the target calls itself, empty if it does not report to its daemon.
+	Instance InstanceID `json:"instance,omitempty"`
+	// Born is the start of the target in Unix milliseconds, by its own clock.
+	Born int64 `json:"born,omitempty"`
+	// WarmAt is when the target is expected to have its full speed.
+	WarmAt time.Time `json:"warmAt,omitzero"`
+	// Sequence counts the announcements of one incarnation of the daemon.
+	Sequence uint64 `json:"sequence,omitempty"`
+}
+
+// Newer reports whether the announcement t follows o, both of the same daemon.
+func (t *Target) Newer(o *Target) bool {
+	if t.Incarnation != o.Incarnation {
+		return t.Incarnation > o.Incarnation
+	}
+	return t.Sequence > o.Sequence
+}
+
+// TargetReport is what a target says of itself to the daemon beside it.
+type TargetReport struct {
+	Instance InstanceID
+	// Born is the start of the target in Unix milliseconds. A target may start again under the same Instance.
+	Born int64
+	// Seq grows with each report of one run, so that a late report is recognised.
+	Seq     uint64
+	Service ServiceName
+	Version VersionName
+	Slots   int
+	State   TargetState
+	// WarmupLeft is how much longer the target is slow after its start.
+	WarmupLeft time.Duration
+}
+
+// Newer reports whether the report r follows o.
+func (r *TargetReport) Newer(o *TargetReport) bool {
+	if r.Born != o.Born {
+		return r.Born > o.Born
+	}
+	if r.Instance != o.Instance {
+		// Two runs with the same start: the one heard last holds the address.
+		return true
+	}
+	return r.Seq > o.Seq
 }
 
 // Ref returns the version that the target runs.
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -78,6 +78,12 @@
 		return "Query.Status", new(message.StatusReply)
 	case *message.LoadQuery:
 		return "Query.Load", new(message.LoadReply)
+	case *message.CatalogQuery:
+		return "Query.Catalog", new(message.CatalogReply)
+	case *message.TargetQuery:
+		return "Query.Target", new(message.TargetReply)
+	case *message.EvidenceQuery:
+		return "Query.Evidence", new(message.EvidenceReply)
 	default:
 		panic(errors.Errorf("message %T has no method", body))
 	}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -85,6 +85,21 @@
 	return answer(q.h, in, out)
 }
 
+// Catalog returns the stored entries that the asker has not seen.
+func (q *Query) Catalog(in *message.CatalogQuery, out *message.CatalogReply) error {
+	return answer(q.h, in, out)
+}
+
+// Target returns the target beside this daemon.
+func (q *Query) Target(in *message.TargetQuery, out *message.TargetReply) error {
+	return answer(q.h, in, out)
+}
+
+// Evidence returns the outcomes of the calls of the target beside this daemon.
+func (q *Query) Evidence(in *message.EvidenceQuery, out *message.EvidenceReply) error {
+	return answer(q.h, in, out)
+}
+
 // Server accepts connections of peers.
 type Server struct {
 	listener net.Listener
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -1,5 +1,5 @@
-// Package platform performs the calls of store.Store on a service with the etcd v3 JSON-over-HTTP API, and holds the
-// gate that bounds the calls of one daemon.
+// Package platform performs the calls of store.Store on the platform's key-value service over HTTP, and holds the gate
+// that bounds the calls of one daemon. A Form encodes the calls; EtcdForm speaks the etcd v3 JSON API.
 package platform
 
 import (
@@ -26,9 +26,9 @@
 // maxIdlePerEndpoint keeps a worker's connection open between calls without holding one per concurrent call.
 const maxIdlePerEndpoint = 4
 
-// keepAlive ends a connection whose other side is unreachable after 5 s. An idle watch sends nothing, so by default a
-// partition would show only after minutes, while a change has to be in force within 13 s.
-var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3}
+// defaultKeepAlive ends a connection whose other side is unreachable after 5 s. An idle watch sends nothing, so by default
+// a partition would show only after minutes, while a change has to be in force within 13 s.
+var defaultKeepAlive = net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3}
 
 // ClientConfig configures a Client.
 type ClientConfig struct {
@@ -39,6 +39,10 @@
 	Timeout time.Duration
 	// DialTimeout bounds one connection attempt, so that an endpoint that drops packets leaves time for the others.
 	DialTimeout time.Duration
+	// Form is the form of calls that the service speaks; nil means EtcdForm.
+	Form Form
+	// KeepAlive overrides how soon an unreachable service ends an idle connection.
+	KeepAlive net.KeepAliveConfig
 }
 
 // Check returns one error for each invalid field.
@@ -67,6 +71,7 @@
 type Client struct {
 	endpoints []string
 	timeout   time.Duration
+	form      Form
 	http      *http.Client
 	transport *http.Transport
 	current   atomic.Uint64
@@ -83,6 +88,14 @@
 	if dial == 0 {
 		dial = config.Timeout / 2
 	}
+	keepAlive := config.KeepAlive
+	if !keepAlive.Enable {
+		keepAlive = defaultKeepAlive
+	}
+	form := config.Form
+	if form == nil {
+		form = EtcdForm{}
+	}
 	transport := &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dial, KeepAliveConfig: keepAlive}).DialContext,
 		MaxIdleConnsPerHost: maxIdlePerEndpoint,
@@ -90,7 +103,7 @@
 		ForceAttemptHTTP2:   false,
 	}
 	return &Client{
-		endpoints: config.Endpoints, timeout: config.Timeout, transport: transport,
+		endpoints: config.Endpoints, timeout: config.Timeout, transport: transport, form: form,
 		http: &http.Client{Transport: transport, CheckRedirect: refuseRedirect},
 	}, nil
 }
@@ -101,14 +114,29 @@
 // Close closes idle connections.
 func (c *Client) Close() { c.transport.CloseIdleConnections() }
 
-// Do performs one call within the timeout and ctx.
+// Do performs one call within the timeout and ctx. A list that the service cuts into pages is read to its end; its
+// revision is that of the first page, so that a watch from there misses no change.
 func (c *Client) Do(ctx context.Context, call store.Call) store.Result {
-	request, err := encodeCall(call)
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	result := c.do(ctx, call)
+	for page := result; page.Truncated && page.Outcome == store.Applied && len(page.Entries) > 0; {
+		call.After = page.Entries[len(page.Entries)-1].Key
+		if page = c.do(ctx, call); page.Outcome != store.Applied {
+			return page
+		}
+		result.Entries = append(result.Entries, page.Entries...)
+	}
+	result.Truncated = false
+	return result
+}
+
+// do performs one call on the first endpoint that takes it.
+func (c *Client) do(ctx context.Context, call store.Call) store.Result {
+	request, err := c.form.Encode(call)
 	if err != nil {
 		return store.Result{Outcome: store.Unavailable, Detail: err.Error()}
 	}
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
-	defer cancel()
 	var last store.Result
 	start := c.current.Load()
 	for i := range c.endpoints {
@@ -125,33 +153,32 @@
 
 // try sends a call to one endpoint. It reports whether another endpoint may be tried: the call had no effect here and
 // the endpoint is at fault.
-func (c *Client) try(ctx context.Context, endpoint string, call store.Call, request encodedCall) (store.Result, bool) {
-	response, sent, err := c.post(ctx, endpoint+request.path, request.body)
+func (c *Client) try(ctx context.Context, endpoint string, call store.Call, request Request) (store.Result, bool) {
+	response, sent, err := c.send(ctx, endpoint, request)
 	if err != nil {
-		return lost(call, sent, err), !sent || !call.Kind.IsWrite()
+		return Lost(call, sent, err), !sent || !call.Kind.IsWrite()
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := readAnswer(call.Kind, response)
 	if err != nil {
-		return lost(call, true, err), !call.Kind.IsWrite()
-	}
-	if response.StatusCode != http.StatusOK {
-		result := decodeError(call, response.StatusCode, body)
-		return result, result.Outcome == store.Unavailable && response.StatusCode >= http.StatusInternalServerError
+		return Lost(call, true, err), !call.Kind.IsWrite()
 	}
-	return decodeAnswer(call, body), false
+	result := c.form.Decode(call, response.StatusCode, body)
+	return result, result.Outcome == store.Unavailable && response.StatusCode >= http.StatusInternalServerError
 }
 
-// post sends a body. Sent is false only if no connection was obtained, because bytes on a connection may have arrived.
-func (c *Client) post(ctx context.Context, target string, body []byte) (response *http.Response, sent bool, err error) {
+// send sends a request. Sent is false only if no connection was obtained, because bytes on a connection may have arrived.
+func (c *Client) send(ctx context.Context, endpoint string, r Request) (response *http.Response, sent bool, err error) {
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	ctx = httptrace.WithClientTrace(ctx, trace)
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, target, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, r.Method, endpoint+r.Path, bytes.NewReader(r.Body))
 	if err != nil {
 		return nil, false, errors.WithStack(err)
 	}
-	request.Header.Set("Content-Type", "application/json")
+	if len(r.Body) > 0 {
+		request.Header.Set("Content-Type", "application/json")
+	}
 	response, err = c.http.Do(request)
 	return response, connected.Load(), errors.WithStack(err)
 }
@@ -171,8 +198,8 @@
 	return body, errors.WithStack(err)
 }
 
-// lost classifies a call without a usable answer.
-func lost(call store.Call, sent bool, err error) store.Result {
+// Lost classifies a call without a usable answer.
+func Lost(call store.Call, sent bool, err error) store.Result {
 	if sent && call.Kind.IsWrite() {
 		return store.Result{Outcome: store.Unknown, Detail: fmt.Sprintf("answer lost: %v", err)}
 	}
--- a/internal/platform/codec.go
+++ b/internal/platform/codec.go
@@ -12,13 +12,13 @@
 	"sniperail.example/sniperail/internal/store"
 )
 
-type encodedCall struct {
-	path string
-	body []byte
-}
+// EtcdForm is the etcd v3 JSON-over-HTTP API.
+type EtcdForm struct{}
+
+var _ Form = EtcdForm{}
 
-// encodeCall returns the path and body of a call. An error means that the call cannot be expressed.
-func encodeCall(call store.Call) (encodedCall, error) {
+// Encode returns the request of a call. An error means that the call cannot be expressed.
+func (EtcdForm) Encode(call store.Call) (Request, error) {
 	var path string
 	var message any
 	switch call.Kind {
@@ -37,10 +37,10 @@
 	case store.KindRevoke:
 		path, message = wire.PathRevoke, wire.LeaseRequest{ID: wire.Int64(call.Lease)}
 	default:
-		return encodedCall{}, errors.Errorf("unknown kind of call %q", call.Kind)
+		return Request{}, errors.Errorf("unknown kind of call %q", call.Kind)
 	}
 	body, err := json.Marshal(message)
-	return encodedCall{path: path, body: body}, errors.Wrap(err, "encode call")
+	return Request{Method: http.MethodPost, Path: path, Body: body}, errors.Wrap(err, "encode call")
 }
 
 // wholeSeconds rounds up, because the API counts leases in seconds and 0 is not a lifetime.
@@ -75,14 +75,21 @@
 	return request
 }
 
-// decodeAnswer reads the body of an answer with status 200. A body that cannot be read leaves the outcome of a write
-// unknown.
+// Decode classifies an answer. A body that cannot be read leaves the outcome of a write unknown.
+func (EtcdForm) Decode(call store.Call, status int, body []byte) store.Result {
+	if status != http.StatusOK {
+		return decodeError(call, status, body)
+	}
+	return decodeAnswer(call, body)
+}
+
+// decodeAnswer reads the body of an answer with status 200.
 func decodeAnswer(call store.Call, body []byte) store.Result {
 	switch call.Kind {
 	case store.KindGet, store.KindList:
 		answer, err := wire.Decode[wire.RangeResponse](body)
 		if err != nil {
-			return lost(call, true, err)
+			return Lost(call, true, err)
 		}
 		return store.Result{Outcome: store.Applied, Entries: entries(answer.KVs), Revision: int64(answer.Header.Revision)}
 	case store.KindTxn:
@@ -91,11 +98,11 @@
 		message, err := wire.Decode[wire.KeepAliveMessage](body)
 		switch {
 		case err != nil:
-			return lost(call, true, err)
+			return Lost(call, true, err)
 		case message.Error != nil:
 			return decodeError(call, http.StatusInternalServerError, body)
 		case message.Result == nil:
-			return lost(call, true, errors.New("keep-alive without result"))
+			return Lost(call, true, errors.New("keep-alive without result"))
 		case message.Result.TTL <= 0:
 			return store.Result{Outcome: store.NotFound, Detail: "lease is gone"}
 		}
@@ -106,7 +113,7 @@
 			err = errors.New("grant without lease")
 		}
 		if err != nil {
-			return lost(call, true, err)
+			return Lost(call, true, err)
 		}
 		return leaseResult(answer)
 	}
@@ -126,7 +133,7 @@
 		err = errors.New("transaction answer without revision")
 	}
 	if err != nil {
-		return lost(call, true, err)
+		return Lost(call, true, err)
 	}
 	result := store.Result{Outcome: store.Applied, Revision: int64(answer.Header.Revision)}
 	if answer.Succeeded {
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -23,53 +24,80 @@
 	events := make(chan store.WatchEvent, watchBuffer)
 	go func() {
 		defer close(events)
-		c.watch(ctx, key, after, events)
-		select {
-		case events <- store.WatchEvent{Lost: true}:
-		case <-ctx.Done():
+		deliver := func(event store.WatchEvent) bool {
+			select {
+			case events <- event:
+				return true
+			case <-ctx.Done():
+				return false
+			}
 		}
+		err := c.form.Watch(ctx, c.open, key, after, deliver)
+		deliver(store.WatchEvent{Lost: true, Detail: fmt.Sprint(err)})
 	}()
 	return events
 }
 
-// watch delivers events until the stream ends.
-func (c *Client) watch(ctx context.Context, key string, after int64, events chan<- store.WatchEvent) {
-	body, err := json.Marshal(wire.WatchRequest{Create: &wire.WatchCreate{
-		Key: []byte(key), StartRevision: wire.Int64(after + 1),
-	}})
+// open sends the request of a watch to the endpoint in use. A failure moves on to the next endpoint.
+func (c *Client) open(ctx context.Context, r Request) (*http.Response, error) {
+	at := c.current.Load()
+	ctx, cancel := context.WithCancel(ctx)
+	// Only the time to the response's header is bounded, beyond the time that the service may wait before it answers.
+	starting := time.AfterFunc(c.timeout+r.Wait, cancel)
+	response, _, err := c.send(ctx, c.endpoints[at%uint64(len(c.endpoints))], r)
+	if !starting.Stop() && err == nil {
+		_ = response.Body.Close()
+		err = errors.New("watch: no answer in time")
+	}
+	if err != nil || response.StatusCode >= http.StatusInternalServerError {
+		c.current.CompareAndSwap(at, at+1)
+	}
 	if err != nil {
-		return
+		cancel()
+		return nil, err
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	// Only the start is bounded: an open watch may wait for hours.
-	starting := time.AfterFunc(c.timeout, cancel)
-	defer starting.Stop()
-	at := c.current.Load()
-	response, _, err := c.post(ctx, c.endpoints[at%uint64(len(c.endpoints))]+wire.PathWatch, body)
+	response.Body = &cancelledBody{response.Body, cancel}
+	return response, nil
+}
+
+// cancelledBody releases the context of its request when it is closed.
+type cancelledBody struct {
+	io.ReadCloser
+	cancel context.CancelFunc
+}
+
+func (b *cancelledBody) Close() error {
+	defer b.cancel()
+	return b.ReadCloser.Close()
+}
+
+// Watch follows one stream until it ends.
+func (EtcdForm) Watch(ctx context.Context, open Open, key string, after int64, deliver func(store.WatchEvent) bool) error {
+	create := wire.WatchCreate{Key: []byte(key), StartRevision: wire.Int64(after + 1)}
+	if store.IsPrefix(key) {
+		create.RangeEnd = wire.PrefixEnd(key)
+	}
+	body, err := json.Marshal(wire.WatchRequest{Create: &create})
 	if err != nil {
-		c.current.CompareAndSwap(at, at+1)
-		return
+		return errors.Wrap(err, "encode watch")
+	}
+	response, err := open(ctx, Request{Method: http.MethodPost, Path: wire.PathWatch, Body: body})
+	if err != nil {
+		return err
 	}
 	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode != http.StatusOK {
-		c.current.CompareAndSwap(at, at+1)
-		return
+		return errors.Errorf("watch: status %d", response.StatusCode)
 	}
 	stream := newWatchStream(response.Body)
 	for {
 		batch, err := stream.next()
 		if err != nil {
-			return
-		}
-		if batch.created {
-			starting.Stop()
+			return err
 		}
 		for _, event := range batch.events {
-			select {
-			case events <- event:
-			case <-ctx.Done():
-				return
+			if !deliver(event) {
+				return ctx.Err()
 			}
 		}
 	}
--- a/internal/platform/wire/wire.go
+++ b/internal/platform/wire/wire.go
@@ -156,6 +156,7 @@
 	// WatchCreate starts a watch at a revision.
 	WatchCreate struct {
 		Key           []byte `json:"key"`
+		RangeEnd      []byte `json:"range_end,omitempty"`
 		StartRevision Int64  `json:"start_revision,omitempty"`
 	}
 	// WatchRequest is the body of a watch.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -122,6 +122,12 @@
 	c.require(value >= least && value <= most, flag, value.String(), fmt.Sprintf("a duration from %s to %s", least, most))
 }
 
+// Number checks a number between two bounds, both included.
+func (c *Checks) Number(flag string, value, least, most float64) {
+	c.require(value >= least && value <= most, flag, strconv.FormatFloat(value, 'g', -1, 64),
+		fmt.Sprintf("a number from %g to %g", least, most))
+}
+
 // OneOf checks a choice.
 func (c *Checks) OneOf(flag, value string, choices ...string) {
 	for _, choice := range choices {
--- /dev/null
+++ b/internal/settings/sidecar.go
@@ -0,0 +1,66 @@
+package settings
+
+import "time"
+
+// Sidecar holds the settings of sniperail-sidecar. Embed it in the kong struct; kong then calls Validate.
+type Sidecar struct {
+	ID         string   `name:"id" required:"" help:"Name of this daemon and of its VM."`
+	DataCentre string   `required:"" help:"Data centre of this VM."`
+	Region     string   `required:"" help:"Region of the data centre."`
+	Service    string   `required:"" help:"Service that the target beside this daemon runs."`
+	Target     string   `required:"" placeholder:"HOST:PORT" help:"Address of the target."`
+	Ingress    string   `required:"" placeholder:"HOST:PORT" help:"Listen here for requests of callers on this VM and of the target."`
+	Admission  string   `required:"" placeholder:"HOST:PORT" help:"Listen here for calls that other daemons send to the target."`
+	Control    string   `required:"" placeholder:"HOST:PORT" help:"Listen here for what the target says of itself."`
+	Ready      string   `required:"" placeholder:"HOST:PORT" help:"Listen here for the question whether this daemon is ready."`
+	Peer       string   `required:"" placeholder:"HOST:PORT" help:"Listen here for messages of other daemons."`
+	Metrics    string   `placeholder:"HOST:PORT" help:"Listen here for metrics; empty serves none."`
+	Platform   string   `required:"" placeholder:"URL" help:"Base URL of the platform's store."`
+	Seeds      []string `placeholder:"HOST:PORT" help:"Peer addresses of other daemons, asked while the platform cannot be read."`
+
+	MinLease    time.Duration `default:"1s" help:"Shortest lease that the platform grants."`
+	Grace       time.Duration `default:"6s" help:"Time from SIGTERM until the process is killed."`
+	RetryRatio  float64       `default:"0.2" help:"Retries of all daemons for a service, as a part of its requests."`
+	RetrySlack  float64       `default:"50" help:"Retries of all daemons for a service beyond that, within the window."`
+	RetryWindow time.Duration `default:"10s" help:"Window over which retries are counted."`
+	LogLevel    string        `default:"info" help:"Least level of the events that are logged: debug, info, warn or error."`
+}
+
+const (
+	// minGrace leaves time for calls in flight after callers have been told to go.
+	minGrace = time.Second
+	maxGrace = 10 * time.Minute
+	// maxSlack is far above any budget in use; a larger value is a mistake.
+	maxSlack = 1e6
+)
+
+// Validate reports every wrong value at once as Problems.
+func (s *Sidecar) Validate() error {
+	var c Checks
+	c.Name("id", s.ID)
+	c.Name("data-centre", s.DataCentre)
+	c.Name("region", s.Region)
+	c.Name("service", s.Service)
+	c.Address("target", s.Target)
+	listeners := map[string]string{
+		"ingress": s.Ingress, "admission": s.Admission, "control": s.Control, "ready": s.Ready, "peer": s.Peer,
+	}
+	order := []string{"ingress", "admission", "control", "ready", "peer"}
+	if s.Metrics != "" {
+		listeners["metrics"] = s.Metrics
+		order = append(order, "metrics")
+	}
+	for _, flag := range order {
+		c.Listen(flag, listeners[flag])
+	}
+	c.Distinct(listeners, order...)
+	c.URL("platform", s.Platform)
+	c.Addresses("seeds", s.Seeds)
+	c.Duration("min-lease", s.MinLease, time.Millisecond, maxWarmup)
+	c.Duration("grace", s.Grace, minGrace, maxGrace)
+	c.Number("retry-ratio", s.RetryRatio, 0, 1)
+	c.Number("retry-slack", s.RetrySlack, 0, maxSlack)
+	c.Duration("retry-window", s.RetryWindow, time.Second, maxGrace)
+	c.OneOf("log-level", s.LogLevel, LogLevels...)
+	return c.Err()
+}
--- a/internal/standin/platform/state.go
+++ b/internal/standin/platform/state.go
@@ -204,7 +204,7 @@
 	if from > 0 && from <= s.compacted {
 		return nil, false
 	}
-	w := &watcher{key: request.Key, events: make(chan []wire.Event, maxPending)}
+	w := &watcher{key: request.Key, end: request.RangeEnd, events: make(chan []wire.Event, maxPending)}
 	s.watchers[w] = struct{}{}
 	if from > 0 {
 		first, _ := slices.BinarySearchFunc(s.history, from, func(e wire.Event, revision int64) int {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 )
 
@@ -14,6 +15,11 @@
 	PrefixLeaders    = "sniperail/leaders/"
 	PrefixPlans      = "sniperail/plans/"
 	PrefixClaims     = "sniperail/claims/"
+	// PrefixMesh holds what daemons without leaders share: targets, moves and their drivers.
+	PrefixMesh    = "sniperail/mesh/"
+	PrefixTargets = PrefixMesh + "targets/"
+	PrefixMoves   = PrefixMesh + "moves/"
+	PrefixDrivers = PrefixMesh + "drivers/"
 )
 
 // LeaseID names a lease; 0 is no lease.
@@ -58,6 +64,10 @@
 	Key string
 	// Limit bounds the entries of a list; 0 is no limit.
 	Limit int
+	// After is the key after which a list begins.
+	After string
+	// Stale allows a read to be answered from a copy that is some seconds old, at a lower cost.
+	Stale bool
 	Txn   Txn
 	Lease LeaseID
 	// TTL is the lifetime of a granted lease.
@@ -122,6 +132,8 @@
 	Revision int64
 	Lease    LeaseID
 	TTL      time.Duration
+	// Truncated says that a list has more entries after the last one. Client reads them itself.
+	Truncated bool
 	// Detail explains an outcome other than Applied, for logs.
 	Detail string
 }
@@ -132,13 +144,18 @@
 	Deleted bool
 	// Lost says that the watch ended and events may be missing: read again before the next watch.
 	Lost bool
+	// Detail says why a watch was lost, for logs.
+	Detail string
 }
 
+// IsPrefix reports whether a watched key stands for all keys below it.
+func IsPrefix(key string) bool { return strings.HasSuffix(key, "/") }
+
 // Store is the platform's key-value service.
 type Store interface {
 	// Do performs one call. It never blocks past ctx; outcomes are values and not errors.
 	Do(ctx context.Context, call Call) Result
-	// Watch delivers changes of a key after the given revision until ctx ends. A final event with Lost set precedes
-	// the close of the channel when the service ended the watch.
+	// Watch delivers changes of a key, or of all keys below a prefix, after the given revision until ctx ends. A final
+	// event with Lost set precedes the close of the channel when the service ended the watch.
 	Watch(ctx context.Context, key string, after int64) <-chan WatchEvent
 }
--- a/internal/traffic/body.go
+++ b/internal/traffic/body.go
@@ -84,7 +84,10 @@
 	left int64
 }
 
-var errBodyTooLarge = errors.New("the request body is over the limit")
+var (
+	errBodyTooLarge  = errors.New("the request body is over the limit")
+	errAnswerTooLong = errors.New("the response without a length is too long")
+)
 
 func (l *limitedReader) Read(p []byte) (int, error) {
 	n, err := l.r.Read(p)
--- /dev/null
+++ b/internal/traffic/dispatch.go
@@ -0,0 +1,146 @@
+package traffic
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"sniperail.example/sniperail/internal/model"
+)
+
+// Headers names the headers that callers and targets of a mesh speak. An empty name is not used.
+type Headers struct {
+	// RequestID identifies one attempt of a caller. Targets return it, which pairs a response with its request.
+	RequestID string
+	// Deadline holds the milliseconds that the caller still waits.
+	Deadline string
+	// ExpectInstance names the only target run that may execute the request.
+	ExpectInstance string
+	// NotExecuted marks a response of a target that did not execute the request.
+	NotExecuted string
+	// CallerService names the service beside the daemon that took the request from its caller.
+	CallerService string
+	// TargetLoad holds the running calls, the waiting calls and the slots of a target, separated by commas.
+	TargetLoad string
+}
+
+// HeaderDispatch tells the daemon beside a target what the caller's daemon selected; see dispatch. HeaderLoad returns the
+// load of the target; see loadReport. Both are removed before a request or a response leaves the mesh.
+const (
+	HeaderDispatch = "Sniperail-Dispatch"
+	HeaderLoad     = "Sniperail-Load"
+)
+
+// dispatch is the content of HeaderDispatch.
+type dispatch struct {
+	// call pairs the response with the request on the connection between the daemons.
+	call     string
+	service  model.ServiceName
+	version  model.VersionName
+	instance model.InstanceID
+	route    model.RouteName
+	caller   model.ServiceName
+	rank     int
+	nested   bool
+	// objective is what is left until the response loses value, maxWait the longest wait for a slot; 0 accepts any.
+	objective, maxWait time.Duration
+}
+
+const dispatchFields = 10
+
+// String separates the fields by spaces. Names hold none; see validName.
+func (d *dispatch) String() string {
+	nested := "-"
+	if d.nested {
+		nested = "nested"
+	}
+	return strings.Join([]string{
+		d.call, string(d.service), string(d.version), string(d.instance), string(d.route), string(d.caller),
+		strconv.Itoa(d.rank), nested, micros(d.objective), micros(d.maxWait),
+	}, " ")
+}
+
+func micros(d time.Duration) string { return strconv.FormatInt(d.Microseconds(), 10) }
+
+// parseDispatch reads HeaderDispatch.
+func parseDispatch(h http.Header) (dispatch, bool) {
+	parts := strings.Split(h.Get(HeaderDispatch), " ")
+	if len(parts) != dispatchFields {
+		return dispatch{}, false
+	}
+	numbers := [3]int64{}
+	for i, at := range [...]int{6, 8, 9} {
+		n, err := strconv.ParseInt(parts[at], 10, 64)
+		if err != nil {
+			return dispatch{}, false
+		}
+		numbers[i] = n
+	}
+	return dispatch{
+		call: parts[0], service: model.ServiceName(parts[1]), version: model.VersionName(parts[2]),
+		instance: model.InstanceID(parts[3]), route: model.RouteName(parts[4]), caller: model.ServiceName(parts[5]),
+		rank: int(numbers[0]), nested: parts[7] == "nested",
+		objective: time.Duration(numbers[1]) * time.Microsecond, maxWait: time.Duration(numbers[2]) * time.Microsecond,
+	}, true
+}
+
+// loadReport is the load of a target as the daemon beside it counts it.
+type loadReport struct {
+	running, queued, slots int
+	// run is the expected time of a call on the route of the request, mean that of any call.
+	run, mean time.Duration
+	// failed is the recent part of calls that failed.
+	failed float64
+}
+
+const loadFields = 6
+
+func (l loadReport) String() string {
+	return strings.Join([]string{
+		strconv.Itoa(l.running), strconv.Itoa(l.queued), strconv.Itoa(l.slots), micros(l.run), micros(l.mean),
+		strconv.Itoa(int(l.failed * 1000)),
+	}, " ")
+}
+
+func parseLoad(text string) (loadReport, bool) {
+	parts := strings.Split(text, " ")
+	if len(parts) != loadFields {
+		return loadReport{}, false
+	}
+	var n [loadFields]int64
+	for i, part := range parts {
+		v, err := strconv.ParseInt(part, 10, 64)
+		if err != nil || v < 0 {
+			return loadReport{}, false
+		}
+		n[i] = v
+	}
+	return loadReport{
+		running: int(n[0]), queued: int(n[1]), slots: int(n[2]),
+		run: time.Duration(n[3]) * time.Microsecond, mean: time.Duration(n[4]) * time.Microsecond, failed: float64(n[5]) / 1000,
+	}, true
+}
+
+// targetWaiting returns the waiting calls of a target's own load header.
+func targetWaiting(text string) (int, bool) {
+	parts := strings.Split(text, ",")
+	if len(parts) != 3 {
+		return 0, false
+	}
+	n, err := strconv.Atoi(strings.TrimSpace(parts[1]))
+	return n, err == nil && n >= 0
+}
+
+// remainingIn returns the time that a caller leaves by its deadline header, at most limit.
+func remainingIn(h http.Header, name string, limit time.Duration) (time.Duration, bool) {
+	values := h[name]
+	if len(values) == 0 {
+		return limit, true
+	}
+	ms, err := strconv.ParseInt(values[0], 10, 64)
+	if err != nil || ms < 0 || len(values) > 1 {
+		return 0, false
+	}
+	return min(time.Duration(min(ms, limit.Milliseconds()+1))*time.Millisecond, limit), true
+}
--- a/internal/traffic/header.go
+++ b/internal/traffic/header.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"net/textproto"
-	"strconv"
 	"strings"
 	"time"
 )
@@ -16,7 +15,9 @@
 }
 
 // internalResponse are headers that only a daemon may set on a response.
-var internalResponse = map[string]bool{HeaderRefusal: true, HeaderExecuted: true, HeaderCall: true, HeaderWait: true}
+var internalResponse = map[string]bool{
+	HeaderRefusal: true, HeaderExecuted: true, HeaderCall: true, HeaderWait: true, HeaderLoad: true,
+}
 
 // copyHeader copies end-to-end headers. It shares the value slices, which nobody changes.
 func copyHeader(dst, src http.Header, drop map[string]bool) {
@@ -69,18 +70,7 @@
 
 // remaining returns the time that the caller leaves for the call, or limit if the caller sets no shorter one.
 func remaining(h http.Header, limit time.Duration) (time.Duration, bool) {
-	values := h[HeaderDeadline]
-	if len(values) == 0 {
-		return limit, true
-	}
-	ms, err := strconv.ParseInt(values[0], 10, 64)
-	if err != nil || ms < 0 || len(values) > 1 {
-		return 0, false
-	}
-	if ms > limit.Milliseconds() {
-		return limit, true
-	}
-	return time.Duration(ms) * time.Millisecond, true
+	return remainingIn(h, HeaderDeadline, limit)
 }
 
 // hostName returns the host of a Host header in the form that routes have: in lower case and without a port.
--- a/internal/traffic/ingress.go
+++ b/internal/traffic/ingress.go
@@ -33,9 +33,10 @@
 	gate     gate
 	calls    atomic.Uint64
 
-	mu       sync.RWMutex
-	counters map[model.RouteName]*atomic.Uint64
-	budgets  map[model.ServiceName]*budget
+	counters counters
+
+	mu      sync.RWMutex
+	budgets map[model.ServiceName]*budget
 }
 
 // budget is a retry budget with its lock.
@@ -51,7 +52,7 @@
 		pool: newPool(transportOptions{
 			idlePerPeer: options.Limits.IdlePerPeer, idleTotal: options.Limits.IdleTotal, headerBytes: options.Limits.HeaderBytes,
 		}),
-		counters: map[model.RouteName]*atomic.Uint64{}, budgets: map[model.ServiceName]*budget{},
+		budgets: map[model.ServiceName]*budget{},
 	}
 	i.calls.Store(random{}.Uint64())
 	return i
@@ -132,7 +133,7 @@
 		return nil, refused
 	}
 	i.peers.follow(table, now)
-	service, rotation := route.ServiceOf(i.counter(route.Name).Add(1))
+	service, rotation := route.ServiceOf(i.counters.get(route.Name).Add(1))
 	return &call{
 		service: service, rotation: rotation,
 		ingress: i, request: r, ctx: r.Context(), route: route, body: body, deadline: deadline,
@@ -140,25 +141,6 @@
 	}, nil
 }
 
-// counter returns the rotation counter of a route. It starts at a random call, so that daemons that restart together do
-// not all give their first calls to the same version.
-func (i *Ingress) counter(route model.RouteName) *atomic.Uint64 {
-	i.mu.RLock()
-	c := i.counters[route]
-	i.mu.RUnlock()
-	if c != nil {
-		return c
-	}
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if c = i.counters[route]; c == nil {
-		c = &atomic.Uint64{}
-		c.Store(random{}.Uint64() >> 1)
-		i.counters[route] = c
-	}
-	return c
-}
-
 // budget returns the retry budget of a service.
 func (i *Ingress) budget(service model.ServiceName) *budget {
 	i.mu.RLock()
--- /dev/null
+++ b/internal/traffic/load.go
@@ -0,0 +1,114 @@
+package traffic
+
+import (
+	"sync"
+	"time"
+
+	"sniperail.example/sniperail/internal/command/retry"
+	"sniperail.example/sniperail/internal/model"
+	"sniperail.example/sniperail/internal/query/routing"
+)
+
+const (
+	// assumedRun stands in for the time of a call on a target without reports.
+	assumedRun = 100 * time.Millisecond
+	// reportLife is the age at which a report of load says nothing any more.
+	reportLife = 2 * time.Second
+	// failureLife is the time in which the reported part of failed calls halves, so that a target that had failed gets a
+	// call again from time to time.
+	failureLife = 2 * time.Second
+	// coldFactor is how much slower a target is taken to be while it warms up and nothing was reported.
+	coldFactor = 2
+)
+
+// peerLoad is the latest report of a target's load.
+type peerLoad struct {
+	mu     sync.Mutex
+	report loadReport
+	at     time.Time
+	// own is the number of this daemon's calls in flight when the report came.
+	own  int64
+	runs map[model.RouteName]time.Duration
+}
+
+// reportLoad takes a report that came with a response to a call on a route.
+func (p *peer) reportLoad(now time.Time, route model.RouteName, report loadReport) {
+	p.load.mu.Lock()
+	defer p.load.mu.Unlock()
+	p.load.report, p.load.at = report, now
+	// The call that brought the report has ended.
+	p.load.own = p.inFlight.Load() - 1
+	if p.load.runs == nil {
+		p.load.runs = map[model.RouteName]time.Duration{}
+	}
+	p.load.runs[route] = report.run
+}
+
+// loads implements routing.LoadSignals for a route at one moment.
+type loads struct {
+	peers *peers
+	route model.RouteName
+	view  *model.View
+	now   time.Time
+}
+
+func (l *loads) Load(target *model.Target) routing.Load {
+	p := l.peers.find(target)
+	now := l.now.UnixNano()
+	out := routing.Load{
+		Slots: target.Slots, Cold: target.WarmAt.Sub(l.now),
+		Suspect: p.ejectedUntil.Load() > now || p.leavingUntil.Load() > now,
+	}
+	own := p.inFlight.Load()
+	p.load.mu.Lock()
+	defer p.load.mu.Unlock()
+	age := l.now.Sub(p.load.at)
+	out.Outstanding = float64(own)
+	if age < reportLife {
+		out.Outstanding = max(float64(int64(p.load.report.running+p.load.report.queued)+own-p.load.own), float64(own))
+	}
+	out.Run, out.Mean = p.load.runs[l.route], p.load.report.mean
+	if out.Mean == 0 {
+		out.Mean = assumedRun
+	}
+	if out.Run == 0 {
+		out.Run = out.Mean
+		if out.Cold > 0 {
+			out.Run *= coldFactor
+		}
+	}
+	if failed := p.load.report.failed; failed > 0 {
+		out.Failed = failed / (1 + float64(age)/float64(failureLife))
+	}
+	return out
+}
+
+// sharedBudget is a daemon's part of the retry budget of a service.
+type sharedBudget struct {
+	mu     sync.Mutex
+	budget retry.Shared
+}
+
+func (b *sharedBudget) call(nested bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.budget.Call(nested)
+}
+
+// take takes a retry from the budget; false means that none is left.
+func (b *sharedBudget) take(limit retry.SharedLimit, table *routing.Table) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.budget.Take(time.Now(), limit, len(table.View.Targets))
+}
+
+// budgets holds a budget per service.
+type budgets struct{ byService sync.Map }
+
+func (b *budgets) get(service model.ServiceName) *sharedBudget {
+	if known, ok := b.byService.Load(service); ok {
+		return known.(*sharedBudget)
+	}
+	known, _ := b.byService.LoadOrStore(service, &sharedBudget{})
+	return known.(*sharedBudget)
+}
--- a/internal/traffic/metrics.go
+++ b/internal/traffic/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"time"
 
@@ -24,6 +25,16 @@
 	calls      metric.Int64Counter
 	latency    metric.Float64Histogram
 	meter      metric.Meter
+	// FractionalRetryAfter lets Retry-After hold fractions of a second, which callers must understand.
+	FractionalRetryAfter bool
+}
+
+// retryAfter renders Retry-After, in whole seconds unless callers understand fractions.
+func (m *Metrics) retryAfter(d time.Duration) string {
+	if m.FractionalRetryAfter {
+		return strconv.FormatFloat(max(d.Seconds(), 0.001), 'f', 3, 64)
+	}
+	return strconv.Itoa(int((d + time.Second - 1) / time.Second))
 }
 
 // latencyBounds are the histogram bounds in seconds; they resolve the limit on added latency and reach the deadline.
@@ -132,8 +143,18 @@
 
 // flush reports the outcomes since the last flush. A batch that the observer drops is counted by its calls.
 func (r *recorder) flush(ctx context.Context) {
+	sums := r.take(ctx)
+	if len(sums) == 0 || r.observer == nil || r.observer.Observe(sums) {
+		return
+	}
+	r.drop(ctx, sums)
+}
+
+// take returns the outcomes since the last call and adds them to the counters.
+func (r *recorder) take(ctx context.Context) []model.KeyedSum {
 	var sums []model.KeyedSum
 	r.mu.RLock()
+	defer r.mu.RUnlock()
 	for _, s := range r.series {
 		s.mu.Lock()
 		sum := s.sum
@@ -148,10 +169,11 @@
 		}
 		sums = append(sums, model.KeyedSum{OutcomeKey: s.key, OutcomeSum: sum})
 	}
-	r.mu.RUnlock()
-	if len(sums) == 0 || r.observer == nil || r.observer.Observe(sums) {
-		return
-	}
+	return sums
+}
+
+// drop counts the calls of a batch that was not taken.
+func (r *recorder) drop(ctx context.Context, sums []model.KeyedSum) {
 	var lost int64
 	for _, s := range sums {
 		lost += int64(s.Calls)
--- a/internal/traffic/outgoing.go
+++ b/internal/traffic/outgoing.go
@@ -66,6 +66,7 @@
 // replaced are headers of a request that the next hop gets anew or not at all.
 var replaced = map[string]bool{
 	"Content-Length": true, HeaderDeadline: true, HeaderAttempt: true, HeaderCall: true, HeaderRefusal: true, HeaderExecuted: true,
+	HeaderDispatch: true,
 }
 
 var (
--- a/internal/traffic/peers.go
+++ b/internal/traffic/peers.go
@@ -50,6 +50,7 @@
 	busyUntil    atomic.Int64 // Unix nanoseconds
 	leavingUntil atomic.Int64 // Unix nanoseconds
 	answered     atomic.Int64 // Unix nanoseconds of the latest response
+	load         peerLoad
 }
 
 // callSet holds the calls in flight to one incarnation of a target.
--- a/internal/traffic/refusal.go
+++ b/internal/traffic/refusal.go
@@ -11,27 +11,32 @@
 
 // Reasons of refusals that are decided in this package. Routing and admission add their own.
 const (
-	reasonNotReady      = "not-ready"
-	reasonDraining      = "draining"
-	reasonUpgrade       = "upgrade-unsupported"
-	reasonPath          = "ambiguous-path"
-	reasonDeadline      = "deadline-exceeded"
-	reasonBadDeadline   = "invalid-deadline"
-	reasonBody          = "body-unreadable"
-	reasonBodyTooLarge  = "body-too-large"
-	reasonUnreachable   = "target-unreachable"
-	reasonLost          = "connection-lost"
-	reasonTargetLost    = "target-lost"
-	reasonStalled       = "target-stalled"
-	reasonMismatch      = "response-mismatch"
-	reasonUnframed      = "response-unframed"
-	reasonWrongTarget   = "wrong-target"
-	reasonWithheld      = "version-withheld"
-	reasonOnceMissing   = "at-most-once-unavailable"
-	reasonOnceNoRoute   = "at-most-once-route-unknown"
-	reasonOnceRunning   = "running"
-	reasonOnceUnknown   = "outcome-unknown"
-	reasonAnswerTooLong = "answer-too-large"
+	reasonNotReady       = "not-ready"
+	reasonDraining       = "draining"
+	reasonUpgrade        = "upgrade-unsupported"
+	reasonPath           = "ambiguous-path"
+	reasonDeadline       = "deadline-exceeded"
+	reasonBadDeadline    = "invalid-deadline"
+	reasonBody           = "body-unreadable"
+	reasonBodyTooLarge   = "body-too-large"
+	reasonUnreachable    = "target-unreachable"
+	reasonLost           = "connection-lost"
+	reasonTargetLost     = "target-lost"
+	reasonStalled        = "target-stalled"
+	reasonMismatch       = "response-mismatch"
+	reasonUnframed       = "response-unframed"
+	reasonWrongTarget    = "wrong-target"
+	reasonWithheld       = "version-withheld"
+	reasonOnceMissing    = "at-most-once-unavailable"
+	reasonOnceNoRoute    = "at-most-once-route-unknown"
+	reasonOnceRunning    = "running"
+	reasonOnceUnknown    = "outcome-unknown"
+	reasonAnswerTooLong  = "answer-too-large"
+	reasonDispatch       = "dispatch-missing"
+	reasonCallerGone     = "caller-gone"
+	reasonEncoded        = "response-encoded"
+	reasonTargetShed     = "target-shed"
+	reasonHeaderTooLarge = "header-too-large"
 )
 
 // refusal is an error response of a daemon.
@@ -85,8 +90,7 @@
 	h.Set(HeaderRefusal, r.reason)
 	h.Set(HeaderExecuted, executed)
 	if r.retryAfter > 0 {
-		// Retry-After counts whole seconds.
-		h.Set("Retry-After", strconv.Itoa(int((r.retryAfter+time.Second-1)/time.Second)))
+		h.Set("Retry-After", m.retryAfter(r.retryAfter))
 	}
 	if r.wait > 0 {
 		h.Set(HeaderWait, strconv.FormatInt(r.wait.Microseconds(), 10))
@@ -112,8 +116,8 @@
 	if response.Header.Get(HeaderExecuted) == "no" {
 		r.executed = retry.ExecutedNo
 	}
-	if s, err := strconv.Atoi(response.Header.Get("Retry-After")); err == nil {
-		r.retryAfter = time.Duration(s) * time.Second
+	if s, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64); err == nil && s > 0 && s < maxDeadline.Seconds() {
+		r.retryAfter = time.Duration(s * float64(time.Second))
 	}
 	if us, err := strconv.ParseInt(response.Header.Get(HeaderWait), 10, 64); err == nil && us > 0 && us < int64(maxDeadline/time.Microsecond) {
 		r.wait = time.Duration(us) * time.Microsecond
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -146,6 +146,8 @@
 	// bufferedBytes is the largest response body that is read before the response is written. Such a body is found cut
 	// before the caller sees a byte, and a slow caller holds no slot.
 	bufferedBytes = 64 << 10
+	// wholeAnswerBytes is the largest response without a length that the daemon beside a target reads to its end.
+	wholeAnswerBytes = 8 << 20
 )
 
 // NewServer returns a server for a handler of this package with the limits that the handler itself cannot enforce.
--- a/internal/traffic/transport.go
+++ b/internal/traffic/transport.go
@@ -47,6 +47,8 @@
 	limit connectionLimit
 	// lingers keeps the connection of an abandoned exchange open until the other end closes it.
 	lingers bool
+	// idle closes a pooled connection after this time without an exchange; 0 means idleTimeout.
+	idle time.Duration
 }
 
 // pool sends requests with http.Transport over HTTP/1.1. It never sends a request twice, and it knows whether a byte of
@@ -68,9 +70,13 @@
 		}
 		return &trackedConn{Conn: conn, limit: o.limit, lingers: o.lingers, ended: make(chan struct{})}, nil
 	}
+	idle := o.idle
+	if idle == 0 {
+		idle = idleTimeout
+	}
 	return &pool{transport: &http.Transport{
 		DialContext: dial, DisableCompression: true,
-		MaxIdleConns: o.idleTotal, MaxIdleConnsPerHost: o.idlePerPeer, IdleConnTimeout: idleTimeout,
+		MaxIdleConns: o.idleTotal, MaxIdleConnsPerHost: o.idlePerPeer, IdleConnTimeout: idle,
 		MaxResponseHeaderBytes: int64(o.headerBytes),
 	}}
 }
