catalog: daemons take turns to compare the store with their watches

Change: every 0.7 s one daemon, by the rank of its name, lists what the operator wrote. If that is news to its watch it tells 16 peers, which pass the notice on and read the store unless their own watch shows the change within 0.4 s.

--- a/internal/command/catalog/catalog.go
+++ b/internal/command/catalog/catalog.go
@@ -71,6 +71,9 @@
 	driving  map[model.ServiceName]*driving
 	exchange exchange
 	evidence evidence
+	// verifyAt is when this daemon compares the platform with what its watches have shown.
+	verifyAt    time.Time
+	verifyTurns int
 
 	ready bool
 	dirty bool
@@ -140,6 +143,7 @@
 func (c *Core) tick(now time.Time) {
 	c.follow(now, &c.operator)
 	c.follow(now, &c.mesh)
+	c.verifySources(now)
 	c.announce(now)
 	c.verifyRoster(now)
 	c.exchangeDue(now)
@@ -151,6 +155,7 @@
 	next := earliest(c.operator.due(), c.mesh.due())
 	next = earliest(next, c.own.due())
 	next = earliest(next, c.exchange.at)
+	next = earliest(next, c.verifyAt)
 	for _, m := range c.roster {
 		next = earliest(next, m.verifyAt)
 	}
@@ -177,6 +182,9 @@
 		reply = &message.TargetReply{Target: c.own.target}
 	case *message.EvidenceQuery:
 		reply = c.evidence.reply(now, c.own.target)
+	case *message.Notice:
+		c.noticed(now, body)
+		reply = &message.NoticeReply{Code: message.Accepted}
 	case *message.Withhold:
 		c.withhold(body.Marks)
 		reply = &message.WithholdReply{Code: message.Accepted}
--- a/internal/command/catalog/source.go
+++ b/internal/command/catalog/source.go
@@ -33,6 +33,9 @@
 	failures int
 	// lostAt is when the platform was last found not to answer; zero while it does.
 	lostAt time.Time
+	// expected is the revision that a peer has seen, and expectedBy when the own watch should have shown it.
+	expected   int64
+	expectedBy time.Time
 }
 
 func newSource(prefix string, apply func(time.Time, string, *store.Entry)) source {
@@ -42,7 +45,7 @@
 // due returns when follow has something to do: zero while it waits for the platform.
 func (s *source) due() time.Time {
 	if s.listing || s.watching {
-		return time.Time{}
+		return s.expectedBy
 	}
 	if s.retryAt.IsZero() {
 		return time.Unix(0, 1)
@@ -52,6 +55,7 @@
 
 // follow lists the prefix if it is neither watched nor being listed.
 func (c *Core) follow(now time.Time, s *source) {
+	c.checkExpected(now, s)
 	if s.listing || s.watching || now.Before(s.retryAt) {
 		return
 	}
@@ -75,19 +79,36 @@
 		c.log("platform-regained", "prefix", s.prefix, "lost_ms", milliseconds(now.Sub(s.lostAt)))
 	}
 	s.failures, s.lostAt = 0, time.Time{}
+	s.take(now, r)
+	s.loaded, s.watching = true, true
+	c.emit(effect.Watch{Key: s.prefix, After: r.Revision})
+}
+
+// take replaces what is known by a list. It reports whether the list held news.
+func (s *source) take(now time.Time, r store.Result) bool {
+	news := false
 	present := make(map[string]bool, len(r.Entries))
 	for i := range r.Entries {
 		present[r.Entries[i].Key] = true
-		s.merge(now, r.Entries[i])
+		news = s.merge(now, r.Entries[i]) || news
 	}
 	for key, e := range s.entries {
 		if !present[key] && e.ModRevision <= r.Revision {
 			s.remove(now, key, r.Revision)
+			news = true
 		}
 	}
 	s.revision = max(s.revision, r.Revision)
-	s.loaded, s.watching = true, true
-	c.emit(effect.Watch{Key: s.prefix, After: r.Revision})
+	return news
+}
+
+// latest returns the highest revision of an entry.
+func (s *source) latest() int64 {
+	var latest int64
+	for _, e := range s.entries {
+		latest = max(latest, e.ModRevision)
+	}
+	return latest
 }
 
 // merge takes an entry unless a later one is known. It reports whether the entry was new.
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -42,6 +42,15 @@
 	Entries []store.Entry
 }
 
+// Notice tells a peer which changes exist, so that it looks for them if its own watches have not shown them soon.
+type Notice struct {
+	// Operator and Mesh are the latest revisions of what the operator wrote and of what daemons share.
+	Operator, Mesh int64
+}
+
+// NoticeReply acknowledges a Notice.
+type NoticeReply struct{ Code Code }
+
 // TargetQuery asks a daemon for the target beside it.
 type TargetQuery struct{}
 
@@ -304,6 +313,7 @@
 func (*LoadQuery) request()     {}
 func (*CatalogQuery) request()  {}
 func (*TargetQuery) request()   {}
+func (*Notice) request()        {}
 func (*EvidenceQuery) request() {}
 
 func (*AnnounceReply) reply()  {}
@@ -316,4 +326,5 @@
 func (*LoadReply) reply()      {}
 func (*CatalogReply) reply()   {}
 func (*TargetReply) reply()    {}
+func (*NoticeReply) reply()    {}
 func (*EvidenceReply) reply()  {}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -70,6 +70,11 @@
 	return answer(c.h, in, out)
 }
 
+// Notice brings the revisions of changes.
+func (c *Command) Notice(in *message.Notice, out *message.NoticeReply) error {
+	return answer(c.h, in, out)
+}
+
 // Snapshot returns what is newer than the asker's state.
 func (q *Query) Snapshot(in *message.SnapshotQuery, out *message.SnapshotReply) error {
 	return answer(q.h, in, out)
