traffic: requests that a caller pipelines run at the same time

Ruled out: more slots or another placement (targets had free slots while requests waited on their connection). Change: PipelineServer reads on with http.ReadRequest while earlier requests run, at most 16 of one connection at a time, and writes responses in order. It sees at once when a caller closes its connection, and closes a connection while it drains only after the last response.

--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -78,6 +78,7 @@
 	loop     *control.Loop
 	peers    *peer.Client
 	server   *peer.Server
+	callers  *traffic.PipelineServer
 	outbound *traffic.Outbound
 	inbound  *traffic.Inbound
 	client   *platform.Client
@@ -85,11 +86,17 @@
 	draining atomic.Bool
 }
 
+// httpServer is what http.Server and traffic.PipelineServer have in common.
+type httpServer interface {
+	Serve(listener net.Listener) error
+	Close() error
+}
+
 // server is an HTTP server with its listener.
 type server struct {
 	name     string
 	listener net.Listener
-	http     *http.Server
+	http     httpServer
 }
 
 // New opens the listeners and assembles the daemon. Nothing runs before Run.
@@ -118,12 +125,14 @@
 }
 
 // serve opens the listener of a server.
-func (d *Sidecar) serve(name, address string, h *http.Server) error {
+func (d *Sidecar) serve(name, address string, h httpServer) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return errors.Wrapf(err, "--%s", name)
 	}
-	h.ErrorLog, _ = zap.NewStdLogAt(d.logger, zapcore.DebugLevel)
+	if s, ok := h.(*http.Server); ok {
+		s.ErrorLog, _ = zap.NewStdLogAt(d.logger, zapcore.DebugLevel)
+	}
 	d.servers = append(d.servers, &server{name, listener, h})
 	return nil
 }
@@ -210,12 +219,33 @@
 			return d.loop.ObserveTarget(effect.TargetObserved{Sums: sums, Running: running, Arrived: arrived})
 		},
 	})
-	if err := d.serve("ingress", d.settings.Ingress, traffic.NewServer(d.outbound, limits)); err != nil {
+	d.callers = traffic.NewPipelineServer(traffic.PipelineOptions{
+		Handler: d.outbound, HeaderBytes: limits.HeaderBytes, Logger: d.logger,
+		HeaderTimeout: d.callerLimit(headerTimeout, func(l *model.CallerLimits) int { return l.HeaderTimeoutMS }),
+		IdleTimeout:   d.callerLimit(callerIdle, func(l *model.CallerLimits) int { return l.IdleTimeoutMS }),
+	})
+	if err := d.serve("ingress", d.settings.Ingress, d.callers); err != nil {
 		return err
 	}
 	return d.serve("admission", d.settings.Admission, traffic.NewServer(d.inbound, limits))
 }
 
+const (
+	// headerTimeout and callerIdle hold while the operator sets no limit.
+	headerTimeout = 5 * time.Second
+	callerIdle    = 90 * time.Second
+)
+
+// callerLimit returns a limit of the operator's configuration in force, or a default.
+func (d *Sidecar) callerLimit(def time.Duration, ms func(*model.CallerLimits) int) func() time.Duration {
+	return func() time.Duration {
+		if l := d.loop.Table().View.Configuration.Limits; l != nil && ms(l) > 0 {
+			return time.Duration(ms(l)) * time.Millisecond
+		}
+		return def
+	}
+}
+
 // maxBody bounds a request body while the operator sets no limit.
 const maxBody = 64 << 20
 
@@ -291,7 +321,7 @@
 	d.logger.Info("stopping", zap.Int("requests", d.outbound.InFlight()), zap.Int("calls", d.inbound.InFlight()))
 	d.draining.Store(true)
 	d.loop.Stopping(abort)
-	d.outbound.Drain()
+	d.callers.Drain()
 	ticker := time.NewTicker(drainPoll)
 	defer ticker.Stop()
 	last := started.Add(d.settings.Grace - exitMargin)
@@ -306,6 +336,7 @@
 		}
 	}
 	for _, s := range d.servers {
+		_ = s.listener.Close()
 		_ = s.http.Close()
 	}
 }
--- a/internal/traffic/outbound.go
+++ b/internal/traffic/outbound.go
@@ -37,7 +37,6 @@
 	peers    *peers
 	gate     gate
 	calls    atomic.Uint64
-	draining atomic.Bool
 	counters counters
 	budgets  budgets
 }
@@ -70,9 +69,6 @@
 	}
 }
 
-// Drain makes each later response the last one on its connection.
-func (o *Outbound) Drain() { o.draining.Store(true) }
-
 // Wait returns when no call is in flight, or with the error of ctx.
 func (o *Outbound) Wait(ctx context.Context) error { return o.gate.wait(ctx) }
 
@@ -86,10 +82,7 @@
 func (o *Outbound) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	o.gate.enter()
 	defer o.gate.leave()
-	if o.draining.Load() {
-		w.Header()["Connection"] = []string{"close"}
-	}
-	p, refused := o.accept(w, r, time.Now())
+	p, refused := o.accept(w, r, arrivedAt(r))
 	if refused != nil {
 		o.options.Log.Unrouted(r, refused)
 		refused.write(w, r, o.options.Metrics)
