catalog, rollout: a daemon beside the service drives a move of seconds

Cause: versions that the operator orders were never given calls: a duty missed for each order. Ruled out: the driver of package moves (its steps need minutes and reports from leaders); a fixed ramp (a version that fails late or under load gets more than a tenth of the calls). Change: package rollout decides the steps with the sequential tests of package moves; catalog elects a driver by a lease of 2 s among the daemons beside the service, asks its targets for outcomes each 0.3 s and records the move by compare-and-swap against the driver's key. A bad version is withheld by the daemons beside its targets at once.

--- a/internal/command/catalog/drive.go
+++ b/internal/command/catalog/drive.go
@@ -1,69 +1,331 @@
 package catalog
 
 import (
+	"strconv"
 	"time"
 
-	"sniperail.example/sniperail/internal/effect"
+	"sniperail.example/sniperail/internal/command/rollout"
 	"sniperail.example/sniperail/internal/message"
 	"sniperail.example/sniperail/internal/model"
 	"sniperail.example/sniperail/internal/store"
 )
 
-// evidence sums the outcomes of the own target's calls.
-type evidence struct {
-	sums    map[model.OutcomeKey]*model.OutcomeSum
-	running int
-	arrived time.Time
+const (
+	// driverTTL is the lifetime of a driver's lease. A bad version must be withdrawn five seconds after it showed, also
+	// when its driver was just lost.
+	driverTTL = 2 * time.Second
+	// campaignSpread spreads the daemons that want to drive, so that most of them see the first one's lease.
+	campaignSpread = 300 * time.Millisecond
+	// campaignRetry is the wait after a failed campaign.
+	campaignRetry = 500 * time.Millisecond
+	// driveEvery is how often the targets are asked for outcomes and the move is decided.
+	driveEvery = 300 * time.Millisecond
+)
+
+// driving is this daemon's part in the move of the service beside it.
+type driving struct {
+	campaignAt time.Time
+	// lease and revision are those of the driver's key while this daemon drives; held says until when at least.
+	lease    store.LeaseID
+	revision int64
+	held     time.Time
+	renewAt  time.Time
+	roundAt  time.Time
+	calling  bool
+
+	driver  *rollout.Driver
+	move    model.PlanID
+	reports map[model.DaemonID]*report
+	hold    string
+}
+
+// report is what the daemon beside a target said last.
+type report struct {
+	rollout.Observation
+	incarnation model.Incarnation
+	sums        map[model.OutcomeKey]model.OutcomeSum
+}
+
+func (d *driving) due() time.Time {
+	if d.calling {
+		return time.Time{}
+	}
+	if d.lease == 0 {
+		return d.campaignAt
+	}
+	return earliest(d.renewAt, d.roundAt)
 }
 
-func (e *evidence) add(ev effect.TargetObserved) {
-	for i := range ev.Sums {
-		s := &ev.Sums[i]
-		sum := e.sums[s.OutcomeKey]
-		if sum == nil {
-			sum = &model.OutcomeSum{}
-			e.sums[s.OutcomeKey] = sum
+// driveMoves takes part in the move of the own service. A daemon beside one of the service's targets drives, the one that
+// holds the lease on the driver's key.
+func (c *Core) driveMoves(now time.Time) {
+	service := c.cfg.Target.Service
+	d := c.driving[service]
+	if c.own.stopping || !c.wantsDriver(service) {
+		if d != nil {
+			c.resign(service, d)
 		}
-		sum.Add(s.OutcomeSum)
+		return
+	}
+	if d == nil {
+		d = &driving{campaignAt: now.Add(c.jitter(campaignSpread)), reports: map[model.DaemonID]*report{}}
+		c.driving[service] = d
+	}
+	switch {
+	case d.calling:
+	case d.lease == 0:
+		c.campaign(now, service, d)
+	case !now.Before(d.held):
+		c.log("driver-lost", "service", string(service), "reason", "the lease was not renewed in time")
+		d.lease, d.campaignAt = 0, now.Add(campaignRetry)
+	case !now.Before(d.renewAt):
+		c.renewDriver(d)
+	case !now.Before(d.roundAt):
+		c.round(now, service, d)
+	}
+}
+
+// wantsDriver reports whether the operator's intent for a service is not yet done or withdrawn.
+func (c *Core) wantsDriver(service model.ServiceName) bool {
+	in := c.intents[service]
+	if in == nil || !c.ready || !c.own.listable() {
+		return false
+	}
+	m := c.moves[service]
+	return m == nil || !c.current(m) || m.Phase.Active()
+}
+
+// resign gives up the lease, so that another daemon drives at once.
+func (c *Core) resign(service model.ServiceName, d *driving) {
+	if d.calling {
+		return
+	}
+	delete(c.driving, service)
+	if d.lease != 0 {
+		c.call(store.Call{Kind: store.KindRevoke, Priority: store.PriorityLease, Reason: "drive", Lease: d.lease},
+			func(time.Time, store.Result) {
+				// A lease that could not be given up ends by itself.
+			})
 	}
-	e.running, e.arrived = ev.Running, ev.Arrived
 }
 
-func (e *evidence) reply(now time.Time, target model.Target) *message.EvidenceReply {
-	reply := &message.EvidenceReply{Target: target, Running: e.running, Idle: now.Sub(e.arrived)}
-	for key, sum := range e.sums {
-		reply.Sums = append(reply.Sums, model.KeyedSum{OutcomeKey: key, OutcomeSum: *sum})
+// campaign takes the driver's key if nobody holds it.
+func (c *Core) campaign(now time.Time, service model.ServiceName, d *driving) {
+	if _, taken := c.drivers[service]; taken {
+		d.campaignAt = time.Time{} // the watch shows when the key is free
+		return
+	}
+	if d.campaignAt.IsZero() {
+		d.campaignAt = now.Add(c.jitter(campaignSpread))
+	}
+	if now.Before(d.campaignAt) {
+		return
 	}
-	return reply
+	d.campaignAt = now.Add(c.jitter(campaignRetry))
+	d.calling = true
+	started := now
+	ttl := max(driverTTL, c.cfg.MinLease)
+	c.call(store.Call{Kind: store.KindGrant, Priority: store.PriorityLease, Reason: "drive", TTL: ttl},
+		func(now time.Time, r store.Result) {
+			d.calling = false
+			if r.Outcome != store.Applied {
+				return
+			}
+			d.calling = true
+			c.takeDriver(service, d, r.Lease, started.Add(r.TTL))
+		})
 }
 
-// withhold takes marks of peers; they only grow.
-func (c *Core) withhold(marks []model.Mark) {
-	for _, m := range marks {
-		known := false
-		for i := range c.marks {
-			known = known || c.marks[i].VersionRef == m.VersionRef && c.marks[i].Move == m.Move
+func (c *Core) takeDriver(service model.ServiceName, d *driving, lease store.LeaseID, held time.Time) {
+	key := store.PrefixDrivers + string(service)
+	c.call(store.Call{Kind: store.KindTxn, Priority: store.PriorityLease, Reason: "drive", Txn: store.Txn{
+		Compares: []store.Compare{{Key: key}},
+		Puts:     []store.Put{{Key: key, Value: []byte(c.cfg.Target.Daemon), Lease: lease}},
+	}}, func(now time.Time, r store.Result) {
+		d.calling = false
+		switch r.Outcome {
+		case store.Applied:
+			d.lease, d.revision, d.held = lease, r.Revision, held
+			d.renewAt, d.roundAt = now.Add(driverTTL/renewals), now
+			d.driver, d.move, d.reports = nil, "", map[model.DaemonID]*report{}
+			c.log("driver", "service", string(service), "revision", strconv.FormatInt(r.Revision, 10))
+		case store.Conflict:
+			for _, e := range r.Entries {
+				c.mesh.merge(now, e)
+			}
+		default:
+			c.log("campaign-failed", "service", string(service), "outcome", string(r.Outcome), "detail", r.Detail)
 		}
-		if known {
+	})
+}
+
+func (c *Core) renewDriver(d *driving) {
+	d.calling = true
+	c.call(store.Call{Kind: store.KindKeepAlive, Priority: store.PriorityLease, Reason: "drive", Lease: d.lease},
+		func(now time.Time, r store.Result) {
+			d.calling = false
+			d.renewAt = now.Add(driverTTL / renewals)
+			switch r.Outcome {
+			case store.Applied:
+				// The lease runs from the arrival of the call, which was before the answer.
+				d.held = now.Add(driverTTL - driverTTL/renewals)
+			case store.NotFound:
+				c.log("driver-lost", "service", string(c.cfg.Target.Service), "reason", "the lease has ended")
+				d.lease = 0
+			}
+		})
+}
+
+// round decides on the move with the reports so far, and asks the targets for the next ones.
+func (c *Core) round(now time.Time, service model.ServiceName, d *driving) {
+	d.roundAt = now.Add(driveEvery)
+	m := c.moves[service]
+	if m == nil || !c.current(m) {
+		c.createMove(service, d)
+		return
+	}
+	if d.driver == nil || d.move != m.ID {
+		d.driver, d.move, d.reports = rollout.NewDriver(), m.ID, map[model.DaemonID]*report{}
+	}
+	observations := d.observations()
+	d.driver.Observe(now, c.compose(c.targets()), observations)
+	c.decided(service, d, m, d.driver.Decide(now, &m.Move, observations))
+	c.askTargets(now, service, d)
+}
+
+// observations returns the latest reports; each sum is returned once.
+func (d *driving) observations() []rollout.Observation {
+	all := make([]rollout.Observation, 0, len(d.reports))
+	for _, r := range d.reports {
+		all = append(all, r.Observation)
+		r.Sums = nil
+	}
+	return all
+}
+
+func (c *Core) decided(service model.ServiceName, d *driving, m *record, decision rollout.Decision) {
+	if decision.Next == nil {
+		if decision.Hold != d.hold {
+			d.hold = decision.Hold
+			c.log("move-held", "service", string(service), "move", string(m.ID), "reason", decision.Hold)
+		}
+		return
+	}
+	if decision.Next.Phase == model.PhaseWithdrawing && m.Phase != model.PhaseWithdrawing {
+		// The targets refuse the version at once, whether or not the platform answers.
+		c.spread(decision.Next)
+	}
+	c.writeMove(service, d, decision.Next, m.revision)
+}
+
+// spread withholds a version here and on the daemons beside its targets.
+func (c *Core) spread(m *model.Move) {
+	mark := model.Mark{VersionRef: m.Version(), Move: m.ID, Reason: m.Reason, By: c.cfg.Target.Daemon, At: m.Since}
+	c.withhold([]model.Mark{mark})
+	for _, member := range c.roster {
+		if member.target.Service == m.Service {
+			c.send(member.target.PeerAddress, &message.Withhold{Marks: []model.Mark{mark}}, func(time.Time, message.Reply) {
+				// The record of the move reaches a daemon that did not answer.
+			})
+		}
+	}
+}
+
+// createMove records the operator's intent as a confirmed move, with the time that is left for it.
+func (c *Core) createMove(service model.ServiceName, d *driving) {
+	in := c.intents[service]
+	m := &model.Move{
+		ID: moveID(in), Service: service, From: c.oldVersion(in), To: in.To, Deadline: in.By,
+		Phase: model.PhaseRunning, Step: -1, ConfirmedBy: "operator",
+	}
+	var revision int64
+	if known := c.moves[service]; known != nil {
+		revision = known.revision
+	}
+	c.writeMove(service, d, m, revision)
+}
+
+// oldVersion returns the version other than the intent's that has the most slots.
+func (c *Core) oldVersion(in *intent) model.VersionName {
+	slots := map[model.VersionName]int{}
+	var old model.VersionName
+	for _, t := range c.targets() {
+		if t.Service != in.Service || t.Version == in.To {
 			continue
 		}
-		c.marks = append(c.marks[:len(c.marks):len(c.marks)], m)
-		c.dirty = true
-		c.log("version-withheld", "version", m.String(), "move", string(m.Move), "by", string(m.By), "reason", m.Reason)
+		slots[t.Version] += t.Slots
+		if old == "" || slots[t.Version] > slots[old] {
+			old = t.Version
+		}
 	}
+	return old
 }
 
-// driving is the state of a move that this daemon drives.
-type driving struct{}
+// writeMove writes the record of a move and the report on it. The comparisons void the write of a driver that was paused
+// or replaced.
+func (c *Core) writeMove(service model.ServiceName, d *driving, m *model.Move, revision int64) {
+	value, err := c.cfg.Records.EncodeMove(m)
+	if err == nil {
+		var status []byte
+		if status, err = c.cfg.Operator.EncodeReport(m); err == nil {
+			c.commitMove(service, d, m, value, status, revision)
+			return
+		}
+	}
+	c.log("move-failed", "service", string(service), "step", "encode", "detail", err.Error())
+}
 
-func (d *driving) due() time.Time { return time.Time{} }
+func (c *Core) commitMove(service model.ServiceName, d *driving, m *model.Move, value, status []byte, revision int64) {
+	key := store.PrefixMoves + string(service)
+	txn := store.Txn{
+		Compares: []store.Compare{
+			{Key: key, ModRevision: revision}, {Key: store.PrefixDrivers + string(service), ModRevision: d.revision},
+		},
+		Puts: []store.Put{{Key: key, Value: value}},
+	}
+	if known := c.moves[service]; known == nil || known.ID != m.ID || reported(known.Phase) != reported(m.Phase) {
+		txn.Puts = append(txn.Puts, store.Put{Key: c.cfg.Operator.KeyReport(service), Value: status})
+	}
+	d.calling = true
+	c.call(store.Call{Kind: store.KindTxn, Priority: store.PriorityWithdraw, Reason: "drive", Txn: txn},
+		func(now time.Time, r store.Result) {
+			d.calling = false
+			switch r.Outcome {
+			case store.Applied:
+				c.mesh.merge(now, store.Entry{Key: key, Value: value, ModRevision: r.Revision})
+			case store.Conflict:
+				c.log("move-conflict", "service", string(service), "move", string(m.ID))
+				d.lease, d.campaignAt = 0, now.Add(campaignRetry)
+				for _, e := range r.Entries {
+					c.mesh.merge(now, e)
+				}
+			default:
+				c.log("move-failed", "service", string(service), "outcome", string(r.Outcome), "detail", r.Detail)
+			}
+		})
+}
 
-func (c *Core) driveMoves(time.Time) {}
+// reported is the phase as reports show it.
+func reported(p model.Phase) model.Phase {
+	if p == model.PhaseDone || p == model.PhaseWithdrawn {
+		return p
+	}
+	return model.PhaseRunning
+}
 
-func (c *Core) applyDriver(service model.ServiceName, e *store.Entry) {
-	if e == nil {
-		delete(c.drivers, service)
-		return
+// askTargets asks the daemons beside the service's targets for outcomes.
+func (c *Core) askTargets(now time.Time, service model.ServiceName, d *driving) {
+	for daemon, m := range c.roster {
+		if m.target.Service != service {
+			continue
+		}
+		c.send(m.target.PeerAddress, &message.EvidenceQuery{}, func(now time.Time, r message.Reply) {
+			if reply, ok := r.(*message.EvidenceReply); ok && reply.Target.Daemon == daemon {
+				d.take(now, reply)
+			}
+		})
+	}
+	if c.own.target.Service == service && c.own.listable() {
+		d.take(now, c.evidence.reply(now, c.own.target))
 	}
-	c.drivers[service] = *e
 }
--- a/internal/command/moves/judge.go
+++ b/internal/command/moves/judge.go
@@ -87,8 +87,11 @@
 func routesOf(cfg *model.Configuration, service model.ServiceName) []model.RouteName {
 	var names []model.RouteName
 	for i := range cfg.Routes {
-		if cfg.Routes[i].Service == service {
-			names = append(names, cfg.Routes[i].Name)
+		for _, part := range cfg.Routes[i].Services() {
+			if part.Service == service {
+				names = append(names, cfg.Routes[i].Name)
+				break
+			}
 		}
 	}
 	return names
--- a/internal/model/evidence.go
+++ b/internal/model/evidence.go
@@ -58,6 +58,15 @@
 	}
 }
 
+// Since returns what was added after an earlier state of the same sum.
+func (s *OutcomeSum) Since(earlier OutcomeSum) OutcomeSum {
+	since := OutcomeSum{Calls: s.Calls - earlier.Calls, Failures: s.Failures - earlier.Failures}
+	for i := range since.Latency {
+		since.Latency[i] = s.Latency[i] - earlier.Latency[i]
+	}
+	return since
+}
+
 // Observe adds one call.
 func (s *OutcomeSum) Observe(failed bool, latency time.Duration) {
 	s.Calls++
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -166,7 +166,9 @@
 	}
 	d.peers = peer.NewClient(counted)
 	d.loop = control.NewLoop(core, d.peers, gate, d.logger, d.metrics)
-	d.loop.OnPublish(func(view *model.View) { d.inbound.SetTarget(view.Local) })
+	d.loop.OnPublish(func(view *model.View) {
+		d.inbound.SetTarget(view.Local, d.loop.Table().Withheld(view.Local.Ref()))
+	})
 	d.server, err = peer.NewServer(listener, d.loop, counted)
 	return err
 }
--- a/internal/traffic/inbound.go
+++ b/internal/traffic/inbound.go
@@ -46,6 +46,7 @@
 	gate     gate
 	recorder *recorder
 	target   atomic.Pointer[model.Target]
+	withheld atomic.Bool
 	arrived  atomic.Int64 // Unix nanoseconds
 	failed   atomic.Int64 // recent part of failed calls in millionths
 }
@@ -63,10 +64,12 @@
 	return in
 }
 
-// SetTarget takes the target as the control loop publishes it. Once it returns, no call is sent to a target that leaves.
-func (in *Inbound) SetTarget(t model.Target) {
+// SetTarget takes the target as the control loop publishes it, and whether its version is withheld. Once it returns, no
+// call is sent to a target that leaves or whose version is withheld.
+func (in *Inbound) SetTarget(t model.Target, withheld bool) {
 	in.target.Store(&t)
-	in.lane.setTarget(&t)
+	in.withheld.Store(withheld)
+	in.lane.setTarget(&t, withheld)
 }
 
 // Run reports outcomes until ctx ends.
@@ -162,6 +165,8 @@
 		return notExecuted(http.StatusServiceUnavailable, reasonWrongTarget, "another target or another run of it is here")
 	case t.State != model.TargetReady:
 		return notExecuted(http.StatusServiceUnavailable, reasonDraining, "the target is leaving")
+	case a.in.withheld.Load():
+		return notExecuted(http.StatusServiceUnavailable, reasonWithheld, "the version is withheld")
 	}
 	return nil
 }
@@ -370,10 +375,10 @@
 	return &lane{queue: admission.NewOrdered(), waiting: map[admission.Ticket]chan admission.Reason{}}
 }
 
-func (l *lane) setTarget(t *model.Target) {
+func (l *lane) setTarget(t *model.Target, withheld bool) {
 	l.settle(func(now time.Time) []admission.Settled {
 		l.connections = t.Connections
-		return l.queue.SetTarget(now, max(t.Slots, 1), t.State == model.TargetReady)
+		return l.queue.SetTarget(now, max(t.Slots, 1), t.State == model.TargetReady && !withheld)
 	})
 }
 
