admission: the queue beside a target under overload

Calls that were told as nested by their address were all calls, because callers share the address of the VM. Change: an overload shows when fresh calls would come late for 0.25 s and lasts 5 s; then late calls go behind and are refused unless a slot is free. The objective of a request counts from the caller's first attempt, told by the part of its usual deadline that is gone. Nested calls are ordered by their objective alone.

--- a/internal/command/admission/ordered.go
+++ b/internal/command/admission/ordered.go
@@ -9,9 +9,18 @@
 	// assumedRun stands in for the time that a call takes before one has ended.
 	assumedRun = 100 * time.Millisecond
 	// runWeight is the weight of one call in the smoothed time of a route, as 1/runWeight.
-	runWeight = 10
+	runWeight = 20
 	// shortRun is the part of the expected time that a call needs at least; a call with less time left is taken for lost.
 	shortRun = 0.5
+	// surelyRun is the part of the expected time after which most calls have ended; a call that has as much time left
+	// until its objective is taken to meet it.
+	surelyRun = 1.0
+	// pressedFor is how long every fresh call has to come late before the target counts as overloaded. A burst that is
+	// shorter is served in order, which makes nobody wait for long.
+	pressedFor = 250 * time.Millisecond
+	// overloadedFor is how long an overload is taken to last after it last showed; the order that it brings keeps the queue
+	// short, so that it shows no more.
+	overloadedFor = 5 * time.Second
 	// overloadHold is how long a target that reported waiting calls of its own gets fewer calls.
 	overloadHold = 300 * time.Millisecond
 )
@@ -28,8 +37,6 @@
 type Work struct {
 	// Kind groups calls of similar length; the queue learns how long they take.
 	Kind string
-	// Nested says that the call was made by a request that runs: its parent holds a slot while it waits.
-	Nested bool
 	// Rank orders calls; 0 goes first.
 	Rank int
 	// Objective is when the call loses part of its value, Deadline when it loses all.
@@ -44,9 +51,12 @@
 	ticket Ticket
 }
 
-// Ordered is the queue of one target. Slots are counted exactly, and the waiting call that loses most goes first: calls
-// made by running requests, then calls that can still meet their objective by rank and objective, then late ones by rank
-// and deadline. A call that cannot end before its deadline is refused as soon as that is clear.
+// Ordered is the queue of one target. Slots are counted exactly, and calls wait by rank and objective. A call made by a
+// running request has a short objective and so goes before requests of its rank, which matters because its parent holds a
+// slot while it waits.
+//
+// Under more load than the target can serve, that order makes every call late. While even fresh calls would come late in
+// it, calls that can no longer meet their objective go behind those that can, and are refused at once if no slot is free.
 type Ordered struct {
 	slots   int
 	open    bool
@@ -56,6 +66,9 @@
 	// runs holds the smoothed time of each kind, and mean that of all calls.
 	runs map[string]time.Duration
 	mean time.Duration
+	// pressedSince is since when fresh calls would come late behind all that wait; zero while they would not.
+	pressedSince    time.Time
+	overloadedUntil time.Time
 	// excess is how many calls the target had waiting by its own account, until excessUntil.
 	excess      int
 	excessUntil time.Time
@@ -84,11 +97,18 @@
 		return Decision{Verdict: Refuse, Reason: Draining}
 	}
 	run := q.Run(w.Kind)
+	if !now.Add(scaled(run, surelyRun)).After(w.Objective) {
+		q.notePressure(now, w.Objective, run)
+	}
 	at := q.position(now, w)
 	wait := q.wait(now, at)
+	if wait > 0 && q.overloaded(now) && now.Add(wait+scaled(run, surelyRun)).After(w.Objective) {
+		// Calls in time take all slots for as long as the overload lasts.
+		wait = never
+	}
 	switch {
-	case !now.Add(wait + scaled(run)).Before(w.Deadline):
-		return Decision{Verdict: Refuse, Reason: Deadline, RetryAfter: q.wait(now, len(q.queue))}
+	case !now.Add(wait + scaled(run, shortRun)).Before(w.Deadline):
+		return Decision{Verdict: Refuse, Reason: Deadline, RetryAfter: min(wait, q.wait(now, len(q.queue))+run)}
 	case w.MaxWait > 0 && wait > w.MaxWait:
 		return Decision{Verdict: Refuse, Reason: Busy, RetryAfter: wait}
 	}
@@ -101,6 +121,27 @@
 	return Decision{Verdict: Wait, Ticket: q.next}
 }
 
+// notePressure notes whether a call that would meet its objective at an idle target comes late behind all that wait.
+func (q *Ordered) notePressure(now, objective time.Time, run time.Duration) {
+	late := now.Add(q.wait(now, len(q.queue)) + scaled(run, surelyRun)).After(objective)
+	switch {
+	case !late:
+		q.pressedSince = time.Time{}
+	case q.pressedSince.IsZero():
+		q.pressedSince = now
+	case now.Sub(q.pressedSince) >= pressedFor:
+		q.overloadedUntil = now.Add(overloadedFor)
+	}
+}
+
+// overloaded reports whether all calls would come late if they were served in order.
+func (q *Ordered) overloaded(now time.Time) bool {
+	return now.Before(q.overloadedUntil)
+}
+
+// never is a wait beyond any deadline.
+const never = time.Hour
+
 // Release frees the slot of a call of a kind that ran for took, and returns the waits that end.
 func (q *Ordered) Release(now time.Time, kind string, took time.Duration) []Settled {
 	q.running--
@@ -198,19 +239,15 @@
 }
 
 const (
-	classNested = iota
-	classInTime
+	classInTime = iota
 	classLate
 )
 
 func (q *Ordered) key(now time.Time, w Work) sortKey {
-	switch {
-	case w.Nested:
-		return sortKey{classNested, 0, w.Deadline}
-	case now.Add(scaled(q.Run(w.Kind))).Before(w.Objective):
-		return sortKey{classInTime, w.Rank, w.Objective}
+	if q.overloaded(now) && now.Add(scaled(q.Run(w.Kind), surelyRun)).After(w.Objective) {
+		return sortKey{classLate, w.Rank, w.Deadline}
 	}
-	return sortKey{classLate, w.Rank, w.Deadline}
+	return sortKey{classInTime, w.Rank, w.Objective}
 }
 
 // advance gives free slots to the waiting calls that go first, and refuses the calls that cannot end in time.
@@ -218,7 +255,7 @@
 	var settled []Settled
 	kept := q.queue[:0]
 	for _, w := range q.queue {
-		if now.Add(scaled(q.Run(w.Kind))).Before(w.Deadline) {
+		if now.Add(scaled(q.Run(w.Kind), shortRun)).Before(w.Deadline) {
 			kept = append(kept, w)
 			continue
 		}
@@ -244,7 +281,7 @@
 	return settled
 }
 
-func scaled(run time.Duration) time.Duration { return time.Duration(float64(run) * shortRun) }
+func scaled(run time.Duration, part float64) time.Duration { return time.Duration(float64(run) * part) }
 
 func smooth(old, took time.Duration) time.Duration {
 	if old == 0 {
--- a/internal/command/retry/shared.go
+++ b/internal/command/retry/shared.go
@@ -30,12 +30,8 @@
 	at   time.Time
 }
 
-// Call records a first attempt. Calls made by running requests earn nothing, because their parents may be repeats.
-func (s *Shared) Call(nested bool) {
-	if !nested {
-		s.calls = min(s.calls+1, savedCalls)
-	}
-}
+// Call records a first attempt.
+func (s *Shared) Call() { s.calls = min(s.calls+1, savedCalls) }
 
 // Take takes a retry; false means that none is left. Daemons is the number of daemons that share the limit.
 func (s *Shared) Take(now time.Time, limit SharedLimit, daemons int) bool {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -206,14 +206,10 @@
 	limits := traffic.DefaultLimits()
 	limits.IdlePerPeer, limits.IdleTotal, limits.BodyBytes = idlePeers, idleTotal, maxBody
 	log := traffic.RequestLog{Logger: d.logger, RequestID: d.adapter.Headers.RequestID}
-	host, _, err := net.SplitHostPort(d.settings.Target)
-	if err != nil {
-		return errors.Wrap(err, "--target")
-	}
 	d.outbound = traffic.NewOutbound(traffic.OutboundOptions{
 		Tables: d.loop, Headers: d.adapter.Headers, Metrics: metrics, Limits: limits, Log: log,
-		Service: model.ServiceName(d.settings.Service), Host: host,
-		Budget: retry.SharedLimit{Ratio: d.settings.RetryRatio, Slack: d.settings.RetrySlack, Window: d.settings.RetryWindow},
+		Service: model.ServiceName(d.settings.Service),
+		Budget:  retry.SharedLimit{Ratio: d.settings.RetryRatio, Slack: d.settings.RetrySlack, Window: d.settings.RetryWindow},
 	})
 	d.inbound = traffic.NewInbound(traffic.InboundOptions{
 		Address: d.settings.Target, Headers: d.adapter.Headers, Metrics: metrics, Limits: limits, Log: log,
--- a/internal/traffic/dispatch.go
+++ b/internal/traffic/dispatch.go
@@ -42,22 +42,17 @@
 	route    model.RouteName
 	caller   model.ServiceName
 	rank     int
-	nested   bool
 	// objective is what is left until the response loses value, maxWait the longest wait for a slot; 0 accepts any.
 	objective, maxWait time.Duration
 }
 
-const dispatchFields = 10
+const dispatchFields = 9
 
 // String separates the fields by spaces. Names hold none; see validName.
 func (d *dispatch) String() string {
-	nested := "-"
-	if d.nested {
-		nested = "nested"
-	}
 	return strings.Join([]string{
 		d.call, string(d.service), string(d.version), string(d.instance), string(d.route), string(d.caller),
-		strconv.Itoa(d.rank), nested, micros(d.objective), micros(d.maxWait),
+		strconv.Itoa(d.rank), micros(d.objective), micros(d.maxWait),
 	}, " ")
 }
 
@@ -70,7 +65,7 @@
 		return dispatch{}, false
 	}
 	numbers := [3]int64{}
-	for i, at := range [...]int{6, 8, 9} {
+	for i, at := range [...]int{6, 7, 8} {
 		n, err := strconv.ParseInt(parts[at], 10, 64)
 		if err != nil {
 			return dispatch{}, false
@@ -80,7 +75,7 @@
 	return dispatch{
 		call: parts[0], service: model.ServiceName(parts[1]), version: model.VersionName(parts[2]),
 		instance: model.InstanceID(parts[3]), route: model.RouteName(parts[4]), caller: model.ServiceName(parts[5]),
-		rank: int(numbers[0]), nested: parts[7] == "nested",
+		rank:      int(numbers[0]),
 		objective: time.Duration(numbers[1]) * time.Microsecond, maxWait: time.Duration(numbers[2]) * time.Microsecond,
 	}, true
 }
--- a/internal/traffic/inbound.go
+++ b/internal/traffic/inbound.go
@@ -175,7 +175,7 @@
 func (a *arrival) run(w http.ResponseWriter) {
 	lane := a.in.lane
 	refused := lane.acquire(a.request.Context(), a.deadline, admission.Work{
-		Kind: string(a.dispatch.route), Nested: a.dispatch.nested, Rank: a.dispatch.rank,
+		Kind: string(a.dispatch.route), Rank: a.dispatch.rank,
 		Objective: a.started.Add(a.dispatch.objective), Deadline: a.deadline, MaxWait: a.dispatch.maxWait,
 	})
 	a.waited = time.Since(a.started)
--- a/internal/traffic/load.go
+++ b/internal/traffic/load.go
@@ -89,10 +89,10 @@
 	budget retry.Shared
 }
 
-func (b *sharedBudget) call(nested bool) {
+func (b *sharedBudget) call() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.budget.Call(nested)
+	b.budget.Call()
 }
 
 // take takes a retry from the budget; false means that none is left.
--- a/internal/traffic/outbound.go
+++ b/internal/traffic/outbound.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -23,9 +22,8 @@
 	Metrics *Metrics
 	Limits  Limits
 	Log     RequestLog
-	// Service is the service beside this daemon, and Host its IP address: calls from there are made by running requests.
+	// Service is the service beside this daemon.
 	Service model.ServiceName
-	Host    string
 	// Budget bounds the retries of all daemons together; each daemon takes its part.
 	Budget retry.SharedLimit
 }
@@ -39,6 +37,7 @@
 	calls    atomic.Uint64
 	counters counters
 	budgets  budgets
+	patience patience
 }
 
 // NewOutbound returns a handler. Run must run for calls to lost targets to end.
@@ -49,6 +48,7 @@
 			idlePerPeer: options.Limits.IdlePerPeer, idleTotal: options.Limits.IdleTotal, headerBytes: options.Limits.HeaderBytes,
 		}),
 	}
+	o.peers.keepsCalls = true
 	o.calls.Store(random{}.Uint64())
 	return o
 }
@@ -115,6 +115,8 @@
 	if l := table.View.Configuration.Limits; l != nil && l.BodyBytes > 0 {
 		limit = l.BodyBytes
 	}
+	whole, _ := remainingIn(r.Header, o.options.Headers.Deadline, maxDeadline)
+	objective := now.Add(route.TargetLatency - o.patience.spent(route.Name, whole))
 	deadline := now.Add(left)
 	body, refused := readRequestBody(w, r, limit, deadline)
 	if refused != nil {
@@ -124,16 +126,10 @@
 	service, rotation := route.ServiceOf(o.counters.get(route.Name).Add(1))
 	return &placement{
 		out: o, table: table, request: r, route: route, service: service, rotation: rotation, body: body,
-		started: now, deadline: deadline, id: strconv.FormatUint(o.calls.Add(1), 36), nested: o.fromTarget(r),
+		started: now, objective: objective, deadline: deadline, id: strconv.FormatUint(o.calls.Add(1), 36),
 	}, nil
 }
 
-// fromTarget reports whether the target beside this daemon made the request.
-func (o *Outbound) fromTarget(r *http.Request) bool {
-	host, _, err := net.SplitHostPort(r.RemoteAddr)
-	return err == nil && host == o.options.Host
-}
-
 // headerBytes estimates the size of a request's header on the wire.
 func headerBytes(r *http.Request) int {
 	n := len(r.Method) + len(r.RequestURI) + len(r.Host) + len("  HTTP/1.1\r\nHost: \r\n\r\n")
--- a/internal/traffic/peers.go
+++ b/internal/traffic/peers.go
@@ -111,10 +111,13 @@
 type peers struct {
 	tables Tables
 	// lost stands for all targets that the table does not have or shows as silent.
-	lost  *peer
-	mu    sync.Mutex
-	table atomic.Pointer[routing.Table]
-	known atomic.Pointer[map[model.DaemonID]*peer]
+	lost *peer
+	// keepsCalls lets the calls in flight to a target that leaves the table finish, where the table is only a directory
+	// and says nothing about whether the target's daemon answers.
+	keepsCalls bool
+	mu         sync.Mutex
+	table      atomic.Pointer[routing.Table]
+	known      atomic.Pointer[map[model.DaemonID]*peer]
 }
 
 func newPeers(tables Tables) *peers {
@@ -155,6 +158,9 @@
 		p.known.Store(&next)
 	}
 	p.table.Store(table)
+	if p.keepsCalls {
+		return
+	}
 	for daemon, known := range old {
 		if kept := next[daemon]; kept == nil || kept.calls != known.calls {
 			known.calls.lose()
--- a/internal/traffic/placement.go
+++ b/internal/traffic/placement.go
@@ -27,9 +27,10 @@
 	rotation uint64
 	body     *requestBody
 	started  time.Time
-	deadline time.Time
-	id       string
-	nested   bool
+	// objective is when the response loses a part of its value, counted from the caller's first attempt.
+	objective time.Time
+	deadline  time.Time
+	id        string
 
 	version *routing.Version
 	tried   []model.DaemonID
@@ -59,7 +60,7 @@
 // run makes attempts until one is answered or no other is allowed.
 func (p *placement) run(w http.ResponseWriter) {
 	budget := p.out.budgets.get(p.service.Name)
-	budget.call(p.nested)
+	budget.call()
 	for {
 		choice, refused := p.choose()
 		if refused != nil {
@@ -179,8 +180,8 @@
 func (p *placement) outgoing(choice routing.Choice) *outgoing {
 	d := dispatch{
 		call: p.id, service: p.version.Service, version: p.version.Version, instance: choice.Target.Instance,
-		route: p.route.Name, caller: p.out.options.Service, rank: p.route.Priority, nested: p.nested,
-		objective: time.Until(p.started.Add(p.route.TargetLatency)),
+		route: p.route.Name, caller: p.out.options.Service, rank: p.route.Priority,
+		objective: time.Until(p.objective),
 	}
 	if p.bounces < maxBounces && choice.Alternative > 0 {
 		d.maxWait = choice.Alternative
