sidecar: a draining daemon takes no requests after 2.3 s

Ruled out: a longer drain (the grace period is fixed); telling callers later (they leave two seconds after the ready answer changes). Change: 2.3 s after SIGTERM the listener closes, idle connections close, and the others end with their last response; the process ends when nothing is in flight.

--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -44,11 +44,11 @@
 	storePause    = 50 * time.Millisecond
 	storePauseMax = 500 * time.Millisecond
 	// callersLeave is how long a draining daemon keeps its listeners open, so that callers learn that it is not ready.
-	callersLeave = 2500 * time.Millisecond
+	callersLeave = 2300 * time.Millisecond
 	// exitMargin is kept between the end of a drain and the time at which the process is killed.
 	exitMargin = 700 * time.Millisecond
-	// drainPoll is how often a draining daemon looks whether calls are in flight.
-	drainPoll = 50 * time.Millisecond
+	// lastResponses is the time that the last responses have to be written.
+	lastResponses = 100 * time.Millisecond
 	// idlePeers is the number of idle connections kept to one daemon, idleTotal to all.
 	idlePeers = 24
 	idleTotal = 512
@@ -320,25 +320,36 @@
 	d.draining.Store(true)
 	d.loop.Stopping(abort)
 	d.callers.Drain()
-	ticker := time.NewTicker(drainPoll)
-	defer ticker.Stop()
-	last := started.Add(d.settings.Grace - exitMargin)
-	for now := started; now.Before(last); {
-		if now.Sub(started) >= callersLeave && d.outbound.InFlight() == 0 && d.inbound.InFlight() == 0 {
-			break
-		}
-		select {
-		case now = <-ticker.C:
-		case <-abort.Done():
-			now = last
+	wait(abort, callersLeave)
+	for _, s := range d.servers {
+		if s.http == d.callers {
+			_ = s.listener.Close()
 		}
 	}
+	d.callers.Refuse()
+	limited, cancel := context.WithDeadline(abort, started.Add(d.settings.Grace-exitMargin))
+	defer cancel()
+	if d.outbound.Wait(limited) != nil || d.inbound.Wait(limited) != nil {
+		d.logger.Warn("stopping-cuts", zap.Int("requests", d.outbound.InFlight()), zap.Int("calls", d.inbound.InFlight()))
+	}
+	// The last responses are on their way to their callers.
+	wait(abort, lastResponses)
 	for _, s := range d.servers {
 		_ = s.listener.Close()
 		_ = s.http.Close()
 	}
 }
 
+// wait returns after d, or when ctx ends.
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // Reload takes the settings that may change while the process runs, and returns the names of changed settings that take
 // effect only at the next start.
 func (d *Sidecar) Reload(ctx context.Context, next settings.Sidecar) {
--- a/internal/traffic/pipeline.go
+++ b/internal/traffic/pipeline.go
@@ -48,6 +48,7 @@
 type PipelineServer struct {
 	options  PipelineOptions
 	draining atomic.Bool
+	refusing atomic.Bool
 
 	mu     sync.Mutex
 	conns  map[*pipelineConn]struct{}
@@ -98,6 +99,18 @@
 // Drain makes the last response of each connection close it.
 func (s *PipelineServer) Drain() { s.draining.Store(true) }
 
+// Refuse closes the connections without a request and reads no more requests from the others, which end with their last
+// response. The listener must be closed before.
+func (s *PipelineServer) Refuse() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining.Store(true)
+	s.refusing.Store(true)
+	for c := range s.conns {
+		c.closeIdle()
+	}
+}
+
 // Close ends all connections.
 func (s *PipelineServer) Close() error {
 	s.mu.Lock()
@@ -170,7 +183,7 @@
 // read reads one request and starts it. It reports whether another may follow.
 func (c *pipelineConn) read(ctx context.Context) bool {
 	c.limit.left = maxBodyRead
-	if _, err := c.reader.Peek(1); err != nil || ctx.Err() != nil {
+	if _, err := c.reader.Peek(1); err != nil || ctx.Err() != nil || c.server.refusing.Load() {
 		return false
 	}
 	c.limit.left = c.server.options.HeaderBytes + requestBuffer
@@ -300,6 +313,15 @@
 	}
 }
 
+// closeIdle closes the connection if no request is pending.
+func (c *pipelineConn) closeIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pending == 0 {
+		_ = c.conn.Close()
+	}
+}
+
 // last reports whether the response being written is the last one pending while the server drains.
 func (c *pipelineConn) last() bool {
 	c.mu.Lock()
