retry: a retry after an execution costs more of the shared budget

The calls that repeated requests make count as repeats at the services that they call. Ruled out: a smaller part of the ratio for all retries (requests that a target did not take are most of them, and repeat no calls). Change: a retry after an attempt that may have been executed costs 2.5 retries.

--- a/internal/command/retry/shared.go
+++ b/internal/command/retry/shared.go
@@ -11,9 +11,12 @@
 }
 
 const (
-	// ratioPart is the part of the ratio that daemons use themselves: calls made by a repeated request count as repeats
-	// too, and the calls that a daemon counts may reach their targets in a later window.
+	// ratioPart is the part of the ratio that daemons use: the calls that a daemon counts may reach their targets in a later
+	// window.
 	ratioPart = 0.5
+	// executedCost is the cost of a retry after an attempt that may have been executed: the calls that the repeated request
+	// makes count as repeats at the services that it calls.
+	executedCost = 2.5
 	// slackPart is the part of the slack that may be used at once. It is refilled within a window, so that any window
 	// holds at most twice that.
 	slackPart = 0.5
@@ -33,20 +36,25 @@
 // Call records a first attempt.
 func (s *Shared) Call() { s.calls = min(s.calls+1, savedCalls) }
 
-// Take takes a retry; false means that none is left. Daemons is the number of daemons that share the limit.
-func (s *Shared) Take(now time.Time, limit SharedLimit, daemons int) bool {
+// Take takes a retry; false means that too little is left. Executed says that the attempt before may have been executed,
+// and daemons is the number of daemons that share the limit.
+func (s *Shared) Take(now time.Time, limit SharedLimit, daemons int, executed bool) bool {
 	part := limit.Slack * slackPart / float64(max(daemons, 1))
 	if limit.Window > 0 && !s.at.IsZero() {
 		s.used = max(s.used-part*float64(now.Sub(s.at))/float64(limit.Window), 0)
 	}
 	s.at = now
+	cost := 1.0
+	if executed {
+		cost = executedCost
+	}
 	perCall := limit.Ratio * ratioPart
-	if perCall > 0 && s.calls*perCall >= 1 {
-		s.calls -= 1 / perCall
+	if perCall > 0 && s.calls*perCall >= cost {
+		s.calls -= cost / perCall
 		return true
 	}
-	if s.used+1 <= max(part, 1) {
-		s.used++
+	if s.used+cost <= part {
+		s.used += cost
 		return true
 	}
 	return false
--- a/internal/traffic/load.go
+++ b/internal/traffic/load.go
@@ -96,10 +96,10 @@
 }
 
 // take takes a retry from the budget; false means that none is left.
-func (b *sharedBudget) take(limit retry.SharedLimit, table *routing.Table) bool {
+func (b *sharedBudget) take(limit retry.SharedLimit, table *routing.Table, executed bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.budget.Take(time.Now(), limit, len(table.View.Targets))
+	return b.budget.Take(time.Now(), limit, len(table.View.Targets), executed)
 }
 
 // budgets holds a budget per service.
--- a/internal/traffic/placement.go
+++ b/internal/traffic/placement.go
@@ -265,7 +265,7 @@
 		return string(retry.NoTime), false
 	case !p.another():
 		return "no-other-target", false
-	case !b.take(p.out.options.Budget, p.table):
+	case !b.take(p.out.options.Budget, p.table, !notExecuted):
 		return string(retry.NoBudget), false
 	}
 	if notExecuted {
