catalog: changes spread from peer to peer; three daemons watch the store

Ruled out: longer pauses between watch answers (a change must be in force in two seconds); pushing whole configurations (60 KB to each daemon cost more between data centres than a read of the store). Change: a daemon passes on what is news to it to five peers, a configuration as a delta with a checksum. Three daemons, by rank, watch the operator's keys; turns and an exchange with a random peer each 2 s find what was missed. A driver is heard by its questions; without the lease it still judges and withholds.

--- a/internal/command/catalog/catalog.go
+++ b/internal/command/catalog/catalog.go
@@ -59,21 +59,29 @@
 
 	operator source
 	mesh     source
-	// configuration is the operator's configuration, without versions and moves; nil before it is known.
-	configuration *model.Configuration
-	intents       map[model.ServiceName]*intent
-	moves         map[model.ServiceName]*record
-	drivers       map[model.ServiceName]store.Entry
-	roster        map[model.DaemonID]*member
-	marks         []model.Mark
+	// configuration is the operator's configuration, without versions and moves; nil before it is known. Its revision is
+	// that of its entry, and deltas are the latest changes of it.
+	configuration         *model.Configuration
+	configurationRevision int64
+	deltas                []*message.Delta
+	// outgoing are the changes that are news in this step. newNumber says that the configuration is, and delta how.
+	outgoing  []message.Change
+	newNumber bool
+	delta     *message.Delta
+
+	intents map[model.ServiceName]*intent
+	moves   map[model.ServiceName]*record
+	drivers map[model.ServiceName]store.Entry
+	roster  map[model.DaemonID]*member
+	marks   []model.Mark
 
 	own      own
-	driving  map[model.ServiceName]*driving
+	driving  driving
 	exchange exchange
 	evidence evidence
-	// verifyAt is when this daemon compares the platform with what its watches have shown.
-	verifyAt    time.Time
-	verifyTurns int
+	// verifyAt is when it is this daemon's turn to list the platform's keys.
+	verifyAt         time.Time
+	verifyTurnNumber int64
 
 	ready bool
 	dirty bool
@@ -87,9 +95,7 @@
 		sends:      map[effect.RequestID]func(time.Time, message.Reply){},
 		intents:    map[model.ServiceName]*intent{},
 		moves:      map[model.ServiceName]*record{},
-		drivers:    map[model.ServiceName]store.Entry{},
 		roster:     map[model.DaemonID]*member{},
-		driving:    map[model.ServiceName]*driving{},
 		own:        own{target: cfg.Target},
 		evidence:   evidence{sums: map[model.OutcomeKey]*model.OutcomeSum{}},
 		dirty:      true,
@@ -143,11 +149,13 @@
 func (c *Core) tick(now time.Time) {
 	c.follow(now, &c.operator)
 	c.follow(now, &c.mesh)
+	c.watchOperator()
 	c.verifySources(now)
 	c.announce(now)
 	c.verifyRoster(now)
 	c.exchangeDue(now)
 	c.driveMoves(now)
+	c.sendNews()
 }
 
 // NextWake returns when something is due next.
@@ -159,10 +167,7 @@
 	for _, m := range c.roster {
 		next = earliest(next, m.verifyAt)
 	}
-	for _, d := range c.driving {
-		next = earliest(next, d.due())
-	}
-	return next
+	return earliest(next, c.driving.due())
 }
 
 // earliest returns the earlier of two times; zero means never.
@@ -181,10 +186,11 @@
 	case *message.TargetQuery:
 		reply = &message.TargetReply{Target: c.own.target}
 	case *message.EvidenceQuery:
+		c.driverHeard(now, body)
 		reply = c.evidence.reply(now, c.own.target)
-	case *message.Notice:
-		c.noticed(now, body)
-		reply = &message.NoticeReply{Code: message.Accepted}
+	case *message.Spread:
+		c.spreadReceived(now, body)
+		reply = &message.SpreadReply{Code: message.Accepted}
 	case *message.Withhold:
 		c.withhold(body.Marks)
 		reply = &message.WithholdReply{Code: message.Accepted}
--- a/internal/command/catalog/drive.go
+++ b/internal/command/catalog/drive.go
@@ -14,8 +14,12 @@
 	// driverTTL is the lifetime of a driver's lease. A bad version must be withdrawn five seconds after it showed, also
 	// when its driver was just lost.
 	driverTTL = 2 * time.Second
-	// campaignSpread spreads the daemons that want to drive, so that most of them see the first one's lease.
-	campaignSpread = 300 * time.Millisecond
+	// campaignStep is the time between the campaigns of daemons with neighbouring names, and campaignSpread the longest
+	// delay. The first one that wins is heard by the others before their turn.
+	campaignStep   = 150 * time.Millisecond
+	campaignSpread = 1200 * time.Millisecond
+	// driverSilence is how long no driver has been heard before others campaign. Its lease ends soon after.
+	driverSilence = 1200 * time.Millisecond
 	// campaignRetry is the wait after a failed campaign.
 	campaignRetry = 500 * time.Millisecond
 	// driveEvery is how often the targets are asked for outcomes and the move is decided.
@@ -24,8 +28,14 @@
 
 // driving is this daemon's part in the move of the service beside it.
 type driving struct {
+	// wanted says that the service has a move that is not done or withdrawn.
+	wanted bool
+	// active says that this daemon drives. Without the lease it only judges and withholds, as while the platform is away.
+	active bool
+	// heardAt is when a driver that holds the lease was last heard.
+	heardAt    time.Time
 	campaignAt time.Time
-	// lease and revision are those of the driver's key while this daemon drives; held says until when at least.
+	// lease and revision are those of the driver's key while this daemon holds it, and held says until when at least.
 	lease    store.LeaseID
 	revision int64
 	held     time.Time
@@ -47,41 +57,57 @@
 }
 
 func (d *driving) due() time.Time {
-	if d.calling {
+	if !d.wanted {
 		return time.Time{}
 	}
-	if d.lease == 0 {
-		return d.campaignAt
+	var next time.Time
+	if d.active {
+		next = d.roundAt
+	}
+	switch {
+	case d.calling:
+	case d.lease == 0:
+		next = earliest(next, d.campaignAt)
+	default:
+		next = earliest(next, d.renewAt)
+	}
+	return next
+}
+
+// driverHeard notes that another daemon drives the service beside this one.
+func (c *Core) driverHeard(now time.Time, q *message.EvidenceQuery) {
+	if q.Held && q.Service == c.cfg.Target.Service {
+		c.driving.heardAt = now
 	}
-	return earliest(d.renewAt, d.roundAt)
 }
 
 // driveMoves takes part in the move of the own service. A daemon beside one of the service's targets drives, the one that
 // holds the lease on the driver's key.
 func (c *Core) driveMoves(now time.Time) {
+	d := &c.driving
 	service := c.cfg.Target.Service
-	d := c.driving[service]
-	if c.own.stopping || !c.wantsDriver(service) {
-		if d != nil {
-			c.resign(service, d)
-		}
+	wanted := !c.own.stopping && c.wantsDriver(service)
+	if wanted != d.wanted {
+		d.wanted = wanted
+		d.campaignAt = now.Add(c.campaignDelay())
+	}
+	if !wanted {
+		c.resign(d)
 		return
 	}
-	if d == nil {
-		d = &driving{campaignAt: now.Add(c.jitter(campaignSpread)), reports: map[model.DaemonID]*report{}}
-		c.driving[service] = d
+	if d.lease != 0 && !now.Before(d.held) {
+		c.log("driver-lost", "service", string(service), "reason", "the lease was not renewed in time")
+		d.lease, d.campaignAt = 0, now
+	}
+	if d.active && !now.Before(d.roundAt) {
+		c.round(now, service, d)
 	}
 	switch {
 	case d.calling:
 	case d.lease == 0:
 		c.campaign(now, service, d)
-	case !now.Before(d.held):
-		c.log("driver-lost", "service", string(service), "reason", "the lease was not renewed in time")
-		d.lease, d.campaignAt = 0, now.Add(campaignRetry)
 	case !now.Before(d.renewAt):
 		c.renewDriver(d)
-	case !now.Before(d.roundAt):
-		c.round(now, service, d)
 	}
 }
 
@@ -95,29 +121,35 @@
 	return m == nil || !c.current(m) || m.Phase.Active()
 }
 
-// resign gives up the lease, so that another daemon drives at once.
-func (c *Core) resign(service model.ServiceName, d *driving) {
-	if d.calling {
-		return
-	}
-	delete(c.driving, service)
-	if d.lease != 0 {
+// resign gives up the lease, so that another daemon can drive at once.
+func (c *Core) resign(d *driving) {
+	if d.lease != 0 && !d.calling {
 		c.call(store.Call{Kind: store.KindRevoke, Priority: store.PriorityLease, Reason: "drive", Lease: d.lease},
 			func(time.Time, store.Result) {
 				// A lease that could not be given up ends by itself.
 			})
+		d.lease = 0
+	}
+	d.active, d.driver, d.move, d.reports = false, nil, "", nil
+}
+
+// campaignDelay orders the daemons beside the service's targets by their names, so that mostly one of them campaigns.
+func (c *Core) campaignDelay() time.Duration {
+	rank := 0
+	for daemon, m := range c.roster {
+		if m.target.Service == c.cfg.Target.Service && daemon < c.cfg.Target.Daemon {
+			rank++
+		}
 	}
+	return min(time.Duration(rank)*campaignStep, campaignSpread) + c.jitter(campaignStep)
 }
 
-// campaign takes the driver's key if nobody holds it.
+// campaign takes the driver's key if no driver is heard.
 func (c *Core) campaign(now time.Time, service model.ServiceName, d *driving) {
-	if _, taken := c.drivers[service]; taken {
-		d.campaignAt = time.Time{} // the watch shows when the key is free
+	if silent := d.heardAt.Add(driverSilence); now.Before(silent) {
+		d.campaignAt = silent.Add(c.campaignDelay())
 		return
 	}
-	if d.campaignAt.IsZero() {
-		d.campaignAt = now.Add(c.jitter(campaignSpread))
-	}
 	if now.Before(d.campaignAt) {
 		return
 	}
@@ -127,11 +159,10 @@
 	ttl := max(driverTTL, c.cfg.MinLease)
 	c.call(store.Call{Kind: store.KindGrant, Priority: store.PriorityLease, Reason: "drive", TTL: ttl},
 		func(now time.Time, r store.Result) {
-			d.calling = false
 			if r.Outcome != store.Applied {
+				d.calling = false
 				return
 			}
-			d.calling = true
 			c.takeDriver(service, d, r.Lease, started.Add(r.TTL))
 		})
 }
@@ -146,13 +177,13 @@
 		switch r.Outcome {
 		case store.Applied:
 			d.lease, d.revision, d.held = lease, r.Revision, held
-			d.renewAt, d.roundAt = now.Add(driverTTL/renewals), now
-			d.driver, d.move, d.reports = nil, "", map[model.DaemonID]*report{}
+			d.renewAt = now.Add(driverTTL / renewals)
+			if !d.active {
+				d.active, d.roundAt, d.reports = true, now, map[model.DaemonID]*report{}
+			}
 			c.log("driver", "service", string(service), "revision", strconv.FormatInt(r.Revision, 10))
 		case store.Conflict:
-			for _, e := range r.Entries {
-				c.mesh.merge(now, e)
-			}
+			d.active = false
 		default:
 			c.log("campaign-failed", "service", string(service), "outcome", string(r.Outcome), "detail", r.Detail)
 		}
@@ -171,7 +202,7 @@
 				d.held = now.Add(driverTTL - driverTTL/renewals)
 			case store.NotFound:
 				c.log("driver-lost", "service", string(c.cfg.Target.Service), "reason", "the lease has ended")
-				d.lease = 0
+				d.lease, d.campaignAt = 0, now
 			}
 		})
 }
@@ -180,16 +211,19 @@
 func (c *Core) round(now time.Time, service model.ServiceName, d *driving) {
 	d.roundAt = now.Add(driveEvery)
 	m := c.moves[service]
-	if m == nil || !c.current(m) {
-		c.createMove(service, d)
-		return
-	}
-	if d.driver == nil || d.move != m.ID {
-		d.driver, d.move, d.reports = rollout.NewDriver(), m.ID, map[model.DaemonID]*report{}
+	switch {
+	case m == nil || !c.current(m):
+		if d.lease != 0 && !d.calling {
+			c.createMove(service, d)
+		}
+	default:
+		if d.driver == nil || d.move != m.ID {
+			d.driver, d.move, d.reports = rollout.NewDriver(), m.ID, map[model.DaemonID]*report{}
+		}
+		observations := d.observations()
+		d.driver.Observe(now, c.compose(c.targets()), observations)
+		c.decided(service, d, m, d.driver.Decide(now, &m.Move, observations))
 	}
-	observations := d.observations()
-	d.driver.Observe(now, c.compose(c.targets()), observations)
-	c.decided(service, d, m, d.driver.Decide(now, &m.Move, observations))
 	c.askTargets(now, service, d)
 }
 
@@ -211,11 +245,23 @@
 		}
 		return
 	}
-	if decision.Next.Phase == model.PhaseWithdrawing && m.Phase != model.PhaseWithdrawing {
+	if decision.Next.Phase == model.PhaseWithdrawing && m.Phase != model.PhaseWithdrawing && !c.withheld(decision.Next) {
 		// The targets refuse the version at once, whether or not the platform answers.
 		c.spread(decision.Next)
 	}
-	c.writeMove(service, d, decision.Next, m.revision)
+	if d.lease != 0 && !d.calling {
+		c.writeMove(service, d, decision.Next, m.revision)
+	}
+}
+
+// withheld reports whether the version of a move is marked already.
+func (c *Core) withheld(m *model.Move) bool {
+	for i := range c.marks {
+		if c.marks[i].VersionRef == m.Version() && c.marks[i].Move == m.ID {
+			return true
+		}
+	}
+	return false
 }
 
 // spread withholds a version here and on the daemons beside its targets.
@@ -292,12 +338,12 @@
 			d.calling = false
 			switch r.Outcome {
 			case store.Applied:
-				c.mesh.merge(now, store.Entry{Key: key, Value: value, ModRevision: r.Revision})
+				c.merge(now, &c.mesh, store.Entry{Key: key, Value: value, ModRevision: r.Revision}, true)
 			case store.Conflict:
 				c.log("move-conflict", "service", string(service), "move", string(m.ID))
-				d.lease, d.campaignAt = 0, now.Add(campaignRetry)
+				d.lease, d.active, d.campaignAt = 0, false, now.Add(campaignRetry)
 				for _, e := range r.Entries {
-					c.mesh.merge(now, e)
+					c.merge(now, &c.mesh, e, true)
 				}
 			default:
 				c.log("move-failed", "service", string(service), "outcome", string(r.Outcome), "detail", r.Detail)
@@ -319,13 +365,13 @@
 		if m.target.Service != service {
 			continue
 		}
-		c.send(m.target.PeerAddress, &message.EvidenceQuery{}, func(now time.Time, r message.Reply) {
-			if reply, ok := r.(*message.EvidenceReply); ok && reply.Target.Daemon == daemon {
+		c.send(m.target.PeerAddress, &message.EvidenceQuery{Service: service, Held: d.lease != 0}, func(now time.Time, r message.Reply) {
+			if reply, ok := r.(*message.EvidenceReply); ok && reply.Target.Daemon == daemon && d.reports != nil {
 				d.take(now, reply)
 			}
 		})
 	}
-	if c.own.target.Service == service && c.own.listable() {
+	if c.own.listable() {
 		d.take(now, c.evidence.reply(now, c.own.target))
 	}
 }
--- a/internal/command/catalog/evidence.go
+++ b/internal/command/catalog/evidence.go
@@ -1,13 +1,13 @@
 package catalog
 
 import (
+	"slices"
 	"time"
 
 	"sniperail.example/sniperail/internal/command/rollout"
 	"sniperail.example/sniperail/internal/effect"
 	"sniperail.example/sniperail/internal/message"
 	"sniperail.example/sniperail/internal/model"
-	"sniperail.example/sniperail/internal/store"
 )
 
 // evidence sums the outcomes of the own target's calls.
@@ -61,11 +61,7 @@
 // withhold takes marks of peers; they only grow.
 func (c *Core) withhold(marks []model.Mark) {
 	for _, m := range marks {
-		known := false
-		for i := range c.marks {
-			known = known || c.marks[i].VersionRef == m.VersionRef && c.marks[i].Move == m.Move
-		}
-		if known {
+		if slices.ContainsFunc(c.marks, func(k model.Mark) bool { return k.VersionRef == m.VersionRef && k.Move == m.Move }) {
 			continue
 		}
 		c.marks = append(c.marks[:len(c.marks):len(c.marks)], m)
@@ -73,11 +69,3 @@
 		c.log("version-withheld", "version", m.String(), "move", string(m.Move), "by", string(m.By), "reason", m.Reason)
 	}
 }
-
-func (c *Core) applyDriver(service model.ServiceName, e *store.Entry) {
-	if e == nil {
-		delete(c.drivers, service)
-		return
-	}
-	c.drivers[service] = *e
-}
--- a/internal/command/catalog/own.go
+++ b/internal/command/catalog/own.go
@@ -12,11 +12,13 @@
 const (
 	// leaseTTL is the lifetime of the announcement of a target. Peers find a dead daemon by their own calls, so the lease
 	// only removes what nobody calls.
-	leaseTTL = 10 * time.Second
+	leaseTTL = 15 * time.Second
 	// renewals is how often a lease is renewed within its lifetime.
 	renewals = 3
-	// announceRetry is the wait after a failed write.
-	announceRetry = 400 * time.Millisecond
+	// announceRetry is the wait after a failed call, and announceRetryMax the longest one after several. An announcement
+	// must be back two seconds after the platform is.
+	announceRetry    = 400 * time.Millisecond
+	announceRetryMax = 1500 * time.Millisecond
 	// ackPatience is how long the answer to a target that leaves waits until the platform holds it. The target takes an
 	// answer within a second.
 	ackPatience = 600 * time.Millisecond
@@ -38,6 +40,8 @@
 	// calling says that a call on the lease or the announcement is on its way.
 	calling bool
 	retryAt time.Time
+	// failures counts failed calls in a row.
+	failures int
 	// waiting are the reports to answer once the platform holds sequence, or at the deadline.
 	waiting []waitingReport
 }
@@ -224,6 +228,7 @@
 			o.calling = false
 			switch r.Outcome {
 			case store.Applied:
+				o.failures = 0
 				o.renewAt = now.Add(max(r.TTL, c.cfg.MinLease) / renewals)
 			case store.NotFound:
 				c.log("lease-ended", "lease", strconv.FormatInt(int64(o.lease), 10))
@@ -265,18 +270,18 @@
 	o.calling = false
 	switch r.Outcome {
 	case store.Applied:
-		o.announced = sequence
+		o.announced, o.failures = sequence, 0
 		if len(txn.Puts) > 0 {
-			c.mesh.merge(now, store.Entry{Key: key, Value: txn.Puts[0].Value, ModRevision: r.Revision, Lease: o.lease})
+			c.merge(now, &c.mesh, store.Entry{Key: key, Value: txn.Puts[0].Value, ModRevision: r.Revision, Lease: o.lease}, true)
 		} else {
-			c.mesh.remove(now, key, r.Revision)
+			c.remove(now, &c.mesh, key, r.Revision, true)
 		}
 		o.retryAt = time.Time{}
 	case store.Conflict:
 		// An earlier process of this daemon, or a write whose answer was lost, changed the key.
 		c.mesh.forget(key)
 		for _, e := range r.Entries {
-			c.mesh.merge(now, e)
+			c.merge(now, &c.mesh, e, true)
 		}
 		o.retryAt = time.Time{}
 	case store.NotFound:
@@ -288,6 +293,7 @@
 
 func (c *Core) announceFailed(now time.Time, step string, r store.Result) {
 	c.log("announce-failed", "step", step, "outcome", string(r.Outcome), "detail", r.Detail)
-	c.own.retryAt = now.Add(c.jitter(announceRetry))
+	c.own.retryAt = now.Add(c.jitter(min(announceRetry<<min(c.own.failures, 4), announceRetryMax)))
 	c.own.renewAt = c.own.retryAt
+	c.own.failures++
 }
--- a/internal/command/catalog/roster.go
+++ b/internal/command/catalog/roster.go
@@ -34,8 +34,6 @@
 		c.applyTarget(now, model.DaemonID(strings.TrimPrefix(key, store.PrefixTargets)), e)
 	case strings.HasPrefix(key, store.PrefixMoves):
 		c.applyMove(now, model.ServiceName(strings.TrimPrefix(key, store.PrefixMoves)), e)
-	case strings.HasPrefix(key, store.PrefixDrivers):
-		c.applyDriver(model.ServiceName(strings.TrimPrefix(key, store.PrefixDrivers)), e)
 	}
 }
 
--- /dev/null
+++ b/internal/command/catalog/spread.go
@@ -0,0 +1,235 @@
+package catalog
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"sniperail.example/sniperail/internal/command/distribution"
+	"sniperail.example/sniperail/internal/message"
+	"sniperail.example/sniperail/internal/model"
+)
+
+const (
+	// nearFanout and farFanout are the peers of the own data centre and of others that a daemon passes news on to. Every
+	// daemon passes news on once, so that five reach nearly all; the rest ask by themselves.
+	nearFanout = 3
+	farFanout  = 2
+	// exchangeEvery is how often a peer, at random, is asked for what this daemon has not seen.
+	exchangeEvery = 2 * time.Second
+	// maxDeltas bounds the changes of the configuration that are kept for peers that are behind.
+	maxDeltas = 32
+	// gapJitter spreads the daemons that read the platform because a delta does not fit.
+	gapJitter = 100 * time.Millisecond
+)
+
+// exchange is the anti-entropy with peers.
+type exchange struct {
+	at      time.Time
+	pending bool
+}
+
+// sendNews passes on what was learned in this step.
+func (c *Core) sendNews() {
+	if len(c.outgoing) == 0 && !c.newNumber {
+		return
+	}
+	news := &message.Spread{Changes: c.outgoing, Delta: c.delta, Revision: c.configurationRevision}
+	if c.configuration != nil {
+		news.Number = c.configuration.Number
+	}
+	c.outgoing, c.delta, c.newNumber = nil, nil, false
+	for _, address := range c.spreadTo() {
+		c.send(address, news, func(time.Time, message.Reply) {
+			// A peer that does not answer asks another one when it can.
+		})
+	}
+}
+
+// spreadTo returns the peers to pass news on to.
+func (c *Core) spreadTo() []string {
+	var near, far []string
+	for _, daemon := range slices.Sorted(maps.Keys(c.roster)) {
+		t := &c.roster[daemon].target
+		if t.DataCentre == c.cfg.Target.DataCentre {
+			near = append(near, t.PeerAddress)
+		} else {
+			far = append(far, t.PeerAddress)
+		}
+	}
+	return append(c.sample(near, nearFanout), c.sample(far, farFanout)...)
+}
+
+// sample returns up to n of the addresses, at random.
+func (c *Core) sample(addresses []string, n int) []string {
+	c.cfg.Rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses[:min(len(addresses), n)]
+}
+
+// spreadReceived takes news of a peer.
+func (c *Core) spreadReceived(now time.Time, m *message.Spread) {
+	c.mergeChanges(now, m.Changes)
+	if m.Delta != nil {
+		c.applyDelta(now, m.Delta, m.Revision, "peer")
+	}
+	if m.Number > 0 && (c.configuration == nil || c.configuration.Number < m.Number) && c.operator.listed {
+		c.operator.relist(now.Add(c.jitter(gapJitter)))
+	}
+}
+
+func (c *Core) mergeChanges(now time.Time, changes []message.Change) {
+	for i := range changes {
+		e := &changes[i].Entry
+		s := c.sourceOf(e.Key)
+		if !hasPrefix(e.Key, s.prefix) {
+			continue
+		}
+		if changes[i].Removed {
+			c.remove(now, s, e.Key, e.ModRevision, true)
+		} else {
+			c.merge(now, s, *e, true)
+		}
+	}
+}
+
+// applyDelta changes the configuration. If the delta does not fit, the platform is read.
+func (c *Core) applyDelta(now time.Time, d *message.Delta, revision int64, source string) {
+	if c.configuration == nil || d.Number <= c.configuration.Number {
+		return
+	}
+	next, ok := distribution.Patch(c.configuration, d)
+	if !ok {
+		c.log("delta-refused", "number", number(d.Number), "base", number(d.Base), "own", number(c.configuration.Number))
+		return
+	}
+	c.setConfiguration(next, revision, source)
+}
+
+// exchangeDue asks one peer, at random, for what this daemon has not seen.
+func (c *Core) exchangeDue(now time.Time) {
+	x := &c.exchange
+	if x.at.IsZero() {
+		x.at = now.Add(c.jitter(exchangeEvery / 4))
+	}
+	if x.pending || now.Before(x.at) {
+		return
+	}
+	x.at = now.Add(c.jitter(exchangeEvery))
+	address := c.randomPeer()
+	if address == "" {
+		return
+	}
+	x.pending = true
+	query := &message.CatalogQuery{Operator: c.operator.revision, Mesh: c.mesh.revision}
+	if c.configuration != nil {
+		query.Number = c.configuration.Number
+	}
+	if !c.operator.loaded || !c.mesh.loaded {
+		query.Operator, query.Mesh = 0, 0
+	}
+	c.send(address, query, func(now time.Time, r message.Reply) {
+		x.pending = false
+		if reply, ok := r.(*message.CatalogReply); ok {
+			c.mergeCatalog(now, address, reply)
+		}
+	})
+}
+
+// randomPeer returns the peer address of a known daemon or of a seed, or "".
+func (c *Core) randomPeer() string {
+	var addresses []string
+	if !c.operator.loaded || !c.mesh.loaded || len(c.roster) == 0 {
+		addresses = slices.Clone(c.cfg.Seeds)
+	}
+	for _, daemon := range slices.Sorted(maps.Keys(c.roster)) {
+		addresses = append(addresses, c.roster[daemon].target.PeerAddress)
+	}
+	addresses = slices.DeleteFunc(addresses, func(a string) bool { return a == c.cfg.Target.PeerAddress })
+	if len(addresses) == 0 {
+		return ""
+	}
+	return addresses[c.cfg.Rand.IntN(len(addresses))]
+}
+
+// mergeCatalog takes what a peer knows. The first complete reply stands in for a read of the platform.
+func (c *Core) mergeCatalog(now time.Time, from string, reply *message.CatalogReply) {
+	before := c.operator.revision + c.mesh.revision
+	for _, e := range reply.Entries {
+		if s := c.sourceOf(e.Key); hasPrefix(e.Key, s.prefix) {
+			c.merge(now, s, e, c.ready)
+		}
+	}
+	switch {
+	case reply.Configuration != nil && (c.configuration == nil || c.configuration.Number < reply.Number):
+		c.setConfiguration(reply.Configuration, reply.Revision, "peer")
+	case c.configuration != nil:
+		for _, d := range reply.Deltas {
+			c.applyDelta(now, d, reply.Revision, "peer")
+		}
+		if reply.Number > c.configuration.Number && c.operator.listed {
+			c.operator.relist(now)
+		}
+	}
+	if c.operator.revision+c.mesh.revision > before {
+		c.log("peer-catalog", "from", from, "entries", count(len(reply.Entries)))
+	}
+	if reply.Loaded && !(c.operator.loaded && c.mesh.loaded) {
+		c.operator.loaded, c.mesh.loaded = true, true
+		c.dirty = true
+	}
+}
+
+// catalogReply returns what the asker has not seen.
+func (c *Core) catalogReply(q *message.CatalogQuery) *message.CatalogReply {
+	reply := &message.CatalogReply{Loaded: c.operator.loaded && c.mesh.loaded, Revision: c.configurationRevision}
+	for _, s := range []*source{&c.operator, &c.mesh} {
+		seen := q.Mesh
+		if s == &c.operator {
+			seen = q.Operator
+		}
+		for _, key := range slices.Sorted(maps.Keys(s.entries)) {
+			if e := s.entries[key]; e.ModRevision > seen && key != c.cfg.Operator.KeyConfiguration() {
+				reply.Entries = append(reply.Entries, e)
+			}
+		}
+	}
+	if c.configuration == nil {
+		return reply
+	}
+	reply.Number = c.configuration.Number
+	if q.Number == 0 {
+		reply.Configuration = c.configuration
+	} else if q.Number < reply.Number {
+		reply.Deltas = c.deltasFrom(q.Number)
+	}
+	return reply
+}
+
+// deltasFrom returns the changes that lead from a number to the present one, or nil if they are not kept.
+func (c *Core) deltasFrom(base model.Number) []*message.Delta {
+	for i, d := range c.deltas {
+		if d.Base == base {
+			return c.deltas[i:]
+		}
+	}
+	return nil
+}
+
+// setConfiguration puts a configuration in force that is newer than the present one.
+func (c *Core) setConfiguration(next *model.Configuration, revision int64, source string) {
+	if c.configuration != nil {
+		c.delta = distribution.Diff(c.configuration, next)
+		c.deltas = append(c.deltas, c.delta)
+		if len(c.deltas) > maxDeltas {
+			c.deltas = slices.Delete(c.deltas, 0, 1)
+		}
+	}
+	c.configuration, c.configurationRevision, c.newNumber = next, revision, true
+	c.operator.revision = max(c.operator.revision, revision)
+	c.dirty = true
+	c.log("configuration", "number", number(next.Number), "revision", strconv.FormatInt(revision, 10),
+		"routes", count(len(next.Routes)), "source", source)
+}
+
+func number(n model.Number) string { return strconv.FormatUint(uint64(n), 10) }
--- a/internal/command/catalog/verify.go
+++ b/internal/command/catalog/verify.go
@@ -7,46 +7,76 @@
 	"time"
 
 	"sniperail.example/sniperail/internal/effect"
-	"sniperail.example/sniperail/internal/message"
+	"sniperail.example/sniperail/internal/model"
 	"sniperail.example/sniperail/internal/store"
 )
 
 const (
-	// verifyTurn is the time between two daemons' comparisons of the platform with what watches have shown. A watch can
-	// stay silent although something changed, and a change must be in force two seconds later.
+	// watchers is how many daemons watch what the operator writes. They pass changes on to all others, so that the calls
+	// to the platform do not grow with the number of daemons; several, because some may just have been lost.
+	watchers = 3
+	// verifyTurn is the time between two daemons' lists of what the operator wrote. A watch can stay silent although
+	// something changed, and a change must be in force two seconds later.
 	verifyTurn = 700 * time.Millisecond
-	// meshTurns is how many turns of a daemon pass between comparisons of what daemons share, which is less urgent.
+	// meshTurns is how many turns pass between lists of what daemons share. They show the announcements that lapsed; all
+	// else is spread by the daemon that wrote it.
 	meshTurns = 4
-	// watchPatience is how long the own watch may take to show what a peer has seen before the platform is read.
-	watchPatience = 400 * time.Millisecond
-	// noticeFanout is the number of peers that are told of changes; each of them tells as many.
-	noticeFanout = 16
 )
 
-// verifySources reads the platform when it is this daemon's turn. Daemons take turns by the rank of their names and the
-// time of day, so that the number of reads does not grow with the number of daemons.
+// daemons returns the names of all known daemons, sorted.
+func (c *Core) daemons() []model.DaemonID {
+	daemons := append(slices.Collect(maps.Keys(c.roster)), c.cfg.Target.Daemon)
+	slices.Sort(daemons)
+	return daemons
+}
+
+// watchOperator watches what the operator writes if this daemon is one of the watchers, which are spread evenly over the
+// sorted names and so over the data centres.
+func (c *Core) watchOperator() {
+	s := &c.operator
+	if !s.loaded || s.listing {
+		return
+	}
+	daemons := c.daemons()
+	rank := slices.Index(daemons, c.cfg.Target.Daemon)
+	wanted := false
+	for i := range watchers {
+		wanted = wanted || rank == i*len(daemons)/watchers
+	}
+	if wanted == s.watching {
+		return
+	}
+	s.watching = wanted
+	if wanted {
+		c.emit(effect.Watch{Key: s.prefix, After: s.revision})
+	} else {
+		c.emit(effect.Unwatch{Key: s.prefix})
+	}
+}
+
+// verifySources lists the platform's keys when it is this daemon's turn. Daemons take turns by the rank of their names and
+// the time of day.
 func (c *Core) verifySources(now time.Time) {
-	if !c.operator.watching || !c.mesh.watching {
-		c.verifyAt = time.Time{}
+	if !c.operator.loaded || !c.mesh.loaded {
 		return
 	}
 	if c.verifyAt.IsZero() {
-		c.verifyAt = c.nextTurn(now)
+		c.verifyAt, c.verifyTurnNumber = c.nextTurn(now)
 	}
 	if now.Before(c.verifyAt) {
 		return
 	}
-	c.verifyAt = c.nextTurn(now)
+	turn := c.verifyTurnNumber
+	c.verifyAt, c.verifyTurnNumber = c.nextTurn(now)
 	c.verify(&c.operator)
-	if c.verifyTurns++; c.verifyTurns%meshTurns == 0 {
+	if turn%meshTurns == 0 {
 		c.verify(&c.mesh)
 	}
 }
 
-// nextTurn returns the next time after now at which it is this daemon's turn.
-func (c *Core) nextTurn(now time.Time) time.Time {
-	daemons := append(slices.Collect(maps.Keys(c.roster)), c.cfg.Target.Daemon)
-	slices.Sort(daemons)
+// nextTurn returns the next time after now at which it is this daemon's turn, and the number of the turn.
+func (c *Core) nextTurn(now time.Time) (time.Time, int64) {
+	daemons := c.daemons()
 	rank := int64(slices.Index(daemons, c.cfg.Target.Daemon))
 	turns := int64(len(daemons))
 	turn := now.UnixNano() / int64(verifyTurn)
@@ -54,64 +84,20 @@
 	if ahead == 0 {
 		ahead = turns
 	}
-	return now.Add(time.Duration((turn+ahead)*int64(verifyTurn) - now.UnixNano()))
+	return now.Add(time.Duration((turn+ahead)*int64(verifyTurn) - now.UnixNano())), turn + ahead
 }
 
 func (c *Core) verify(s *source) {
 	c.call(store.Call{Kind: store.KindList, Priority: store.PriorityRead, Reason: "verify", Key: s.prefix},
 		func(now time.Time, r store.Result) {
-			// A list that runs meanwhile is as new as this one.
-			if r.Outcome != store.Applied || !s.watching {
+			if r.Outcome != store.Applied {
+				c.platformLost(now, s, r)
 				return
 			}
-			if s.take(now, r) {
+			c.platformAnswered(now, s)
+			if c.take(now, s, r, true) && s.watching {
 				c.log("watch-behind", "prefix", s.prefix, "revision", strconv.FormatInt(r.Revision, 10))
 				c.emit(effect.Watch{Key: s.prefix, After: r.Revision})
-				c.notify(message.Notice{Operator: c.operator.latest(), Mesh: c.mesh.latest()})
 			}
 		})
 }
-
-// notify tells some peers, at random, of changes.
-func (c *Core) notify(notice message.Notice) {
-	peers := slices.Sorted(maps.Keys(c.roster))
-	c.cfg.Rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	for _, daemon := range peers[:min(len(peers), noticeFanout)] {
-		c.send(c.roster[daemon].target.PeerAddress, &notice, func(time.Time, message.Reply) {
-			// A peer that does not answer reads the platform itself in its turn.
-		})
-	}
-}
-
-// noticed takes what a peer has seen, and passes it on if it is news.
-func (c *Core) noticed(now time.Time, n *message.Notice) {
-	operator := c.operator.expect(now, n.Operator)
-	mesh := c.mesh.expect(now, n.Mesh)
-	if operator || mesh {
-		c.notify(*n)
-	}
-}
-
-// expect notes that a revision exists. It reports whether that is news.
-func (s *source) expect(now time.Time, revision int64) bool {
-	if revision <= max(s.expected, s.latest()) {
-		return false
-	}
-	s.expected, s.expectedBy = revision, now.Add(watchPatience)
-	return true
-}
-
-// checkExpected reads the platform again if the watch has not shown what a peer has seen.
-func (c *Core) checkExpected(now time.Time, s *source) {
-	if s.expectedBy.IsZero() || now.Before(s.expectedBy) {
-		return
-	}
-	s.expectedBy = time.Time{}
-	if !s.watching || s.latest() >= s.expected {
-		return
-	}
-	c.log("watch-behind", "prefix", s.prefix, "revision", strconv.FormatInt(s.latest(), 10), "expected", strconv.FormatInt(s.expected, 10))
-	s.watching = false
-	s.retryAt = now
-	c.emit(effect.Unwatch{Key: s.prefix})
-}
--- a/internal/command/catalog/view.go
+++ b/internal/command/catalog/view.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"sniperail.example/sniperail/internal/command/distribution"
 	"sniperail.example/sniperail/internal/effect"
 	"sniperail.example/sniperail/internal/model"
 	"sniperail.example/sniperail/internal/store"
@@ -56,28 +57,28 @@
 		return
 	}
 	next, err := c.cfg.Operator.DecodeConfiguration(e.Value)
+	// The value is not needed any more; it is the largest by far.
+	c.operator.entries[e.Key] = store.Entry{Key: e.Key, ModRevision: e.ModRevision}
 	revision := strconv.FormatInt(e.ModRevision, 10)
 	if err != nil {
 		c.log("configuration-refused", "revision", revision, "detail", err.Error())
 		c.count("sniperail_configurations_refused", "unreadable")
 		return
 	}
-	number := strconv.FormatUint(uint64(next.Number), 10)
+	text := number(next.Number)
 	if c.configuration != nil && next.Number <= c.configuration.Number {
 		if next.Number < c.configuration.Number {
-			c.log("configuration-refused", "number", number, "revision", revision, "detail", "the number is lower than the one in force")
+			c.log("configuration-refused", "number", text, "revision", revision, "detail", "the number is lower than the one in force")
 			c.count("sniperail_configurations_refused", "lower-number")
 		}
 		return
 	}
 	if problems := unresolved(next); len(problems) > 0 {
-		c.log("configuration-refused", "number", number, "revision", revision, "detail", strings.Join(problems, "; "))
+		c.log("configuration-refused", "number", text, "revision", revision, "detail", strings.Join(problems, "; "))
 		c.count("sniperail_configurations_refused", "invalid")
 		return
 	}
-	c.configuration = next
-	c.dirty = true
-	c.log("configuration", "number", number, "revision", revision, "routes", count(len(next.Routes)))
+	c.setConfiguration(distribution.Strip(next), e.ModRevision, "platform")
 }
 
 // unresolved returns what a configuration refers to and does not have. Versions are not part of it: targets announce them.
@@ -106,7 +107,7 @@
 	}
 	view.Ready = c.configuration != nil && c.operator.loaded && c.mesh.loaded
 	if view.Ready && !c.ready {
-		c.log("ready", "number", strconv.FormatUint(uint64(c.configuration.Number), 10), "targets", count(len(view.Targets)))
+		c.log("ready", "number", number(c.configuration.Number), "targets", count(len(view.Targets)))
 	}
 	c.ready = view.Ready
 	c.emit(effect.Publish{View: view})
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -29,28 +29,47 @@
 // Reply answers a Request.
 type Reply interface{ reply() }
 
-// CatalogQuery asks a peer for the stored entries that changed after the revisions that the sender has seen.
+// Change is an entry of the platform's store that was written or removed.
+type Change struct {
+	Entry store.Entry
+	// Removed says that the key is gone; ModRevision is then that of the removal.
+	Removed bool
+}
+
+// Spread brings changes to a peer, which passes on what is news to it.
+type Spread struct {
+	Changes []Change
+	// Number is that of the sender's configuration, and Revision that of its entry. Delta is the change that led to it, or
+	// nil.
+	Number   model.Number
+	Revision int64
+	Delta    *Delta
+}
+
+// SpreadReply acknowledges a Spread.
+type SpreadReply struct{ Code Code }
+
+// CatalogQuery asks a peer for what changed after the revisions that the sender has seen.
 type CatalogQuery struct {
 	// Operator and Mesh are the latest revisions seen of what the operator wrote and of what daemons share.
 	Operator, Mesh int64
+	// Number is that of the configuration in force, 0 if there is none.
+	Number model.Number
 }
 
-// CatalogReply holds entries as the platform stores them.
+// CatalogReply holds what the sender of a CatalogQuery has not seen.
 type CatalogReply struct {
 	// Loaded says that the receiver has read everything once; only then Entries may be complete.
 	Loaded  bool
 	Entries []store.Entry
+	// Number is that of the receiver's configuration, and Revision that of its entry.
+	Number   model.Number
+	Revision int64
+	// Deltas lead from the asker's number to Number, one after the other. Configuration is set instead if the asker has none.
+	Deltas        []*Delta
+	Configuration *model.Configuration
 }
 
-// Notice tells a peer which changes exist, so that it looks for them if its own watches have not shown them soon.
-type Notice struct {
-	// Operator and Mesh are the latest revisions of what the operator wrote and of what daemons share.
-	Operator, Mesh int64
-}
-
-// NoticeReply acknowledges a Notice.
-type NoticeReply struct{ Code Code }
-
 // TargetQuery asks a daemon for the target beside it.
 type TargetQuery struct{}
 
@@ -58,7 +77,11 @@
 type TargetReply struct{ Target model.Target }
 
 // EvidenceQuery asks the daemon beside a target for the outcomes of the target's calls.
-type EvidenceQuery struct{}
+type EvidenceQuery struct {
+	// Service is the service whose move the sender drives, and Held says that it holds the driver's lease.
+	Service model.ServiceName
+	Held    bool
+}
 
 // EvidenceReply holds sums since the start of the daemon.
 type EvidenceReply struct {
@@ -313,7 +336,7 @@
 func (*LoadQuery) request()     {}
 func (*CatalogQuery) request()  {}
 func (*TargetQuery) request()   {}
-func (*Notice) request()        {}
+func (*Spread) request()        {}
 func (*EvidenceQuery) request() {}
 
 func (*AnnounceReply) reply()  {}
@@ -326,5 +349,5 @@
 func (*LoadReply) reply()      {}
 func (*CatalogReply) reply()   {}
 func (*TargetReply) reply()    {}
-func (*NoticeReply) reply()    {}
+func (*SpreadReply) reply()    {}
 func (*EvidenceReply) reply()  {}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -78,8 +78,8 @@
 		return "Query.Status", new(message.StatusReply)
 	case *message.LoadQuery:
 		return "Query.Load", new(message.LoadReply)
-	case *message.Notice:
-		return "Command.Notice", new(message.NoticeReply)
+	case *message.Spread:
+		return "Command.Spread", new(message.SpreadReply)
 	case *message.CatalogQuery:
 		return "Query.Catalog", new(message.CatalogReply)
 	case *message.TargetQuery:
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -70,8 +70,8 @@
 	return answer(c.h, in, out)
 }
 
-// Notice brings the revisions of changes.
-func (c *Command) Notice(in *message.Notice, out *message.NoticeReply) error {
+// Spread brings changes.
+func (c *Command) Spread(in *message.Spread, out *message.SpreadReply) error {
 	return answer(c.h, in, out)
 }
 
