routing: targets are placed by expected loss

Ruled out: own data centre first (a slow target there makes calls late); a larger cost of the way in milliseconds (right for one target latency, wrong for others). Change: Place compares what a call is expected to lose: the probability to come late, failures, the way, and little for time itself. A target without a report counts as fast as the fastest, and old reports fade.

--- a/internal/query/routing/place.go
+++ b/internal/query/routing/place.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -8,18 +9,31 @@
 )
 
 const (
-	// farCost is added for a target in another data centre, whose bytes cost money and time, regionCost in another region.
-	farCost    = 8 * time.Millisecond
-	regionCost = 50 * time.Millisecond
-	// spread varies the cost of each target by a random part, so that daemons with the same reports do not all choose the
-	// same target.
-	spread = 0.1
-	// failureCost is the cost of a target that fails every call, in times that a call takes.
-	failureCost = 20
-	// suspectCost is added for a target that was ejected or is leaving, which is used only if there is no other.
-	suspectCost = time.Minute
+	// runDeviation is the standard deviation of the logarithm of a call's time around its expectation.
+	runDeviation = 0.6
+	// farLoss is what a call to another data centre costs, as a part of the value of a response: its bytes are paid for.
+	// regionLoss is that of a call to another region.
+	farLoss    = 0.08
+	regionLoss = 0.3
+	// farTime and regionTime are the times of the way there and back.
+	farTime    = 3 * time.Millisecond
+	regionTime = 30 * time.Millisecond
+	// timeLoss is the value lost by a response that takes as long as the target latency. It decides between targets that
+	// would both answer in time, or both late.
+	timeLoss = 0.15
+	// spreadLoss varies the loss at each target by a random part, so that daemons with the same reports do not all choose
+	// the same target.
+	spreadLoss = 0.02
+	// suspectLoss is added for a target that was ejected or is leaving, which is used only if there is no other.
+	suspectLoss = 100
+	// assumedRun stands in for the time of a call while no target has reported one.
+	assumedRun = 100 * time.Millisecond
+	// coldFactor is how much slower a target is taken to be while it warms up and has not reported.
+	coldFactor = 1.5
 	// minAlternative is the shortest wait that is asked of another target: below it a second hop costs more than it saves.
 	minAlternative = 10 * time.Millisecond
+	// alternativeSteps is the number of bisections in the search for that wait.
+	alternativeSteps = 8
 )
 
 // Load is what reports and own calls say about a target.
@@ -27,14 +41,14 @@
 	// Outstanding estimates the calls that run or wait at the target.
 	Outstanding float64
 	Slots       int
-	// Run is the expected time of a call on the route, Mean that of any call.
+	// Run is the expected time of a call on the route, 0 if it was not reported, Mean that of any call.
 	Run, Mean time.Duration
+	// Age is the time since the report. An old report of a slow target says little.
+	Age time.Duration
 	// Failed is the recent part of calls that failed.
 	Failed float64
-	// Suspect says that the target was ejected or refused calls because it leaves.
-	Suspect bool
-	// Cold is how much longer the target is slow after its start.
-	Cold time.Duration
+	// Suspect says that the target was ejected or refused calls because it leaves, Cold that it is slow after its start.
+	Suspect, Cold bool
 }
 
 // LoadSignals returns the load of a target.
@@ -51,35 +65,123 @@
 	Alternative time.Duration
 }
 
-// Place selects the ready target, among those not in tried, that is expected to answer first: its wait for a slot, the time
-// of a call there, and the way to it. It reports false if there is no target.
-func (v *Version) Place(signals LoadSignals, random Source, tried []model.DaemonID) (Choice, bool) {
-	var best Choice
-	var bestCost, secondCost time.Duration
-	found := 0
+// candidate is a target with what is expected of it.
+type candidate struct {
+	target    *model.Target
+	load      Load
+	tier      int
+	wait, run time.Duration
+	loss      float64
+}
+
+// Place selects the ready target, among those not in tried, where the call is expected to lose least: by a response later
+// than left, the time until the target latency has passed, by a failure, and by the way there. It reports false if there
+// is no target.
+func (v *Version) Place(signals LoadSignals, random Source, tried []model.DaemonID, left time.Duration) (Choice, bool) {
+	candidates := v.candidates(signals, tried)
+	if len(candidates) == 0 {
+		return Choice{}, false
+	}
+	best, second := 0, -1
+	for i := range candidates {
+		c := &candidates[i]
+		c.loss = c.lossAt(c.wait, left) + spreadLoss*float64(random.Uint64()>>11)/(1<<53)
+		switch {
+		case i == 0:
+		case c.loss < candidates[best].loss:
+			best, second = i, best
+		case second < 0 || c.loss < candidates[second].loss:
+			second = i
+		}
+	}
+	b := &candidates[best]
+	choice := Choice{Target: b.target, Wait: b.wait, Run: b.run}
+	if second >= 0 {
+		choice.Alternative = b.alternative(candidates[second].loss, left)
+	}
+	return choice, true
+}
+
+// candidates returns the targets with the expected time of a call at each. A target that has reported none is taken to be
+// as fast as the fastest, so that it gets a call soon; an old report of a slow target fades for the same reason.
+func (v *Version) candidates(signals LoadSignals, tried []model.DaemonID) []candidate {
+	candidates := make([]candidate, 0, v.Ready())
+	fastest := time.Duration(0)
 	for tier, targets := range v.tiers {
 		for _, target := range targets {
 			if slices.Contains(tried, target.Daemon) {
 				continue
 			}
 			load := signals.Load(target)
-			choice := Choice{Target: target, Wait: load.wait(), Run: load.Run}
-			cost := load.cost(tier)
-			cost += time.Duration(float64(cost) * spread * float64(random.Uint64()>>11) / (1 << 53))
-			found++
-			switch {
-			case found == 1 || cost < bestCost:
-				secondCost = bestCost
-				best, bestCost = choice, cost
-			case found == 2 || cost < secondCost:
-				secondCost = cost
+			candidates = append(candidates, candidate{target: target, load: load, tier: tier})
+			if load.Run > 0 && (fastest == 0 || load.Run < fastest) {
+				fastest = load.Run
 			}
 		}
 	}
-	if found > 1 {
-		best.Alternative = max(best.Wait+secondCost-bestCost, minAlternative)
+	if fastest == 0 {
+		fastest = assumedRun
+	}
+	for i := range candidates {
+		c := &candidates[i]
+		c.run = c.load.Run
+		switch {
+		case c.run == 0 && c.load.Cold:
+			c.run = time.Duration(coldFactor * float64(fastest))
+		case c.run == 0:
+			c.run = fastest
+		default:
+			c.run = fastest + time.Duration(float64(c.run-fastest)*math.Exp(-float64(c.load.Age)/float64(runMemory)))
+		}
+		c.wait = c.load.wait()
+	}
+	return candidates
+}
+
+// runMemory is the age at which a third is left of what a report said of a target's speed.
+const runMemory = 6 * time.Second
+
+// lossAt returns the expected loss if the call waits at the target for a time.
+func (c *candidate) lossAt(wait, left time.Duration) float64 {
+	took := wait
+	loss := c.load.Failed
+	switch c.tier {
+	case 1:
+		took += farTime
+		loss += farLoss
+	case 2:
+		took += regionTime
+		loss += regionLoss
+	}
+	if c.load.Suspect {
+		loss += suspectLoss
+	}
+	scale := max(left, c.run)
+	return loss + lateness(left-took, c.run) + timeLoss*float64(took+c.run)/float64(scale)
+}
+
+// lateness returns the probability that a call that is expected to take run takes longer than left.
+func lateness(left, run time.Duration) float64 {
+	if left <= 0 {
+		return 1
 	}
-	return best, found > 0
+	z := (math.Log(float64(left)/float64(run)) + runDeviation*runDeviation/2) / runDeviation
+	// The logistic curve is close to the normal distribution.
+	return 1 / (1 + math.Exp(1.702*z))
+}
+
+// alternative returns the wait at which the target loses as much as another one.
+func (c *candidate) alternative(other float64, left time.Duration) time.Duration {
+	low, high := c.wait, c.wait+max(left, c.run)
+	for range alternativeSteps {
+		middle := (low + high) / 2
+		if c.lossAt(middle, left) < other {
+			low = middle
+		} else {
+			high = middle
+		}
+	}
+	return max(low, minAlternative)
 }
 
 // wait estimates the time until a slot is free.
@@ -90,17 +192,3 @@
 	}
 	return 0
 }
-
-func (l Load) cost(tier int) time.Duration {
-	cost := l.wait() + l.Run + time.Duration(l.Failed*failureCost*float64(l.Run))
-	switch tier {
-	case 1:
-		cost += farCost
-	case 2:
-		cost += regionCost
-	}
-	if l.Suspect {
-		cost += suspectCost
-	}
-	return cost
-}
--- a/internal/traffic/load.go
+++ b/internal/traffic/load.go
@@ -10,15 +10,13 @@
 )
 
 const (
-	// assumedRun stands in for the time of a call on a target without reports.
+	// assumedRun stands in for the time of a call at a target without reports.
 	assumedRun = 100 * time.Millisecond
 	// reportLife is the age at which a report of load says nothing any more.
 	reportLife = 2 * time.Second
 	// failureLife is the time in which the reported part of failed calls halves, so that a target that had failed gets a
 	// call again from time to time.
 	failureLife = 2 * time.Second
-	// coldFactor is how much slower a target is taken to be while it warms up and nothing was reported.
-	coldFactor = 2
 )
 
 // peerLoad is the latest report of a target's load.
@@ -56,30 +54,22 @@
 	p := l.peers.find(target)
 	now := l.now.UnixNano()
 	out := routing.Load{
-		Slots: target.Slots, Cold: target.WarmAt.Sub(l.now),
+		Slots: target.Slots, Cold: target.WarmAt.After(l.now),
 		Suspect: p.ejectedUntil.Load() > now || p.leavingUntil.Load() > now,
 	}
 	own := p.inFlight.Load()
 	p.load.mu.Lock()
 	defer p.load.mu.Unlock()
-	age := l.now.Sub(p.load.at)
+	out.Age = l.now.Sub(p.load.at)
 	out.Outstanding = float64(own)
-	if age < reportLife {
+	if out.Age < reportLife {
 		out.Outstanding = max(float64(int64(p.load.report.running+p.load.report.queued)+own-p.load.own), float64(own))
 	}
 	out.Run, out.Mean = p.load.runs[l.route], p.load.report.mean
 	if out.Mean == 0 {
 		out.Mean = assumedRun
 	}
-	if out.Run == 0 {
-		out.Run = out.Mean
-		if out.Cold > 0 {
-			out.Run *= coldFactor
-		}
-	}
-	if failed := p.load.report.failed; failed > 0 {
-		out.Failed = failed / (1 + float64(age)/float64(failureLife))
-	}
+	out.Failed = p.load.report.failed / (1 + float64(out.Age)/float64(failureLife))
 	return out
 }
 
--- a/internal/traffic/placement.go
+++ b/internal/traffic/placement.go
@@ -114,11 +114,11 @@
 		p.version = version
 	}
 	now := time.Now()
-	choice, ok := p.version.Place(p.signals(now), random{}, p.tried)
+	choice, ok := p.version.Place(p.signals(now), random{}, p.tried, p.objective.Sub(now))
 	if !ok {
 		if other := p.service.Fallback(p.version); other != nil {
 			p.version = other
-			choice, ok = p.version.Place(p.signals(now), random{}, p.tried)
+			choice, ok = p.version.Place(p.signals(now), random{}, p.tried, p.objective.Sub(now))
 		}
 	}
 	if !ok {
@@ -276,7 +276,8 @@
 
 // another reports whether a target is left that was not tried.
 func (p *placement) another() bool {
-	if _, ok := p.version.Place(p.signals(time.Now()), random{}, p.tried); ok {
+	now := time.Now()
+	if _, ok := p.version.Place(p.signals(now), random{}, p.tried, p.objective.Sub(now)); ok {
 		return true
 	}
 	return p.service.Fallback(p.version) != nil
