catalog: peers compare digests of what they have

News arrives in any order, so the latest revision says nothing about earlier ones. Ruled out: more peers for each piece of news (a daemon that is not yet in the roster gets none). Change: an exchange sends a digest of keys and revisions; where it differs the peer returns all entries and the keys that it knows as removed.

--- a/internal/command/catalog/source.go
+++ b/internal/command/catalog/source.go
@@ -147,15 +147,19 @@
 // remove takes the removal of a key. It reports whether that was news.
 func (c *Core) remove(now time.Time, s *source, key string, revision int64, spread bool) bool {
 	known, ok := s.entries[key]
-	if !ok || known.ModRevision > revision {
+	if ok && known.ModRevision > revision || s.removed[key] >= revision {
 		return false
 	}
-	delete(s.entries, key)
 	if len(s.removed) >= maxRemoved {
 		clear(s.removed)
 	}
 	s.removed[key] = revision
 	s.revision = max(s.revision, revision)
+	if !ok {
+		// The entry itself may still come from a slower peer.
+		return false
+	}
+	delete(s.entries, key)
 	s.apply(now, key, nil)
 	if spread {
 		c.outgoing = append(c.outgoing, message.Change{Entry: store.Entry{Key: key, ModRevision: revision}, Removed: true})
--- a/internal/command/catalog/spread.go
+++ b/internal/command/catalog/spread.go
@@ -6,9 +6,12 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"sniperail.example/sniperail/internal/command/distribution"
 	"sniperail.example/sniperail/internal/message"
 	"sniperail.example/sniperail/internal/model"
+	"sniperail.example/sniperail/internal/store"
 )
 
 const (
@@ -121,13 +124,10 @@
 		return
 	}
 	x.pending = true
-	query := &message.CatalogQuery{Operator: c.operator.revision, Mesh: c.mesh.revision}
+	query := &message.CatalogQuery{Operator: c.digest(&c.operator), Mesh: c.digest(&c.mesh)}
 	if c.configuration != nil {
 		query.Number = c.configuration.Number
 	}
-	if !c.operator.loaded || !c.mesh.loaded {
-		query.Operator, query.Mesh = 0, 0
-	}
 	c.send(address, query, func(now time.Time, r message.Reply) {
 		x.pending = false
 		if reply, ok := r.(*message.CatalogReply); ok {
@@ -154,12 +154,8 @@
 
 // mergeCatalog takes what a peer knows. The first complete reply stands in for a read of the platform.
 func (c *Core) mergeCatalog(now time.Time, from string, reply *message.CatalogReply) {
-	before := c.operator.revision + c.mesh.revision
-	for _, e := range reply.Entries {
-		if s := c.sourceOf(e.Key); hasPrefix(e.Key, s.prefix) {
-			c.merge(now, s, e, c.ready)
-		}
-	}
+	before := c.digest(&c.operator) ^ c.digest(&c.mesh)
+	c.mergeChanges(now, reply.Changes)
 	switch {
 	case reply.Configuration != nil && (c.configuration == nil || c.configuration.Number < reply.Number):
 		c.setConfiguration(reply.Configuration, reply.Revision, "peer")
@@ -171,8 +167,8 @@
 			c.operator.relist(now)
 		}
 	}
-	if c.operator.revision+c.mesh.revision > before {
-		c.log("peer-catalog", "from", from, "entries", count(len(reply.Entries)))
+	if c.digest(&c.operator)^c.digest(&c.mesh) != before {
+		c.log("peer-catalog", "from", from, "changes", count(len(reply.Changes)))
 	}
 	if reply.Loaded && !(c.operator.loaded && c.mesh.loaded) {
 		c.operator.loaded, c.mesh.loaded = true, true
@@ -183,16 +179,11 @@
 // catalogReply returns what the asker has not seen.
 func (c *Core) catalogReply(q *message.CatalogQuery) *message.CatalogReply {
 	reply := &message.CatalogReply{Loaded: c.operator.loaded && c.mesh.loaded, Revision: c.configurationRevision}
-	for _, s := range []*source{&c.operator, &c.mesh} {
-		seen := q.Mesh
-		if s == &c.operator {
-			seen = q.Operator
-		}
-		for _, key := range slices.Sorted(maps.Keys(s.entries)) {
-			if e := s.entries[key]; e.ModRevision > seen && key != c.cfg.Operator.KeyConfiguration() {
-				reply.Entries = append(reply.Entries, e)
-			}
-		}
+	if q.Operator != c.digest(&c.operator) {
+		reply.Changes = c.changes(reply.Changes, &c.operator)
+	}
+	if q.Mesh != c.digest(&c.mesh) {
+		reply.Changes = c.changes(reply.Changes, &c.mesh)
 	}
 	if c.configuration == nil {
 		return reply
@@ -206,6 +197,30 @@
 	return reply
 }
 
+// changes appends all that is known of a source, but for the configuration.
+func (c *Core) changes(to []message.Change, s *source) []message.Change {
+	for _, key := range slices.Sorted(maps.Keys(s.entries)) {
+		if key != c.cfg.Operator.KeyConfiguration() {
+			to = append(to, message.Change{Entry: s.entries[key]})
+		}
+	}
+	for _, key := range slices.Sorted(maps.Keys(s.removed)) {
+		to = append(to, message.Change{Entry: store.Entry{Key: key, ModRevision: s.removed[key]}, Removed: true})
+	}
+	return to
+}
+
+// digest covers the keys and revisions of a source, in any order.
+func (c *Core) digest(s *source) uint64 {
+	var sum uint64
+	for key, e := range s.entries {
+		if key != c.cfg.Operator.KeyConfiguration() {
+			sum ^= xxhash.Sum64String(key + "@" + strconv.FormatInt(e.ModRevision, 10))
+		}
+	}
+	return sum
+}
+
 // deltasFrom returns the changes that lead from a number to the present one, or nil if they are not kept.
 func (c *Core) deltasFrom(base model.Number) []*message.Delta {
 	for i, d := range c.deltas {
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -49,19 +49,20 @@
 // SpreadReply acknowledges a Spread.
 type SpreadReply struct{ Code Code }
 
-// CatalogQuery asks a peer for what changed after the revisions that the sender has seen.
+// CatalogQuery asks a peer for what the sender does not have.
 type CatalogQuery struct {
-	// Operator and Mesh are the latest revisions seen of what the operator wrote and of what daemons share.
-	Operator, Mesh int64
+	// Operator and Mesh are digests of the entries that the sender has of what the operator wrote and of what daemons share.
+	// Revisions would not do: changes arrive in any order, so that an early one may be missing.
+	Operator, Mesh uint64
 	// Number is that of the configuration in force, 0 if there is none.
 	Number model.Number
 }
 
-// CatalogReply holds what the sender of a CatalogQuery has not seen.
+// CatalogReply holds the receiver's entries, and the keys that it knows as removed, where the digests differ.
 type CatalogReply struct {
-	// Loaded says that the receiver has read everything once; only then Entries may be complete.
+	// Loaded says that the receiver has read everything once; only then Changes may be complete.
 	Loaded  bool
-	Entries []store.Entry
+	Changes []Change
 	// Number is that of the receiver's configuration, and Revision that of its entry.
 	Number   model.Number
 	Revision int64
