--- a/internal/command/catalog/drive.go
+++ b/internal/command/catalog/drive.go
@@ -221,7 +221,7 @@
 			d.driver, d.move, d.reports = rollout.NewDriver(), m.ID, map[model.DaemonID]*report{}
 		}
 		observations := d.observations()
-		d.driver.Observe(now, c.compose(c.targets()), observations)
+		d.driver.Observe(now, c.compose(c.targets()), &m.Move, observations)
 		c.decided(service, d, m, d.driver.Decide(now, &m.Move, observations))
 	}
 	c.askTargets(now, service, d)
--- /dev/null
+++ b/internal/command/retry/shared_test.go
@@ -0,0 +1,73 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"sniperail.example/sniperail/internal/command/retry"
+	_ "sniperail.example/sniperail/internal/testseed"
+)
+
+// Guards against daemons that together exceed the shared limit in some window, whatever the pattern of calls and failures.
+func TestSharedLimitHoldsInEveryWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := retry.SharedLimit{Ratio: 0.2, Slack: 62, Window: 10 * time.Second}
+		daemons := rapid.IntRange(1, 20).Draw(t, "daemons")
+		shared := make([]retry.Shared, daemons)
+		now := time.Unix(1000, 0)
+		type mark struct {
+			at             time.Time
+			calls, retries int
+		}
+		var marks []mark
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 500).Draw(t, "ms")) * time.Millisecond)
+			m := mark{at: now}
+			for i := range shared {
+				for range rapid.IntRange(0, 8).Draw(t, "calls") {
+					shared[i].Call()
+					m.calls++
+					if shared[i].Take(now, limit, daemons, false) {
+						m.retries++
+					}
+				}
+			}
+			marks = append(marks, m)
+		}
+		for i := range marks {
+			calls, retries := 0, 0
+			for j := i; j < len(marks) && marks[j].at.Sub(marks[i].at) < limit.Window; j++ {
+				calls += marks[j].calls
+				retries += marks[j].retries
+			}
+			// Calls before the window may have left a few retries a daemon.
+			saved := 3 * daemons
+			if float64(retries) > limit.Ratio*float64(calls)+limit.Slack+float64(saved) {
+				t.Fatalf("%d retries for %d calls of %d daemons in a window", retries, calls, daemons)
+			}
+		}
+	})
+}
+
+// Guards against retries after an execution that cost no more than those after a refusal: the repeated request's own calls
+// would exceed the limit at the services that it calls.
+func TestRepeatedExecutionsCostMore(t *testing.T) {
+	limit := retry.SharedLimit{Ratio: 0.2, Window: 10 * time.Second}
+	count := func(executed bool) int {
+		var s retry.Shared
+		n := 0
+		now := time.Unix(1000, 0)
+		for range 1000 {
+			s.Call()
+			if s.Take(now, limit, 1, executed) {
+				n++
+			}
+		}
+		return n
+	}
+	if refused, repeated := count(false), count(true); refused < 2*repeated || refused > 100 {
+		t.Fatalf("%d retries after refusals, %d after executions", refused, repeated)
+	}
+}
--- a/internal/command/rollout/rollout.go
+++ b/internal/command/rollout/rollout.go
@@ -45,9 +45,11 @@
 }
 
 // Policy returns the constants of judgement for moves of seconds. Targets of one version differ in speed by a factor of
-// two or three, so that only a version that is several times slower counts as bad.
+// two or three, so that only a version that is several times slower counts as bad. A move of seconds has few calls to
+// decide on, and a good version that is withdrawn can be ordered again, so the error bound is wider.
 func Policy() moves.Policy {
 	p := moves.DefaultPolicy()
+	p.FalseWithdrawal = 0.03
 	p.LatencyShift = 2
 	p.LongestWindow = 2 * time.Second
 	return p
@@ -73,16 +75,20 @@
 
 // Driver decides one move. It keeps the evidence in memory; a driver that takes over gathers it anew from the sums that
 // the daemons beside the targets keep.
-type Driver struct{ judge *moves.Judge }
+type Driver struct {
+	judge *moves.Judge
+	slow  *slowTest
+}
 
 // NewDriver returns a driver without evidence.
 func NewDriver() *Driver {
-	return &Driver{judge: moves.NewJudge(Policy(), moves.Level{Judges: 1})}
+	return &Driver{judge: moves.NewJudge(Policy(), moves.Level{Judges: 1}), slow: newSlowTest()}
 }
 
 // Observe adds the outcomes that arrived since the last call. The configuration holds the move.
-func (d *Driver) Observe(now time.Time, configuration *model.Configuration, observations []Observation) {
+func (d *Driver) Observe(now time.Time, configuration *model.Configuration, m *model.Move, observations []Observation) {
 	d.judge.Track(configuration)
+	d.slow.observe(m, observations)
 	batches := make([]moves.Batch, 0, len(observations))
 	for i := range observations {
 		if len(observations[i].Sums) > 0 {
@@ -104,6 +110,10 @@
 	if verdict.Kind == moves.Bad {
 		return change(now, m, model.PhaseWithdrawing, m.Step, verdict.Reason())
 	}
+	if d.slow.bad() {
+		return change(now, m, model.PhaseWithdrawing, m.Step,
+			fmt.Sprintf("%d of %d calls took four times the median of %s", d.slow.slow, d.slow.calls, m.From))
+	}
 	if m.Step < 0 {
 		return begin(now, m, observations)
 	}
