catalog: versions that nobody ordered have no calls; tests of the control core

Cause: a test showed that targets of a new version got three eighths of the calls before the daemons knew the order that names it. Ruled out: waiting for the order's key at start (the order may come after the targets). Change: the version of the oldest ready target has the calls that a move leaves; other versions have none.

--- /dev/null
+++ b/internal/command/catalog/drive_test.go
@@ -0,0 +1,156 @@
+package catalog_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sniperail.example/sniperail/internal/effect"
+	"sniperail.example/sniperail/internal/model"
+	"sniperail.example/sniperail/internal/store"
+)
+
+// move gives half of the nodes version v2 and orders all calls there.
+func move(w *world) {
+	w.ready("v1")
+	for i := len(w.order) / 2; i < len(w.order); i++ {
+		w.report(w.order[i], model.TargetReport{
+			Instance: model.InstanceID(fmt.Sprint("i", i)), Born: 2, Seq: 1, Version: "v2", State: model.TargetReady,
+		})
+	}
+	w.put("op/intent/profiles", model.Intent{Service: "profiles", To: "v2"})
+}
+
+// observe gives each node outcomes of its version for a time. Failures is the part of the new version's calls that fail.
+func observe(w *world, d time.Duration, failures float64) {
+	const round = 200 * time.Millisecond
+	for range d / round {
+		for _, n := range w.order {
+			if n.down || n.view == nil {
+				continue
+			}
+			share := shareOf(n.view, n.view.Local.Version)
+			calls := uint32(20 * float64(share) / float64(model.FullShare))
+			sum := model.KeyedSum{OutcomeKey: model.OutcomeKey{Service: "profiles", Route: "r/a/", Version: n.view.Local.Version}}
+			for i := range calls {
+				sum.Observe(n.view.Local.Version == "v2" && float64(i) < failures*float64(calls), 100*time.Millisecond)
+			}
+			ev := effect.TargetObserved{Arrived: w.now.Add(-time.Minute)}
+			if calls > 0 {
+				ev.Sums, ev.Running, ev.Arrived = []model.KeyedSum{sum}, 1, w.now
+			}
+			w.handle(n, ev)
+		}
+		w.run(round)
+	}
+}
+
+func shareOf(v *model.View, version model.VersionName) model.Share {
+	if s := v.Configuration.Service("profiles"); s != nil && s.Version(version) != nil {
+		return s.Version(version).Share
+	}
+	return 0
+}
+
+func reportOf(w *world) string {
+	entries := w.store.Do(store.Call{Kind: store.KindGet, Key: "report/profiles"}).Entries
+	if len(entries) == 0 {
+		return ""
+	}
+	return string(entries[0].Value)
+}
+
+// drivers returns the nodes that hold a driver's key, by its value.
+func driverOf(w *world) *node {
+	entries := w.store.Do(store.Call{Kind: store.KindGet, Key: store.PrefixDrivers + "profiles"}).Entries
+	if len(entries) == 0 {
+		return nil
+	}
+	return w.nodes[string(entries[0].Value)]
+}
+
+// Guards against a good version that is not done in time, and against a new version that has calls before its move began.
+func TestGoodVersionIsDone(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 8)
+	move(w)
+	for _, n := range w.order {
+		is.Equal(shareOf(n.view, "v2"), model.Share(0))
+	}
+	observe(w, 13*time.Second, 0)
+	is.Equal(reportOf(w), string(model.PhaseDone))
+	for _, n := range w.order {
+		is.Equal(shareOf(n.view, "v2"), model.FullShare)
+	}
+}
+
+// Guards against a bad version that keeps its share, or that has calls again after it was withdrawn.
+func TestBadVersionIsWithdrawn(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 8)
+	move(w)
+	observe(w, 8*time.Second, 0.5)
+	is.Equal(reportOf(w), string(model.PhaseWithdrawn))
+	observe(w, 10*time.Second, 0.5)
+	for _, n := range w.order {
+		is.Equal(shareOf(n.view, "v2"), model.Share(0))
+	}
+}
+
+// Guards against a move that stops because its driver died, and against two drivers that both write.
+func TestDriverDies(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 8)
+	move(w)
+	observe(w, 5*time.Second, 0)
+	first := driverOf(w)
+	is.True(first != nil)
+	first.down = true
+	w.store.Expire(store.PrefixDrivers + "profiles") // its lease ends
+	observe(w, 3*time.Second, 0)
+	second := driverOf(w)
+	is.True(second != nil && second != first)
+	// The first driver was only paused: its key is gone, so that what it writes now is void.
+	first.down = false
+	observe(w, 8*time.Second, 0)
+	is.Equal(reportOf(w), string(model.PhaseDone))
+}
+
+// Guards against a bad version that keeps its calls because the platform is away.
+func TestWithdrawalWithoutThePlatform(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 8)
+	move(w)
+	observe(w, 4*time.Second, 0)
+	for _, n := range w.order {
+		n.away = true
+	}
+	observe(w, 5*time.Second, 0.5)
+	for _, n := range w.order[len(w.order)/2:] {
+		is.True(len(n.view.Marks) > 0) // the daemons beside the new version's targets refuse its calls
+	}
+}
+
+// Guards against a deadline that runs anew for a driver that takes over.
+func TestMoveKeepsItsDeadline(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 4)
+	move(w)
+	observe(w, 2*time.Second, 0)
+	deadline := func() time.Time {
+		var m model.Move
+		entries := w.store.Do(store.Call{Kind: store.KindGet, Key: store.PrefixMoves + "profiles"}).Entries
+		is.NoErr(json.Unmarshal(entries[0].Value, &m))
+		return m.Deadline
+	}
+	before := deadline()
+	old := driverOf(w)
+	old.down = true
+	w.store.Expire(store.PrefixDrivers + "profiles")
+	observe(w, 4*time.Second, 0)
+	is.True(driverOf(w) != old)
+	is.True(deadline().Equal(before))
+}
--- a/internal/command/catalog/view.go
+++ b/internal/command/catalog/view.go
@@ -141,15 +141,9 @@
 func (c *Core) compose(targets []model.Target) *model.Configuration {
 	composed := *c.configuration
 	composed.Services = slices.Clone(c.configuration.Services)
-	counts := map[model.VersionRef]int{}
-	for i := range targets {
-		if targets[i].State == model.TargetReady {
-			counts[targets[i].Ref()] += targets[i].Slots
-		}
-	}
 	for i := range composed.Services {
 		s := &composed.Services[i]
-		s.Versions = c.shares(s.Name, counts)
+		s.Versions = c.shares(s.Name, targets)
 	}
 	for _, service := range slices.Sorted(maps.Keys(c.moves)) {
 		m := c.moves[service]
@@ -165,36 +159,46 @@
 }
 
 // shares returns the share of each version of a service: the new version of a move has what the move's step gives it, and
-// the other versions divide the rest by their slots.
-func (c *Core) shares(service model.ServiceName, slots map[model.VersionRef]int) []model.VersionShare {
+// the old version the rest. A version that nobody ordered has none while another one is there.
+func (c *Core) shares(service model.ServiceName, targets []model.Target) []model.VersionShare {
 	moving, share := c.movingShare(service)
-	if share == model.FullShare && slots[model.VersionRef{Service: service, Version: moving}] == 0 {
-		// Nobody runs the version that the last move left; whoever is there serves.
-		moving = ""
-	}
-	total := 0
-	var others []model.VersionName
-	for ref, n := range slots {
-		if ref.Service == service && ref.Version != moving {
-			others = append(others, ref.Version)
-			total += n
+	var old *model.Target
+	movingReady := false
+	others := map[model.VersionName]bool{}
+	for i := range targets {
+		t := &targets[i]
+		switch {
+		case t.Service != service || t.State != model.TargetReady:
+		case t.Version == moving:
+			movingReady = true
+		default:
+			others[t.Version] = true
+			if old == nil || t.Born < old.Born || t.Born == old.Born && t.Version < old.Version {
+				old = t
+			}
 		}
 	}
-	slices.Sort(others)
+	switch {
+	case old == nil:
+		// Only the moving version is there.
+		share = model.FullShare
+	case share == model.FullShare && !movingReady:
+		// Nobody runs the version that the last move left; whoever is there serves.
+		share = 0
+	}
 	var shares []model.VersionShare
-	rest := model.FullShare
 	if moving != "" {
 		shares = append(shares, model.VersionShare{Version: moving, Share: share})
-		rest -= share
 	}
-	left := rest
-	for i, version := range others {
-		part := rest * model.Share(slots[model.VersionRef{Service: service, Version: version}]) / model.Share(max(total, 1))
-		if i == len(others)-1 {
-			part = left
+	for _, version := range slices.Sorted(maps.Keys(others)) {
+		rest := model.Share(0)
+		if version == old.Version {
+			rest = model.FullShare - share
+			if moving == "" {
+				rest = model.FullShare
+			}
 		}
-		left -= part
-		shares = append(shares, model.VersionShare{Version: version, Share: part})
+		shares = append(shares, model.VersionShare{Version: version, Share: rest})
 	}
 	return shares
 }
