--- /dev/null
+++ b/internal/query/routing/place_test.go
@@ -0,0 +1,164 @@
+package routing_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sniperail.example/sniperail/internal/model"
+	"sniperail.example/sniperail/internal/query/routing"
+)
+
+// loads are the signals of targets by daemon.
+type loads map[model.DaemonID]routing.Load
+
+func (l loads) Load(t *model.Target) routing.Load { return l[t.Daemon] }
+
+// near and far are targets of the own and of another data centre.
+func placeVersion(t *testing.T, daemons ...model.DaemonID) *routing.Version {
+	t.Helper()
+	view := &model.View{DataCentre: "near", Region: "r", Configuration: &model.Configuration{
+		Services: []model.Service{{Name: "s", Versions: []model.VersionShare{{Version: "v", Share: model.FullShare}}}},
+	}}
+	for _, d := range daemons {
+		dc := model.DataCentre("far")
+		if d[0] == 'n' {
+			dc = "near"
+		}
+		view.Targets = append(view.Targets, model.Target{Daemon: d, Service: "s", Version: "v", DataCentre: dc, Region: "r", State: model.TargetReady, Slots: 10})
+	}
+	v, reason := routing.NewTable(view).Service("s").Version(0)
+	if reason != routing.Found {
+		t.Fatal(reason)
+	}
+	return v
+}
+
+const ms = time.Millisecond
+
+func calm(run time.Duration) routing.Load {
+	return routing.Load{Slots: 10, Run: run, Mean: run}
+}
+
+func full(run time.Duration, outstanding float64) routing.Load {
+	l := calm(run)
+	l.Outstanding = outstanding
+	return l
+}
+
+// Guards against calls that cross data centres for nothing, and against calls that come late because they do not.
+func TestPlace(t *testing.T) {
+	failing := calm(100 * ms)
+	failing.Failed = 0.5
+	suspect := calm(50 * ms)
+	suspect.Suspect = true
+	cases := []struct {
+		name string
+		l    loads
+		want model.DaemonID
+	}{
+		{"the own data centre is as good", loads{"near": calm(100 * ms), "far": calm(100 * ms)}, "near"},
+		{"a faster target is not needed", loads{"near": calm(100 * ms), "far": calm(60 * ms)}, "near"},
+		{"the near target would be late", loads{"near": calm(380 * ms), "far": calm(100 * ms)}, "far"},
+		{"the near target is full", loads{"near": full(100*ms, 45), "far": calm(100 * ms)}, "far"},
+		{"the near target fails calls", loads{"near": failing, "far": calm(100 * ms)}, "far"},
+		{"the near target is suspect", loads{"near": suspect, "far": calm(300 * ms)}, "far"},
+		{"both are late, the far one less", loads{"near": full(100*ms, 400), "far": full(100*ms, 100)}, "far"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			v := placeVersion(t, "near", "far")
+			got, ok := v.Place(c.l, rand.NewPCG(1, 1), nil, 400*ms)
+			is.True(ok)
+			is.Equal(got.Target.Daemon, c.want)
+			is.True(got.Alternative > 0)
+		})
+	}
+}
+
+// Guards against a new target that gets no calls because nobody has measured it, and against one that was slow once and is
+// never asked again.
+func TestPlaceTriesUnknownTargets(t *testing.T) {
+	is := is.New(t)
+	v := placeVersion(t, "near", "new")
+	got := map[model.DaemonID]int{}
+	random := rand.NewPCG(1, 1)
+	for range 100 {
+		choice, _ := v.Place(loads{"near": calm(60 * ms), "new": {Slots: 10, Mean: 100 * ms}}, random, nil, 400*ms)
+		got[choice.Target.Daemon]++
+	}
+	is.True(got["new"] > 20)
+	once := calm(2 * time.Second)
+	once.Age = time.Minute
+	choice, _ := v.Place(loads{"near": full(60*ms, 12), "new": once}, random, nil, 400*ms)
+	is.Equal(choice.Target.Daemon, model.DaemonID("new"))
+}
+
+// Guards against a target that is tried twice, and against a choice where none is left.
+func TestPlaceLeavesOutTriedTargets(t *testing.T) {
+	is := is.New(t)
+	v := placeVersion(t, "near", "far")
+	l := loads{"near": calm(60 * ms), "far": calm(60 * ms)}
+	choice, ok := v.Place(l, rand.NewPCG(1, 1), []model.DaemonID{"near"}, 400*ms)
+	is.True(ok)
+	is.Equal(choice.Target.Daemon, model.DaemonID("far"))
+	is.Equal(choice.Alternative, time.Duration(0)) // it must take the call
+	_, ok = v.Place(l, rand.NewPCG(1, 1), []model.DaemonID{"near", "far"}, 400*ms)
+	is.True(!ok)
+}
+
+// Guards against requests that reach the route of another host or of a longer path, and against a prefix that matches what
+// it does not begin.
+func TestMatchByHost(t *testing.T) {
+	is := is.New(t)
+	c := &model.Configuration{Services: []model.Service{{Name: "s"}, {Name: "o"}}, Routes: []model.Route{
+		{Name: "a", Service: "s", Host: "h.example", PathPrefix: "/a/"},
+		{Name: "ab", Service: "s", Host: "h.example", PathPrefix: "/a/b/"},
+		{Name: "other", Service: "o", Host: "o.example", PathPrefix: "/a/"},
+		{Name: "any", Service: "o", PathPrefix: "/any"},
+	}}
+	table := routing.NewTable(&model.View{Configuration: c})
+	for _, m := range []struct {
+		host, path string
+		want       model.RouteName
+	}{
+		{"h.example", "/a/x", "a"}, {"h.example", "/a/", "a"}, {"h.example", "/a/b/c", "ab"}, {"o.example", "/a/b/c", "other"},
+		{"h.example", "/a", ""}, {"h.example", "/ab/", ""}, {"n.example", "/a/x", ""}, {"n.example", "/any/x", "any"},
+	} {
+		r, reason := table.Match(m.host, "GET", m.path)
+		if m.want == "" {
+			is.Equal(reason, routing.NoRoute)
+			continue
+		}
+		is.Equal(reason, routing.Found)
+		is.Equal(r.Name, m.want)
+	}
+}
+
+// Guards against parts of a split that are off their weights in a short run of requests, and against a share of versions
+// that only one part of the split gets.
+func TestSplitIsExact(t *testing.T) {
+	is := is.New(t)
+	c := &model.Configuration{
+		Services: []model.Service{{Name: "s", Versions: []model.VersionShare{{Version: "v1", Share: 9000}, {Version: "v2", Share: 1000}}}, {Name: "o"}},
+		Routes:   []model.Route{{Name: "r", Host: "h", PathPrefix: "/", Split: []model.ServiceWeight{{Service: "s", Weight: 50}, {Service: "o", Weight: 50}}}},
+	}
+	view := &model.View{Configuration: c}
+	for _, v := range []model.VersionName{"v1", "v2"} {
+		view.Targets = append(view.Targets, model.Target{Daemon: model.DaemonID(v), Service: "s", Version: v, State: model.TargetReady})
+	}
+	r, _ := routing.NewTable(view).Match("h", "GET", "/x")
+	services, versions := map[model.ServiceName]int{}, map[model.VersionName]int{}
+	for counter := uint64(12345); counter < 12345+200; counter++ {
+		s, nth := r.ServiceOf(counter)
+		services[s.Name]++
+		if v, reason := s.Version(nth); reason == routing.Found {
+			versions[v.Version]++
+		}
+	}
+	is.Equal(services, map[model.ServiceName]int{"s": 100, "o": 100})
+	is.Equal(versions, map[model.VersionName]int{"v1": 90, "v2": 10})
+}
--- /dev/null
+++ b/internal/traffic/pipeline_test.go
@@ -0,0 +1,205 @@
+package traffic_test
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"sniperail.example/sniperail/internal/traffic"
+)
+
+// startPipeline serves a handler and returns a connection to it.
+func startPipeline(t *testing.T, handler http.HandlerFunc) (*traffic.PipelineServer, *net.TCPConn) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := traffic.NewPipelineServer(traffic.PipelineOptions{
+		Handler: handler, HeaderBytes: 2 << 10, Logger: zap.NewNop(),
+		HeaderTimeout: func() time.Duration { return time.Minute }, IdleTimeout: func() time.Duration { return time.Minute },
+	})
+	var group sync.WaitGroup
+	group.Add(1)
+	go func() { defer group.Done(); _ = server.Serve(listener) }()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = conn.Close()
+		_ = listener.Close()
+		_ = server.Close()
+		group.Wait()
+	})
+	_ = conn.SetDeadline(time.Now().Add(patience))
+	return server, conn.(*net.TCPConn)
+}
+
+// patience ends a test that hangs; no assertion depends on it.
+const patience = 30 * time.Second
+
+func get(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n" }
+
+func readResponse(t *testing.T, r *bufio.Reader) (*http.Response, string) {
+	t.Helper()
+	response, err := http.ReadResponse(r, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return response, string(body)
+}
+
+// Guards against requests of one connection that wait for each other, and against responses out of order.
+func TestPipelinedRequestsRunTogether(t *testing.T) {
+	is := is.New(t)
+	const n = 8
+	var arrived sync.WaitGroup
+	arrived.Add(n)
+	_, conn := startPipeline(t, func(w http.ResponseWriter, r *http.Request) {
+		arrived.Done()
+		arrived.Wait() // returns only once all of them run
+		_, _ = io.WriteString(w, r.URL.Path)
+	})
+	var all strings.Builder
+	for i := range n {
+		all.WriteString(get(fmt.Sprint("/", i)))
+	}
+	_, err := io.WriteString(conn, all.String())
+	is.NoErr(err)
+	r := bufio.NewReader(conn)
+	for i := range n {
+		response, body := readResponse(t, r)
+		is.Equal(body, fmt.Sprint("/", i))
+		is.Equal(response.ContentLength, int64(2))
+	}
+}
+
+// Guards against work that goes on for a caller that has closed its connection, also behind other requests.
+func TestClosedConnectionCancelsAll(t *testing.T) {
+	const n = 5
+	cancelled := make(chan struct{}, n)
+	running := make(chan struct{}, n)
+	_, conn := startPipeline(t, func(_ http.ResponseWriter, r *http.Request) {
+		running <- struct{}{}
+		<-r.Context().Done()
+		cancelled <- struct{}{}
+	})
+	_, _ = io.WriteString(conn, strings.Repeat(get("/"), n))
+	for range n {
+		<-running
+	}
+	_ = conn.Close()
+	for range n {
+		<-cancelled
+	}
+}
+
+// Guards against a response that breaks off and looks complete, and against responses behind it.
+func TestAbortedResponseClosesTheConnection(t *testing.T) {
+	is := is.New(t)
+	_, conn := startPipeline(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/bad" {
+			w.Header().Set("Content-Length", "10")
+			_, _ = io.WriteString(w, "12345")
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = io.WriteString(w, "whole")
+	})
+	_, _ = io.WriteString(conn, get("/good")+get("/bad")+get("/good"))
+	r := bufio.NewReader(conn)
+	_, body := readResponse(t, r)
+	is.Equal(body, "whole")
+	response, err := http.ReadResponse(r, nil)
+	if err == nil {
+		_, err = io.ReadAll(response.Body)
+	}
+	is.True(err != nil)
+}
+
+// Guards against a drain that cuts requests which were read: the connection ends with the last response only.
+func TestDrainEndsWithTheLastResponse(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	running := make(chan struct{}, 3)
+	server, conn := startPipeline(t, func(w http.ResponseWriter, _ *http.Request) {
+		running <- struct{}{}
+		<-release
+		_, _ = io.WriteString(w, "x")
+	})
+	_, _ = io.WriteString(conn, strings.Repeat(get("/"), 3))
+	for range 3 {
+		<-running
+	}
+	server.Refuse()
+	close(release)
+	r := bufio.NewReader(conn)
+	for i := range 3 {
+		response, _ := readResponse(t, r)
+		is.Equal(response.Close, i == 2)
+	}
+	_, err := r.ReadByte()
+	is.Equal(err, io.EOF)
+}
+
+// Guards against bodies that reach the wrong request, and against long ones that are cut.
+func TestBodies(t *testing.T) {
+	is := is.New(t)
+	_, conn := startPipeline(t, func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = fmt.Fprintf(w, "%s %d %s", r.URL.Path, len(body), body[:min(len(body), 3)])
+	})
+	long := bytes.Repeat([]byte("y"), 300<<10)
+	go func() {
+		_, _ = io.WriteString(conn, "POST /length HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nabcde")
+		_, _ = io.WriteString(conn, "POST /chunks HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nfgh\r\n4\r\nijkl\r\n0\r\n\r\n")
+		_, _ = fmt.Fprintf(conn, "POST /long HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", len(long))
+		_, _ = conn.Write(long)
+		_, _ = io.WriteString(conn, get("/after"))
+	}()
+	r := bufio.NewReader(conn)
+	for _, want := range []string{"/length 5 abc", "/chunks 7 fgh", fmt.Sprintf("/long %d yyy", len(long)), "/after 0 "} {
+		_, body := readResponse(t, r)
+		is.Equal(body, want)
+	}
+}
+
+// Guards against requests that cannot be read and are taken for others, or that get no answer.
+func TestUnreadableRequests(t *testing.T) {
+	cases := []struct {
+		name, request string
+		status        int
+	}{
+		{"no host", "GET / HTTP/1.1\r\n\r\n", http.StatusBadRequest},
+		{"no request", "nonsense\r\n\r\n", http.StatusBadRequest},
+		{"two lengths", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", http.StatusBadRequest},
+		{"long header", "GET / HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 16<<10) + "\r\n\r\n", http.StatusRequestHeaderFieldsTooLarge},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			_, conn := startPipeline(t, func(http.ResponseWriter, *http.Request) { t.Error("the request was served") })
+			_, _ = io.WriteString(conn, c.request)
+			response, _ := readResponse(t, bufio.NewReader(conn))
+			is.Equal(response.StatusCode, c.status)
+			is.True(response.Close)
+		})
+	}
+}
