--- /dev/null
+++ b/internal/traffic/dispatch_test.go
@@ -0,0 +1,343 @@
+package traffic_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"sniperail.example/sniperail/internal/command/retry"
+	"sniperail.example/sniperail/internal/model"
+	"sniperail.example/sniperail/internal/query/routing"
+	"sniperail.example/sniperail/internal/telemetry"
+	"sniperail.example/sniperail/internal/traffic"
+)
+
+var names = traffic.Headers{
+	RequestID: "X-Id", Deadline: "X-Deadline", ExpectInstance: "X-Expect", NotExecuted: "X-Not-Executed",
+	CallerService: "X-Caller", TargetLoad: "X-Load",
+}
+
+// scripted is a target that answers each request with the bytes of its script and counts what it received.
+type scripted struct {
+	listener net.Listener
+	answer   func(n int, r *http.Request) string
+	received atomic.Int64
+	group    sync.WaitGroup
+	mu       sync.Mutex
+	headers  []http.Header
+	conns    []net.Conn
+}
+
+func startScripted(t *testing.T, answer func(n int, r *http.Request) string) *scripted {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &scripted{listener: listener, answer: answer}
+	s.group.Add(1)
+	go func() {
+		defer s.group.Done()
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			s.mu.Lock()
+			s.conns = append(s.conns, conn)
+			s.mu.Unlock()
+			s.group.Add(1)
+			go s.serve(conn)
+		}
+	}()
+	t.Cleanup(func() {
+		_ = listener.Close()
+		s.mu.Lock()
+		for _, c := range s.conns {
+			_ = c.Close()
+		}
+		s.mu.Unlock()
+		s.group.Wait()
+	})
+	return s
+}
+
+func (s *scripted) serve(conn net.Conn) {
+	defer s.group.Done()
+	defer func() { _ = conn.Close() }()
+	r := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		n := int(s.received.Add(1))
+		s.mu.Lock()
+		s.headers = append(s.headers, request.Header.Clone())
+		s.mu.Unlock()
+		answer := s.answer(n, request)
+		if answer == "" {
+			return
+		}
+		answer = strings.ReplaceAll(answer, "ID", request.Header.Get("X-Id"))
+		if _, err := io.WriteString(conn, answer); err != nil || strings.Contains(answer, "Connection: close") {
+			return
+		}
+	}
+}
+
+const okAnswer = "HTTP/1.1 200 OK\r\nX-Id: ID\r\nX-Stamp: s\r\nContent-Length: 5\r\n\r\nwhole"
+
+// chain is an Outbound before the Inbounds of some targets.
+type chain struct {
+	out      *httptest.Server
+	inbounds []*traffic.Inbound
+	table    *routing.Table
+}
+
+func (c *chain) Table() *routing.Table { return c.table }
+
+// startChain serves a route for idempotent requests below /safe/ and one for others below /once/.
+func startChain(t *testing.T, targets ...*scripted) *chain {
+	t.Helper()
+	metrics, err := telemetry.NewMetrics("test")
+	if err != nil {
+		t.Fatal(err)
+	}
+	m, err := traffic.NewMetrics(metrics)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.FractionalRetryAfter = true
+	log := traffic.RequestLog{Logger: zap.NewNop(), RequestID: names.RequestID}
+	c := &chain{}
+	view := &model.View{Ready: true, DataCentre: "d", Configuration: &model.Configuration{
+		Services: []model.Service{{Name: "s", Versions: []model.VersionShare{{Version: "v1", Share: model.FullShare}}}},
+		Routes: []model.Route{
+			{Name: "safe", Service: "s", PathPrefix: "/safe/", Idempotent: true, MaxAttempts: 2, TimeoutMS: 20_000},
+			{Name: "once", Service: "s", PathPrefix: "/once/", MaxAttempts: 2, TimeoutMS: 20_000},
+		},
+	}}
+	for i, target := range targets {
+		in := traffic.NewInbound(traffic.InboundOptions{
+			Address: target.listener.Addr().String(), Headers: names, Metrics: m, Limits: traffic.DefaultLimits(), Log: log,
+			Observe: func([]model.KeyedSum, int, time.Time) bool { return true },
+		})
+		server := httptest.NewServer(in)
+		t.Cleanup(server.Close)
+		t.Cleanup(in.Close)
+		described := model.Target{
+			Daemon: model.DaemonID(fmt.Sprint("d", i)), Service: "s", Version: "v1", DataCentre: "d", State: model.TargetReady,
+			Instance: model.InstanceID(fmt.Sprint("i", i)), Slots: 4, Address: server.Listener.Addr().String(),
+		}
+		in.SetTarget(described, false)
+		view.Targets = append(view.Targets, described)
+		c.inbounds = append(c.inbounds, in)
+	}
+	c.table = routing.NewTable(view)
+	out := traffic.NewOutbound(traffic.OutboundOptions{
+		Tables: c, Headers: names, Metrics: m, Limits: traffic.DefaultLimits(), Log: log, Service: "own",
+		Budget: retry.SharedLimit{Ratio: 1, Slack: 100, Window: time.Minute},
+	})
+	c.out = httptest.NewServer(out)
+	t.Cleanup(c.out.Close)
+	t.Cleanup(out.Close)
+	return c
+}
+
+// call sends a request and returns the status, the header and the body; an error if the response broke off.
+func (c *chain) call(ctx context.Context, method, path string) (int, http.Header, string, error) {
+	r, err := http.NewRequestWithContext(ctx, method, c.out.URL+path, nil)
+	if err != nil {
+		return 0, nil, "", err
+	}
+	r.Header.Set("X-Id", "req-1")
+	r.Header.Set("X-Deadline", "10000")
+	response, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		return 0, nil, "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return response.StatusCode, response.Header, string(body), err
+}
+
+// Guards against spoiled responses of a target that reach a caller, against requests that are executed twice, and against
+// refusals that falsely say that nothing was executed.
+func TestSpoiledResponses(t *testing.T) {
+	cases := []struct {
+		name, answer string
+		// executed says that a refusal must not claim the contrary.
+		executed bool
+	}{
+		{"another request's id", "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 5\r\n\r\nwrong", true},
+		{"body cut short", "HTTP/1.1 200 OK\r\nX-Id: ID\r\nContent-Length: 50\r\nConnection: close\r\n\r\ncut", true},
+		{"chunks cut short", "HTTP/1.1 200 OK\r\nX-Id: ID\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n5\r\nabcde\r\n", true},
+		{"no response", "", true},
+		{"no protocol", "nonsense that is no response\r\n\r\nConnection: close", true},
+		{"encoded", "HTTP/1.1 200 OK\r\nX-Id: ID\r\nContent-Encoding: gzip\r\nContent-Length: 5\r\n\r\nabcde", true},
+		{"not executed", "HTTP/1.1 503 Busy\r\nX-Id: ID\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", false},
+		{"another run", "HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n", false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			bad := startScripted(t, func(int, *http.Request) string { return c.answer })
+			ch := startChain(t, bad)
+			status, header, body, err := ch.call(t.Context(), "POST", "/once/x")
+			is.NoErr(err)
+			if c.name == "another run" {
+				// The response carries no id, so it cannot be told from another request's.
+				is.True(status == http.StatusBadGateway || status == http.StatusServiceUnavailable)
+				return
+			}
+			if c.executed {
+				is.Equal(status, http.StatusBadGateway)
+				is.Equal(bad.received.Load(), int64(1))
+			} else {
+				is.Equal(status, http.StatusServiceUnavailable)
+				is.True(header.Get("Retry-After") != "")
+			}
+			is.True(!strings.Contains(body, "wrong") && header.Get("X-Stamp") == "")
+
+			good := startScripted(t, func(int, *http.Request) string { return okAnswer })
+			both := startChain(t, bad, good)
+			for range 10 {
+				status, _, body, err = both.call(t.Context(), "GET", "/safe/x")
+				is.NoErr(err)
+				is.Equal(status, http.StatusOK) // an idempotent request goes elsewhere
+				is.Equal(body, "whole")
+			}
+		})
+	}
+}
+
+// Guards against a response without a length that is refused although it ended in order.
+func TestResponseThatEndsWithItsConnection(t *testing.T) {
+	is := is.New(t)
+	target := startScripted(t, func(int, *http.Request) string {
+		return "HTTP/1.1 200 OK\r\nX-Id: ID\r\nConnection: close\r\n\r\nto the end"
+	})
+	status, header, body, err := startChain(t, target).call(t.Context(), "POST", "/once/x")
+	is.NoErr(err)
+	is.Equal(status, http.StatusOK)
+	is.Equal(body, "to the end")
+	is.Equal(header.Get("Content-Length"), "10")
+}
+
+// Guards against bytes after a response that are taken for the next one.
+func TestExtraResponse(t *testing.T) {
+	is := is.New(t)
+	target := startScripted(t, func(int, *http.Request) string {
+		return okAnswer + "HTTP/1.1 200 OK\r\nX-Id: extra\r\nContent-Length: 5\r\n\r\nwrong"
+	})
+	ch := startChain(t, target)
+	for range 20 {
+		status, _, body, err := ch.call(t.Context(), "POST", "/once/x")
+		is.NoErr(err)
+		is.True(status == http.StatusOK && body == "whole" || status == http.StatusBadGateway)
+	}
+}
+
+// Guards against headers that targets expect and do not get, or that a caller can forge.
+func TestHeadersOfTheTarget(t *testing.T) {
+	is := is.New(t)
+	target := startScripted(t, func(int, *http.Request) string { return okAnswer })
+	ch := startChain(t, target)
+	r, _ := http.NewRequestWithContext(t.Context(), "GET", ch.out.URL+"/safe/x?q=%2F", nil)
+	r.Header.Set("X-Id", "req-1")
+	r.Header.Set("X-Deadline", "500")
+	r.Header.Set("X-Caller", "forged")
+	r.Header.Set("X-Expect", "forged")
+	r.Header.Set("X-Own", "kept")
+	response, err := http.DefaultTransport.RoundTrip(r)
+	is.NoErr(err)
+	_ = response.Body.Close()
+	is.Equal(response.Header.Get("X-Stamp"), "s")
+	is.Equal(response.Header.Get(traffic.HeaderLoad), "") // the mesh's own headers stay inside
+	h := target.headers[0]
+	is.Equal(h.Get("X-Caller"), "own")
+	is.Equal(h.Get("X-Expect"), "i0")
+	is.Equal(h.Get("X-Own"), "kept")
+	is.Equal(h.Get("X-Id"), "req-1")
+	is.Equal(h.Get(traffic.HeaderDispatch), "")
+	is.True(len(h.Get("X-Deadline")) <= 3 && h.Get("X-Deadline") != "500")
+}
+
+// Guards against calls to a target that leaves, whose version is withheld, or that was replaced by another run.
+func TestTargetsThatTakeNoCalls(t *testing.T) {
+	target := func(state model.TargetState, instance model.InstanceID) model.Target {
+		return model.Target{Service: "s", Version: "v1", State: state, Instance: instance, Slots: 4}
+	}
+	cases := []struct {
+		name     string
+		target   model.Target
+		withheld bool
+	}{
+		{"draining", target(model.TargetDraining, "i0"), false},
+		{"gone", target(model.TargetGone, "i0"), false},
+		{"another run", target(model.TargetReady, "i9"), false},
+		{"withheld", target(model.TargetReady, "i0"), true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			backend := startScripted(t, func(int, *http.Request) string { return okAnswer })
+			ch := startChain(t, backend)
+			ch.inbounds[0].SetTarget(c.target, c.withheld)
+			status, header, _, err := ch.call(t.Context(), "POST", "/once/x")
+			is.NoErr(err)
+			is.Equal(status, http.StatusServiceUnavailable)
+			is.True(header.Get("Retry-After") != "")
+			is.Equal(backend.received.Load(), int64(0))
+		})
+	}
+}
+
+// Guards against a target that works on for a caller that has left.
+func TestCallerLeaves(t *testing.T) {
+	arrived := make(chan struct{})
+	gone := make(chan struct{})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	backend := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		close(arrived)
+		<-r.Context().Done()
+		close(gone)
+	})}
+	go func() { _ = backend.Serve(listener) }()
+	t.Cleanup(func() { _ = backend.Close() })
+	ch := startChain(t, &scripted{listener: listener})
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() { <-arrived; cancel() }()
+	if _, _, _, err := ch.call(ctx, "GET", "/safe/x"); err == nil {
+		t.Fatal("the call was answered")
+	}
+	<-gone
+}
+
+// Guards against a route that a daemon without a configuration denies: callers would not come back.
+func TestNoConfiguration(t *testing.T) {
+	is := is.New(t)
+	ch := startChain(t)
+	ch.table = routing.NewTable(&model.View{Configuration: &model.Configuration{}})
+	status, header, _, err := ch.call(t.Context(), "GET", "/safe/x")
+	is.NoErr(err)
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.True(header.Get("Retry-After") != "")
+}
