--- a/internal/cli/commands/commands.go
+++ b/internal/cli/commands/commands.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/jedib0t/go-pretty/v6/table"
@@ -110,13 +111,25 @@
 	return p.Line("Confirm with: sniperail confirm %s\n", plan.ID)
 }
 
+// destination renders the services of a route, with the weights of a split.
+func destination(r *model.Route) string {
+	if len(r.Split) == 0 {
+		return string(r.Service)
+	}
+	parts := make([]string, len(r.Split))
+	for i, part := range r.Split {
+		parts[i] = fmt.Sprintf("%s (%d)", part.Service, part.Weight)
+	}
+	return strings.Join(parts, ", ")
+}
+
 func changeRows(c *model.Change) []table.Row {
 	var rows []table.Row
 	for _, s := range c.Services {
 		rows = append(rows, table.Row{"SERVICE", s.Name})
 	}
 	for _, r := range c.Routes {
-		rows = append(rows, table.Row{"ROUTE", fmt.Sprintf("%s: %s -> %s", r.Name, r.PathPrefix, r.Service)})
+		rows = append(rows, table.Row{"ROUTE", fmt.Sprintf("%s: %s%s -> %s", r.Name, r.Host, r.PathPrefix, destination(&r))})
 	}
 	for _, name := range c.RemoveServices {
 		rows = append(rows, table.Row{"REMOVES", "service " + string(name)})
--- a/internal/command/configuration/change.go
+++ b/internal/command/configuration/change.go
@@ -15,12 +15,12 @@
 	}
 	names = append(names, change.RemoveServices...)
 	for _, r := range change.Routes {
-		names = append(names, r.Service)
+		names = append(names, servicesOf(&r)...)
 	}
 	for _, name := range change.RemoveRoutes {
 		for _, r := range c.Routes {
 			if r.Name == name {
-				names = append(names, r.Service)
+				names = append(names, servicesOf(&r)...)
 			}
 		}
 	}
@@ -58,6 +58,15 @@
 	return nil
 }
 
+// servicesOf returns the services that a route leads to.
+func servicesOf(r *model.Route) []model.ServiceName {
+	var names []model.ServiceName
+	for _, part := range r.Services() {
+		names = append(names, part.Service)
+	}
+	return names
+}
+
 func (e *edit) putServices(change *model.Change) {
 	for _, s := range change.Services {
 		if present := e.next.Service(s.Name); present != nil {
--- a/internal/command/moves/judge.go
+++ b/internal/command/moves/judge.go
@@ -87,11 +87,8 @@
 func routesOf(cfg *model.Configuration, service model.ServiceName) []model.RouteName {
 	var names []model.RouteName
 	for i := range cfg.Routes {
-		for _, part := range cfg.Routes[i].Services() {
-			if part.Service == service {
-				names = append(names, cfg.Routes[i].Name)
-				break
-			}
+		if cfg.Routes[i].LeadsTo(service) {
+			names = append(names, cfg.Routes[i].Name)
 		}
 	}
 	return names
--- a/internal/command/retry/retry.go
+++ b/internal/command/retry/retry.go
@@ -65,6 +65,8 @@
 	Replayable bool
 	// Remaining is the time to the call's deadline.
 	Remaining time.Duration
+	// Max bounds the attempts of the call; 0 means MaxAttempts.
+	Max int
 }
 
 // Decision answers Decide.
@@ -88,7 +90,7 @@
 		return Decision{Reason: Unsafe}
 	case !a.Replayable:
 		return Decision{Reason: BodyConsumed}
-	case a.Number >= MaxAttempts:
+	case a.Number >= MaxAttempts || a.Max > 0 && a.Number >= a.Max:
 		return Decision{Reason: AttemptsSpent}
 	case a.Remaining <= wait:
 		return Decision{Reason: NoTime}
--- a/internal/configfile/collect.go
+++ b/internal/configfile/collect.go
@@ -132,12 +132,13 @@
 
 func (c *collector) route(e *routeEntry, field string) {
 	r := model.Route{Name: model.RouteName(e.Name), Service: model.ServiceName(e.Service), PathPrefix: e.PathPrefix,
-		Idempotent: e.Idempotent, TimeoutMS: e.TimeoutMS}
+		Host: strings.ToLower(e.Host), Idempotent: e.Idempotent, TimeoutMS: e.TimeoutMS, MaxAttempts: e.MaxAttempts}
 	if e.Name == "" {
 		c.add(e.line, field+".name", "a route needs a name")
 	}
-	if e.Service == "" {
-		c.add(e.line, field+".service", "a route needs a service")
+	r.Split = c.split(e, field)
+	if e.MaxAttempts < 0 {
+		c.add(e.line, field+".maxAttempts", "%d attempts are negative", e.MaxAttempts)
 	}
 	if !strings.HasPrefix(e.PathPrefix, "/") {
 		c.add(e.line, field+".pathPrefix", "path prefix %q does not start with /", e.PathPrefix)
@@ -157,6 +158,31 @@
 	c.routes = append(c.routes, located[model.Route]{c.file, e.line, field, r})
 }
 
+// split reads the services of a route: one, or several with weights.
+func (c *collector) split(e *routeEntry, field string) []model.ServiceWeight {
+	var split []model.ServiceWeight
+	total := 0
+	for i, part := range e.Split {
+		if part.Service == "" {
+			c.add(e.line, fmt.Sprintf("%s.split[%d].service", field, i), "a part needs a service")
+		}
+		if part.Weight < 0 {
+			c.add(e.line, fmt.Sprintf("%s.split[%d].weight", field, i), "weight %d is negative", part.Weight)
+		}
+		total += part.Weight
+		split = append(split, model.ServiceWeight{Service: model.ServiceName(part.Service), Weight: part.Weight})
+	}
+	switch {
+	case e.Service == "" && len(split) == 0:
+		c.add(e.line, field+".service", "a route needs a service")
+	case e.Service != "" && len(split) > 0:
+		c.add(e.line, field+".split", "service and split exclude each other")
+	case len(split) > 0 && total <= 0:
+		c.add(e.line, field+".split", "the weights sum to 0")
+	}
+	return split
+}
+
 func (c *collector) once(e *routeEntry, field string) *model.Once {
 	if e.Idempotent {
 		c.add(e.line, field+".idempotent", "a route with once cannot be idempotent: its requests are never repeated")
--- a/internal/configfile/document.go
+++ b/internal/configfile/document.go
@@ -39,14 +39,22 @@
 }
 
 type routeEntry struct {
-	Name       string     `yaml:"name"`
-	Service    string     `yaml:"service"`
-	PathPrefix string     `yaml:"pathPrefix"`
-	Methods    []string   `yaml:"methods"`
-	Idempotent bool       `yaml:"idempotent"`
-	Once       *onceEntry `yaml:"once"`
-	TimeoutMS  int        `yaml:"timeoutMs"`
-	line       int
+	Name        string       `yaml:"name"`
+	Service     string       `yaml:"service"`
+	Split       []splitEntry `yaml:"split"`
+	Host        string       `yaml:"host"`
+	PathPrefix  string       `yaml:"pathPrefix"`
+	Methods     []string     `yaml:"methods"`
+	Idempotent  bool         `yaml:"idempotent"`
+	Once        *onceEntry   `yaml:"once"`
+	TimeoutMS   int          `yaml:"timeoutMs"`
+	MaxAttempts int          `yaml:"maxAttempts"`
+	line        int
+}
+
+type splitEntry struct {
+	Service string `yaml:"service"`
+	Weight  int    `yaml:"weight"`
 }
 
 type onceEntry struct {
--- a/internal/configfile/moves.go
+++ b/internal/configfile/moves.go
@@ -92,7 +92,12 @@
 			c.at(r.file, r.line, r.field+".name", "route %q is already declared at %s:%d", r.value.Name, first.file, first.line)
 		}
 		routes[r.value.Name] = r
-		if missing(r.value.Service) {
+		for _, part := range r.value.Split {
+			if missing(part.Service) {
+				c.at(r.file, r.line, r.field+".split", "service %q does not exist", part.Service)
+			}
+		}
+		if len(r.value.Split) == 0 && missing(r.value.Service) {
 			c.at(r.file, r.line, r.field+".service", "service %q does not exist", r.value.Service)
 		}
 	}
--- a/internal/model/configuration.go
+++ b/internal/model/configuration.go
@@ -1,6 +1,9 @@
 package model
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // MaxDocumentBytes is the largest value that the platform's key-value service stores.
 const MaxDocumentBytes = 1 << 20
@@ -99,6 +102,11 @@
 // DefaultTimeoutMS is the total deadline of a call on a route that sets none.
 const DefaultTimeoutMS = 5_000
 
+// LeadsTo reports whether requests of the route reach a service.
+func (r *Route) LeadsTo(service ServiceName) bool {
+	return slices.ContainsFunc(r.Services(), func(part ServiceWeight) bool { return part.Service == service })
+}
+
 // Once says how a request on a non-idempotent route is identified.
 type Once struct {
 	// Header names the request header that carries the identity; empty means Idempotency-Key.
--- a/internal/query/plans/plans.go
+++ b/internal/query/plans/plans.go
@@ -126,7 +126,7 @@
 func (r Request) routes() []model.RouteName {
 	var names []model.RouteName
 	for i := range r.Configuration.Routes {
-		if r.Configuration.Routes[i].Service == r.Intent.Service {
+		if r.Configuration.Routes[i].LeadsTo(r.Intent.Service) {
 			names = append(names, r.Configuration.Routes[i].Name)
 		}
 	}
--- a/internal/query/routing/place.go
+++ b/internal/query/routing/place.go
@@ -59,8 +59,9 @@
 // Choice is a selected target.
 type Choice struct {
 	Target *model.Target
-	// Wait estimates the time until the target has a free slot, Run how long the call takes.
-	Wait, Run time.Duration
+	// Wait estimates the time until the target has a free slot, Run how long the call takes. Age is that of the report that
+	// the estimates rest on.
+	Wait, Run, Age time.Duration
 	// Alternative is the wait at the target beyond which the next best target is better; 0 means that there is no other.
 	Alternative time.Duration
 }
@@ -95,7 +96,7 @@
 		}
 	}
 	b := &candidates[best]
-	choice := Choice{Target: b.target, Wait: b.wait, Run: b.run}
+	choice := Choice{Target: b.target, Wait: b.wait, Run: b.run, Age: b.load.Age}
 	if second >= 0 {
 		choice.Alternative = b.alternative(candidates[second].loss, left)
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -217,6 +217,12 @@
 			return d.loop.ObserveTarget(effect.TargetObserved{Sums: sums, Running: running, Arrived: arrived})
 		},
 	})
+	if err := metrics.WatchAdmission(d.inbound); err != nil {
+		return err
+	}
+	if err := d.watchView(); err != nil {
+		return err
+	}
 	d.callers = traffic.NewPipelineServer(traffic.PipelineOptions{
 		Handler: d.outbound, HeaderBytes: limits.HeaderBytes, Logger: d.logger,
 		HeaderTimeout: d.callerLimit(headerTimeout, func(l *model.CallerLimits) int { return l.HeaderTimeoutMS }),
@@ -228,6 +234,25 @@
 	return d.serve("admission", d.settings.Admission, traffic.NewServer(d.inbound, limits))
 }
 
+// watchView adds gauges of what the daemon believes.
+func (d *Sidecar) watchView() error {
+	err := d.metrics.Gauge("sniperail_configuration_number", "Configuration number in force on this daemon.", func() float64 {
+		return float64(d.loop.Table().View.Configuration.Number)
+	})
+	if err != nil {
+		return err
+	}
+	return d.metrics.Gauge("sniperail_targets_ready", "Ready targets that this daemon knows.", func() float64 {
+		ready := 0
+		for i := range d.loop.Table().View.Targets {
+			if d.loop.Table().View.Targets[i].State == model.TargetReady {
+				ready++
+			}
+		}
+		return float64(ready)
+	})
+}
+
 const (
 	// headerTimeout and callerIdle hold while the operator sets no limit.
 	headerTimeout = 5 * time.Second
--- a/internal/traffic/call.go
+++ b/internal/traffic/call.go
@@ -96,7 +96,7 @@
 	b.mu.Lock()
 	decision := retry.Decide(&b.budget, retry.Attempt{
 		Number: c.attempt, Executed: out.refused.executed, Idempotent: c.idempotent(), Nested: c.nested,
-		Replayable: c.body.replayable(), Remaining: time.Until(c.deadline),
+		Replayable: c.body.replayable(), Remaining: time.Until(c.deadline), Max: c.route.MaxAttempts,
 	}, random{})
 	b.mu.Unlock()
 	if !decision.Retry {
--- a/internal/traffic/inbound.go
+++ b/internal/traffic/inbound.go
@@ -179,6 +179,7 @@
 		Objective: a.started.Add(a.dispatch.objective), Deadline: a.deadline, MaxWait: a.dispatch.maxWait,
 	})
 	a.waited = time.Since(a.started)
+	a.in.options.Metrics.queue.record(context.WithoutCancel(a.request.Context()), a.dispatch.route, a.waited)
 	if refused != nil {
 		a.refuse(w, refused)
 		return
--- a/internal/traffic/metrics.go
+++ b/internal/traffic/metrics.go
@@ -24,7 +24,9 @@
 	ejected    *telemetry.CounterSet
 	calls      metric.Int64Counter
 	latency    metric.Float64Histogram
-	meter      metric.Meter
+	// requests is the time of a caller's request, queue that of a call in the queue beside a target, both by route.
+	requests, queue routeHistogram
+	meter           metric.Meter
 	// FractionalRetryAfter lets Retry-After hold fractions of a second, which callers must understand.
 	FractionalRetryAfter bool
 }
@@ -52,7 +54,18 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "latency histogram")
 	}
+	requests, err := m.Meter().Float64Histogram("sniperail_request_seconds",
+		metric.WithDescription("Time of a caller's request with all attempts, by route."), metric.WithExplicitBucketBoundaries(latencyBounds...))
+	if err != nil {
+		return nil, errors.Wrap(err, "request histogram")
+	}
+	queue, err := m.Meter().Float64Histogram("sniperail_queue_seconds",
+		metric.WithDescription("Time of a call in the queue beside the target, by route."), metric.WithExplicitBucketBoundaries(latencyBounds...))
+	if err != nil {
+		return nil, errors.Wrap(err, "queue histogram")
+	}
 	return &Metrics{
+		requests: routeHistogram{histogram: requests}, queue: routeHistogram{histogram: queue},
 		refusals:   m.CounterSet("sniperail_refusals", "Refused calls by reason."),
 		retries:    m.CounterSet("sniperail_retries", "Retries by reason."),
 		notRetried: m.CounterSet("sniperail_retries_refused", "Failed attempts that were not retried, by reason."),
@@ -62,8 +75,29 @@
 	}, nil
 }
 
+// routeHistogram is a histogram with a label "route" whose attribute sets are cached.
+type routeHistogram struct {
+	histogram metric.Float64Histogram
+	options   sync.Map // model.RouteName -> []metric.RecordOption
+}
+
+func (h *routeHistogram) record(ctx context.Context, route model.RouteName, d time.Duration) {
+	cached, ok := h.options.Load(route)
+	if !ok {
+		option := metric.WithAttributeSet(attribute.NewSet(attribute.String("route", string(route))))
+		cached, _ = h.options.LoadOrStore(route, []metric.RecordOption{option})
+	}
+	h.histogram.Record(ctx, d.Seconds(), cached.([]metric.RecordOption)...)
+}
+
+// occupied is a queue beside a target.
+type occupied interface {
+	// Occupancy returns the occupied slots, the slots in use and the calls that wait.
+	Occupancy() (running, slots, queued int)
+}
+
 // WatchAdmission adds gauges of the slots and the queue of a target. It fails only if a name is invalid.
-func (m *Metrics) WatchAdmission(a *Admission) error {
+func (m *Metrics) WatchAdmission(a occupied) error {
 	for name, value := range map[string]func() int{
 		"sniperail_slots_used":  func() int { running, _, _ := a.Occupancy(); return running },
 		"sniperail_slots_limit": func() int { _, limit, _ := a.Occupancy(); return limit },
--- a/internal/traffic/placement.go
+++ b/internal/traffic/placement.go
@@ -61,6 +61,9 @@
 func (p *placement) run(w http.ResponseWriter) {
 	budget := p.out.budgets.get(p.service.Name)
 	budget.call()
+	defer func() {
+		p.out.options.Metrics.requests.record(context.WithoutCancel(p.request.Context()), p.route.Name, time.Since(p.started))
+	}()
 	for {
 		choice, refused := p.choose()
 		if refused != nil {
@@ -76,8 +79,12 @@
 		reason, again := p.again(budget, a)
 		p.out.options.Log.Attempt(p, a, reason)
 		if again {
+			p.out.options.Metrics.retries.Add(p.request.Context(), reason, 1)
 			continue
 		}
+		if reason != "" {
+			p.out.options.Metrics.notRetried.Add(p.request.Context(), reason, 1)
+		}
 		if a.refused == nil {
 			p.answer(w, a)
 			return
--- a/internal/traffic/requestlog.go
+++ b/internal/traffic/requestlog.go
@@ -10,8 +10,8 @@
 	"sniperail.example/sniperail/internal/command/retry"
 )
 
-// RequestLog writes one line for each decision that touches a request. Lines that a caller's success leads to are left
-// out unless the request needed more than one send. The logger must not block.
+// RequestLog writes one line for each decision that touches a request: each send that failed and what follows, and how the
+// request ended. The logger must not block.
 type RequestLog struct {
 	Logger *zap.Logger
 	// RequestID is the header that identifies a request.
@@ -80,6 +80,7 @@
 		zap.String("daemon", string(a.target.Daemon)), zap.String("instance", string(a.target.Instance)),
 		zap.String("version", string(a.target.Version)), zap.String("outcome", outcome), zap.String("executed", executed),
 		milliseconds("took_ms", a.took), milliseconds("wait_ms", a.choice.Wait), milliseconds("run_ms", a.choice.Run),
+		milliseconds("load_age_ms", a.choice.Age),
 		zap.String("next", next), milliseconds("left_ms", time.Until(p.deadline)))
 }
 
@@ -90,14 +91,13 @@
 	return a.response.StatusCode
 }
 
-// Answered logs a response that needed more than one send.
+// Answered logs a response of a target that is passed on.
 func (l RequestLog) Answered(p *placement, a *attempt) {
-	if p.sends <= 1 && statusOf(a) < http.StatusInternalServerError {
-		return
-	}
 	l.Logger.Info("request-answered", l.id(p.request), zap.String("route", string(p.route.Name)),
-		zap.String("daemon", string(a.target.Daemon)), zap.String("instance", string(a.target.Instance)),
+		zap.Uint64("number", uint64(p.table.View.Configuration.Number)), zap.String("daemon", string(a.target.Daemon)),
+		zap.String("instance", string(a.target.Instance)), zap.String("version", string(a.target.Version)),
 		zap.Int("status", statusOf(a)), zap.Int("sends", p.sends), zap.Int("attempts", p.attempts),
+		milliseconds("wait_ms", a.choice.Wait), milliseconds("run_ms", a.choice.Run), milliseconds("load_age_ms", a.choice.Age),
 		milliseconds("age_ms", time.Since(p.started)))
 }
 
