catalog: a leaving that a new daemon does not know ends the run

Ruled out: refusing the leaving (the target would end without an acknowledgement). Change: the run is noted as ended; one that does not tell its start began before that moment. The end of a daemon logs no failed listeners any more.

--- a/internal/command/catalog/catalog_test.go
+++ b/internal/command/catalog/catalog_test.go
@@ -155,6 +155,23 @@
 	is.Equal(n.view.Local.State, model.TargetReady)
 }
 
+// Guards against calls to a target that said that it leaves to a daemon which had just started and did not know it: a late
+// report of the same run must not bring it back.
+func TestLeavingOfAnUnknownRun(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 2)
+	w.ready("v1")
+	n := w.start("d00", nil)
+	w.run(time.Second)
+	token := w.report(n, model.TargetReport{Instance: "i0", State: model.TargetGone})
+	is.Equal(n.answers[token].Code, model.OutcomeApplied)
+	w.report(n, model.TargetReport{Instance: "i0", Born: 1, Seq: 9, Version: "v1", State: model.TargetReady})
+	is.True(n.view.Local.State != model.TargetReady)
+	again := model.TargetReport{Instance: "i0", Born: w.now.Add(time.Second).UnixMilli(), Seq: 1, Version: "v1", State: model.TargetReady}
+	w.report(n, again)
+	is.Equal(n.view.Local.State, model.TargetReady) // started after that
+}
+
 // Guards against a target that is lost for good because the platform took its key.
 func TestRevokedAnnouncementReturns(t *testing.T) {
 	is := is.New(t)
--- a/internal/command/catalog/own.go
+++ b/internal/command/catalog/own.go
@@ -107,32 +107,48 @@
 	last := o.report
 	switch {
 	case r.State == model.TargetGone:
-		if last == nil || last.Instance != r.Instance || r.Born != 0 && r.Born != last.Born || last.State == model.TargetGone {
-			return false
-		}
-		gone := *last
-		gone.State = model.TargetGone
-		o.report = &gone
-	case last != nil && last.State == model.TargetGone && last.Instance == r.Instance && last.Born == r.Born:
+		return c.takeLeaving(now, r)
+	case last != nil && last.State == model.TargetGone && last.Instance == r.Instance && r.Born <= last.Born:
 		// A late report of a run that has ended.
 		return false
 	case last != nil && !r.Newer(last):
 		return false
-	default:
-		o.report = r
 	}
+	o.report = r
 	next := o.target
 	next.Instance, next.Born, next.Version = o.report.Instance, o.report.Born, o.report.Version
 	next.Slots, next.State = o.report.Slots, o.report.State
 	if o.stopping && next.State == model.TargetReady {
 		next.State = model.TargetDraining
 	}
-	if warm := now.Add(o.report.WarmupLeft); r.State != model.TargetGone && (warm.Sub(next.WarmAt).Abs() > warmTolerance) && (o.report.WarmupLeft > 0 || next.WarmAt.After(now)) {
+	warm := now.Add(r.WarmupLeft)
+	if moved := warm.Sub(next.WarmAt).Abs() > warmTolerance; moved && (r.WarmupLeft > 0 || next.WarmAt.After(now)) {
 		next.WarmAt = warm
 	}
 	return c.setTarget(now, next)
 }
 
+// takeLeaving ends a run of the target, also one that this daemon does not know, because it has just started. A run that
+// does not tell its start began before now.
+func (c *Core) takeLeaving(now time.Time, r *model.TargetReport) bool {
+	o := &c.own
+	last := o.report
+	if last != nil && (last.Instance != r.Instance || r.Born != 0 && r.Born != last.Born || last.State == model.TargetGone) {
+		return false
+	}
+	gone := *r
+	if last != nil {
+		gone = *last
+		gone.State = model.TargetGone
+	} else if gone.Born == 0 {
+		gone.Born = now.UnixMilli()
+	}
+	o.report = &gone
+	next := o.target
+	next.Instance, next.Born, next.State = gone.Instance, gone.Born, model.TargetGone
+	return c.setTarget(now, next)
+}
+
 // setTarget replaces the own target and reports whether it differs.
 func (c *Core) setTarget(now time.Time, next model.Target) bool {
 	o := &c.own
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -360,7 +360,6 @@
 	// The last responses are on their way to their callers.
 	wait(abort, lastResponses)
 	for _, s := range d.servers {
-		_ = s.listener.Close()
 		_ = s.http.Close()
 	}
 }
