--- a/internal/traffic/inbound.go
+++ b/internal/traffic/inbound.go
@@ -139,14 +139,14 @@
 // accept checks that the call is meant for the present target and reads its body.
 func (a *arrival) accept(w http.ResponseWriter, now time.Time) *refusal {
 	in, d := a.in, a.dispatch
+	left, ok := remainingIn(a.request.Header, in.options.Headers.Deadline, maxDeadline)
+	a.deadline = now.Add(left)
 	if refused := a.checkTarget(); refused != nil {
 		return refused
 	}
-	left, ok := remainingIn(a.request.Header, in.options.Headers.Deadline, maxDeadline)
 	if !ok {
 		return notExecuted(http.StatusBadRequest, reasonBadDeadline, in.options.Headers.Deadline+" must be one whole number of milliseconds")
 	}
-	a.deadline = now.Add(left)
 	body, refused := readRequestBody(w, a.request, in.options.Limits.BodyBytes, a.deadline)
 	a.body = body
 	if refused == nil && d.maxWait < 0 {
--- a/internal/traffic/load.go
+++ b/internal/traffic/load.go
@@ -12,6 +12,8 @@
 const (
 	// assumedRun stands in for the time of a call at a target without reports.
 	assumedRun = 100 * time.Millisecond
+	// noReport is the age of the report of a target that has made none, as logs show it.
+	noReport = -time.Millisecond
 	// reportLife is the age at which a report of load says nothing any more.
 	reportLife = 2 * time.Second
 	// failureLife is the time in which the reported part of failed calls halves, so that a target that had failed gets a
@@ -60,16 +62,19 @@
 	own := p.inFlight.Load()
 	p.load.mu.Lock()
 	defer p.load.mu.Unlock()
-	out.Age = l.now.Sub(p.load.at)
+	out.Age = noReport
+	if !p.load.at.IsZero() {
+		out.Age = l.now.Sub(p.load.at)
+	}
 	out.Outstanding = float64(own)
-	if out.Age < reportLife {
+	if out.Age != noReport && out.Age < reportLife {
 		out.Outstanding = max(float64(int64(p.load.report.running+p.load.report.queued)+own-p.load.own), float64(own))
 	}
 	out.Run, out.Mean = p.load.runs[l.route], p.load.report.mean
 	if out.Mean == 0 {
 		out.Mean = assumedRun
 	}
-	out.Failed = p.load.report.failed / (1 + float64(out.Age)/float64(failureLife))
+	out.Failed = p.load.report.failed / (1 + float64(max(out.Age, 0))/float64(failureLife))
 	return out
 }
 
