sidecar: a small heap; daemons settle before they watch or take turns

While daemons start together each knows few others, takes itself for one of few, and lists and watches more often. Ruled out: a memory limit alone (the peak is set by the collector's pace). Change: the collector starts at 25% growth; a daemon watches and takes turns 2.5 s after its first lists.

--- a/internal/command/catalog/catalog.go
+++ b/internal/command/catalog/catalog.go
@@ -79,6 +79,8 @@
 	driving  driving
 	exchange exchange
 	evidence evidence
+	// settleAt is when this daemon knows all others that started with it.
+	settleAt time.Time
 	// verifyAt is when it is this daemon's turn to list the platform's keys.
 	verifyAt         time.Time
 	verifyTurnNumber int64
@@ -149,7 +151,7 @@
 func (c *Core) tick(now time.Time) {
 	c.follow(now, &c.operator)
 	c.follow(now, &c.mesh)
-	c.watchOperator()
+	c.watchOperator(now)
 	c.verifySources(now)
 	c.announce(now)
 	c.verifyRoster(now)
@@ -164,6 +166,9 @@
 	next = earliest(next, c.own.due())
 	next = earliest(next, c.exchange.at)
 	next = earliest(next, c.verifyAt)
+	if c.verifyAt.IsZero() {
+		next = earliest(next, c.settleAt)
+	}
 	for _, m := range c.roster {
 		next = earliest(next, m.verifyAt)
 	}
--- a/internal/command/catalog/verify.go
+++ b/internal/command/catalog/verify.go
@@ -18,6 +18,9 @@
 	// verifyTurn is the time between two daemons' lists of what the operator wrote. A watch can stay silent although
 	// something changed, and a change must be in force two seconds later.
 	verifyTurn = 700 * time.Millisecond
+	// settleTime is how long after its first list a daemon waits before it watches or takes turns: until all daemons that
+	// start together know each other, each would take itself for one of few.
+	settleTime = 2500 * time.Millisecond
 	// meshTurns is how many turns pass between lists of what daemons share. They show the announcements that lapsed; all
 	// else is spread by the daemon that wrote it.
 	meshTurns = 4
@@ -32,9 +35,9 @@
 
 // watchOperator watches what the operator writes if this daemon is one of the watchers, which are spread evenly over the
 // sorted names and so over the data centres.
-func (c *Core) watchOperator() {
+func (c *Core) watchOperator(now time.Time) {
 	s := &c.operator
-	if !s.loaded || s.listing {
+	if !c.settled(now) || s.listing {
 		return
 	}
 	daemons := c.daemons()
@@ -57,7 +60,7 @@
 // verifySources lists the platform's keys when it is this daemon's turn. Daemons take turns by the rank of their names and
 // the time of day.
 func (c *Core) verifySources(now time.Time) {
-	if !c.operator.loaded || !c.mesh.loaded {
+	if !c.settled(now) {
 		return
 	}
 	if c.verifyAt.IsZero() {
@@ -74,6 +77,17 @@
 	}
 }
 
+// settled reports whether this daemon has known the others for some time.
+func (c *Core) settled(now time.Time) bool {
+	if !c.operator.loaded || !c.mesh.loaded {
+		return false
+	}
+	if c.settleAt.IsZero() {
+		c.settleAt = now.Add(settleTime)
+	}
+	return !now.Before(c.settleAt)
+}
+
 // nextTurn returns the next time after now at which it is this daemon's turn, and the number of the turn.
 func (c *Core) nextTurn(now time.Time) (time.Time, int64) {
 	daemons := c.daemons()
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -49,6 +50,8 @@
 	exitMargin = 700 * time.Millisecond
 	// lastResponses is the time that the last responses have to be written.
 	lastResponses = 100 * time.Millisecond
+	// gcPercent keeps the heap small: the VM's memory belongs to the target, and the process uses a few percent of a core.
+	gcPercent = 25
 	// idlePeers is the number of idle connections kept to one daemon, idleTotal to all.
 	idlePeers = 24
 	idleTotal = 512
@@ -101,6 +104,7 @@
 
 // New opens the listeners and assembles the daemon. Nothing runs before Run.
 func New(s settings.Sidecar, adapter Adapter, logger *zap.Logger) (*Sidecar, error) {
+	debug.SetGCPercent(gcPercent)
 	metrics, err := telemetry.NewMetrics("sniperail-sidecar")
 	if err != nil {
 		return nil, err
