--- a/internal/command/catalog/catalog.go
+++ b/internal/command/catalog/catalog.go
@@ -71,7 +71,6 @@
 
 	intents map[model.ServiceName]*intent
 	moves   map[model.ServiceName]*record
-	drivers map[model.ServiceName]store.Entry
 	roster  map[model.DaemonID]*member
 	marks   []model.Mark
 
--- a/internal/command/catalog/drive.go
+++ b/internal/command/catalog/drive.go
@@ -158,7 +158,7 @@
 	started := now
 	ttl := max(driverTTL, c.cfg.MinLease)
 	c.call(store.Call{Kind: store.KindGrant, Priority: store.PriorityLease, Reason: "drive", TTL: ttl},
-		func(now time.Time, r store.Result) {
+		func(_ time.Time, r store.Result) {
 			if r.Outcome != store.Applied {
 				d.calling = false
 				return
--- a/internal/command/catalog/roster.go
+++ b/internal/command/catalog/roster.go
@@ -102,16 +102,16 @@
 		}
 		m.verifying = true
 		m.verifyAt = now.Add(verifyEvery)
-		c.send(m.target.PeerAddress, &message.TargetQuery{}, func(now time.Time, r message.Reply) {
+		c.send(m.target.PeerAddress, &message.TargetQuery{}, func(_ time.Time, r message.Reply) {
 			m.verifying = false
 			if c.roster[daemon] == m {
-				c.verified(now, daemon, m, r)
+				c.verified(daemon, m, r)
 			}
 		})
 	}
 }
 
-func (c *Core) verified(now time.Time, daemon model.DaemonID, m *member, r message.Reply) {
+func (c *Core) verified(daemon model.DaemonID, m *member, r message.Reply) {
 	reply, ok := r.(*message.TargetReply)
 	switch {
 	case !ok:
--- a/internal/command/catalog/spread.go
+++ b/internal/command/catalog/spread.go
@@ -74,7 +74,7 @@
 func (c *Core) spreadReceived(now time.Time, m *message.Spread) {
 	c.mergeChanges(now, m.Changes)
 	if m.Delta != nil {
-		c.applyDelta(now, m.Delta, m.Revision, "peer")
+		c.applyDelta(m.Delta, m.Revision, "peer")
 	}
 	if m.Number > 0 && (c.configuration == nil || c.configuration.Number < m.Number) && c.operator.listed {
 		c.operator.relist(now.Add(c.jitter(gapJitter)))
@@ -97,7 +97,7 @@
 }
 
 // applyDelta changes the configuration. If the delta does not fit, the platform is read.
-func (c *Core) applyDelta(now time.Time, d *message.Delta, revision int64, source string) {
+func (c *Core) applyDelta(d *message.Delta, revision int64, source string) {
 	if c.configuration == nil || d.Number <= c.configuration.Number {
 		return
 	}
@@ -161,7 +161,7 @@
 		c.setConfiguration(reply.Configuration, reply.Revision, "peer")
 	case c.configuration != nil:
 		for _, d := range reply.Deltas {
-			c.applyDelta(now, d, reply.Revision, "peer")
+			c.applyDelta(d, reply.Revision, "peer")
 		}
 		if reply.Number > c.configuration.Number && c.operator.listed {
 			c.operator.relist(now)
@@ -170,7 +170,7 @@
 	if c.digest(&c.operator)^c.digest(&c.mesh) != before {
 		c.log("peer-catalog", "from", from, "changes", count(len(reply.Changes)))
 	}
-	if reply.Loaded && !(c.operator.loaded && c.mesh.loaded) {
+	if reply.Loaded && (!c.operator.loaded || !c.mesh.loaded) {
 		c.operator.loaded, c.mesh.loaded = true, true
 		c.dirty = true
 	}
--- a/internal/command/catalog/world_test.go
+++ b/internal/command/catalog/world_test.go
@@ -57,7 +57,6 @@
 	t       *testing.T
 	now     time.Time
 	store   *storetest.Memory
-	leases  map[string]store.LeaseID
 	nodes   map[string]*node
 	order   []*node
 	nextInc model.Incarnation
