process: signals and random sources stand once

Change: internal/process and telemetry.Metrics.ControlBytes. A test that every flag of the sidecar is checked. Measured: go test of the packages.

--- a/cmd/sniperail-sidecar/main.go
+++ b/cmd/sniperail-sidecar/main.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"sniperail.example/sniperail/internal/process"
 	"sniperail.example/sniperail/internal/settings"
 	"sniperail.example/sniperail/internal/sidecar"
 	"sniperail.example/sniperail/internal/telemetry"
@@ -81,7 +82,7 @@
 	first, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	go reload(first, d, logger, path)
-	d.Run(first, secondSignal(first))
+	d.Run(first, process.SecondSignal(first))
 	out.Close()
 }
 
@@ -120,15 +121,3 @@
 		d.Reload(ctx, next.Sidecar)
 	}
 }
-
-// secondSignal returns a context that ends with the first signal after ctx has ended.
-func secondSignal(ctx context.Context) context.Context {
-	abort, cancel := context.WithCancel(context.Background())
-	context.AfterFunc(ctx, func() {
-		signals := make(chan os.Signal, 1)
-		signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
-		<-signals
-		cancel()
-	})
-	return abort
-}
--- a/cmd/sniperaild/main.go
+++ b/cmd/sniperaild/main.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"sniperail.example/sniperail/internal/daemon"
+	"sniperail.example/sniperail/internal/process"
 	"sniperail.example/sniperail/internal/settings"
 	"sniperail.example/sniperail/internal/telemetry"
 )
@@ -45,17 +46,5 @@
 	}
 	first, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	d.Run(first, secondSignal(first))
-}
-
-// secondSignal returns a context that ends with the first signal after ctx has ended.
-func secondSignal(ctx context.Context) context.Context {
-	abort, cancel := context.WithCancel(context.Background())
-	context.AfterFunc(ctx, func() {
-		signals := make(chan os.Signal, 1)
-		signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
-		<-signals
-		cancel()
-	})
-	return abort
+	d.Run(first, process.SecondSignal(first))
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,16 +4,12 @@
 
 import (
 	"context"
-	"encoding/binary"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"runtime/debug"
 	"sync"
 	"time"
 
-	crand "crypto/rand"
-
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
@@ -29,6 +25,7 @@
 	"sniperail.example/sniperail/internal/once"
 	"sniperail.example/sniperail/internal/peer"
 	"sniperail.example/sniperail/internal/platform"
+	"sniperail.example/sniperail/internal/process"
 	"sniperail.example/sniperail/internal/settings"
 	"sniperail.example/sniperail/internal/store"
 	"sniperail.example/sniperail/internal/telemetry"
@@ -152,34 +149,16 @@
 
 func (d *Daemon) buildControl() error {
 	core := agent.New(agent.Config{
-		Target: d.target(), Seeds: d.settings.Seeds, Rand: newRand(), Codec: document.JSON{},
+		Target: d.target(), Seeds: d.settings.Seeds, Rand: process.NewRand(), Codec: document.JSON{},
 	})
 	controller.New(core, document.JSON{})
-	d.peers = peer.NewClient(d.countControlBytes())
+	d.peers = peer.NewClient(d.metrics.ControlBytes())
 	d.loop = control.NewLoop(core, d.peers, d.store, d.logger, d.metrics)
-	server, err := peer.NewServer(d.listeners.peer, d.loop, d.countControlBytes())
+	server, err := peer.NewServer(d.listeners.peer, d.loop, d.metrics.ControlBytes())
 	d.server = server
 	return err
 }
 
-// newRand returns a random source with a seed of its own, so that daemons that start together do not act in step.
-func newRand() *rand.Rand {
-	var seed [16]byte
-	_, _ = crand.Read(seed[:])
-	return rand.New(rand.NewPCG(binary.LittleEndian.Uint64(seed[:8]), binary.LittleEndian.Uint64(seed[8:])))
-}
-
-func (d *Daemon) countControlBytes() func(sent bool, n int) {
-	counter := d.metrics.CounterSet("sniperail_control_bytes", "Bytes of control traffic between daemons, by direction.")
-	return func(sent bool, n int) {
-		direction := "received"
-		if sent {
-			direction = "sent"
-		}
-		counter.Add(context.Background(), direction, int64(n))
-	}
-}
-
 func (d *Daemon) buildTraffic() error {
 	metrics, err := traffic.NewMetrics(d.metrics)
 	if err != nil {
--- /dev/null
+++ b/internal/process/process.go
@@ -0,0 +1,32 @@
+// Package process holds what the programs that run for long share: signals and random sources.
+package process
+
+import (
+	"context"
+	"encoding/binary"
+	"math/rand/v2"
+	"os"
+	"os/signal"
+	"syscall"
+
+	crand "crypto/rand"
+)
+
+// SecondSignal returns a context that ends with the first SIGTERM or interrupt after ctx has ended.
+func SecondSignal(ctx context.Context) context.Context {
+	abort, cancel := context.WithCancel(context.Background())
+	context.AfterFunc(ctx, func() {
+		signals := make(chan os.Signal, 1)
+		signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+		<-signals
+		cancel()
+	})
+	return abort
+}
+
+// NewRand returns a random source with a seed of its own, so that daemons that start together do not act in step.
+func NewRand() *rand.Rand {
+	var seed [16]byte
+	_, _ = crand.Read(seed[:])
+	return rand.New(rand.NewPCG(binary.LittleEndian.Uint64(seed[:8]), binary.LittleEndian.Uint64(seed[8:])))
+}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -67,3 +67,14 @@
 	}
 	is.Equal(len(flags), reflect.TypeFor[Daemon]().NumField())
 }
+
+// Guards against a flag of the sidecar that no check covers.
+func TestSidecarChecksEveryFlag(t *testing.T) {
+	is := is.New(t)
+	s := Sidecar{Seeds: []string{"x"}, Metrics: "x", RetryRatio: 2, RetrySlack: -1}
+	flags := map[string]bool{}
+	for _, p := range s.Validate().(Problems) {
+		flags[p.Flag] = true
+	}
+	is.Equal(len(flags), reflect.TypeFor[Sidecar]().NumField())
+}
--- a/internal/sidecar/names_test.go
+++ b/internal/sidecar/names_test.go
@@ -18,7 +18,7 @@
 }
 
 // metricSources are the files that create instruments of sniperail-sidecar.
-var metricSources = []string{"../sidecar/*.go", "../traffic/metrics.go", "../command/catalog/*.go", "../platform/*.go"}
+var metricSources = []string{"../sidecar/*.go", "../traffic/metrics.go", "../command/catalog/*.go", "../platform/*.go", "../telemetry/metrics.go"}
 
 // otherMetrics belong to sniperaild or count in the operators' pages only.
 var otherMetrics = []string{"sniperail_call", "sniperail_calls"}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -4,8 +4,6 @@
 
 import (
 	"context"
-	"encoding/binary"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -13,8 +11,6 @@
 	"sync/atomic"
 	"time"
 
-	crand "crypto/rand"
-
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
@@ -27,6 +23,7 @@
 	"sniperail.example/sniperail/internal/model"
 	"sniperail.example/sniperail/internal/peer"
 	"sniperail.example/sniperail/internal/platform"
+	"sniperail.example/sniperail/internal/process"
 	"sniperail.example/sniperail/internal/settings"
 	"sniperail.example/sniperail/internal/telemetry"
 	"sniperail.example/sniperail/internal/traffic"
@@ -157,17 +154,10 @@
 			DataCentre: model.DataCentre(d.settings.DataCentre), Region: model.Region(d.settings.Region),
 			Address: d.settings.Admission, PeerAddress: d.settings.Peer, State: model.TargetStarting,
 		},
-		Seeds: d.settings.Seeds, Operator: d.adapter.Operator, Records: document.JSON{}, Rand: newRand(),
+		Seeds: d.settings.Seeds, Operator: d.adapter.Operator, Records: document.JSON{}, Rand: process.NewRand(),
 		MinLease: d.settings.MinLease,
 	})
-	bytes := d.metrics.CounterSet("sniperail_control_bytes", "Bytes of control traffic between daemons, by direction.")
-	counted := func(sent bool, n int) {
-		direction := "received"
-		if sent {
-			direction = "sent"
-		}
-		bytes.Add(context.Background(), direction, int64(n))
-	}
+	counted := d.metrics.ControlBytes()
 	d.peers = peer.NewClient(counted)
 	d.loop = control.NewLoop(core, d.peers, gate, d.logger, d.metrics)
 	d.loop.OnPublish(func(view *model.View) {
@@ -194,13 +184,6 @@
 	})
 }
 
-// newRand returns a random source with a seed of its own, so that daemons that start together do not act in step.
-func newRand() *rand.Rand {
-	var seed [16]byte
-	_, _ = crand.Read(seed[:])
-	return rand.New(rand.NewPCG(binary.LittleEndian.Uint64(seed[:8]), binary.LittleEndian.Uint64(seed[8:])))
-}
-
 func (d *Sidecar) buildTraffic() error {
 	metrics, err := traffic.NewMetrics(d.metrics)
 	if err != nil {
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -115,3 +115,15 @@
 	m.counters[name] = c
 	return c
 }
+
+// ControlBytes returns a function that counts the bytes of control traffic between daemons, by direction.
+func (m *Metrics) ControlBytes() func(sent bool, n int) {
+	counter := m.CounterSet("sniperail_control_bytes", "Bytes of control traffic between daemons, by direction.")
+	return func(sent bool, n int) {
+		direction := "received"
+		if sent {
+			direction = "sent"
+		}
+		counter.Add(context.Background(), direction, int64(n))
+	}
+}
