catalog: no wake in the past while an answer is awaited

The lease of a lost daemon had ended 15 s after it was last renewed; all others asked it, and until that message timed out NextWake returned a time that had passed, so that every control loop took its whole core. Exchanges with a peer that does not answer did the same for half a second. Ruled out: load (the same load was served at 42 s); the store (no daemon lost it). Change: members and exchanges that wait for an answer are not due. The loop wakes at most each 2 ms. The test world delivers the silence of dead daemons late and fails on a wake in the past.

--- a/internal/command/catalog/catalog.go
+++ b/internal/command/catalog/catalog.go
@@ -159,17 +159,22 @@
 	c.sendNews()
 }
 
-// NextWake returns when something is due next.
+// NextWake returns when something is due next. What waits for an answer is not due: a wake in the past would come again
+// at once, and the loop would take a whole core.
 func (c *Core) NextWake() time.Time {
 	next := earliest(c.operator.due(), c.mesh.due())
 	next = earliest(next, c.own.due())
-	next = earliest(next, c.exchange.at)
+	if !c.exchange.pending {
+		next = earliest(next, c.exchange.at)
+	}
 	next = earliest(next, c.verifyAt)
 	if c.verifyAt.IsZero() {
 		next = earliest(next, c.settleAt)
 	}
 	for _, m := range c.roster {
-		next = earliest(next, m.verifyAt)
+		if !m.verifying {
+			next = earliest(next, m.verifyAt)
+		}
 	}
 	return earliest(next, c.driving.due())
 }
--- a/internal/command/catalog/world_test.go
+++ b/internal/command/catalog/world_test.go
@@ -50,6 +50,7 @@
 	replies          map[effect.Token]message.Reply
 	tokens           effect.Token
 	lists            int
+	silent           []silence
 }
 
 // world runs cores against one store in simulated time. Messages and calls take no time.
@@ -123,21 +124,48 @@
 		}
 		w.handle(n, effect.StoreDone{Request: e.Request, Result: result})
 	case effect.Send:
-		w.handle(n, effect.SendDone{Request: e.Request, Reply: w.deliver(e)})
+		reply, answered := w.deliver(e)
+		if !answered {
+			n.silent = append(n.silent, silence{w.now.Add(sendTimeout), e.Request})
+			return
+		}
+		w.handle(n, effect.SendDone{Request: e.Request, Reply: reply})
 	}
 }
 
-// deliver answers a message, nil if the receiver is down.
-func (w *world) deliver(e effect.Send) message.Reply {
+// sendTimeout is how long a message to a daemon that is down waits for an answer.
+const sendTimeout = 2500 * time.Millisecond
+
+// silence is a message without an answer, and when its sender is told.
+type silence struct {
+	at      time.Time
+	request effect.RequestID
+}
+
+// deliver hands over a message. It reports false if the receiver is down.
+func (w *world) deliver(e effect.Send) (message.Reply, bool) {
 	for _, to := range w.order {
 		if to.address == e.Address && !to.down {
 			to.tokens++
 			token := to.tokens
 			w.handle(to, effect.Received{Token: token, Body: e.Body})
-			return to.replies[token]
+			return to.replies[token], true
+		}
+	}
+	return nil, false
+}
+
+// endSilence tells a node of its messages that had no answer.
+func (w *world) endSilence(n *node) {
+	waiting := n.silent
+	n.silent = nil
+	for _, s := range waiting {
+		if s.at.After(w.now) {
+			n.silent = append(n.silent, s)
+			continue
 		}
+		w.handle(n, effect.SendDone{Request: s.request})
 	}
-	return nil
 }
 
 // run advances time.
@@ -149,8 +177,12 @@
 				continue
 			}
 			w.showWatches(n)
+			w.endSilence(n)
 			if next := n.core.NextWake(); !next.IsZero() && !next.After(w.now) {
 				w.handle(n, effect.Wake{})
+				if next = n.core.NextWake(); !next.IsZero() && !next.After(w.now) {
+					w.t.Fatalf("%s: the control loop would spin: it wants to wake %s ago", n.address, w.now.Sub(next))
+				}
 			}
 		}
 	}
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -38,6 +38,8 @@
 const (
 	// eventBacklog bounds the events that wait for the loop. Workers block when it is full; traffic goroutines never do.
 	eventBacklog = 1024
+	// shortestWake bounds the wakes a second, so that a core which asks for one in the past does not take a whole core.
+	shortestWake = 2 * time.Millisecond
 	// storeTimeout bounds one call to the platform's service, which answers in milliseconds when it is well.
 	storeTimeout = 3 * time.Second
 )
@@ -201,7 +203,7 @@
 			l.step(ctx, effect.Wake{})
 		}
 		if next := l.core.NextWake(); !next.IsZero() {
-			timer.Reset(max(0, time.Until(next)))
+			timer.Reset(max(shortestWake, time.Until(next)))
 		}
 	}
 }
