catalog: failed campaigns and renewals are logged; one rule for the old version

Cause: reading the change: a grant or renewal that failed left no line, and the move's old version was the one with most slots where shares took the oldest. Measured: go test ./internal/command/catalog.

--- a/internal/command/catalog/drive.go
+++ b/internal/command/catalog/drive.go
@@ -161,6 +161,7 @@
 		func(_ time.Time, r store.Result) {
 			if r.Outcome != store.Applied {
 				d.calling = false
+				c.log("campaign-failed", "service", string(service), "outcome", string(r.Outcome), "detail", r.Detail)
 				return
 			}
 			c.takeDriver(service, d, r.Lease, started.Add(r.TTL))
@@ -203,6 +204,9 @@
 			case store.NotFound:
 				c.log("driver-lost", "service", string(c.cfg.Target.Service), "reason", "the lease has ended")
 				d.lease, d.campaignAt = 0, now
+			default:
+				c.log("driver-unrenewed", "service", string(c.cfg.Target.Service), "outcome", string(r.Outcome),
+					"held_ms", milliseconds(d.held.Sub(now)))
 			}
 		})
 }
@@ -247,7 +251,7 @@
 	}
 	if decision.Next.Phase == model.PhaseWithdrawing && m.Phase != model.PhaseWithdrawing && !c.withheld(decision.Next) {
 		// The targets refuse the version at once, whether or not the platform answers.
-		c.spread(decision.Next)
+		c.withholdAtTargets(decision.Next)
 	}
 	if d.lease != 0 && !d.calling {
 		c.writeMove(service, d, decision.Next, m.revision)
@@ -264,8 +268,8 @@
 	return false
 }
 
-// spread withholds a version here and on the daemons beside its targets.
-func (c *Core) spread(m *model.Move) {
+// withholdAtTargets withholds a version here and on the daemons beside the service's targets.
+func (c *Core) withholdAtTargets(m *model.Move) {
 	mark := model.Mark{VersionRef: m.Version(), Move: m.ID, Reason: m.Reason, By: c.cfg.Target.Daemon, At: m.Since}
 	c.withhold([]model.Mark{mark})
 	for _, member := range c.roster {
@@ -281,7 +285,7 @@
 func (c *Core) createMove(service model.ServiceName, d *driving) {
 	in := c.intents[service]
 	m := &model.Move{
-		ID: moveID(in), Service: service, From: c.oldVersion(in), To: in.To, Deadline: in.By,
+		ID: moveID(in), Service: service, From: oldVersion(c.targets(), service, in.To), To: in.To, Deadline: in.By,
 		Phase: model.PhaseRunning, Step: -1, ConfirmedBy: "operator",
 	}
 	var revision int64
@@ -291,22 +295,6 @@
 	c.writeMove(service, d, m, revision)
 }
 
-// oldVersion returns the version other than the intent's that has the most slots.
-func (c *Core) oldVersion(in *intent) model.VersionName {
-	slots := map[model.VersionName]int{}
-	var old model.VersionName
-	for _, t := range c.targets() {
-		if t.Service != in.Service || t.Version == in.To {
-			continue
-		}
-		slots[t.Version] += t.Slots
-		if old == "" || slots[t.Version] > slots[old] {
-			old = t.Version
-		}
-	}
-	return old
-}
-
 // writeMove writes the record of a move and the report on it. The comparisons void the write of a driver that was paused
 // or replaced.
 func (c *Core) writeMove(service model.ServiceName, d *driving, m *model.Move, revision int64) {
--- a/internal/command/catalog/view.go
+++ b/internal/command/catalog/view.go
@@ -162,7 +162,7 @@
 // the old version the rest. A version that nobody ordered has none while another one is there.
 func (c *Core) shares(service model.ServiceName, targets []model.Target) []model.VersionShare {
 	moving, share := c.movingShare(service)
-	var old *model.Target
+	old := oldVersion(targets, service, moving)
 	movingReady := false
 	others := map[model.VersionName]bool{}
 	for i := range targets {
@@ -173,13 +173,10 @@
 			movingReady = true
 		default:
 			others[t.Version] = true
-			if old == nil || t.Born < old.Born || t.Born == old.Born && t.Version < old.Version {
-				old = t
-			}
 		}
 	}
 	switch {
-	case old == nil:
+	case old == "":
 		// Only the moving version is there.
 		share = model.FullShare
 	case share == model.FullShare && !movingReady:
@@ -192,7 +189,7 @@
 	}
 	for _, version := range slices.Sorted(maps.Keys(others)) {
 		rest := model.Share(0)
-		if version == old.Version {
+		if version == old {
 			rest = model.FullShare - share
 			if moving == "" {
 				rest = model.FullShare
@@ -203,6 +200,24 @@
 	return shares
 }
 
+// oldVersion returns the version of the service's oldest ready target that does not run the given version, or "".
+func oldVersion(targets []model.Target, service model.ServiceName, except model.VersionName) model.VersionName {
+	var old *model.Target
+	for i := range targets {
+		t := &targets[i]
+		if t.Service != service || t.State != model.TargetReady || t.Version == except {
+			continue
+		}
+		if old == nil || t.Born < old.Born || t.Born == old.Born && t.Version < old.Version {
+			old = t
+		}
+	}
+	if old == nil {
+		return ""
+	}
+	return old.Version
+}
+
 // movingShare returns the version that the operator wants and the share that it has now. A version that an intent names
 // has no calls before its move has begun.
 func (c *Core) movingShare(service model.ServiceName) (model.VersionName, model.Share) {
