--- a/cmd/sniperail/main.go
+++ b/cmd/sniperail/main.go
@@ -46,6 +46,8 @@
 	Events events `cmd:"" group:"query" help:"Print the event feed."`
 	Watch  watch  `cmd:"" group:"query" help:"Follow a move to its end. Exits with 1 if it is withdrawn."`
 	Check  check  `cmd:"" group:"query" help:"Check files without a server."`
+
+	Explain explain `cmd:"" group:"query" help:"Show the way of a request from the logs of daemons."`
 }
 
 type (
@@ -80,6 +82,28 @@
 	}
 )
 
+type explain struct {
+	Request string   `arg:"" help:"Id of the request."`
+	Logs    []string `arg:"" optional:"" placeholder:"FILE" help:"Logs, one a daemon; without any, standard input."`
+}
+
+// Run reads the logs.
+func (e explain) Run(s queries.Session) error {
+	if len(e.Logs) == 0 {
+		return s.Explain(e.Request, []queries.LogSource{{Name: "-", Read: os.Stdin}})
+	}
+	sources := make([]queries.LogSource, 0, len(e.Logs))
+	for _, name := range e.Logs {
+		file, err := os.Open(name)
+		if err != nil {
+			return errors.WithStack(err)
+		}
+		defer func() { _ = file.Close() }()
+		sources = append(sources, queries.LogSource{Name: name, Read: file})
+	}
+	return s.Explain(e.Request, sources)
+}
+
 const description = `Moves traffic between versions of a service, and distributes the configuration of a mesh.
 
 Examples:
