--- /dev/null
+++ b/internal/telemetry/bounded_test.go
@@ -0,0 +1,44 @@
+package telemetry_test
+
+import (
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"sniperail.example/sniperail/internal/telemetry"
+)
+
+// slowWriter blocks until it is released.
+type slowWriter struct {
+	release chan struct{}
+	mu      sync.Mutex
+	text    strings.Builder
+}
+
+func (w *slowWriter) Write(p []byte) (int, error) {
+	<-w.release
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.text.Write(p)
+}
+
+// Guards against a log that blocks its callers when nobody reads it, and against lines that are lost without a word.
+func TestBoundedWriterDropsAndCounts(t *testing.T) {
+	is := is.New(t)
+	slow := &slowWriter{release: make(chan struct{})}
+	b := telemetry.NewBoundedWriter(slow)
+	const lines = 2000
+	for range lines {
+		n, err := b.Write([]byte("line\n")) // returns although nothing is written
+		is.NoErr(err)
+		is.Equal(n, 5)
+	}
+	is.True(b.Dropped() > 0)
+	close(slow.release)
+	b.Close()
+	written := strings.Count(slow.text.String(), "line\n")
+	is.Equal(int64(written)+b.Dropped(), int64(lines))
+	is.True(strings.Contains(slow.text.String(), "event=log-lines-dropped"))
+}
