catalog: one check for a marked version

Cause: withheld in drive.go and withhold in evidence.go search the marks by the same two fields. hasPrefix and count repeat strings.HasPrefix and strconv.Itoa, and count has the name of a method of Core that counts refusals. Ruled out: keeping the two searches apart because one takes a move and the other a mark; both have the version and the move. Change: marked(version, move) serves both, and the two wrappers are gone. Behaviour is unchanged. Measured: go vet and go test -race ./internal/command/... pass; no test changed.

--- a/internal/command/catalog/drive.go
+++ b/internal/command/catalog/drive.go
@@ -249,7 +249,7 @@
 		}
 		return
 	}
-	if decision.Next.Phase == model.PhaseWithdrawing && m.Phase != model.PhaseWithdrawing && !c.withheld(decision.Next) {
+	if decision.Next.Phase == model.PhaseWithdrawing && m.Phase != model.PhaseWithdrawing && !c.marked(decision.Next.Version(), decision.Next.ID) {
 		// The targets refuse the version at once, whether or not the platform answers.
 		c.withholdAtTargets(decision.Next)
 	}
@@ -258,16 +258,6 @@
 	}
 }
 
-// withheld reports whether the version of a move is marked already.
-func (c *Core) withheld(m *model.Move) bool {
-	for i := range c.marks {
-		if c.marks[i].VersionRef == m.Version() && c.marks[i].Move == m.ID {
-			return true
-		}
-	}
-	return false
-}
-
 // withholdAtTargets withholds a version here and on the daemons beside the service's targets.
 func (c *Core) withholdAtTargets(m *model.Move) {
 	mark := model.Mark{VersionRef: m.Version(), Move: m.ID, Reason: m.Reason, By: c.cfg.Target.Daemon, At: m.Since}
--- a/internal/command/catalog/evidence.go
+++ b/internal/command/catalog/evidence.go
@@ -58,10 +58,15 @@
 	}
 }
 
+// marked reports whether a version is withheld in a move.
+func (c *Core) marked(version model.VersionRef, move model.PlanID) bool {
+	return slices.ContainsFunc(c.marks, func(m model.Mark) bool { return m.VersionRef == version && m.Move == move })
+}
+
 // withhold takes marks of peers; they only grow.
 func (c *Core) withhold(marks []model.Mark) {
 	for _, m := range marks {
-		if slices.ContainsFunc(c.marks, func(k model.Mark) bool { return k.VersionRef == m.VersionRef && k.Move == m.Move }) {
+		if c.marked(m.VersionRef, m.Move) {
 			continue
 		}
 		c.marks = append(c.marks[:len(c.marks):len(c.marks)], m)
--- a/internal/command/catalog/source.go
+++ b/internal/command/catalog/source.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"sniperail.example/sniperail/internal/effect"
@@ -187,7 +188,7 @@
 
 // sourceOf returns the source of a key.
 func (c *Core) sourceOf(key string) *source {
-	if hasPrefix(key, store.PrefixMesh) {
+	if strings.HasPrefix(key, store.PrefixMesh) {
 		return &c.mesh
 	}
 	return &c.operator
--- a/internal/command/catalog/spread.go
+++ b/internal/command/catalog/spread.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -85,7 +86,7 @@
 	for i := range changes {
 		e := &changes[i].Entry
 		s := c.sourceOf(e.Key)
-		if !hasPrefix(e.Key, s.prefix) {
+		if !strings.HasPrefix(e.Key, s.prefix) {
 			continue
 		}
 		if changes[i].Removed {
@@ -168,7 +169,7 @@
 		}
 	}
 	if c.digest(&c.operator)^c.digest(&c.mesh) != before {
-		c.log("peer-catalog", "from", from, "changes", count(len(reply.Changes)))
+		c.log("peer-catalog", "from", from, "changes", strconv.Itoa(len(reply.Changes)))
 	}
 	if reply.Loaded && (!c.operator.loaded || !c.mesh.loaded) {
 		c.operator.loaded, c.mesh.loaded = true, true
@@ -244,7 +245,7 @@
 	c.operator.revision = max(c.operator.revision, revision)
 	c.dirty = true
 	c.log("configuration", "number", number(next.Number), "revision", strconv.FormatInt(revision, 10),
-		"routes", count(len(next.Routes)), "source", source)
+		"routes", strconv.Itoa(len(next.Routes)), "source", source)
 }
 
 func number(n model.Number) string { return strconv.FormatUint(uint64(n), 10) }
--- a/internal/command/catalog/view.go
+++ b/internal/command/catalog/view.go
@@ -107,7 +107,7 @@
 	}
 	view.Ready = c.configuration != nil && c.operator.loaded && c.mesh.loaded
 	if view.Ready && !c.ready {
-		c.log("ready", "number", number(c.configuration.Number), "targets", count(len(view.Targets)))
+		c.log("ready", "number", number(c.configuration.Number), "targets", strconv.Itoa(len(view.Targets)))
 	}
 	c.ready = view.Ready
 	c.emit(effect.Publish{View: view})
@@ -266,7 +266,3 @@
 	}
 	c.moves[service] = &record{*m, e.ModRevision}
 }
-
-func count(n int) string { return strconv.Itoa(n) }
-
-func hasPrefix(key, prefix string) bool { return strings.HasPrefix(key, prefix) }
