platform: drop code without a caller

Ruled out: keeping Stale for later; a field that one of two adapters ignores promises what the other does not do. Created stays in the wire form, where the stand-in writes it. Measured: go vet ./... and go test -race ./platform/... ./internal/platform/... ./internal/store/... pass; no test changed. Conclusion: requests and answers on the wire are the same.

--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -91,11 +91,11 @@
 	}
 	stream := newWatchStream(response.Body)
 	for {
-		batch, err := stream.next()
+		events, err := stream.next()
 		if err != nil {
 			return err
 		}
-		for _, event := range batch.events {
+		for _, event := range events {
 			if !deliver(event) {
 				return ctx.Err()
 			}
@@ -109,29 +109,24 @@
 	decoder *json.Decoder
 }
 
-type watchBatch struct {
-	created bool
-	events  []store.WatchEvent
-}
-
 func newWatchStream(r io.Reader) *watchStream {
 	limit := &io.LimitedReader{R: r, N: maxAnswer}
 	return &watchStream{limit: limit, decoder: json.NewDecoder(limit)}
 }
 
 // next returns the next message, or an error at the end of the watch. One message is at most maxAnswer bytes.
-func (s *watchStream) next() (watchBatch, error) {
+func (s *watchStream) next() ([]store.WatchEvent, error) {
 	s.limit.N = maxAnswer
 	var message wire.WatchMessage
 	if err := s.decoder.Decode(&message); err != nil {
-		return watchBatch{}, errors.Wrap(err, "watch stream")
+		return nil, errors.Wrap(err, "watch stream")
 	}
 	if message.Error != nil || message.Result == nil || message.Result.Canceled {
-		return watchBatch{}, errors.New("watch ended by the service")
+		return nil, errors.New("watch ended by the service")
 	}
-	batch := watchBatch{created: message.Result.Created}
+	var events []store.WatchEvent
 	for _, event := range message.Result.Events {
-		batch.events = append(batch.events, store.WatchEvent{Entry: entry(event.KV), Deleted: event.Type == wire.EventDelete})
+		events = append(events, store.WatchEvent{Entry: entry(event.KV), Deleted: event.Type == wire.EventDelete})
 	}
-	return batch, nil
+	return events, nil
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -66,8 +66,6 @@
 	Limit int
 	// After is the key after which a list begins.
 	After string
-	// Stale allows a read to be answered from a copy that is some seconds old, at a lower cost.
-	Stale bool
 	Txn   Txn
 	Lease LeaseID
 	// TTL is the lifetime of a granted lease.
