daemon, sidecar: start goroutines by sync.WaitGroup.Go

Cause: the run loops of both daemons define the same closure around WaitGroup.Add and Done, which the standard library has had since Go 1.25. The doc comment of Sidecar.Reload promises a result that the method does not have. Change: group.Go replaces the closures and the same lines in the drain of sniperaild; the comment says what Reload does.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -229,21 +229,14 @@
 func (d *Daemon) Run(ctx, abort context.Context) {
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var group sync.WaitGroup
-	run := func(f func()) {
-		group.Add(1)
-		go func() {
-			defer group.Done()
-			f()
-		}()
-	}
-	run(func() { d.loop.Run(work) })
-	run(d.server.Serve)
-	run(func() { d.ingress.Run(work) })
+	group.Go(func() { d.loop.Run(work) })
+	group.Go(d.server.Serve)
+	group.Go(func() { d.ingress.Run(work) })
 	probing, stopProbe := context.WithCancel(work)
-	run(func() { d.newProbe(work).Run(probing) })
-	run(func() { d.serve("ingress", d.servers.ingress, d.listeners.ingress) })
-	run(func() { d.serve("admission", d.servers.admission, d.listeners.admission) })
-	run(func() { d.serve("api", d.servers.api, d.listeners.api) })
+	group.Go(func() { d.newProbe(work).Run(probing) })
+	group.Go(func() { d.serve("ingress", d.servers.ingress, d.listeners.ingress) })
+	group.Go(func() { d.serve("admission", d.servers.admission, d.listeners.admission) })
+	group.Go(func() { d.serve("api", d.servers.api, d.listeners.api) })
 	d.logStart()
 
 	<-ctx.Done()
@@ -292,13 +285,11 @@
 	defer cancel()
 	var group sync.WaitGroup
 	for _, server := range []*http.Server{d.servers.ingress, d.servers.admission, d.servers.api} {
-		group.Add(1)
-		go func() {
-			defer group.Done()
+		group.Go(func() {
 			if err := server.Shutdown(limited); err != nil {
 				_ = server.Close()
 			}
-		}()
+		})
 	}
 	group.Wait()
 	// Answers of claimed requests are stored after they were sent.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -293,19 +293,12 @@
 func (d *Sidecar) Run(ctx, abort context.Context) {
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var group sync.WaitGroup
-	run := func(f func()) {
-		group.Add(1)
-		go func() {
-			defer group.Done()
-			f()
-		}()
-	}
-	run(func() { d.loop.Run(work) })
-	run(d.server.Serve)
-	run(func() { d.outbound.Run(work) })
-	run(func() { d.inbound.Run(work) })
+	group.Go(func() { d.loop.Run(work) })
+	group.Go(d.server.Serve)
+	group.Go(func() { d.outbound.Run(work) })
+	group.Go(func() { d.inbound.Run(work) })
 	for _, s := range d.servers {
-		run(func() {
+		group.Go(func() {
 			if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
 				d.logger.Error("listener-failed", zap.String("listener", s.name), zap.Error(err))
 			}
@@ -361,8 +354,7 @@
 	}
 }
 
-// Reload takes the settings that may change while the process runs, and returns the names of changed settings that take
-// effect only at the next start.
+// Reload takes the settings that may change while the process runs. Other settings take effect only at the next start.
 func (d *Sidecar) Reload(ctx context.Context, next settings.Sidecar) {
 	d.loop.SeedsChanged(ctx, next.Seeds)
 	d.logger.Info("reloaded", zap.Strings("seeds", next.Seeds))
