sidecar: count ready targets in one table

Cause: the gauge sniperail_targets_ready read the table in use again for each target. If a table with fewer targets is published between two reads, the index is out of range and the scrape panics. Ruled out: nothing else reads the table more than once for one value; the gauge of the configuration number reads it once. Change: the targets are taken from the table once.

--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -230,16 +230,23 @@
 		return err
 	}
 	return d.metrics.Gauge("sniperail_targets_ready", "Ready targets that this daemon knows.", func() float64 {
-		ready := 0
-		for i := range d.loop.Table().View.Targets {
-			if d.loop.Table().View.Targets[i].State == model.TargetReady {
-				ready++
-			}
-		}
-		return float64(ready)
+		return float64(readyTargets(d.loop))
 	})
 }
 
+// readyTargets counts the ready targets of the table in use.
+func readyTargets(tables traffic.Tables) int {
+	// The next table may have fewer targets, so all reads are of one.
+	targets := tables.Table().View.Targets
+	ready := 0
+	for i := range targets {
+		if targets[i].State == model.TargetReady {
+			ready++
+		}
+	}
+	return ready
+}
+
 const (
 	// headerTimeout and callerIdle hold while the operator sets no limit.
 	headerTimeout = 5 * time.Second
