traffic: one wait for a slot in front of both queues

Cause: slots (sniperaild) and lane (the sidecar) each had the same map of waiting calls, the same wait for a grant, the deadline or the caller's leaving, the same way to give back a slot that was granted at that moment, and the same settle. A fault in one would have had to be found twice. Ruled out: one queue for both. admission.State and admission.Ordered decide by different rules; only what surrounds them is the same. Change: waits holds the lock and the calls that wait; both embed it. slots still answers a call whose caller left as one at its deadline. Measured: go test -race -count=3 ./internal/traffic/... ./internal/command/ admission/... passes; no test changed.

--- a/internal/traffic/admission.go
+++ b/internal/traffic/admission.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"net/url"
-	"sync"
 	"time"
 
 	"sniperail.example/sniperail/internal/command/admission"
@@ -38,7 +37,7 @@
 
 // NewAdmission returns an admission handler whose target is starting; see SetTarget.
 func NewAdmission(options AdmissionOptions) *Admission {
-	s := &slots{state: admission.New(options.Settings), waiting: map[admission.Ticket]chan admission.Reason{}}
+	s := &slots{state: admission.New(options.Settings), waits: newWaits()}
 	a := &Admission{
 		options: options, slots: s,
 		pool: newPool(transportOptions{
@@ -131,9 +130,8 @@
 
 // slots is the admission state with its lock and the calls that wait.
 type slots struct {
-	mu      sync.Mutex
-	state   *admission.State
-	waiting map[admission.Ticket]chan admission.Reason
+	waits
+	state *admission.State
 }
 
 // acquire takes a slot, waiting for one if needed. A nil refusal means that the call holds a slot.
@@ -144,40 +142,14 @@
 		s.mu.Unlock()
 		return refusalOf(decision.Reason, decision.RetryAfter)
 	}
-	settled := make(chan admission.Reason, 1)
-	s.waiting[decision.Ticket] = settled
+	settled := s.enter(decision.Ticket)
 	s.mu.Unlock()
-	timer := time.NewTimer(time.Until(deadline))
-	defer timer.Stop()
-	select {
-	case reason := <-settled:
-		return refusalOf(reason, 0)
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-	s.mu.Lock()
-	waited := s.state.Abandon(decision.Ticket)
-	delete(s.waiting, decision.Ticket)
-	s.mu.Unlock()
-	if !waited {
-		// The wait was settled at the same moment; a granted slot goes back.
-		if reason := <-settled; reason == admission.Admitted {
-			s.settle(func(now time.Time) []admission.Settled { return s.state.Return(now) })
-		}
-	}
-	return refusalOf(admission.Deadline, 0)
-}
-
-// settle frees a slot and wakes the calls whose wait ends.
-func (s *slots) settle(free func(now time.Time) []admission.Settled) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, settled := range free(time.Now()) {
-		if waiting, ok := s.waiting[settled.Ticket]; ok {
-			waiting <- settled.Reason
-			delete(s.waiting, settled.Ticket)
-		}
+	reason := s.wait(ctx, deadline, s.state, decision.Ticket, settled)
+	if reason == admission.Abandoned {
+		// Whoever left reads no answer; the refusal counts as one at the deadline.
+		reason = admission.Deadline
 	}
+	return refusalOf(reason, 0)
 }
 
 // release frees the slot of a call that reached the target.
@@ -187,7 +159,7 @@
 
 // giveBack frees the slot of a call that did not reach the target.
 func (s *slots) giveBack() {
-	s.settle(func(now time.Time) []admission.Settled { return s.state.Return(now) })
+	s.settle(s.state.Return)
 }
 
 func (s *slots) openConnection() bool {
--- a/internal/traffic/lane.go
+++ b/internal/traffic/lane.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"sync"
 	"time"
 
 	"sniperail.example/sniperail/internal/command/admission"
@@ -16,15 +15,14 @@
 
 // lane is the queue of a target with its lock, the calls that wait, and the target's connections.
 type lane struct {
-	mu          sync.Mutex
+	waits
 	queue       *admission.Ordered
-	waiting     map[admission.Ticket]chan admission.Reason
 	connections int
 	open        int
 }
 
 func newLane() *lane {
-	return &lane{queue: admission.NewOrdered(), waiting: map[admission.Ticket]chan admission.Reason{}}
+	return &lane{queue: admission.NewOrdered(), waits: newWaits()}
 }
 
 func (l *lane) setTarget(t *model.Target, withheld bool) {
@@ -34,18 +32,6 @@
 	})
 }
 
-// settle changes the queue and wakes the calls whose wait ends.
-func (l *lane) settle(change func(now time.Time) []admission.Settled) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, settled := range change(time.Now()) {
-		if waiting, ok := l.waiting[settled.Ticket]; ok {
-			waiting <- settled.Reason
-			delete(l.waiting, settled.Ticket)
-		}
-	}
-}
-
 // acquire takes a slot, waiting for one if needed. A nil refusal means that the call holds a slot.
 func (l *lane) acquire(ctx context.Context, deadline time.Time, work admission.Work) *refusal {
 	l.mu.Lock()
@@ -58,28 +44,9 @@
 		l.mu.Unlock()
 		return laneRefusal(decision.Reason, decision.RetryAfter)
 	}
-	settled := make(chan admission.Reason, 1)
-	l.waiting[decision.Ticket] = settled
+	settled := l.enter(decision.Ticket)
 	l.mu.Unlock()
-	timer := time.NewTimer(time.Until(deadline))
-	defer timer.Stop()
-	reason := admission.Abandoned
-	select {
-	case reason = <-settled:
-		return laneRefusal(reason, 0)
-	case <-ctx.Done():
-	case <-timer.C:
-		reason = admission.Deadline
-	}
-	l.mu.Lock()
-	waited := l.queue.Abandon(decision.Ticket)
-	delete(l.waiting, decision.Ticket)
-	l.mu.Unlock()
-	if !waited && <-settled == admission.Admitted {
-		// The wait was settled at the same moment; a granted slot goes back.
-		l.settle(func(now time.Time) []admission.Settled { return l.queue.Return(now) })
-	}
-	return laneRefusal(reason, 0)
+	return laneRefusal(l.wait(ctx, deadline, l.queue, decision.Ticket, settled), 0)
 }
 
 func laneRefusal(reason admission.Reason, after time.Duration) *refusal {
@@ -159,9 +126,7 @@
 		return
 	}
 	h.freed = true
-	free := func() {
-		h.lane.settle(func(now time.Time) []admission.Settled { return h.lane.queue.Return(now) })
-	}
+	free := func() { h.lane.settle(h.lane.queue.Return) }
 	if h.sent {
 		time.AfterFunc(abandonHold, free)
 		return
