traffic: place a request in one method

Cause: the call of Version.Place with the same four arguments stands three times in placement.go, and loads carries a view that nothing reads. Ruled out: keeping the choice of another() for the next send. Change: placement.place selects a target; the field view is gone. another() takes its time as an argument of place, as before. Measured: go vet and go test -race ./internal/traffic pass; no test changed. Conclusion: behaviour is unchanged.

--- a/internal/traffic/load.go
+++ b/internal/traffic/load.go
@@ -48,7 +48,6 @@
 type loads struct {
 	peers *peers
 	route model.RouteName
-	view  *model.View
 	now   time.Time
 }
 
--- a/internal/traffic/placement.go
+++ b/internal/traffic/placement.go
@@ -121,11 +121,11 @@
 		p.version = version
 	}
 	now := time.Now()
-	choice, ok := p.version.Place(p.signals(now), random{}, p.tried, p.objective.Sub(now))
+	choice, ok := p.place(now)
 	if !ok {
 		if other := p.service.Fallback(p.version); other != nil {
 			p.version = other
-			choice, ok = p.version.Place(p.signals(now), random{}, p.tried, p.objective.Sub(now))
+			choice, ok = p.place(now)
 		}
 	}
 	if !ok {
@@ -137,8 +137,10 @@
 	return choice, nil
 }
 
-func (p *placement) signals(now time.Time) routing.LoadSignals {
-	return &loads{p.out.peers, p.route.Name, p.table.View, now}
+// place selects a target of the version that was not tried.
+func (p *placement) place(now time.Time) (routing.Choice, bool) {
+	signals := &loads{p.out.peers, p.route.Name, now}
+	return p.version.Place(signals, random{}, p.tried, p.objective.Sub(now))
 }
 
 // send sends the request to the daemon beside a target.
@@ -283,8 +285,7 @@
 
 // another reports whether a target is left that was not tried.
 func (p *placement) another() bool {
-	now := time.Now()
-	if _, ok := p.version.Place(p.signals(now), random{}, p.tried, p.objective.Sub(now)); ok {
+	if _, ok := p.place(time.Now()); ok {
 		return true
 	}
 	return p.service.Fallback(p.version) != nil
