traffic: one map of values made on first use

Ruled out: a constructor kept in the map. It would need setting up where the zero value serves now; a constructor that captures the key would allocate on each call.

--- a/internal/traffic/call.go
+++ b/internal/traffic/call.go
@@ -50,7 +50,7 @@
 
 // run makes attempts until one is answered or no retry is allowed.
 func (c *call) run(w http.ResponseWriter) {
-	budget := c.ingress.budget(c.service.Name)
+	budget := c.ingress.budgets.get(c.service.Name, zero)
 	budget.mu.Lock()
 	budget.budget.Call()
 	budget.mu.Unlock()
--- a/internal/traffic/export_test.go
+++ b/internal/traffic/export_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"sync"
 	"time"
 
 	"sniperail.example/sniperail/internal/model"
@@ -41,3 +42,15 @@
 	p.follow(older, now)
 	return p.find(&model.Target{Daemon: published.Table().View.Targets[0].Daemon}).calls.lost
 }
+
+// FirstUse returns what n concurrent callers get for a key that is used for the first time.
+func FirstUse(n int) []*int {
+	var k keyed[string, int]
+	got := make([]*int, n)
+	var group sync.WaitGroup
+	for i := range got {
+		group.Go(func() { got[i] = k.get("key", zero) })
+	}
+	group.Wait()
+	return got
+}
--- a/internal/traffic/ingress.go
+++ b/internal/traffic/ingress.go
@@ -32,11 +32,8 @@
 	recorder *recorder
 	gate     gate
 	calls    atomic.Uint64
-
 	counters counters
-
-	mu      sync.RWMutex
-	budgets map[model.ServiceName]*budget
+	budgets  keyed[model.ServiceName, budget]
 }
 
 // budget is a retry budget with its lock.
@@ -52,7 +49,6 @@
 		pool: newPool(transportOptions{
 			idlePerPeer: options.Limits.IdlePerPeer, idleTotal: options.Limits.IdleTotal, headerBytes: options.Limits.HeaderBytes,
 		}),
-		budgets: map[model.ServiceName]*budget{},
 	}
 	i.calls.Store(random{}.Uint64())
 	return i
@@ -140,20 +136,3 @@
 		id: strconv.FormatUint(i.calls.Add(1), 36), nested: len(r.Header[HeaderAttempt]) > 0,
 	}, nil
 }
-
-// budget returns the retry budget of a service.
-func (i *Ingress) budget(service model.ServiceName) *budget {
-	i.mu.RLock()
-	b := i.budgets[service]
-	i.mu.RUnlock()
-	if b != nil {
-		return b
-	}
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if b = i.budgets[service]; b == nil {
-		b = &budget{}
-		i.budgets[service] = b
-	}
-	return b
-}
--- a/internal/traffic/load.go
+++ b/internal/traffic/load.go
@@ -95,14 +95,3 @@
 	defer b.mu.Unlock()
 	return b.budget.Take(time.Now(), limit, len(table.View.Targets), executed)
 }
-
-// budgets holds a budget per service.
-type budgets struct{ byService sync.Map }
-
-func (b *budgets) get(service model.ServiceName) *sharedBudget {
-	if known, ok := b.byService.Load(service); ok {
-		return known.(*sharedBudget)
-	}
-	known, _ := b.byService.LoadOrStore(service, &sharedBudget{})
-	return known.(*sharedBudget)
-}
--- a/internal/traffic/metrics.go
+++ b/internal/traffic/metrics.go
@@ -78,16 +78,15 @@
 // routeHistogram is a histogram with a label "route" whose attribute sets are cached.
 type routeHistogram struct {
 	histogram metric.Float64Histogram
-	options   sync.Map // model.RouteName -> []metric.RecordOption
+	options   keyed[model.RouteName, []metric.RecordOption]
 }
 
 func (h *routeHistogram) record(ctx context.Context, route model.RouteName, d time.Duration) {
-	cached, ok := h.options.Load(route)
-	if !ok {
-		option := metric.WithAttributeSet(attribute.NewSet(attribute.String("route", string(route))))
-		cached, _ = h.options.LoadOrStore(route, []metric.RecordOption{option})
-	}
-	h.histogram.Record(ctx, d.Seconds(), cached.([]metric.RecordOption)...)
+	h.histogram.Record(ctx, d.Seconds(), *h.options.get(route, routeOptions)...)
+}
+
+func routeOptions(route model.RouteName) *[]metric.RecordOption {
+	return &[]metric.RecordOption{metric.WithAttributeSet(attribute.NewSet(attribute.String("route", string(route))))}
 }
 
 // occupied is a queue beside a target.
--- a/internal/traffic/outbound.go
+++ b/internal/traffic/outbound.go
@@ -36,7 +36,7 @@
 	gate     gate
 	calls    atomic.Uint64
 	counters counters
-	budgets  budgets
+	budgets  keyed[model.ServiceName, sharedBudget]
 	patience patience
 }
 
--- a/internal/traffic/patience.go
+++ b/internal/traffic/patience.go
@@ -1,7 +1,6 @@
 package traffic
 
 import (
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -10,15 +9,13 @@
 
 // patience holds the longest deadline that callers have set on each route. A caller that comes back after a refusal sets
 // what is left of it, so the difference tells how long the request has been under way.
-type patience struct{ byRoute sync.Map }
+type patience struct {
+	byRoute keyed[model.RouteName, atomic.Int64]
+}
 
 // spent returns how long before this attempt the caller is taken to have made its first one.
 func (p *patience) spent(route model.RouteName, deadline time.Duration) time.Duration {
-	known, ok := p.byRoute.Load(route)
-	if !ok {
-		known, _ = p.byRoute.LoadOrStore(route, &atomic.Int64{})
-	}
-	longest := known.(*atomic.Int64)
+	longest := p.byRoute.get(route, zero)
 	for {
 		seen := longest.Load()
 		if int64(deadline) <= seen {
--- a/internal/traffic/placement.go
+++ b/internal/traffic/placement.go
@@ -59,7 +59,7 @@
 
 // run makes attempts until one is answered or no other is allowed.
 func (p *placement) run(w http.ResponseWriter) {
-	budget := p.out.budgets.get(p.service.Name)
+	budget := p.out.budgets.get(p.service.Name, zero)
 	budget.call()
 	defer func() {
 		p.out.options.Metrics.requests.record(context.WithoutCancel(p.request.Context()), p.route.Name, time.Since(p.started))
