traffic: use a pooled connection only after its reader has looked

Cause: http.Transport puts a connection into its pool before its reader looks whether bytes follow the response. If the reader is preempted in between, the next call takes the connection, and the bytes that belong to nobody are its response. Between daemons the pairing header, and beside a platform target the request id, turn such a response into a refusal; sniperaild's call to its target has neither. Ruled out: a header that targets return, since targets of sniperaild promise none; looking after the request was written, since the response may then be its. Change: the exchange waits until the reader is in a read, which it only begins with an empty buffer, or has closed the connection. No thread spins. Measured: TestReuseWaitsForTheReader fails in both cases without the wait. Bytes that arrive after the next request was written cannot be told from its response without an id.

--- a/internal/traffic/export_test.go
+++ b/internal/traffic/export_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/http/httptrace"
 	"sync"
 	"time"
 
@@ -23,7 +24,7 @@
 // TrackConn wraps a connection as the pool beside a target does, with one exchange on it.
 func TrackConn(conn net.Conn, limit testLimit, written, answered bool) (net.Conn, <-chan struct{}) {
 	limit.OpenConnection()
-	c := &trackedConn{Conn: conn, limit: limitAdapter{limit}, lingers: true, ended: make(chan struct{})}
+	c := newTrackedConn(conn, limitAdapter{limit}, true)
 	e := &exchange{}
 	if !answered {
 		c.current.Store(e)
@@ -54,3 +55,15 @@
 	group.Wait()
 	return got
 }
+
+// Reuse takes a pooled connection for an exchange, as http.Transport offers it. The channel tells, once it is taken, whether
+// a request can be sent on it.
+func Reuse(conn net.Conn) <-chan bool {
+	usable := make(chan bool, 1)
+	go func() {
+		e := &exchange{}
+		e.gotConn(httptrace.GotConnInfo{Conn: conn, Reused: true})
+		usable <- !e.unusable
+	}()
+	return usable
+}
--- a/internal/traffic/transport.go
+++ b/internal/traffic/transport.go
@@ -68,7 +68,7 @@
 			}
 			return nil, err
 		}
-		return &trackedConn{Conn: conn, limit: o.limit, lingers: o.lingers, ended: make(chan struct{})}, nil
+		return newTrackedConn(conn, o.limit, o.lingers), nil
 	}
 	idle := o.idle
 	if idle == 0 {
@@ -99,6 +99,16 @@
 	closing sync.Once
 	// ended is closed with the connection, after a linger.
 	ended chan struct{}
+	// mu guards receiving, which says that a read waits for the other end, and shut, which says that Close was called.
+	mu              sync.Mutex
+	changed         *sync.Cond
+	receiving, shut bool
+}
+
+func newTrackedConn(conn net.Conn, limit connectionLimit, lingers bool) *trackedConn {
+	c := &trackedConn{Conn: conn, limit: limit, lingers: lingers, ended: make(chan struct{})}
+	c.changed = sync.NewCond(&c.mu)
+	return c
 }
 
 func (c *trackedConn) Write(p []byte) (int, error) {
@@ -115,9 +125,30 @@
 	if c.closed.Load() {
 		return 0, net.ErrClosed
 	}
+	c.set(&c.receiving, true)
+	defer c.set(&c.receiving, false)
 	return c.Conn.Read(p)
 }
 
+func (c *trackedConn) set(state *bool, value bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	*state = value
+	c.changed.Broadcast()
+}
+
+// awaitReader waits until the reader of a connection between two exchanges has used all bytes that it has received, or has
+// closed the connection because some are left; the result says which. http.Transport offers a connection for the next
+// exchange before it looks, and would take such bytes for the response to it.
+func (c *trackedConn) awaitReader() (open bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for !c.receiving && !c.shut {
+		c.changed.Wait()
+	}
+	return !c.shut
+}
+
 // seal refuses later writes and returns the number of earlier ones.
 func (c *trackedConn) seal() int64 {
 	c.closed.Store(true)
@@ -130,6 +161,7 @@
 	var err error
 	c.closing.Do(func() {
 		c.closed.Store(true)
+		c.set(&c.shut, true)
 		half, ok := c.Conn.(interface{ CloseWrite() error })
 		if e := c.current.Load(); ok && c.lingers && e != nil && c.writes.Load() > e.before {
 			// Ends reads and writes in progress, whose goroutines belong to http.Transport.
@@ -180,6 +212,8 @@
 	response *http.Response
 	conn     *trackedConn
 	reused   bool
+	// unusable says that the connection was closed before the exchange began, so that no byte of the request was sent.
+	unusable bool
 	// before is the number of writes to the connection before this exchange.
 	before int64
 	// sent says that a byte of the request may have reached the other end.
@@ -205,13 +239,13 @@
 	e.trace.GotConn = e.gotConn
 	traced := httptrace.WithClientTrace(ctx, &e.trace)
 	for tries := 1; ; tries++ {
-		e.conn, e.reused = nil, false
+		e.conn, e.reused, e.unusable = nil, false, false
 		response, err := p.transport.RoundTrip(o.build(traced, address))
 		if err == nil {
 			e.sent, e.response = true, response
 			break
 		}
-		e.sent = e.conn != nil && e.conn.seal() > e.before
+		e.sent = e.conn != nil && e.conn.seal() > e.before && !e.unusable
 		// A pooled connection that the other end closed says nothing about a new one.
 		if !e.sent && e.reused && tries < maxStale && ctx.Err() == nil && o.body.replayable() {
 			continue
@@ -233,6 +267,8 @@
 	if !ok {
 		panic(errors.New("a connection of the pool is not tracked"))
 	}
+	// A closed connection refuses all writes.
+	e.unusable = info.Reused && !conn.awaitReader()
 	e.conn, e.reused, e.before = conn, info.Reused, conn.writes.Load()
 	conn.current.Store(e)
 }
--- a/internal/traffic/transport_test.go
+++ b/internal/traffic/transport_test.go
@@ -195,3 +195,38 @@
 		})
 	}
 }
+
+// Guards against a response to nobody's request that is taken for the one of the next: http.Transport offers a connection
+// again before it looks whether bytes are left, so the connection must not be used until it has looked.
+func TestReuseWaitsForTheReader(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// look is what http.Transport does once it has looked.
+		look   func(conn net.Conn)
+		usable bool
+	}{
+		{"no bytes are left", func(conn net.Conn) { _, _ = conn.Read(make([]byte, 1)) }, true},
+		{"bytes are left", func(conn net.Conn) { _ = conn.Close() }, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				near, far := net.Pipe()
+				conn, _ := traffic.TrackConn(near, &limitStub{}, true, true)
+				usable := traffic.Reuse(conn)
+				synctest.Wait()
+				select {
+				case <-usable:
+					t.Fatal("the connection is used before its reader has looked")
+				default:
+				}
+				var wg sync.WaitGroup
+				wg.Go(func() { test.look(conn) })
+				is.Equal(<-usable, test.usable)
+				is.NoErr(far.Close())
+				wg.Wait()
+				_ = conn.Close()
+			})
+		})
+	}
+}
