catalog: a candidate that the platform does not answer judges without the lease

Cause: the driver of a move was lost while the platform was away. Ruled out: longer leases, which delay a takeover when the platform is well. Change: a daemon whose campaign is not answered judges and withholds without the lease, unless it heard another judge within 1.2 s. It stops when it hears a driver that holds the lease or loses a campaign. Failed campaigns back off to one second. Measured: TestWithdrawalWhenTheDriverIsLostInAnOutage and TestCandidatesInAnOutage fail without the change.

--- a/internal/command/catalog/drive.go
+++ b/internal/command/catalog/drive.go
@@ -20,8 +20,10 @@
 	campaignSpread = 1200 * time.Millisecond
 	// driverSilence is how long no driver has been heard before others campaign. Its lease ends soon after.
 	driverSilence = 1200 * time.Millisecond
-	// campaignRetry is the wait after a failed campaign.
-	campaignRetry = 500 * time.Millisecond
+	// campaignRetry is the wait after a failed campaign, and campaignRetryMax the longest one after several: a driver must
+	// be found within about a second of the platform's return.
+	campaignRetry    = 500 * time.Millisecond
+	campaignRetryMax = time.Second
 	// driveEvery is how often the targets are asked for outcomes and the move is decided.
 	driveEvery = 300 * time.Millisecond
 )
@@ -32,9 +34,12 @@
 	wanted bool
 	// active says that this daemon drives. Without the lease it only judges and withholds, as while the platform is away.
 	active bool
-	// heardAt is when a driver that holds the lease was last heard.
-	heardAt    time.Time
-	campaignAt time.Time
+	// heardAt is when a driver that holds the lease was last heard, and judgeHeardAt one that does not hold it.
+	heardAt      time.Time
+	judgeHeardAt time.Time
+	campaignAt   time.Time
+	// failures counts campaigns in a row that the platform did not answer.
+	failures int
 	// lease and revision are those of the driver's key while this daemon holds it, and held says until when at least.
 	lease    store.LeaseID
 	revision int64
@@ -76,8 +81,15 @@
 
 // driverHeard notes that another daemon drives the service beside this one.
 func (c *Core) driverHeard(now time.Time, q *message.EvidenceQuery) {
-	if q.Held && q.Service == c.cfg.Target.Service {
-		c.driving.heardAt = now
+	d := &c.driving
+	switch {
+	case q.Service != c.cfg.Target.Service:
+	case !q.Held:
+		d.judgeHeardAt = now
+	default:
+		d.heardAt = now
+		// Whoever holds the lease decides, so that nobody else needs to judge.
+		d.active = d.active && d.lease != 0
 	}
 }
 
@@ -158,10 +170,10 @@
 	started := now
 	ttl := max(driverTTL, c.cfg.MinLease)
 	c.call(store.Call{Kind: store.KindGrant, Priority: store.PriorityLease, Reason: "drive", TTL: ttl},
-		func(_ time.Time, r store.Result) {
+		func(now time.Time, r store.Result) {
 			if r.Outcome != store.Applied {
 				d.calling = false
-				c.log("campaign-failed", "service", string(service), "outcome", string(r.Outcome), "detail", r.Detail)
+				c.campaignFailed(now, service, d, r)
 				return
 			}
 			c.takeDriver(service, d, r.Lease, started.Add(r.TTL))
@@ -177,20 +189,37 @@
 		d.calling = false
 		switch r.Outcome {
 		case store.Applied:
-			d.lease, d.revision, d.held = lease, r.Revision, held
+			d.lease, d.revision, d.held, d.failures = lease, r.Revision, held, 0
 			d.renewAt = now.Add(driverTTL / renewals)
-			if !d.active {
-				d.active, d.roundAt, d.reports = true, now, map[model.DaemonID]*report{}
-			}
+			d.activate(now)
 			c.log("driver", "service", string(service), "revision", strconv.FormatInt(r.Revision, 10))
 		case store.Conflict:
-			d.active = false
+			d.active, d.failures = false, 0
 		default:
-			c.log("campaign-failed", "service", string(service), "outcome", string(r.Outcome), "detail", r.Detail)
+			c.campaignFailed(now, service, d, r)
 		}
 	})
 }
 
+// campaignFailed waits longer with each campaign that the platform does not answer. Meanwhile nobody may hold the lease, as
+// when the driver was lost with the platform away, so this daemon judges and withholds without it unless another one does.
+func (c *Core) campaignFailed(now time.Time, service model.ServiceName, d *driving, r store.Result) {
+	c.log("campaign-failed", "service", string(service), "outcome", string(r.Outcome), "detail", r.Detail)
+	d.campaignAt = now.Add(c.jitter(min(campaignRetry<<min(d.failures, 2), campaignRetryMax)))
+	d.failures++
+	if !d.active && now.Sub(d.judgeHeardAt) >= driverSilence {
+		d.activate(now)
+		c.log("judge", "service", string(service))
+	}
+}
+
+// activate begins to judge the move; the lease decides whether this daemon also writes.
+func (d *driving) activate(now time.Time) {
+	if !d.active {
+		d.active, d.roundAt, d.reports = true, now, map[model.DaemonID]*report{}
+	}
+}
+
 func (c *Core) renewDriver(d *driving) {
 	d.calling = true
 	c.call(store.Call{Kind: store.KindKeepAlive, Priority: store.PriorityLease, Reason: "drive", Lease: d.lease},
--- a/internal/command/catalog/drive_test.go
+++ b/internal/command/catalog/drive_test.go
@@ -134,6 +134,53 @@
 	}
 }
 
+// Guards against a bad version that keeps its calls because its driver was lost while the platform is away: nobody can take
+// the lease, and all would wait for it. Seen on trouble-3 of most-matching.
+func TestWithdrawalWhenTheDriverIsLostInAnOutage(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 8)
+	move(w)
+	observe(w, 4*time.Second, 0)
+	for _, n := range w.order {
+		n.away = true
+	}
+	driverOf(w).down = true
+	observe(w, 6*time.Second, 0.5)
+	for _, n := range w.order[len(w.order)/2:] {
+		is.True(n.down || len(n.view.Marks) > 0)
+	}
+	for _, n := range w.order {
+		n.away = false
+	}
+	w.store.Expire(store.PrefixDrivers + "profiles")
+	observe(w, 4*time.Second, 0.5)
+	is.Equal(reportOf(w), string(model.PhaseWithdrawn))
+}
+
+// Guards against daemons that keep asking a platform that is away, and all judge the same move.
+func TestCandidatesInAnOutage(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 8)
+	move(w)
+	observe(w, 4*time.Second, 0)
+	for _, n := range w.order {
+		n.away = true
+	}
+	driverOf(w).down = true
+	observe(w, 3*time.Second, 0)
+	campaigns, judges := 0, 0
+	for _, n := range w.order {
+		n.calls, n.asked = map[string]int{}, 0
+	}
+	observe(w, 5*time.Second, 0)
+	for _, n := range w.order {
+		campaigns += n.calls["drive"]
+		judges += min(n.asked, 1)
+	}
+	is.True(campaigns <= 7*11) // seven daemons, each at most once in half of campaignRetryMax
+	is.True(judges >= 1 && judges <= 2)
+}
+
 // Guards against a deadline that runs anew for a driver that takes over.
 func TestMoveKeepsItsDeadline(t *testing.T) {
 	is := is.New(t)
--- a/internal/command/catalog/world_test.go
+++ b/internal/command/catalog/world_test.go
@@ -50,7 +50,10 @@
 	replies          map[effect.Token]message.Reply
 	tokens           effect.Token
 	lists            int
-	silent           []silence
+	// calls counts calls to the platform by reason, and asked the evidence queries that the node sent.
+	calls  map[string]int
+	asked  int
+	silent []silence
 }
 
 // world runs cores against one store in simulated time. Messages and calls take no time.
@@ -74,7 +77,7 @@
 // start starts a daemon, or starts it again.
 func (w *world) start(name string, seeds []string) *node {
 	w.nextInc++
-	n := &node{address: name + ":1", watches: map[string]int64{}, answers: map[effect.Token]model.Outcome{}, replies: map[effect.Token]message.Reply{}}
+	n := &node{address: name + ":1", watches: map[string]int64{}, answers: map[effect.Token]model.Outcome{}, replies: map[effect.Token]message.Reply{}, calls: map[string]int{}}
 	n.core = catalog.New(catalog.Config{
 		Target: model.Target{
 			Daemon: model.DaemonID(name), Incarnation: w.nextInc, Service: "profiles", DataCentre: model.DataCentre("dc" + name[len(name)-1:]),
@@ -118,12 +121,16 @@
 		if e.Call.Kind == store.KindList {
 			n.lists++
 		}
+		n.calls[e.Call.Reason]++
 		result := store.Result{Outcome: store.Unavailable, Detail: "away"}
 		if !n.away {
 			result = w.store.Do(e.Call)
 		}
 		w.handle(n, effect.StoreDone{Request: e.Request, Result: result})
 	case effect.Send:
+		if _, ok := e.Body.(*message.EvidenceQuery); ok {
+			n.asked++
+		}
 		reply, answered := w.deliver(e)
 		if !answered {
 			n.silent = append(n.silent, silence{w.now.Add(sendTimeout), e.Request})
