catalog: refused entries name what differs

Cause: entry-refused and intent-refused said that the daemon of the key differs also where the service of an intent or of a move does. Change: each line names its own cause.

--- a/internal/command/catalog/roster.go
+++ b/internal/command/catalog/roster.go
@@ -44,7 +44,8 @@
 	}
 	target, err := c.cfg.Records.DecodeTarget(e.Value)
 	if err != nil || target.Daemon != daemon {
-		c.log("entry-refused", "key", e.Key, "revision", strconv.FormatInt(e.ModRevision, 10), "detail", text(err))
+		c.log("entry-refused", "key", e.Key, "revision", strconv.FormatInt(e.ModRevision, 10),
+			"detail", refusedEntry(err, "the daemon of the key differs"))
 		return
 	}
 	if daemon == c.cfg.Target.Daemon {
@@ -62,9 +63,10 @@
 	c.updateMember(m, *target, "platform")
 }
 
-func text(err error) string {
+// refusedEntry says why an entry is refused: it cannot be decoded, or differs from its key.
+func refusedEntry(err error, differs string) string {
 	if err == nil {
-		return "the daemon of the key differs"
+		return differs
 	}
 	return err.Error()
 }
--- a/internal/command/catalog/view.go
+++ b/internal/command/catalog/view.go
@@ -42,7 +42,8 @@
 	}
 	in, err := c.cfg.Operator.DecodeIntent(e.Value, now)
 	if err != nil || in.Service != service {
-		c.log("intent-refused", "key", key, "revision", strconv.FormatInt(e.ModRevision, 10), "detail", text(err))
+		c.log("intent-refused", "key", key, "revision", strconv.FormatInt(e.ModRevision, 10),
+			"detail", refusedEntry(err, "the service of the key differs"))
 		return
 	}
 	c.intents[service] = &intent{in, e.ModRevision}
@@ -257,7 +258,8 @@
 	}
 	m, err := c.cfg.Records.DecodeMove(e.Value)
 	if err != nil || m.Service != service {
-		c.log("entry-refused", "key", e.Key, "revision", strconv.FormatInt(e.ModRevision, 10), "detail", text(err))
+		c.log("entry-refused", "key", e.Key, "revision", strconv.FormatInt(e.ModRevision, 10),
+			"detail", refusedEntry(err, "the service of the key differs"))
 		return
 	}
 	if known := c.moves[service]; known == nil || known.ID != m.ID || known.Step != m.Step || known.Phase != m.Phase {
