traffic: single spoiled responses do not eject; stalled daemons are noticed

Cause: Outbound never noted a success. A target that lost one response was ejected at once, each time for twice as long, up to 30 s, by every daemon that met one; its calls went to the other targets of the service. The usual latency stayed unknown, so that requests beside a suspended daemon waited for their deadline. Ruled out: the part of failed calls that targets report already lowers the share of a target that spoils responses. Change: answered calls count as successes. A response that the target spoiled counts as one failure, five in a row eject; a broken connection to the daemon ejects at once.

--- a/internal/traffic/dispatch_test.go
+++ b/internal/traffic/dispatch_test.go
@@ -104,8 +104,10 @@
 // chain is an Outbound before the Inbounds of some targets.
 type chain struct {
 	out      *httptest.Server
+	outbound *traffic.Outbound
 	inbounds []*traffic.Inbound
 	table    *routing.Table
+	metrics  *telemetry.Metrics
 }
 
 func (c *chain) Table() *routing.Table { return c.table }
@@ -123,7 +125,7 @@
 	}
 	m.FractionalRetryAfter = true
 	log := traffic.RequestLog{Logger: zap.NewNop(), RequestID: names.RequestID}
-	c := &chain{}
+	c := &chain{metrics: metrics}
 	view := &model.View{Ready: true, DataCentre: "d", Configuration: &model.Configuration{
 		Services: []model.Service{{Name: "s", Versions: []model.VersionShare{{Version: "v1", Share: model.FullShare}}}},
 		Routes: []model.Route{
@@ -152,12 +154,30 @@
 		Tables: c, Headers: names, Metrics: m, Limits: traffic.DefaultLimits(), Log: log, Service: "own",
 		Budget: retry.SharedLimit{Ratio: 1, Slack: 100, Window: time.Minute},
 	})
+	c.outbound = out
 	c.out = httptest.NewServer(out)
 	t.Cleanup(c.out.Close)
 	t.Cleanup(out.Close)
 	return c
 }
 
+// run runs what the Outbound does beside its requests until the test ends.
+func (c *chain) run(t *testing.T) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { c.outbound.Run(ctx) })
+	t.Cleanup(func() { cancel(); running.Wait() })
+}
+
+// scrape returns the metrics as text.
+func (c *chain) scrape(t *testing.T) string {
+	t.Helper()
+	w := httptest.NewRecorder()
+	c.metrics.Handler().ServeHTTP(w, httptest.NewRequestWithContext(t.Context(), "GET", "/metrics", nil))
+	return w.Body.String()
+}
+
 // call sends a request and returns the status, the header and the body; an error if the response broke off.
 func (c *chain) call(ctx context.Context, method, path string) (int, http.Header, string, error) {
 	r, err := http.NewRequestWithContext(ctx, method, c.out.URL+path, nil)
--- a/internal/traffic/placement.go
+++ b/internal/traffic/placement.go
@@ -175,6 +175,7 @@
 	}
 	if streams(p.request.Method, e.response) {
 		a.exchange = e
+		a.peer.succeeded(a.took)
 		return a
 	}
 	a.body, _, err = readAnswer(p.request.Method, e.response, bufferedBytes)
@@ -182,7 +183,9 @@
 	a.took = time.Since(a.started)
 	if err != nil {
 		a.refused = p.failed(a, e.reason(err), true)
+		return a
 	}
+	a.peer.succeeded(a.took)
 	return a
 }
 
@@ -302,10 +305,18 @@
 		return
 	}
 	now := time.Now()
+	eject := false
 	switch a.refused.reason {
 	case reasonDraining, reasonNotReady, reasonWrongTarget, reasonWithheld:
 		a.peer.leaving(now)
-	case reasonUnreachable, reasonStalled, reasonTargetLost, reasonLost:
+	case reasonUnreachable, reasonStalled, reasonTargetLost:
+		eject = true
+	case reasonLost, reasonMismatch, reasonEncoded:
+		// A connection to the daemon that breaks shows that the daemon is gone. A response that the target spoiled says
+		// little about the next one, and the daemon reports the part of calls that fail.
+		eject = a.peer.failed(a.response == nil)
+	}
+	if eject {
 		a.peer.eject(now)
 		p.out.options.Metrics.ejected.Add(context.Background(), a.refused.reason, 1)
 	}
