--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -112,6 +112,11 @@
 		"1 to 63 letters, digits, '.', '_' or '-', with a letter or digit at both ends")
 }
 
+// Host checks a host name or an IP address without a port.
+func (c *Checks) Host(flag, value string) {
+	c.require(isAddress(net.JoinHostPort(value, "1"), 1), flag, value, "a host name or an IP address")
+}
+
 // Positive checks a whole number between 1 and most.
 func (c *Checks) Positive(flag string, value, most int) {
 	c.require(value >= 1 && value <= most, flag, strconv.Itoa(value), fmt.Sprintf("a whole number from 1 to %d", most))
--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -1,6 +1,9 @@
 package settings
 
-import "time"
+import (
+	"net"
+	"time"
+)
 
 // Sidecar holds the settings of sniperail-sidecar. Embed it in the kong struct; kong then calls Validate.
 type Sidecar struct {
@@ -14,6 +17,7 @@
 	Control    string   `required:"" placeholder:"HOST:PORT" help:"Listen here for what the target says of itself."`
 	Ready      string   `required:"" placeholder:"HOST:PORT" help:"Listen here for the question whether this daemon is ready."`
 	Peer       string   `required:"" placeholder:"HOST:PORT" help:"Listen here for messages of other daemons."`
+	Advertise  string   `placeholder:"HOST" help:"Host under which other daemons reach the listeners of admission and peer; empty: the hosts of those."`
 	Metrics    string   `placeholder:"HOST:PORT" help:"Listen here for metrics; empty serves none."`
 	Platform   string   `required:"" placeholder:"URL" help:"Base URL of the platform's store."`
 	Seeds      []string `placeholder:"HOST:PORT" help:"Peer addresses of other daemons, asked while the platform cannot be read."`
@@ -26,6 +30,15 @@
 	LogLevel    string        `default:"info" help:"Least level of the events that are logged: debug, info, warn or error."`
 }
 
+// Advertised returns the address under which other daemons reach a listener.
+func (s *Sidecar) Advertised(listener string) string {
+	_, port, err := net.SplitHostPort(listener)
+	if s.Advertise == "" || err != nil {
+		return listener
+	}
+	return net.JoinHostPort(s.Advertise, port)
+}
+
 const (
 	// minGrace leaves time for calls in flight after callers have been told to go.
 	minGrace = time.Second
@@ -54,6 +67,9 @@
 		c.Listen(flag, listeners[flag])
 	}
 	c.Distinct(listeners, order...)
+	if s.Advertise != "" {
+		c.Host("advertise", s.Advertise)
+	}
 	c.URL("platform", s.Platform)
 	c.Addresses("seeds", s.Seeds)
 	c.Duration("min-lease", s.MinLease, time.Millisecond, maxWarmup)
