platform/soak: random faults on processes of sniperail-sidecar

Cause: failures on real processes were played by scripts/faults.sh only, in a fixed order and for sniperaild. Change: a seeded soak runs the daemons as processes, puts proxies on their links and a misbehaving stand-in behind them, and checks what callers, targets and the operator see. One short seed belongs to the tests; make soak plays more.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GOLANGCI = go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 SEED ?= 1
 
-.PHONY: capacity build faults measure daemons demo test test-seed lint format
+.PHONY: capacity build faults soak measure daemons demo test test-seed lint format
 
 build:
 	go build -o bin/ ./cmd/...
@@ -21,6 +21,12 @@
 faults: build
 	scripts/faults.sh
 
+# Processes of sniperail-sidecar under random faults, a third of a minute a seed. FIRST is the first seed.
+SEEDS ?= 10
+FIRST ?= 1
+soak:
+	go test ./platform/soak -run TestSoak -v -soak.seeds=$(SEEDS) -soak.first=$(FIRST) -soak.length=15s -timeout 4h
+
 measure: build
 	bin/sniperail-bench latency --seed=$(SEED)
 	bin/sniperail-bench overload --seed=$(SEED)
