--- a/internal/bench/distribution/options.go
+++ b/internal/bench/distribution/options.go
@@ -1,4 +1,4 @@
-// Package distribution measures how configuration reaches every daemon: the real agents and the real gob encoding of
+// Package distribution measures how configuration reaches every daemon: the real agents and the real encoding of
 // their messages in one process, over in-memory links and a virtual clock, beside two naive designs.
 package distribution
 
--- a/internal/bench/distribution/wire.go
+++ b/internal/bench/distribution/wire.go
@@ -2,17 +2,17 @@
 
 import (
 	"bytes"
-	"encoding/gob"
-	"net/rpc"
 	"reflect"
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"sniperail.example/sniperail/internal/bench/fleet"
+	"sniperail.example/sniperail/internal/peer"
 )
 
-// wire encodes messages as net/rpc does: one gob stream per connection and direction, a header before each body. It
+// wire encodes messages as the connections of package peer do: one stream per direction, a header before each body. It
 // counts bytes without those of TCP and IP.
 type wire struct {
 	links map[link]*stream
@@ -28,8 +28,8 @@
 type stream struct {
 	lives   [2]int
 	buffer  bytes.Buffer
-	encoder *gob.Encoder
-	decoder *gob.Decoder
+	encoder *msgpack.Encoder
+	decoder *msgpack.Decoder
 	seq     uint64
 }
 
@@ -60,7 +60,7 @@
 	s := w.links[l]
 	if s == nil || s.lives != lives {
 		s = &stream{lives: lives}
-		s.encoder, s.decoder = gob.NewEncoder(&s.buffer), gob.NewDecoder(&s.buffer)
+		s.encoder, s.decoder = peer.NewEncoder(&s.buffer), msgpack.NewDecoder(&s.buffer)
 		w.links[l] = s
 	}
 	return s
@@ -76,13 +76,13 @@
 	s.seq++
 	name := "Command." + reflect.TypeOf(body).Elem().Name()
 	begin := time.Now()
-	must(s.encoder.Encode(header(request, name, s.seq)))
+	must(s.encoder.Encode(&peer.Header{Method: name, Seq: s.seq}))
 	must(s.encoder.Encode(body))
 	size := s.buffer.Len()
 	middle := time.Now()
-	must(s.decoder.Decode(header(request, "", 0)))
+	must(s.decoder.Decode(&peer.Header{}))
 	got := reflect.New(reflect.TypeOf(body).Elem())
-	must(s.decoder.DecodeValue(got))
+	must(s.decoder.DecodeValue(got.Elem()))
 	end := time.Now()
 	a, b := w.of(from), w.of(to)
 	a.sent, a.messages, a.cpu = a.sent+size, a.messages+1, a.cpu+middle.Sub(begin)
@@ -92,17 +92,10 @@
 	return got.Interface()
 }
 
-func header(request bool, name string, seq uint64) any {
-	if request {
-		return &rpc.Request{ServiceMethod: name, Seq: seq}
-	}
-	return &rpc.Response{ServiceMethod: name, Seq: seq}
-}
-
 // must stops the run on an encoding error: every message must be encodable.
 func must(err error) {
 	if err != nil {
-		panic(errors.Wrap(err, "gob"))
+		panic(errors.Wrap(err, "message"))
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -155,8 +155,14 @@
 	d.peers = peer.NewClient(d.metrics.ControlBytes())
 	d.loop = control.NewLoop(core, d.peers, d.store, d.logger, d.metrics)
 	server, err := peer.NewServer(d.listeners.peer, d.loop, d.metrics.ControlBytes())
+	if err != nil {
+		return err
+	}
+	server.OnRefused(func(address string, err error) {
+		d.logger.Warn("peer-refused", zap.String("address", address), zap.Error(err))
+	})
 	d.server = server
-	return err
+	return nil
 }
 
 func (d *Daemon) buildTraffic() error {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -1,19 +1,24 @@
 package peer_test
 
 import (
+	"bytes"
 	"context"
+	"math"
 	"net"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/matryer/is"
+	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/goleak"
 
 	"sniperail.example/sniperail/internal/message"
 	"sniperail.example/sniperail/internal/model"
 	"sniperail.example/sniperail/internal/peer"
+	"sniperail.example/sniperail/internal/store"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -121,3 +126,49 @@
 	t.Cleanup(func() { second.Close(); running.Wait() })
 	is.True(client.Call(t.Context(), address, &message.StatusQuery{}) != nil)
 }
+
+// Guards against an encoding that changes a value on its way: a target that differs from the one that the platform holds
+// would be taken for a change, and sums that lose buckets would mislead the judgement of a version.
+func TestEncodingKeepsValues(t *testing.T) {
+	is := is.New(t)
+	sum := model.KeyedSum{OutcomeKey: model.OutcomeKey{Service: "s", Route: "r", Version: "v"}}
+	sum.Observe(true, time.Second)
+	sum.Observe(false, time.Millisecond)
+	at := time.Unix(1_700_000_000, 123_456_789).UTC()
+	reply := &message.EvidenceReply{
+		Target: model.Target{Daemon: "d", Slots: 12, State: model.TargetReady, Born: 17, Since: at, Sequence: math.MaxUint64},
+		Sums:   []model.KeyedSum{sum}, Running: 3, Idle: -time.Second,
+	}
+	spread := &message.Spread{
+		Changes: []message.Change{{Entry: store.Entry{Key: "k", Value: []byte{0, 255}, ModRevision: 1 << 60}, Removed: true}},
+		Delta:   &message.Delta{Number: 5, Base: 4},
+	}
+	var buffer bytes.Buffer
+	e, d := peer.NewEncoder(&buffer), msgpack.NewDecoder(&buffer)
+	is.NoErr(e.Encode(reply))
+	is.NoErr(e.Encode(spread))
+	var gotReply message.EvidenceReply
+	var gotSpread message.Spread
+	is.NoErr(d.Decode(&gotReply))
+	is.NoErr(d.Decode(&gotSpread))
+	is.Equal(cmp.Diff(reply, &gotReply), "")
+	is.Equal(cmp.Diff(spread, &gotSpread), "")
+	is.True(reply.Target == gotReply.Target) // also the zero times and the time zone
+}
+
+// Guards against a daemon of another release whose messages have other fields and are misread.
+func TestAnotherLayoutIsRefused(t *testing.T) {
+	is := is.New(t)
+	h := &echo{}
+	conn, err := net.Dial("tcp", serve(t, h))
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	e := peer.NewEncoder(conn)
+	is.NoErr(e.Encode(&peer.Header{Layout: peer.Layout + 1, Method: "Command.Announce", Seq: 1}))
+	is.NoErr(e.Encode(&message.Announce{Number: 5}))
+	_, err = conn.Read(make([]byte, 1))
+	is.True(err != nil) // the connection ends without an answer
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	is.Equal(len(h.received), 0)
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -1,4 +1,4 @@
-// Package peer carries the messages of internal/message between daemons by net/rpc with gob. The receivers Command and
+// Package peer carries the messages of internal/message between daemons by net/rpc with MessagePack. The receivers Command and
 // Query keep state-changing and reading messages apart; neither decides anything.
 package peer
 
@@ -110,6 +110,7 @@
 	listener net.Listener
 	rpc      *rpc.Server
 	bytes    func(sent bool, n int)
+	refused  func(address string, err error)
 
 	mu     sync.Mutex
 	conns  map[net.Conn]bool
@@ -128,6 +129,9 @@
 	return &Server{listener: listener, rpc: server, bytes: bytes, conns: map[net.Conn]bool{}}, nil
 }
 
+// OnRefused sets what is told of connections that are given up because of the peer's release. It must be called before Serve.
+func (s *Server) OnRefused(refused func(address string, err error)) { s.refused = refused }
+
 // Serve accepts connections until Close.
 func (s *Server) Serve() {
 	for {
@@ -142,7 +146,11 @@
 		}
 		go func() {
 			defer s.remove(counted)
-			s.rpc.ServeConn(counted)
+			s.rpc.ServeCodec(newCodec(counted, func(err error) {
+				if s.refused != nil {
+					s.refused(conn.RemoteAddr().String(), err)
+				}
+			}))
 		}()
 	}
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -165,7 +165,13 @@
 		d.inbound.SetTarget(view.Local, d.loop.Table().Withheld(view.Local.Ref()))
 	})
 	d.server, err = peer.NewServer(listener, d.loop, counted)
-	return err
+	if err != nil {
+		return err
+	}
+	d.server.OnRefused(func(address string, err error) {
+		d.logger.Warn("peer-refused", zap.String("address", address), zap.Error(err))
+	})
+	return nil
 }
 
 func (d *Sidecar) connectStore() (*platform.Gate, error) {
