peer: the test of layouts writes its message at once

Cause: TestAnotherLayoutIsRefused failed once ("connection reset by peer"): it wrote the header and the body apart, and the receiver may end the connection in between, as it should. Ruled out: a fault of the receiver; the error is that of the test's second write. Change: one write.

--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -163,9 +163,13 @@
 	conn, err := net.Dial("tcp", serve(t, h))
 	is.NoErr(err)
 	defer func() { _ = conn.Close() }()
-	e := peer.NewEncoder(conn)
+	var buffer bytes.Buffer
+	e := peer.NewEncoder(&buffer)
 	is.NoErr(e.Encode(&peer.Header{Layout: peer.Layout + 1, Method: "Command.Announce", Seq: 1}))
 	is.NoErr(e.Encode(&message.Announce{Number: 5}))
+	// In one write, since the receiver may close the connection after the header.
+	_, err = conn.Write(buffer.Bytes())
+	is.NoErr(err)
 	_, err = conn.Read(make([]byte, 1))
 	is.True(err != nil) // the connection ends without an answer
 	h.mu.Lock()
