catalog, distribution, routing: a change costs what it changes

Cause: on the grown deployments the daemons of small machines (0.16 of a core) stood still for seconds in a storm of configurations with 1,900 routes, and after a restart of all. Each daemon compared the whole configuration again that a peer's delta had just described, sorted and copied it three times, and compiled all routes anew for each target that changed; one announcement that differed made a peer send all of them. Change: a delta of a peer is passed on as it came; lists in order are merged and not sorted; checksums are written in large pieces; compiled routes are kept while the configuration stays; digests cover 32 parts of the keys, and only parts that differ are sent.

--- a/internal/command/catalog/catalog_test.go
+++ b/internal/command/catalog/catalog_test.go
@@ -214,3 +214,19 @@
 		is.Equal(target.State, model.TargetDraining)
 	}
 }
+
+// Guards against an exchange that sends everything because one entry differs: while targets come and go, each daemon would
+// receive all announcements each two seconds.
+func TestExchangeSendsWhatDiffers(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 64)
+	w.ready("v1")
+	n := w.order[63]
+	n.away, n.down = true, true
+	w.report(w.order[0], model.TargetReport{Instance: "i0", Born: 1, Seq: 5, Version: "v1", State: model.TargetDraining})
+	n.down = false
+	n.received = 0
+	w.run(5 * time.Second)
+	is.Equal(n.view.Targets[0].State, model.TargetDraining)
+	is.True(n.received > 0 && n.received <= 16) // of 64 announcements, those of the part that differs
+}
--- a/internal/command/catalog/spread.go
+++ b/internal/command/catalog/spread.go
@@ -24,6 +24,9 @@
 	exchangeEvery = 2 * time.Second
 	// maxDeltas bounds the changes of the configuration that are kept for peers that are behind.
 	maxDeltas = 32
+	// digestParts is the number of parts of the keys with a digest each. Only parts that differ are sent, a few announcements
+	// of many: while targets come and go, daemons differ by some entries most of the time.
+	digestParts = 32
 	// gapJitter spreads the daemons that read the platform because a delta does not fit.
 	gapJitter = 100 * time.Millisecond
 )
@@ -107,7 +110,7 @@
 		c.log("delta-refused", "number", number(d.Number), "base", number(d.Base), "own", number(c.configuration.Number))
 		return
 	}
-	c.setConfiguration(next, revision, source)
+	c.setConfiguration(next, d, revision, source)
 }
 
 // exchangeDue asks one peer, at random, for what this daemon has not seen.
@@ -125,7 +128,7 @@
 		return
 	}
 	x.pending = true
-	query := &message.CatalogQuery{Operator: c.digest(&c.operator), Mesh: c.digest(&c.mesh)}
+	query := &message.CatalogQuery{Operator: c.digests(&c.operator), Mesh: c.digests(&c.mesh)}
 	if c.configuration != nil {
 		query.Number = c.configuration.Number
 	}
@@ -155,11 +158,11 @@
 
 // mergeCatalog takes what a peer knows. The first complete reply stands in for a read of the platform.
 func (c *Core) mergeCatalog(now time.Time, from string, reply *message.CatalogReply) {
-	before := c.digest(&c.operator) ^ c.digest(&c.mesh)
+	operator, mesh := c.digests(&c.operator), c.digests(&c.mesh)
 	c.mergeChanges(now, reply.Changes)
 	switch {
 	case reply.Configuration != nil && (c.configuration == nil || c.configuration.Number < reply.Number):
-		c.setConfiguration(reply.Configuration, reply.Revision, "peer")
+		c.setConfiguration(reply.Configuration, nil, reply.Revision, "peer")
 	case c.configuration != nil:
 		for _, d := range reply.Deltas {
 			c.applyDelta(d, reply.Revision, "peer")
@@ -168,7 +171,7 @@
 			c.operator.relist(now)
 		}
 	}
-	if c.digest(&c.operator)^c.digest(&c.mesh) != before {
+	if !slices.Equal(c.digests(&c.operator), operator) || !slices.Equal(c.digests(&c.mesh), mesh) {
 		c.log("peer-catalog", "from", from, "changes", strconv.Itoa(len(reply.Changes)))
 	}
 	if reply.Loaded && (!c.operator.loaded || !c.mesh.loaded) {
@@ -180,12 +183,8 @@
 // catalogReply returns what the asker has not seen.
 func (c *Core) catalogReply(q *message.CatalogQuery) *message.CatalogReply {
 	reply := &message.CatalogReply{Loaded: c.operator.loaded && c.mesh.loaded, Revision: c.configurationRevision}
-	if q.Operator != c.digest(&c.operator) {
-		reply.Changes = c.changes(reply.Changes, &c.operator)
-	}
-	if q.Mesh != c.digest(&c.mesh) {
-		reply.Changes = c.changes(reply.Changes, &c.mesh)
-	}
+	reply.Changes = c.changes(reply.Changes, &c.operator, q.Operator)
+	reply.Changes = c.changes(reply.Changes, &c.mesh, q.Mesh)
 	if c.configuration == nil {
 		return reply
 	}
@@ -198,28 +197,40 @@
 	return reply
 }
 
-// changes appends all that is known of a source, but for the configuration.
-func (c *Core) changes(to []message.Change, s *source) []message.Change {
+// changes appends what is known of a source, but for the configuration, in the parts where an asker's digests differ.
+func (c *Core) changes(to []message.Change, s *source, theirs []uint32) []message.Change {
+	own := c.digests(s)
+	differs := func(key string) bool {
+		part := partOf(key)
+		return part >= len(theirs) || own[part] != theirs[part]
+	}
 	for _, key := range slices.Sorted(maps.Keys(s.entries)) {
-		if key != c.cfg.Operator.KeyConfiguration() {
+		if key != c.cfg.Operator.KeyConfiguration() && differs(key) {
 			to = append(to, message.Change{Entry: s.entries[key]})
 		}
 	}
 	for _, key := range slices.Sorted(maps.Keys(s.removed)) {
-		to = append(to, message.Change{Entry: store.Entry{Key: key, ModRevision: s.removed[key]}, Removed: true})
+		if differs(key) {
+			to = append(to, message.Change{Entry: store.Entry{Key: key, ModRevision: s.removed[key]}, Removed: true})
+		}
 	}
 	return to
 }
 
-// digest covers the keys and revisions of a source, in any order.
-func (c *Core) digest(s *source) uint64 {
-	var sum uint64
+func partOf(key string) int { return int(xxhash.Sum64String(key) % digestParts) }
+
+// digests cover the keys and revisions of a source, in any order, one for each part of the keys.
+func (c *Core) digests(s *source) []uint32 {
+	sums := make([]uint32, digestParts)
+	var text []byte
 	for key, e := range s.entries {
 		if key != c.cfg.Operator.KeyConfiguration() {
-			sum ^= xxhash.Sum64String(key + "@" + strconv.FormatInt(e.ModRevision, 10))
+			text = append(append(text[:0], key...), '@')
+			text = strconv.AppendInt(text, e.ModRevision, 10)
+			sums[partOf(key)] ^= uint32(xxhash.Sum64(text))
 		}
 	}
-	return sum
+	return sums
 }
 
 // deltasFrom returns the changes that lead from a number to the present one, or nil if they are not kept.
@@ -232,10 +243,14 @@
 	return nil
 }
 
-// setConfiguration puts a configuration in force that is newer than the present one.
-func (c *Core) setConfiguration(next *model.Configuration, revision int64, source string) {
+// setConfiguration puts a configuration in force that is newer than the present one. Delta leads to it from the present one;
+// nil if it is not known.
+func (c *Core) setConfiguration(next *model.Configuration, delta *message.Delta, revision int64, source string) {
 	if c.configuration != nil {
-		c.delta = distribution.Diff(c.configuration, next)
+		if delta == nil {
+			delta = distribution.Diff(c.configuration, next)
+		}
+		c.delta = delta
 		c.deltas = append(c.deltas, c.delta)
 		if len(c.deltas) > maxDeltas {
 			c.deltas = slices.Delete(c.deltas, 0, 1)
--- a/internal/command/catalog/view.go
+++ b/internal/command/catalog/view.go
@@ -79,7 +79,7 @@
 		c.count("sniperail_configurations_refused", "invalid")
 		return
 	}
-	c.setConfiguration(distribution.Strip(next), e.ModRevision, "platform")
+	c.setConfiguration(distribution.Strip(next), nil, e.ModRevision, "platform")
 }
 
 // unresolved returns what a configuration refers to and does not have. Versions are not part of it: targets announce them.
--- a/internal/command/catalog/world_test.go
+++ b/internal/command/catalog/world_test.go
@@ -51,9 +51,11 @@
 	tokens           effect.Token
 	lists            int
 	// calls counts calls to the platform by reason, and asked the evidence queries that the node sent.
-	calls  map[string]int
-	asked  int
-	silent []silence
+	calls map[string]int
+	asked int
+	// received counts the changes in the replies that the node got from peers.
+	received int
+	silent   []silence
 }
 
 // world runs cores against one store in simulated time. Messages and calls take no time.
@@ -136,6 +138,9 @@
 			n.silent = append(n.silent, silence{w.now.Add(sendTimeout), e.Request})
 			return
 		}
+		if catalog, ok := reply.(*message.CatalogReply); ok {
+			n.received += len(catalog.Changes)
+		}
 		w.handle(n, effect.SendDone{Request: e.Request, Reply: reply})
 	}
 }
--- a/internal/command/distribution/checksum.go
+++ b/internal/command/distribution/checksum.go
@@ -14,25 +14,38 @@
 // digest writes fields into a hash, each string with its length first so that neighbouring fields cannot merge.
 type digest struct {
 	hash *xxhash.Digest
-	buf  [8]byte
+	// buffer gathers fields, because the hash takes few long pieces faster than many short ones.
+	buffer []byte
+}
+
+// digestBuffer is the size at which the buffer goes into the hash.
+const digestBuffer = 4 << 10
+
+func newDigest() *digest {
+	return &digest{hash: xxhash.New(), buffer: make([]byte, 0, digestBuffer+digestBuffer/4)}
 }
 
 func (d *digest) text(values ...string) {
 	for _, s := range values {
 		d.number(uint64(len(s)))
-		_, _ = d.hash.WriteString(s)
+		d.buffer = append(d.buffer, s...)
 	}
 }
 
 func (d *digest) number(values ...uint64) {
 	for _, n := range values {
-		for i := range d.buf {
-			d.buf[i] = byte(n >> (8 * i))
-		}
-		_, _ = d.hash.Write(d.buf[:])
+		d.buffer = append(d.buffer, byte(n), byte(n>>8), byte(n>>16), byte(n>>24), byte(n>>32), byte(n>>40), byte(n>>48), byte(n>>56))
+	}
+	if len(d.buffer) >= digestBuffer {
+		d.flush()
 	}
 }
 
+func (d *digest) flush() {
+	_, _ = d.hash.Write(d.buffer) // never fails
+	d.buffer = d.buffer[:0]
+}
+
 func (d *digest) flag(b bool) {
 	if b {
 		d.number(1)
@@ -44,17 +57,18 @@
 // Checksum covers the distributed form of a configuration: number, services by name, routes by name, active moves by ID,
 // withdrawn versions in order, and the dashboard with its labels by name.
 func Checksum(c *model.Configuration) uint64 {
-	d := &digest{hash: xxhash.New()}
+	d := newDigest()
 	d.number(uint64(c.Number), uint64(len(c.Services)), uint64(len(c.Routes)), uint64(len(c.Withdrawn)))
-	for _, s := range sortedBy(c.Services, func(s model.Service) string { return string(s.Name) }) {
-		d.service(&s)
+	services, routes, moves := sortedBy(c.Services, serviceKey), sortedBy(c.Routes, routeKey), sortedBy(c.Moves, moveKey)
+	for i := range services {
+		d.service(&services[i])
 	}
-	for _, r := range sortedBy(c.Routes, func(r model.Route) string { return string(r.Name) }) {
-		d.route(&r)
+	for i := range routes {
+		d.route(&routes[i])
 	}
-	for _, m := range sortedBy(c.Moves, func(m model.Move) string { return string(m.ID) }) {
-		if m.Phase.Active() {
-			d.move(&m)
+	for i := range moves {
+		if moves[i].Phase.Active() {
+			d.move(&moves[i])
 		}
 	}
 	for _, w := range c.Withdrawn {
@@ -62,6 +76,7 @@
 	}
 	d.dashboard(c.Dashboard)
 	d.limits(c.Limits)
+	d.flush()
 	return d.hash.Sum64()
 }
 
@@ -129,6 +144,15 @@
 	}
 }
 
-func sortedBy[T any](items []T, key func(T) string) []T {
-	return slices.SortedFunc(slices.Values(items), func(a, b T) int { return strings.Compare(key(a), key(b)) })
+// sortedBy returns the items in the order of their keys. Items in order already, as in all configurations that come from
+// Strip, are returned as they are, without a copy.
+func sortedBy[T any](items []T, key func(*T) string) []T {
+	for i := 1; i < len(items); i++ {
+		if key(&items[i-1]) > key(&items[i]) {
+			sorted := slices.Clone(items)
+			slices.SortStableFunc(sorted, func(a, b T) int { return strings.Compare(key(&a), key(&b)) })
+			return sorted
+		}
+	}
+	return items
 }
--- a/internal/command/distribution/delta.go
+++ b/internal/command/distribution/delta.go
@@ -26,11 +26,11 @@
 	return s
 }
 
-func serviceKey(s model.Service) string { return string(s.Name) }
-func routeKey(r model.Route) string     { return string(r.Name) }
-func moveKey(m model.Move) string       { return string(m.ID) }
+func serviceKey(s *model.Service) string { return string(s.Name) }
+func routeKey(r *model.Route) string     { return string(r.Name) }
+func moveKey(m *model.Move) string       { return string(m.ID) }
 
-// Diff returns the delta that turns base into next. Both are stripped.
+// Diff returns the delta that turns base into next. Both are stripped, and so sorted.
 func Diff(base, next *model.Configuration) *message.Delta {
 	d := &message.Delta{
 		Base: base.Number, Number: next.Number, Withdrawn: next.Withdrawn, Dashboard: next.Dashboard,
@@ -66,41 +66,54 @@
 	return next, true
 }
 
-func diff[T any](base, next []T, key func(T) string) (changed []T, removed []string) {
-	old := make(map[string]T, len(base))
-	for _, item := range base {
-		old[key(item)] = item
-	}
-	for _, item := range next {
-		was, ok := old[key(item)]
-		if !ok || !reflect.DeepEqual(was, item) {
-			changed = append(changed, item)
+// diff returns what changed between two lists that are sorted by key, and the keys that next lacks.
+func diff[T any](base, next []T, key func(*T) string) (changed []T, removed []string) {
+	i := 0
+	for j := range next {
+		k := key(&next[j])
+		for ; i < len(base) && key(&base[i]) < k; i++ {
+			removed = append(removed, key(&base[i]))
 		}
-		delete(old, key(item))
-	}
-	for _, item := range base {
-		if _, gone := old[key(item)]; gone {
-			removed = append(removed, key(item))
+		if i < len(base) && key(&base[i]) == k {
+			if !reflect.DeepEqual(&base[i], &next[j]) {
+				changed = append(changed, next[j])
+			}
+			i++
+			continue
 		}
+		changed = append(changed, next[j])
+	}
+	for ; i < len(base); i++ {
+		removed = append(removed, key(&base[i]))
 	}
 	return changed, removed
 }
 
-func patch[T any](base, changed []T, removed []string, key func(T) string) []T {
-	drop := make(map[string]bool, len(removed)+len(changed))
+// patch returns a list that is sorted by key, like base, with changed items in place of those of the same key and without
+// the removed keys.
+func patch[T any](base, changed []T, removed []string, key func(*T) string) []T {
+	if len(changed) == 0 && len(removed) == 0 {
+		return base
+	}
+	changed = sortedBy(changed, key)
+	drop := make(map[string]bool, len(removed))
 	for _, name := range removed {
 		drop[name] = true
 	}
-	for _, item := range changed {
-		drop[key(item)] = true
-	}
 	next := make([]T, 0, len(base)+len(changed))
-	for _, item := range base {
-		if !drop[key(item)] {
-			next = append(next, item)
+	for i := range base {
+		k := key(&base[i])
+		for len(changed) > 0 && key(&changed[0]) < k {
+			next, changed = append(next, changed[0]), changed[1:]
+		}
+		switch {
+		case len(changed) > 0 && key(&changed[0]) == k:
+			next, changed = append(next, changed[0]), changed[1:]
+		case !drop[k]:
+			next = append(next, base[i])
 		}
 	}
-	return sortedBy(append(next, changed...), key)
+	return append(next, changed...)
 }
 
 func names[T, S ~string](from []S) []T {
--- a/internal/control/perform.go
+++ b/internal/control/perform.go
@@ -26,7 +26,7 @@
 	case effect.Unwatch:
 		l.unwatch(e.Key)
 	case effect.Publish:
-		l.table.Store(routing.NewTable(e.View))
+		l.table.Store(routing.NextTable(l.table.Load(), e.View))
 		if l.published != nil {
 			l.published(e.View)
 		}
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -51,14 +51,14 @@
 
 // CatalogQuery asks a peer for what the sender does not have.
 type CatalogQuery struct {
-	// Operator and Mesh are digests of the entries that the sender has of what the operator wrote and of what daemons share.
-	// Revisions would not do: changes arrive in any order, so that an early one may be missing.
-	Operator, Mesh uint64
+	// Operator and Mesh are digests of the entries that the sender has of what the operator wrote and of what daemons share,
+	// one for each part of the keys. Revisions would not do: changes arrive in any order, so that an early one may be missing.
+	Operator, Mesh []uint32
 	// Number is that of the configuration in force, 0 if there is none.
 	Number model.Number
 }
 
-// CatalogReply holds the receiver's entries, and the keys that it knows as removed, where the digests differ.
+// CatalogReply holds the receiver's entries, and the keys that it knows as removed, in the parts whose digests differ.
 type CatalogReply struct {
 	// Loaded says that the receiver has read everything once; only then Changes may be complete.
 	Loaded  bool
--- a/internal/query/routing/place_test.go
+++ b/internal/query/routing/place_test.go
@@ -150,10 +150,11 @@
 	for _, v := range []model.VersionName{"v1", "v2"} {
 		view.Targets = append(view.Targets, model.Target{Daemon: model.DaemonID(v), Service: "s", Version: v, State: model.TargetReady})
 	}
-	r, _ := routing.NewTable(view).Match("h", "GET", "/x")
+	table := routing.NewTable(view)
+	r, _ := table.Match("h", "GET", "/x")
 	services, versions := map[model.ServiceName]int{}, map[model.VersionName]int{}
 	for counter := uint64(12345); counter < 12345+200; counter++ {
-		s, nth := r.ServiceOf(counter)
+		s, nth := table.ServiceOf(r, counter)
 		services[s.Name]++
 		if v, reason := s.Version(nth); reason == routing.Found {
 			versions[v.Version]++
--- a/internal/query/routing/routing.go
+++ b/internal/query/routing/routing.go
@@ -27,11 +27,17 @@
 type Table struct {
 	// View is the view that the table was compiled from.
 	View     *model.View
-	routes   map[string][]*Route
+	routes   routeIndex
 	services map[model.ServiceName]*Service
 	withheld map[model.VersionRef]bool
 }
 
+// routeIndex holds the routes of a host and a path prefix. It depends on the routes and the names of the services only.
+type routeIndex map[routeKey][]*Route
+
+// routeKey is where a route is looked up: its host, and its path prefix without the slash at the end.
+type routeKey struct{ host, prefix string }
+
 // Route is a compiled route.
 type Route struct {
 	model.Route
@@ -39,29 +45,30 @@
 	Timeout time.Duration
 	// TargetLatency is the time within which a response has its full value.
 	TargetLatency time.Duration
-	// services and weights are the parts of the route; services is never empty.
-	services []*Service
-	weights  []uint64
-	total    uint64
+	// weights are those of the parts of a split, and total their sum.
+	weights []uint64
+	total   uint64
 }
 
-// ServiceOf selects the service of the call with the given counter, and the counter that selects its version. Over any
-// window of total weight calls each service of a split receives exactly its weight.
-func (r *Route) ServiceOf(counter uint64) (service *Service, versionCounter uint64) {
+// ServiceOf selects the service of the call on a route with the given counter, and the counter that selects its version. Over
+// any window of total weight calls each service of a split receives exactly its weight.
+func (t *Table) ServiceOf(r *Route, counter uint64) (service *Service, versionCounter uint64) {
+	if len(r.Split) == 0 {
+		return t.services[r.Service], counter
+	}
 	if i, nth, ok := rotate(r.weights, r.total, counter); ok {
-		return r.services[i], nth
+		return t.services[r.Split[i].Service], nth
 	}
-	return r.services[0], counter
+	return t.services[r.Split[0].Service], counter
 }
 
 // NewTable compiles a view.
-func NewTable(view *model.View) *Table {
-	t := &Table{
-		View:     view,
-		routes:   map[string][]*Route{},
-		services: map[model.ServiceName]*Service{},
-		withheld: map[model.VersionRef]bool{},
-	}
+func NewTable(view *model.View) *Table { return NextTable(nil, view) }
+
+// NextTable compiles a view that follows another one. The routes are compiled again only if they changed: targets change much
+// more often, and a configuration may have thousands of routes.
+func NextTable(last *Table, view *model.View) *Table {
+	t := &Table{View: view, services: map[model.ServiceName]*Service{}, withheld: map[model.VersionRef]bool{}}
 	if view == nil || view.Configuration == nil {
 		return t
 	}
@@ -76,13 +83,28 @@
 	for i := range c.Services {
 		t.services[c.Services[i].Name] = compileService(view, &c.Services[i], ready, t.withheld)
 	}
-	for _, r := range c.Routes {
-		t.addRoute(r)
+	if last != nil && last.routes != nil && sameRoutes(last.View.Configuration, c) {
+		t.routes = last.routes
+		return t
+	}
+	t.routes = make(routeIndex, len(c.Routes))
+	compiled := make([]Route, len(c.Routes))
+	for i := range c.Routes {
+		t.addRoute(&compiled[i], &c.Routes[i])
 	}
 	return t
 }
 
-func (t *Table) addRoute(r model.Route) {
+// sameRoutes reports whether two configurations share their routes and have the same services. Configurations are immutable.
+func sameRoutes(a, b *model.Configuration) bool {
+	if len(a.Routes) != len(b.Routes) || len(a.Routes) > 0 && &a.Routes[0] != &b.Routes[0] {
+		return false
+	}
+	return slices.EqualFunc(a.Services, b.Services, func(a, b model.Service) bool { return a.Name == b.Name })
+}
+
+// addRoute compiles a route and adds it, unless it leads to a service that the table does not have.
+func (t *Table) addRoute(compiled *Route, r *model.Route) {
 	timeout := time.Duration(r.TimeoutMS) * time.Millisecond
 	if timeout <= 0 {
 		timeout = model.DefaultTimeoutMS * time.Millisecond
@@ -91,24 +113,25 @@
 	if latency <= 0 {
 		latency = timeout
 	}
-	compiled := &Route{Route: r, Timeout: timeout, TargetLatency: latency}
-	for _, part := range r.Services() {
-		service := t.services[part.Service]
-		if service == nil {
+	*compiled = Route{Route: *r, Timeout: timeout, TargetLatency: latency}
+	if len(r.Split) == 0 && t.services[r.Service] == nil {
+		return
+	}
+	for _, part := range r.Split {
+		if t.services[part.Service] == nil {
 			return
 		}
-		compiled.services = append(compiled.services, service)
 		compiled.weights = append(compiled.weights, uint64(max(part.Weight, 0)))
 		compiled.total += uint64(max(part.Weight, 0))
 	}
-	key := routeKey(r.Host, r.PathPrefix)
+	key := routeKey{r.Host, strings.TrimRight(r.PathPrefix, "/")}
 	t.routes[key] = append(t.routes[key], compiled)
-	// A route for named methods goes before a route for all methods.
-	slices.SortStableFunc(t.routes[key], func(a, b *Route) int { return allMethods(a) - allMethods(b) })
+	if len(t.routes[key]) > 1 {
+		// A route for named methods goes before a route for all methods.
+		slices.SortStableFunc(t.routes[key], func(a, b *Route) int { return allMethods(a) - allMethods(b) })
+	}
 }
 
-func routeKey(host, prefix string) string { return host + strings.TrimRight(prefix, "/") }
-
 func allMethods(r *Route) int {
 	if len(r.Methods) == 0 {
 		return 1
@@ -131,7 +154,7 @@
 func (t *Table) match(host, method, path string) (*Route, Reason) {
 	reason := NoRoute
 	for end := len(path); end >= 0; end = strings.LastIndexByte(path[:end], '/') {
-		for _, r := range t.routes[routeKey(host, path[:end])] {
+		for _, r := range t.routes[routeKey{host, strings.TrimRight(path[:end], "/")}] {
 			if r.Host != "" && !strings.HasPrefix(path, r.PathPrefix) {
 				continue
 			}
