catalog: a restarted daemon asks its target whether it is still there

Cause: a daemon that was started again knew of its target only by the target's next report, up to 1.5 s later. Its slots were idle meanwhile, after a kill of all processes all at once. Ruled out: taking the stored announcement without a question. The target may have left or been replaced meanwhile. Change: a daemon that finds the announcement of its earlier process asks the target's health path once. If the same run says that it is well, it is used; what the target reports goes before. Targets that leave answer otherwise.

--- a/internal/command/catalog/catalog.go
+++ b/internal/command/catalog/catalog.go
@@ -126,6 +126,8 @@
 		c.received(now, ev)
 	case effect.TargetReported:
 		c.targetReported(now, ev)
+	case effect.TargetAnswered:
+		c.targetAnswered(now, ev)
 	case effect.TargetObserved:
 		c.evidence.add(ev)
 	case effect.Stopping:
@@ -152,6 +154,7 @@
 	c.follow(now, &c.mesh)
 	c.watchOperator(now)
 	c.verifySources(now)
+	c.askEarlier()
 	c.announce(now)
 	c.verifyRoster(now)
 	c.exchangeDue(now)
--- a/internal/command/catalog/catalog_test.go
+++ b/internal/command/catalog/catalog_test.go
@@ -230,3 +230,34 @@
 	is.Equal(n.view.Targets[0].State, model.TargetDraining)
 	is.True(n.received > 0 && n.received <= 16) // of 64 announcements, those of the part that differs
 }
+
+// Guards against a target that is idle after its daemon was started again until it reports by itself, and against one that is
+// used although another run answers, or it leaves.
+func TestRestartAsksTheTarget(t *testing.T) {
+	cases := []struct {
+		name    string
+		state   model.TargetState
+		healthy model.InstanceID
+		want    model.TargetState
+	}{
+		{"the same run", model.TargetReady, "i2", model.TargetReady},
+		{"another run", model.TargetReady, "i9", model.TargetStarting},
+		{"no answer, as from one that leaves", model.TargetReady, "", model.TargetStarting},
+		{"it was leaving", model.TargetDraining, "i2", model.TargetStarting},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t, 3)
+			w.ready("v1")
+			w.report(w.order[2], model.TargetReport{Instance: "i2", Born: 1, Seq: 2, Version: "v1", State: tc.state})
+			n := w.start("d02", nil)
+			n.healthy = tc.healthy
+			w.run(200 * time.Millisecond)
+			is.Equal(n.view.Local.State, tc.want)
+			// What the target says by itself goes on from there.
+			w.report(n, model.TargetReport{Instance: "i2", Born: 1, Seq: 3, Version: "v1", State: model.TargetDraining})
+			is.Equal(n.view.Local.State, model.TargetDraining)
+		})
+	}
+}
--- a/internal/command/catalog/own.go
+++ b/internal/command/catalog/own.go
@@ -32,6 +32,9 @@
 	// report is the latest report that was accepted; nil before the first.
 	report   *model.TargetReport
 	stopping bool
+	// earlier is what a process of this daemon before this one announced; nil if it is not known or was used.
+	earlier *model.Target
+	asking  bool
 
 	lease   store.LeaseID
 	renewAt time.Time
@@ -214,11 +217,50 @@
 	if stored != nil && stored.Incarnation == o.target.Incarnation && stored.Sequence == o.announced {
 		return
 	}
+	if stored != nil && stored.Incarnation != o.target.Incarnation && o.report == nil && !o.asking {
+		o.earlier = stored
+	}
 	if o.report != nil && (stored != nil || o.listable()) {
 		o.announced = 0
 	}
 }
 
+// askEarlier asks the target that an earlier process of this daemon announced whether it is still there. The target reports by
+// itself only after a second or two, in which its slots would be idle.
+func (c *Core) askEarlier() {
+	o := &c.own
+	if o.earlier == nil || c.configuration == nil || o.asking {
+		return
+	}
+	earlier := o.earlier
+	service := c.configuration.Service(c.cfg.Target.Service)
+	if o.report != nil || o.stopping || earlier.State != model.TargetReady || service == nil || service.HealthPath == "" {
+		o.earlier = nil
+		return
+	}
+	o.asking = true
+	c.emit(effect.AskTarget{Path: service.HealthPath})
+}
+
+// targetAnswered takes the target of the earlier process if the same run says that it is well; one that leaves does not. What
+// the target reports by itself goes before.
+func (c *Core) targetAnswered(now time.Time, ev effect.TargetAnswered) {
+	o := &c.own
+	earlier := o.earlier
+	o.earlier = nil
+	if earlier == nil || o.report != nil || o.stopping {
+		return
+	}
+	same := ev.Instance != "" && ev.Instance == earlier.Instance
+	c.log("target-asked", "instance", string(earlier.Instance), "answered", string(ev.Instance), "taken", strconv.FormatBool(same))
+	if same {
+		c.takeReport(now, &model.TargetReport{
+			Instance: earlier.Instance, Born: earlier.Born, Service: earlier.Service, Version: earlier.Version,
+			Slots: earlier.Slots, State: model.TargetReady, WarmupLeft: max(earlier.WarmAt.Sub(now), 0),
+		})
+	}
+}
+
 func (c *Core) grantLease() {
 	o := &c.own
 	o.calling = true
--- a/internal/command/catalog/world_test.go
+++ b/internal/command/catalog/world_test.go
@@ -55,7 +55,9 @@
 	asked int
 	// received counts the changes in the replies that the node got from peers.
 	received int
-	silent   []silence
+	// healthy is the run of the target that answers questions for its health.
+	healthy model.InstanceID
+	silent  []silence
 }
 
 // world runs cores against one store in simulated time. Messages and calls take no time.
@@ -115,6 +117,8 @@
 		n.watches[e.Key] = e.After
 	case effect.Unwatch:
 		delete(n.watches, e.Key)
+	case effect.AskTarget:
+		w.handle(n, effect.TargetAnswered{Instance: n.healthy})
 	case effect.Answer:
 		n.answers[e.Token] = e.Outcome
 	case effect.Reply:
@@ -239,7 +243,7 @@
 }
 
 func (w *world) configure(number model.Number, prefixes ...string) {
-	c := model.Configuration{Number: number, Services: []model.Service{{Name: "profiles"}}}
+	c := model.Configuration{Number: number, Services: []model.Service{{Name: "profiles", HealthPath: "/health"}}}
 	for _, p := range prefixes {
 		c.Routes = append(c.Routes, model.Route{Name: model.RouteName("r" + p), Service: "profiles", Host: "h", PathPrefix: p})
 	}
--- a/internal/command/distribution/checksum.go
+++ b/internal/command/distribution/checksum.go
@@ -81,7 +81,7 @@
 }
 
 func (d *digest) service(s *model.Service) {
-	d.text(string(s.Name), s.Customer)
+	d.text(string(s.Name), s.Customer, s.HealthPath)
 	d.number(uint64(s.Changed), uint64(len(s.Versions)), uint64(len(s.DependsOn)), uint64(s.Connections))
 	for _, v := range s.Versions {
 		d.text(string(v.Version))
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -56,6 +56,8 @@
 	observed chan []model.KeyedSum
 	table    atomic.Pointer[routing.Table]
 	workers  sync.WaitGroup
+	// askTarget asks the target beside the daemon for its health.
+	askTarget func(ctx context.Context, path string) model.InstanceID
 	// published is called with each new view, on the loop goroutine.
 	published func(*model.View)
 
@@ -88,6 +90,11 @@
 // performed. It must be set before Run and must not block.
 func (l *Loop) OnPublish(take func(*model.View)) { l.published = take }
 
+// OnAskTarget sets how the target beside the daemon is asked for its health. It must be set before Run.
+func (l *Loop) OnAskTarget(ask func(ctx context.Context, path string) model.InstanceID) {
+	l.askTarget = ask
+}
+
 // Table returns the published routing table. It never returns nil.
 func (l *Loop) Table() *routing.Table { return l.table.Load() }
 
--- a/internal/control/perform.go
+++ b/internal/control/perform.go
@@ -30,6 +30,8 @@
 		if l.published != nil {
 			l.published(e.View)
 		}
+	case effect.AskTarget:
+		l.work(func() { l.post(ctx, effect.TargetAnswered{Instance: l.askTarget(ctx, e.Path)}) })
 	case effect.Reply:
 		l.answer(e.Token, e.Body)
 	case effect.Answer:
--- a/internal/effect/effect.go
+++ b/internal/effect/effect.go
@@ -62,6 +62,8 @@
 		Token  Token
 		Report model.TargetReport
 	}
+	// TargetAnswered ends an AskTarget. Instance is the run of the target that says it is well, empty if none does.
+	TargetAnswered struct{ Instance model.InstanceID }
 	// Stopping says that this daemon was asked to end: its target takes no new calls.
 	Stopping struct{}
 	// SeedsChanged replaces the peer addresses that are asked while the platform cannot be read.
@@ -112,6 +114,8 @@
 		Token  Token
 		Status *message.StatusReply
 	}
+	// AskTarget asks the target beside this daemon for its health.
+	AskTarget struct{ Path string }
 	// Log writes one line.
 	Log struct {
 		Event  string
@@ -139,6 +143,7 @@
 func (TargetObserved) event() {}
 func (TargetChanged) event()  {}
 func (TargetReported) event() {}
+func (TargetAnswered) event() {}
 func (Stopping) event()       {}
 func (SeedsChanged) event()   {}
 func (Submitted) event()      {}
@@ -153,4 +158,5 @@
 func (Answer) effect()    {}
 func (Inspected) effect() {}
 func (Log) effect()       {}
+func (AskTarget) effect() {}
 func (Count) effect()     {}
--- a/internal/model/configuration.go
+++ b/internal/model/configuration.go
@@ -52,6 +52,8 @@
 	Changed Number `json:"changed,omitempty"`
 	// Connections is the number of connections that each target of the service accepts; 0 leaves what the target announced.
 	Connections int `json:"connections,omitempty"`
+	// HealthPath answers whether a target is well and which run of it answers; empty means that targets cannot be asked.
+	HealthPath string `json:"healthPath,omitempty"`
 }
 
 // VersionShare is the share of a service's calls that one version receives. The shares of a service sum to FullShare.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -161,6 +161,7 @@
 	counted := d.metrics.ControlBytes()
 	d.peers = peer.NewClient(counted)
 	d.loop = control.NewLoop(core, d.peers, gate, d.logger, d.metrics)
+	d.loop.OnAskTarget(d.askTarget)
 	d.loop.OnPublish(func(view *model.View) {
 		d.inbound.SetTarget(view.Local, d.loop.Table().Withheld(view.Local.Ref()))
 	})
--- a/internal/traffic/dispatch.go
+++ b/internal/traffic/dispatch.go
@@ -21,6 +21,8 @@
 	NotExecuted string
 	// CallerService names the service beside the daemon that took the request from its caller.
 	CallerService string
+	// InstanceID names the run of a target in its answer to a health check.
+	InstanceID string
 	// TargetLoad holds the running calls, the waiting calls and the slots of a target, separated by commas.
 	TargetLoad string
 }
