catalog: peers tell each other what is withheld

Cause: marks on a bad version were sent once to the daemons beside its service. Ruled out: a mark in the store, which is away in this case. Change: the reply of the exchange holds the marks of moves that the operator wants. Measured: TestRestartedDaemonLearnsWhatIsWithheld fails without it.

--- a/internal/command/catalog/drive_test.go
+++ b/internal/command/catalog/drive_test.go
@@ -157,6 +157,26 @@
 	is.Equal(reportOf(w), string(model.PhaseWithdrawn))
 }
 
+// Guards against a bad version that has calls again because the daemon beside its target was restarted while the platform is
+// away and cannot hold the record of the withdrawal.
+func TestRestartedDaemonLearnsWhatIsWithheld(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 8)
+	move(w)
+	observe(w, 4*time.Second, 0)
+	for _, n := range w.order {
+		n.away = true
+	}
+	observe(w, 5*time.Second, 0.5)
+	is.True(len(w.order[7].view.Marks) > 0)
+	n := w.start("d07", []string{w.order[0].address, w.order[5].address})
+	n.away = true
+	w.report(n, model.TargetReport{Instance: "i7", Born: 2, Seq: 9, Version: "v2", State: model.TargetReady})
+	w.run(3 * time.Second)
+	is.True(n.view.Ready)
+	is.True(len(n.view.Marks) > 0)
+}
+
 // Guards against daemons that keep asking a platform that is away, and all judge the same move.
 func TestCandidatesInAnOutage(t *testing.T) {
 	is := is.New(t)
--- a/internal/command/catalog/spread.go
+++ b/internal/command/catalog/spread.go
@@ -160,6 +160,8 @@
 func (c *Core) mergeCatalog(now time.Time, from string, reply *message.CatalogReply) {
 	operator, mesh := c.digests(&c.operator), c.digests(&c.mesh)
 	c.mergeChanges(now, reply.Changes)
+	// A daemon that was started again has none, and the record of a withdrawal may wait for the platform.
+	c.withhold(reply.Marks)
 	switch {
 	case reply.Configuration != nil && (c.configuration == nil || c.configuration.Number < reply.Number):
 		c.setConfiguration(reply.Configuration, nil, reply.Revision, "peer")
@@ -182,7 +184,9 @@
 
 // catalogReply returns what the asker has not seen.
 func (c *Core) catalogReply(q *message.CatalogQuery) *message.CatalogReply {
-	reply := &message.CatalogReply{Loaded: c.operator.loaded && c.mesh.loaded, Revision: c.configurationRevision}
+	reply := &message.CatalogReply{
+		Loaded: c.operator.loaded && c.mesh.loaded, Revision: c.configurationRevision, Marks: c.currentMarks(),
+	}
 	reply.Changes = c.changes(reply.Changes, &c.operator, q.Operator)
 	reply.Changes = c.changes(reply.Changes, &c.mesh, q.Mesh)
 	if c.configuration == nil {
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -66,6 +66,8 @@
 	// Number is that of the receiver's configuration, and Revision that of its entry.
 	Number   model.Number
 	Revision int64
+	// Marks are the versions that the receiver withholds.
+	Marks []model.Mark
 	// Deltas lead from the asker's number to Number, one after the other. Configuration is set instead if the asker has none.
 	Deltas        []*Delta
 	Configuration *model.Configuration
