--- a/internal/command/catalog/drive_test.go
+++ b/internal/command/catalog/drive_test.go
@@ -125,9 +125,7 @@
 	w := newWorld(t, 8)
 	move(w)
 	observe(w, 4*time.Second, 0)
-	for _, n := range w.order {
-		n.away = true
-	}
+	w.setAway(true)
 	observe(w, 5*time.Second, 0.5)
 	for _, n := range w.order[len(w.order)/2:] {
 		is.True(len(n.view.Marks) > 0) // the daemons beside the new version's targets refuse its calls
@@ -141,17 +139,13 @@
 	w := newWorld(t, 8)
 	move(w)
 	observe(w, 4*time.Second, 0)
-	for _, n := range w.order {
-		n.away = true
-	}
+	w.setAway(true)
 	driverOf(w).down = true
 	observe(w, 6*time.Second, 0.5)
 	for _, n := range w.order[len(w.order)/2:] {
 		is.True(n.down || len(n.view.Marks) > 0)
 	}
-	for _, n := range w.order {
-		n.away = false
-	}
+	w.setAway(false)
 	w.store.Expire(store.PrefixDrivers + "profiles")
 	observe(w, 4*time.Second, 0.5)
 	is.Equal(reportOf(w), string(model.PhaseWithdrawn))
@@ -164,9 +158,7 @@
 	w := newWorld(t, 8)
 	move(w)
 	observe(w, 4*time.Second, 0)
-	for _, n := range w.order {
-		n.away = true
-	}
+	w.setAway(true)
 	observe(w, 5*time.Second, 0.5)
 	is.True(len(w.order[7].view.Marks) > 0)
 	n := w.start("d07", []string{w.order[0].address, w.order[5].address})
@@ -183,9 +175,7 @@
 	w := newWorld(t, 8)
 	move(w)
 	observe(w, 4*time.Second, 0)
-	for _, n := range w.order {
-		n.away = true
-	}
+	w.setAway(true)
 	driverOf(w).down = true
 	observe(w, 3*time.Second, 0)
 	campaigns, judges := 0, 0
--- a/internal/command/catalog/world_test.go
+++ b/internal/command/catalog/world_test.go
@@ -233,6 +233,13 @@
 	return token
 }
 
+// setAway cuts all daemons off from the platform, or ends that.
+func (w *world) setAway(away bool) {
+	for _, n := range w.order {
+		n.away = away
+	}
+}
+
 // put writes a key as the operator does.
 func (w *world) put(key string, value any) {
 	data, err := json.Marshal(value)
