traffic: a long call is awaited and not given up

A target was taken for stopped if it answered nothing for eight times its usual latency; among 73 daemons one has so few calls at a target that a single long one shows that. Ruled out: the drain; the request had three seconds left. Change: Outbound keeps the end of ejections after a success and gives up no call.

--- a/internal/traffic/outbound.go
+++ b/internal/traffic/outbound.go
@@ -53,16 +53,15 @@
 	return o
 }
 
-// Run cancels calls to lost or stalled targets until ctx ends.
+// Run cancels calls to lost targets until ctx ends. A daemon that answers nothing for long is not given up: among many targets
+// a daemon has few calls at each, so that one long call looks the same, and its response would be lost.
 func (o *Outbound) Run(ctx context.Context) {
 	ticker := time.NewTicker(flushEvery)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ticker.C:
-			now := time.Now()
-			o.peers.follow(o.options.Tables.Table(), now)
-			o.peers.cancelStalled(now)
+			o.peers.follow(o.options.Tables.Table(), time.Now())
 		case <-ctx.Done():
 			return
 		}
--- a/internal/traffic/peers.go
+++ b/internal/traffic/peers.go
@@ -225,11 +225,16 @@
 	}
 }
 
-// succeeded records an answered call.
+// succeeded records an answered call and how long it took.
 func (p *peer) succeeded(took time.Duration) {
+	p.recovered()
+	p.smooth(took)
+}
+
+// recovered ends the series of failures and ejections.
+func (p *peer) recovered() {
 	p.failures.Store(0)
 	p.ejections.Store(0)
-	p.smooth(took)
 }
 
 func (p *peer) smooth(took time.Duration) {
--- a/internal/traffic/placement.go
+++ b/internal/traffic/placement.go
@@ -175,7 +175,7 @@
 	}
 	if streams(p.request.Method, e.response) {
 		a.exchange = e
-		a.peer.succeeded(a.took)
+		a.peer.recovered()
 		return a
 	}
 	a.body, _, err = readAnswer(p.request.Method, e.response, bufferedBytes)
@@ -185,7 +185,7 @@
 		a.refused = p.failed(a, e.reason(err), true)
 		return a
 	}
-	a.peer.succeeded(a.took)
+	a.peer.recovered()
 	return a
 }
 
@@ -199,17 +199,12 @@
 		d.maxWait = choice.Alternative
 	}
 	names := p.out.options.Headers
-	return &outgoing{request: p.request, body: p.body, retryable: p.mayRepeat(), headers: []string{
+	return &outgoing{request: p.request, body: p.body, headers: []string{
 		HeaderDispatch, d.String(),
 		names.Deadline, strconv.FormatInt(max(time.Until(p.deadline).Milliseconds(), 1), 10),
 	}}
 }
 
-// mayRepeat reports whether the request may be executed again and another send is left.
-func (p *placement) mayRepeat() bool {
-	return p.route.Idempotent && p.attempts+1 < p.maxAttempts() && p.body.rest == nil
-}
-
 func (p *placement) maxAttempts() int {
 	if p.route.MaxAttempts > 0 {
 		return p.route.MaxAttempts
@@ -309,7 +304,7 @@
 	switch a.refused.reason {
 	case reasonDraining, reasonNotReady, reasonWrongTarget, reasonWithheld:
 		a.peer.leaving(now)
-	case reasonUnreachable, reasonStalled, reasonTargetLost:
+	case reasonUnreachable, reasonTargetLost:
 		eject = true
 	case reasonLost, reasonMismatch, reasonEncoded:
 		// A connection to the daemon that breaks shows that the daemon is gone. A response that the target spoiled says
@@ -333,8 +328,6 @@
 	late := timedOut(err) && !time.Now().Before(p.deadline)
 	daemon := string(a.target.Daemon)
 	switch {
-	case errors.Is(err, errStalled):
-		return inDoubt(http.StatusGatewayTimeout, reasonStalled, "the daemon "+daemon+" stopped answering")
 	case errors.Is(err, errLost) && arrived:
 		return inDoubt(http.StatusBadGateway, reasonTargetLost, "the daemon "+daemon+" is gone or its target replaced")
 	case errors.Is(err, errLost):
