rollout, catalog: a version that is withheld already is withdrawn, not advanced

A judge withheld the bad version while the store was away. The next driver found no evidence, since nothing called the version any more, took that for too few calls and raised the share on record by a step, each time its time came. When all daemons were killed their marks were gone, and the record gave the version its calls. Ruled out: the judge without a lease, which withheld the version at 20.9 s. Change: a driver withdraws a version that carries a mark of the move, and advances no step before a daemon beside the new version has reported to it. Measured: TestWithdrawalWhenTheDriverIsLostInAnOutage, now with the step on record, fails without the change.

--- a/internal/command/catalog/drive.go
+++ b/internal/command/catalog/drive.go
@@ -255,7 +255,13 @@
 		}
 		observations := d.observations()
 		d.driver.Observe(now, c.compose(c.targets()), &m.Move, observations)
-		c.decided(service, d, m, d.driver.Decide(now, &m.Move, observations))
+		decision := d.driver.Decide(now, &m.Move, observations)
+		if mark := c.markOn(m.Version(), m.ID); mark != nil && m.Phase == model.PhaseRunning {
+			// Nothing calls a version that is withheld, so there is no evidence against it any more; but its targets forget the
+			// mark when their daemons are restarted.
+			decision = rollout.Withdraw(now, &m.Move, mark.Reason)
+		}
+		c.decided(service, d, m, decision)
 	}
 	c.askTargets(now, service, d)
 }
@@ -278,7 +284,7 @@
 		}
 		return
 	}
-	if decision.Next.Phase == model.PhaseWithdrawing && m.Phase != model.PhaseWithdrawing && !c.marked(decision.Next.Version(), decision.Next.ID) {
+	if decision.Next.Phase == model.PhaseWithdrawing && m.Phase != model.PhaseWithdrawing && c.markOn(decision.Next.Version(), decision.Next.ID) == nil {
 		// The targets refuse the version at once, whether or not the platform answers.
 		c.withholdAtTargets(decision.Next)
 	}
--- a/internal/command/catalog/drive_test.go
+++ b/internal/command/catalog/drive_test.go
@@ -80,6 +80,17 @@
 	return w.nodes[string(entries[0].Value)]
 }
 
+// moveOf returns the record of the move.
+func moveOf(t *testing.T, w *world) model.Move {
+	t.Helper()
+	var m model.Move
+	entries := w.store.Do(store.Call{Kind: store.KindGet, Key: store.PrefixMoves + "profiles"}).Entries
+	if err := json.Unmarshal(entries[0].Value, &m); err != nil {
+		t.Fatal(err)
+	}
+	return m
+}
+
 // Guards against a good version that is not done in time, and against a new version that has calls before its move began.
 func TestGoodVersionIsDone(t *testing.T) {
 	is := is.New(t)
@@ -153,9 +164,15 @@
 	for _, n := range w.order[len(w.order)/2:] {
 		is.True(n.down || len(n.view.Marks) > 0)
 	}
+	before := moveOf(t, w)
 	w.setAway(false)
 	w.store.Expire(store.PrefixDrivers + "profiles")
-	observe(w, 4*time.Second, 0.5)
+	for range 20 {
+		observe(w, 200*time.Millisecond, 0.5)
+		// The next driver has no evidence yet, since nothing calls the version any more. With a larger share on record, the
+		// version would get it if all daemons were restarted now. Seen on trouble-3 of most-matching in a hunt.
+		is.True(moveOf(t, w).Step <= before.Step)
+	}
 	is.Equal(reportOf(w), string(model.PhaseWithdrawn))
 }
 
@@ -205,17 +222,11 @@
 	w := newWorld(t, 4)
 	move(w)
 	observe(w, 2*time.Second, 0)
-	deadline := func() time.Time {
-		var m model.Move
-		entries := w.store.Do(store.Call{Kind: store.KindGet, Key: store.PrefixMoves + "profiles"}).Entries
-		is.NoErr(json.Unmarshal(entries[0].Value, &m))
-		return m.Deadline
-	}
-	before := deadline()
+	before := moveOf(t, w).Deadline
 	old := driverOf(w)
 	old.down = true
 	w.store.Expire(store.PrefixDrivers + "profiles")
 	observe(w, 4*time.Second, 0)
 	is.True(driverOf(w) != old)
-	is.True(deadline().Equal(before))
+	is.True(moveOf(t, w).Deadline.Equal(before))
 }
--- a/internal/command/catalog/evidence.go
+++ b/internal/command/catalog/evidence.go
@@ -58,15 +58,19 @@
 	}
 }
 
-// marked reports whether a version is withheld in a move.
-func (c *Core) marked(version model.VersionRef, move model.PlanID) bool {
-	return slices.ContainsFunc(c.marks, func(m model.Mark) bool { return m.VersionRef == version && m.Move == move })
+// markOn returns the mark on a version in a move, or nil.
+func (c *Core) markOn(version model.VersionRef, move model.PlanID) *model.Mark {
+	i := slices.IndexFunc(c.marks, func(m model.Mark) bool { return m.VersionRef == version && m.Move == move })
+	if i < 0 {
+		return nil
+	}
+	return &c.marks[i]
 }
 
 // withhold takes marks of peers; they only grow.
 func (c *Core) withhold(marks []model.Mark) {
 	for _, m := range marks {
-		if c.marked(m.VersionRef, m.Move) {
+		if c.markOn(m.VersionRef, m.Move) != nil {
 			continue
 		}
 		c.marks = append(c.marks[:len(c.marks):len(c.marks)], m)
--- a/internal/command/rollout/rollout.go
+++ b/internal/command/rollout/rollout.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"sniperail.example/sniperail/internal/command/moves"
@@ -125,6 +126,9 @@
 	}
 	next := m.Steps[m.Step+1]
 	switch {
+	case !heard(now, observations, m.To):
+		// A driver that has just taken over has no evidence, which must not look like too few calls.
+		return Decision{Hold: "no daemon beside the new version has reported"}
 	case now.Before(next.Earliest) || now.Sub(m.Since) < shortestStep:
 		return Decision{Hold: "the next step is not due"}
 	case verdict.Kind == moves.Undecided && verdict.Why != tooFew:
@@ -137,6 +141,18 @@
 	return change(now, m, model.PhaseRunning, m.Step+1, verdict.Evidence)
 }
 
+// Withdraw ends the move of a version that is withheld already, as by a judge while the platform was away.
+func Withdraw(now time.Time, m *model.Move, reason string) Decision {
+	return change(now, m, model.PhaseWithdrawing, m.Step, reason)
+}
+
+// heard reports whether a daemon beside a target of a version has reported lately.
+func heard(now time.Time, observations []Observation, version model.VersionName) bool {
+	return slices.ContainsFunc(observations, func(o Observation) bool {
+		return o.Target.Version == version && now.Sub(o.At) < silentAfter
+	})
+}
+
 // tooFew is the reason of a verdict without enough calls. Steps of seconds on a quiet route never have enough, so the time
 // alone decides there.
 const tooFew = "too few calls"
