--- a/internal/traffic/dispatch_test.go
+++ b/internal/traffic/dispatch_test.go
@@ -330,8 +330,9 @@
 	}
 }
 
-// Guards against a target that works on for a caller that has left.
+// Guards against a target that works on for a caller that has left, and against a reason that blames the target for it.
 func TestCallerLeaves(t *testing.T) {
+	is := is.New(t)
 	arrived := make(chan struct{})
 	gone := make(chan struct{})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -352,6 +353,10 @@
 		t.Fatal("the call was answered")
 	}
 	<-gone
+	until(func() bool { return ch.inbounds[0].InFlight() == 0 })
+	refused := ch.scrape(t)
+	is.True(strings.Contains(refused, `sniperail_refusals_total{reason="caller-gone"}`))
+	is.True(!strings.Contains(refused, `sniperail_refusals_total{reason="connection-lost"}`)) // the target is well
 }
 
 // Guards against a route that a daemon without a configuration denies: callers would not come back.
--- a/internal/traffic/inbound.go
+++ b/internal/traffic/inbound.go
@@ -242,7 +242,7 @@
 		return nil, refused
 	}
 	if a.request.Context().Err() != nil {
-		return nil, notExecuted(http.StatusServiceUnavailable, reasonCallerGone, "the caller left before the call was sent")
+		return nil, a.unsentCallerGone()
 	}
 	a.in.arrived.Store(time.Now().UnixNano())
 	held.start = time.Now()
@@ -340,6 +340,11 @@
 	}
 	late := timedOut(err) && !time.Now().Before(a.deadline)
 	switch {
+	case arrived && a.callerGone():
+		// The connection to the target was ended because of that; nothing is wrong with the target.
+		return inDoubt(http.StatusBadGateway, reasonCallerGone, "the caller left while the target worked")
+	case a.callerGone():
+		return a.unsentCallerGone()
 	case arrived && late:
 		return inDoubt(http.StatusGatewayTimeout, reasonDeadline, "the target did not answer before the deadline")
 	case arrived:
@@ -352,6 +357,10 @@
 	return notExecuted(http.StatusServiceUnavailable, reasonUnreachable, "the target does not accept connections")
 }
 
+func (a *arrival) unsentCallerGone() *refusal {
+	return notExecuted(http.StatusServiceUnavailable, reasonCallerGone, "the caller left before the call was sent")
+}
+
 // refuse answers with a refusal and the load of the target.
 func (a *arrival) refuse(w http.ResponseWriter, refused *refusal) {
 	a.in.options.Log.Refused(a, refused)
