sidecar, catalog: a daemon that ends passes calls on for a while, and its successor asks the target

Ruled out: a shorter drain; callers need two misses of the readiness question. Change: calls of other daemons reach the target for 1.5 s of the drain; the rest is for them to learn. The announcement tells a daemon that ends from a target that leaves, and the successor asks such a target for its health.

--- a/internal/command/catalog/catalog_test.go
+++ b/internal/command/catalog/catalog_test.go
@@ -237,13 +237,16 @@
 	cases := []struct {
 		name    string
 		state   model.TargetState
+		stopped bool
 		healthy model.InstanceID
 		want    model.TargetState
 	}{
-		{"the same run", model.TargetReady, "i2", model.TargetReady},
-		{"another run", model.TargetReady, "i9", model.TargetStarting},
-		{"no answer, as from one that leaves", model.TargetReady, "", model.TargetStarting},
-		{"it was leaving", model.TargetDraining, "i2", model.TargetStarting},
+		{"the same run", model.TargetReady, false, "i2", model.TargetReady},
+		{"another run", model.TargetReady, false, "i9", model.TargetStarting},
+		{"no answer, as from one that leaves", model.TargetReady, false, "", model.TargetStarting},
+		{"it was leaving", model.TargetDraining, false, "i2", model.TargetStarting},
+		{"the daemon was stopped in order", model.TargetReady, true, "i2", model.TargetReady},
+		{"the daemon was stopped while it was leaving", model.TargetDraining, true, "i2", model.TargetStarting},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
@@ -251,6 +254,10 @@
 			w := newWorld(t, 3)
 			w.ready("v1")
 			w.report(w.order[2], model.TargetReport{Instance: "i2", Born: 1, Seq: 2, Version: "v1", State: tc.state})
+			if tc.stopped {
+				w.handle(w.order[2], effect.Stopping{})
+				is.Equal(w.order[2].view.Local.State, model.TargetDraining)
+			}
 			n := w.start("d02", nil)
 			n.healthy = tc.healthy
 			w.run(200 * time.Millisecond)
--- a/internal/command/catalog/own.go
+++ b/internal/command/catalog/own.go
@@ -121,7 +121,8 @@
 	next := o.target
 	next.Instance, next.Born, next.Version = o.report.Instance, o.report.Born, o.report.Version
 	next.Slots, next.State = o.report.Slots, o.report.State
-	if o.stopping && next.State == model.TargetReady {
+	next.DaemonEnds = o.stopping && next.State == model.TargetReady
+	if next.DaemonEnds {
 		next.State = model.TargetDraining
 	}
 	warm := now.Add(r.WarmupLeft)
@@ -148,7 +149,7 @@
 	}
 	o.report = &gone
 	next := o.target
-	next.Instance, next.Born, next.State = gone.Instance, gone.Born, model.TargetGone
+	next.Instance, next.Born, next.State, next.DaemonEnds = gone.Instance, gone.Born, model.TargetGone, false
 	return c.setTarget(now, next)
 }
 
@@ -174,7 +175,7 @@
 	c.own.stopping = true
 	if c.own.target.State == model.TargetReady {
 		next := c.own.target
-		next.State = model.TargetDraining
+		next.State, next.DaemonEnds = model.TargetDraining, true
 		c.setTarget(now, next)
 	}
 }
@@ -234,7 +235,8 @@
 	}
 	earlier := o.earlier
 	service := c.configuration.Service(c.cfg.Target.Service)
-	if o.report != nil || o.stopping || earlier.State != model.TargetReady || service == nil || service.HealthPath == "" {
+	served := earlier.State == model.TargetReady || earlier.DaemonEnds
+	if o.report != nil || o.stopping || !served || service == nil || service.HealthPath == "" {
 		o.earlier = nil
 		return
 	}
--- a/internal/model/target.go
+++ b/internal/model/target.go
@@ -31,6 +31,8 @@
 	Slots       int         `json:"slots"`
 	Connections int         `json:"connections"`
 	State       TargetState `json:"state"`
+	// DaemonEnds says that State is draining because the daemon ends, while the target stays.
+	DaemonEnds bool `json:"daemonEnds,omitempty"`
 	// Since is when the target entered State.
 	Since time.Time `json:"since"`
 	// Instance is what the target calls itself, empty if it does not report to its daemon.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -43,6 +43,9 @@
 	storePauseMax = 500 * time.Millisecond
 	// callersLeave is how long a draining daemon keeps its listeners open, so that callers learn that it is not ready.
 	callersLeave = 2300 * time.Millisecond
+	// targetServes is the first part of that, in which calls of other daemons still reach the target. The rest is for them to
+	// learn that it takes no more.
+	targetServes = 1500 * time.Millisecond
 	// exitMargin is kept between the end of a drain and the time at which the process is killed.
 	exitMargin = 700 * time.Millisecond
 	// lastResponses is the time that the last responses have to be written.
@@ -338,9 +341,10 @@
 	started := time.Now()
 	d.logger.Info("stopping", zap.Int("requests", d.outbound.InFlight()), zap.Int("calls", d.inbound.InFlight()))
 	d.draining.Store(true)
-	d.loop.Stopping(abort)
 	d.callers.Drain()
-	wait(abort, callersLeave)
+	wait(abort, targetServes)
+	d.loop.Stopping(abort)
+	wait(abort, callersLeave-targetServes)
 	for _, s := range d.servers {
 		if s.http == d.callers {
 			_ = s.listener.Close()
