rollout: a version whose calls fail needs no comparison to be stopped

All daemons of the old version had just been killed, so that the old version had no calls; the sequential tests compare the two versions and say nothing then, and the steps of moves of seconds ask for no number of calls. Ruled out: lost reports; the driver counted the failures, as its reasons show. Change: a version that fails a quarter of five calls or more goes no step further, and one that fails six tenths of twenty or more is withdrawn, unless the old version fails too. Measured: TestFailingVersionWithoutComparison fails without the change.

--- a/internal/command/moves/judge.go
+++ b/internal/command/moves/judge.go
@@ -39,8 +39,9 @@
 	Why string
 	// Evidence states the counts behind the verdict.
 	Evidence string
-	// Calls counts the calls of the new version in the present step, Needed those that the next step asks for.
-	Calls, Needed int
+	// Calls counts the calls of the new version in the present step, Failures those of them that failed, and Needed the calls
+	// that the next step asks for.
+	Calls, Failures, Needed int
 	// Suspect says that a version without old traffic to compare with does worse than the old version did before.
 	Suspect bool
 }
--- a/internal/command/moves/trial.go
+++ b/internal/command/moves/trial.go
@@ -262,7 +262,7 @@
 }
 
 func (t *trial) verdict(bound float64) Verdict {
-	v := Verdict{Calls: int(t.stepNew.Calls), Needed: t.needed}
+	v := Verdict{Calls: int(t.stepNew.Calls), Failures: int(t.stepNew.Failures), Needed: t.needed}
 	worst := t.all.worst()
 	suspicion := t.all.suspicion()
 	for _, l := range t.routes {
--- a/internal/command/rollout/rollout.go
+++ b/internal/command/rollout/rollout.go
@@ -24,6 +24,12 @@
 	idleTime = 600 * time.Millisecond
 	// silentAfter is the age of a target's last report at which it is left out: its daemon is gone or cut off.
 	silentAfter = 1500 * time.Millisecond
+	// A version that fails failingPart of failingCalls or more goes no step further, and one that fails brokenPart of
+	// brokenCalls or more is withdrawn, whatever the comparison says.
+	failingCalls = 5
+	failingPart  = 0.25
+	brokenCalls  = 20
+	brokenPart   = 0.6
 	// capacityPart is the part of the old version's slots that the new version needs before it gets all calls.
 	capacityPart = 0.6
 )
@@ -115,6 +121,10 @@
 		return change(now, m, model.PhaseWithdrawing, m.Step,
 			fmt.Sprintf("%d of %d calls took four times the median of %s", d.slow.slow, d.slow.calls, m.From))
 	}
+	if fails(verdict, brokenCalls, brokenPart) {
+		return change(now, m, model.PhaseWithdrawing, m.Step,
+			fmt.Sprintf("%d of %d calls failed, and %s has too few to compare", verdict.Failures, verdict.Calls, m.From))
+	}
 	if m.Step < 0 {
 		return begin(now, m, observations)
 	}
@@ -131,6 +141,8 @@
 		return Decision{Hold: "no daemon beside the new version has reported"}
 	case now.Before(next.Earliest) || now.Sub(m.Since) < shortestStep:
 		return Decision{Hold: "the next step is not due"}
+	case fails(verdict, failingCalls, failingPart):
+		return Decision{Hold: fmt.Sprintf("%d of %d calls failed", verdict.Failures, verdict.Calls)}
 	case verdict.Kind == moves.Undecided && verdict.Why != tooFew:
 		return Decision{Hold: verdict.Why + ": " + verdict.Evidence}
 	case verdict.Kind == moves.BothBad:
@@ -153,6 +165,13 @@
 	})
 }
 
+// fails reports whether a part of at least some calls of the new version failed in the present step, unless the old version
+// fails too. The sequential tests compare the two, and say nothing while the old version has no calls, as when its daemons were
+// just lost.
+func fails(v moves.Verdict, calls int, part float64) bool {
+	return v.Kind != moves.BothBad && v.Calls >= calls && float64(v.Failures) > part*float64(v.Calls)
+}
+
 // tooFew is the reason of a verdict without enough calls. Steps of seconds on a quiet route never have enough, so the time
 // alone decides there.
 const tooFew = "too few calls"
--- a/internal/command/rollout/rollout_test.go
+++ b/internal/command/rollout/rollout_test.go
@@ -194,3 +194,31 @@
 		t.Fatalf("the move went on to %+v", got.Next)
 	}
 }
+
+// Guards against a version whose calls fail and that goes on because the old version has no calls to compare with, as after
+// the loss of its daemons. Found by seed 2006 of platform/soak: "54 calls, 54 failed", and the move was done.
+func TestFailingVersionWithoutComparison(t *testing.T) {
+	now := time.Unix(10_000, 0)
+	m := &model.Move{ID: "m", Service: service, From: "v1", To: "v2", Deadline: now.Add(time.Minute), Phase: model.PhaseRunning, Since: now.Add(-time.Minute)}
+	m.Steps = rollout.Steps(now.Add(-time.Hour), now.Add(time.Minute))
+	m.Step = 1
+	configuration := &model.Configuration{Moves: []model.Move{*m}}
+	decide := func(calls, failures int) rollout.Decision {
+		d := rollout.NewDriver()
+		o := observe("new", "v2", now, now)
+		for i := range calls {
+			o.Sums[0].Observe(i < failures, 100*time.Millisecond)
+		}
+		d.Observe(now, configuration, m, []rollout.Observation{o})
+		return d.Decide(now, m, []rollout.Observation{o})
+	}
+	if got := decide(54, 54); got.Next == nil || got.Next.Phase != model.PhaseWithdrawing {
+		t.Fatalf("54 of 54 calls failed: %+v", got)
+	}
+	if got := decide(10, 10); got.Next != nil {
+		t.Fatalf("10 of 10 calls failed, and the move went on to %+v", got.Next)
+	}
+	if got := decide(54, 2); got.Next == nil || got.Next.Phase != model.PhaseRunning || got.Next.Step != 2 {
+		t.Fatalf("2 of 54 calls failed, and the move did not go on: %+v", got)
+	}
+}
