process: one wait that ends with its context

Change: process.Wait serves all; the stand-in of a target still answers at once if it has no latency to wait for. Measured: tests of the packages concerned pass; behaviour is meant to be the same.

--- a/internal/bench/once/run.go
+++ b/internal/bench/once/run.go
@@ -16,6 +16,7 @@
 	"sniperail.example/sniperail/internal/command/claims"
 	guard "sniperail.example/sniperail/internal/once"
 	"sniperail.example/sniperail/internal/platform"
+	"sniperail.example/sniperail/internal/process"
 	standin "sniperail.example/sniperail/internal/standin/platform"
 	"sniperail.example/sniperail/internal/store"
 )
@@ -219,7 +220,7 @@
 	r.mu.Unlock()
 	if decision.Kind == claims.Refused {
 		// A caller that repeats at once would spend its submissions within one outage.
-		wait(ctx, min(decision.RetryAfter, maxRetryWait))
+		process.Wait(ctx, min(decision.RetryAfter, maxRetryWait))
 	}
 	if decision.Kind != claims.Run {
 		return
@@ -272,7 +273,7 @@
 		r.report.Faults[fault]++
 	}
 	up, zero := standin.Up, 0
-	for wait(ctx, time.Duration(random.ExpFloat64()*float64(r.config.FaultEvery))) {
+	for process.Wait(ctx, time.Duration(random.ExpFloat64()*float64(r.config.FaultEvery))) {
 		length := time.Duration(random.IntN(30)) * time.Millisecond
 		n := 1 + random.IntN(5)
 		switch down := []standin.DownMode{standin.DownRefuse, standin.DownDrop}[random.IntN(2)]; random.IntN(4) {
@@ -286,23 +287,11 @@
 			count("slow")
 			r.service.SetFaults(standin.Faults{SlowMS: &n})
 		}
-		wait(ctx, length)
+		process.Wait(ctx, length)
 		r.service.SetFaults(standin.Faults{Down: &up, SlowMS: &zero, LoseAnswers: &zero})
 	}
 }
 
-// wait waits and reports whether ctx is still in force.
-func wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // tally counts executions per identity.
 func (r *run) tally() {
 	for _, n := range r.executions {
--- a/internal/platform/gate.go
+++ b/internal/platform/gate.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/time/rate"
 
+	"sniperail.example/sniperail/internal/process"
 	"sniperail.example/sniperail/internal/store"
 	"sniperail.example/sniperail/internal/telemetry"
 )
@@ -149,7 +150,7 @@
 	events := make(chan store.WatchEvent)
 	go func() {
 		defer close(events)
-		if !sleep(ctx, g.watches.remaining(time.Now())) || g.reads.Wait(ctx) != nil {
+		if !process.Wait(ctx, g.watches.remaining(time.Now())) || g.reads.Wait(ctx) != nil {
 			g.config.Count(KindWatch, reasonWatch, store.Shed)
 			return
 		}
@@ -170,18 +171,3 @@
 	}()
 	return events
 }
-
-// sleep waits and reports whether ctx is still in force.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -1,4 +1,4 @@
-// Package process holds what the programs that run for long share: signals and random sources.
+// Package process holds what the programs that run for long share: signals, random sources and waits.
 package process
 
 import (
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	crand "crypto/rand"
 )
@@ -24,6 +25,21 @@
 	return abort
 }
 
+// Wait waits for d and reports whether ctx is still in force.
+func Wait(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // NewRand returns a random source with a seed of its own, so that daemons that start together do not act in step.
 func NewRand() *rand.Rand {
 	var seed [16]byte
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -342,9 +342,9 @@
 	d.logger.Info("stopping", zap.Int("requests", d.outbound.InFlight()), zap.Int("calls", d.inbound.InFlight()))
 	d.draining.Store(true)
 	d.callers.Drain()
-	wait(abort, targetServes)
+	process.Wait(abort, targetServes)
 	d.loop.Stopping(abort)
-	wait(abort, callersLeave-targetServes)
+	process.Wait(abort, callersLeave-targetServes)
 	for _, s := range d.servers {
 		if s.http == d.callers {
 			_ = s.listener.Close()
@@ -357,22 +357,12 @@
 		d.logger.Warn("stopping-cuts", zap.Int("requests", d.outbound.InFlight()), zap.Int("calls", d.inbound.InFlight()))
 	}
 	// The last responses are on their way to their callers.
-	wait(abort, lastResponses)
+	process.Wait(abort, lastResponses)
 	for _, s := range d.servers {
 		_ = s.http.Close()
 	}
 }
 
-// wait returns after d, or when ctx ends.
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // Reload takes the settings that may change while the process runs. Other settings take effect only at the next start.
 func (d *Sidecar) Reload(ctx context.Context, next settings.Sidecar) {
 	d.loop.SeedsChanged(ctx, next.Seeds)
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -12,6 +12,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"sniperail.example/sniperail/internal/process"
 )
 
 // Kinds of misbehaviour.
@@ -134,7 +136,7 @@
 	// The server notices a caller that leaves only once the body is read.
 	_, _ = io.Copy(io.Discard, r.Body)
 	latency, fail := t.draw(r.URL.Path, inFlight)
-	if !pause(r, latency) {
+	if latency > 0 && !process.Wait(r.Context(), latency) {
 		t.counts.cancelled()
 		return
 	}
@@ -196,21 +198,6 @@
 	return time.Duration(latency), bad && t.config.Bad == BadFail
 }
 
-// pause waits for d and reports whether the caller still waits too.
-func pause(r *http.Request, d time.Duration) bool {
-	if d <= 0 {
-		return true
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-r.Context().Done():
-		return false
-	}
-}
-
 // answer writes {"request":...,"version":...,"target":...,"pad":...} padded to the wanted size.
 func (t *Target) answer(w http.ResponseWriter, r *http.Request, fail bool) {
 	size := t.config.AnswerBytes
