traffic: Outbound has nothing left to run

Cause: since calls are not given up any more, Outbound.Run woke four times a second only to follow a table that each request follows by itself, and each response noted a time that nobody read. Its comment still said that calls to lost targets end by it. Change: Run and the note are removed, with the calls of the daemon and of the tests. Measured: tests of traffic and sidecar with the race detector pass, assertions unchanged.

--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -313,7 +313,6 @@
 	var group sync.WaitGroup
 	group.Go(func() { d.loop.Run(work) })
 	group.Go(d.server.Serve)
-	group.Go(func() { d.outbound.Run(work) })
 	group.Go(func() { d.inbound.Run(work) })
 	for _, s := range d.servers {
 		group.Go(func() {
--- a/internal/traffic/dispatch_test.go
+++ b/internal/traffic/dispatch_test.go
@@ -105,7 +105,6 @@
 // chain is an Outbound before the Inbounds of some targets.
 type chain struct {
 	out      *httptest.Server
-	outbound *traffic.Outbound
 	inbounds []*traffic.Inbound
 	table    *routing.Table
 	metrics  *telemetry.Metrics
@@ -157,22 +156,12 @@
 		Tables: c, Headers: names, Metrics: m, Limits: traffic.DefaultLimits(), Log: log, Service: "own",
 		Budget: retry.SharedLimit{Ratio: 1, Slack: 100, Window: time.Minute},
 	})
-	c.outbound = out
 	c.out = httptest.NewServer(out)
 	t.Cleanup(c.out.Close)
 	t.Cleanup(out.Close)
 	return c
 }
 
-// run runs what the Outbound does beside its requests until the test ends.
-func (c *chain) run(t *testing.T) {
-	t.Helper()
-	ctx, cancel := context.WithCancel(context.Background())
-	var running sync.WaitGroup
-	running.Go(func() { c.outbound.Run(ctx) })
-	t.Cleanup(func() { cancel(); running.Wait() })
-}
-
 // scrape returns the metrics as text.
 func (c *chain) scrape(t *testing.T) string {
 	t.Helper()
--- a/internal/traffic/outbound.go
+++ b/internal/traffic/outbound.go
@@ -40,7 +40,9 @@
 	patience patience
 }
 
-// NewOutbound returns a handler. Run must run for calls to lost targets to end.
+// NewOutbound returns a handler. Calls to a target are not given up while they wait, whether the target leaves the table or
+// answers nothing for long: among many targets a daemon has few calls at each, so that one long call looks the same as a
+// daemon that stopped, and its response would be lost.
 func NewOutbound(options OutboundOptions) *Outbound {
 	o := &Outbound{
 		options: options, peers: newPeers(options.Tables),
@@ -53,21 +55,6 @@
 	return o
 }
 
-// Run cancels calls to lost targets until ctx ends. A daemon that answers nothing for long is not given up: among many targets
-// a daemon has few calls at each, so that one long call looks the same, and its response would be lost.
-func (o *Outbound) Run(ctx context.Context) {
-	ticker := time.NewTicker(flushEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-			o.peers.follow(o.options.Tables.Table(), time.Now())
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 // Wait returns when no call is in flight, or with the error of ctx.
 func (o *Outbound) Wait(ctx context.Context) error { return o.gate.wait(ctx) }
 
--- a/internal/traffic/placement.go
+++ b/internal/traffic/placement.go
@@ -157,7 +157,6 @@
 		return a
 	}
 	a.response = e.response
-	a.peer.answered.Store(time.Now().UnixNano())
 	if e.response.Header.Get(HeaderCall) != p.id {
 		e.finish(false)
 		a.refused = inDoubt(http.StatusBadGateway, reasonMismatch, "the response belongs to another request")
--- a/internal/traffic/suspect_test.go
+++ b/internal/traffic/suspect_test.go
@@ -26,7 +26,6 @@
 		return okAnswer
 	})
 	ch := startChain(t, target, startScripted(t, func(int, *http.Request) string { return "" }))
-	ch.run(t)
 	ch.deadline = 3 * time.Second
 	for range 30 {
 		_, _, _, err := ch.call(t.Context(), "GET", "/safe/x")
