catalog: an exchange counts its news and not the digests twice

Cause: each reply to an exchange hashed all entries four times to decide on a log line, and a reply to a peer without differences sorted all keys before it found none. Change: merging tells whether something was news; equal digests end the search. The flag asking, which was never reset, is called asked.

--- a/internal/command/catalog/own.go
+++ b/internal/command/catalog/own.go
@@ -34,7 +34,8 @@
 	stopping bool
 	// earlier is what a process of this daemon before this one announced; nil if it is not known or was used.
 	earlier *model.Target
-	asking  bool
+	// asked says that its target was asked for its health; it is asked once in the life of a process.
+	asked bool
 
 	lease   store.LeaseID
 	renewAt time.Time
@@ -218,7 +219,7 @@
 	if stored != nil && stored.Incarnation == o.target.Incarnation && stored.Sequence == o.announced {
 		return
 	}
-	if stored != nil && stored.Incarnation != o.target.Incarnation && o.report == nil && !o.asking {
+	if stored != nil && stored.Incarnation != o.target.Incarnation && o.report == nil && !o.asked {
 		o.earlier = stored
 	}
 	if o.report != nil && (stored != nil || o.listable()) {
@@ -230,7 +231,7 @@
 // itself only after a second or two, in which its slots would be idle.
 func (c *Core) askEarlier() {
 	o := &c.own
-	if o.earlier == nil || c.configuration == nil || o.asking {
+	if o.earlier == nil || c.configuration == nil || o.asked {
 		return
 	}
 	earlier := o.earlier
@@ -240,7 +241,7 @@
 		o.earlier = nil
 		return
 	}
-	o.asking = true
+	o.asked = true
 	c.emit(effect.AskTarget{Path: service.HealthPath})
 }
 
--- a/internal/command/catalog/spread.go
+++ b/internal/command/catalog/spread.go
@@ -85,7 +85,9 @@
 	}
 }
 
-func (c *Core) mergeChanges(now time.Time, changes []message.Change) {
+// mergeChanges takes changes of a peer and reports whether one was news.
+func (c *Core) mergeChanges(now time.Time, changes []message.Change) bool {
+	news := false
 	for i := range changes {
 		e := &changes[i].Entry
 		s := c.sourceOf(e.Key)
@@ -93,11 +95,12 @@
 			continue
 		}
 		if changes[i].Removed {
-			c.remove(now, s, e.Key, e.ModRevision, true)
+			news = c.remove(now, s, e.Key, e.ModRevision, true) || news
 		} else {
-			c.merge(now, s, *e, true)
+			news = c.merge(now, s, *e, true) || news
 		}
 	}
+	return news
 }
 
 // applyDelta changes the configuration. If the delta does not fit, the platform is read.
@@ -158,8 +161,7 @@
 
 // mergeCatalog takes what a peer knows. The first complete reply stands in for a read of the platform.
 func (c *Core) mergeCatalog(now time.Time, from string, reply *message.CatalogReply) {
-	operator, mesh := c.digests(&c.operator), c.digests(&c.mesh)
-	c.mergeChanges(now, reply.Changes)
+	news := c.mergeChanges(now, reply.Changes)
 	// A daemon that was started again has none, and the record of a withdrawal may wait for the platform.
 	c.withhold(reply.Marks)
 	switch {
@@ -173,7 +175,7 @@
 			c.operator.relist(now)
 		}
 	}
-	if !slices.Equal(c.digests(&c.operator), operator) || !slices.Equal(c.digests(&c.mesh), mesh) {
+	if news {
 		c.log("peer-catalog", "from", from, "changes", strconv.Itoa(len(reply.Changes)))
 	}
 	if reply.Loaded && (!c.operator.loaded || !c.mesh.loaded) {
@@ -204,6 +206,9 @@
 // changes appends what is known of a source, but for the configuration, in the parts where an asker's digests differ.
 func (c *Core) changes(to []message.Change, s *source, theirs []uint32) []message.Change {
 	own := c.digests(s)
+	if slices.Equal(own, theirs) {
+		return to
+	}
 	differs := func(key string) bool {
 		part := partOf(key)
 		return part >= len(theirs) || own[part] != theirs[part]
