catalog: the log says which configuration a daemon lacks, who announced it and who watches

A late configuration showed only when it was in force, not since when the daemon knew that it was behind, and not which daemons read the store for all. Change: events configuration-behind, watch-started and watch-ended; configuration has behind_ms; Spread names its sender. The layout of the messages changes on purpose, so daemons of the release before learn of changes from the store during an upgrade. The decisions are unchanged.

--- a/internal/command/catalog/catalog.go
+++ b/internal/command/catalog/catalog.go
@@ -82,6 +82,7 @@
 	driver      moveDriver
 	antiEntropy antiEntropy
 	outcomes    localOutcomes
+	lag         lag
 	// settledAt is when this daemon is expected to know all daemons that started at the same time; see settleDelay.
 	settledAt time.Time
 	// nextTurnAt is when it is this daemon's turn to list the platform's keys, and nextTurnNumber the number of that turn.
--- a/internal/command/catalog/gossip.go
+++ b/internal/command/catalog/gossip.go
@@ -46,9 +46,9 @@
 	if len(c.pendingChanges) == 0 && !c.configurationPending {
 		return
 	}
-	spread := &message.Spread{Changes: c.pendingChanges, Delta: c.pendingDelta, Revision: c.configurationRevision}
-	if c.configuration != nil {
-		spread.Number = c.configuration.Number
+	spread := &message.Spread{
+		From: c.cfg.Target.PeerAddress, Changes: c.pendingChanges,
+		Number: c.configurationNumber(), Revision: c.configurationRevision, Delta: c.pendingDelta,
 	}
 	c.pendingChanges, c.pendingDelta, c.configurationPending = nil, nil, false
 	for _, address := range c.gossipPeers() {
@@ -82,9 +82,10 @@
 func (c *Core) handleSpread(now time.Time, m *message.Spread) {
 	c.mergeChanges(now, m.Changes)
 	if m.Delta != nil {
-		c.applyDelta(m.Delta, m.Revision, "peer")
+		c.applyDelta(now, m.Delta, m.Revision, "peer")
 	}
-	if m.Number > 0 && (c.configuration == nil || c.configuration.Number < m.Number) && c.operatorKeys.listed {
+	c.recordAnnouncedNumber(now, m.Number, m.From)
+	if m.Number > c.configurationNumber() && c.operatorKeys.listed {
 		c.operatorKeys.scheduleList(now.Add(c.jitter(gapListDelay)))
 	}
 }
@@ -108,7 +109,7 @@
 }
 
 // applyDelta applies a delta to the configuration. A delta with another base is ignored; the callers then schedule a list.
-func (c *Core) applyDelta(d *message.Delta, revision int64, source string) {
+func (c *Core) applyDelta(now time.Time, d *message.Delta, revision int64, source string) {
 	if c.configuration == nil || d.Number <= c.configuration.Number {
 		return
 	}
@@ -118,7 +119,7 @@
 			"own", formatNumber(c.configuration.Number))
 		return
 	}
-	c.setConfiguration(next, d, revision, source)
+	c.setConfiguration(now, next, d, revision, source)
 }
 
 // runAntiEntropy asks a random peer for the changes that this daemon lacks, if a query is due and none is pending.
@@ -136,9 +137,8 @@
 		return
 	}
 	a.pending = true
-	query := &message.CatalogQuery{Operator: c.digests(&c.operatorKeys), Mesh: c.digests(&c.meshKeys)}
-	if c.configuration != nil {
-		query.Number = c.configuration.Number
+	query := &message.CatalogQuery{
+		Operator: c.digests(&c.operatorKeys), Mesh: c.digests(&c.meshKeys), Number: c.configurationNumber(),
 	}
 	c.send(address, query, func(now time.Time, r message.Reply) {
 		a.pending = false
@@ -173,15 +173,16 @@
 	c.addMarks(reply.Marks)
 	switch {
 	case reply.Configuration != nil && (c.configuration == nil || c.configuration.Number < reply.Number):
-		c.setConfiguration(reply.Configuration, nil, reply.Revision, "peer")
+		c.setConfiguration(now, reply.Configuration, nil, reply.Revision, "peer")
 	case c.configuration != nil:
 		for _, d := range reply.Deltas {
-			c.applyDelta(d, reply.Revision, "peer")
+			c.applyDelta(now, d, reply.Revision, "peer")
 		}
 		if reply.Number > c.configuration.Number && c.operatorKeys.listed {
 			c.operatorKeys.scheduleList(now)
 		}
 	}
+	c.recordAnnouncedNumber(now, reply.Number, from)
 	if changed {
 		c.log("peer-catalog", "from", from, "changes", strconv.Itoa(len(reply.Changes)))
 	}
@@ -262,7 +263,9 @@
 
 // setConfiguration replaces the configuration by a newer one. delta is the difference between the two; nil if it must be
 // computed.
-func (c *Core) setConfiguration(next *model.Configuration, delta *message.Delta, revision int64, source string) {
+func (c *Core) setConfiguration(
+	now time.Time, next *model.Configuration, delta *message.Delta, revision int64, source string,
+) {
 	if c.configuration != nil {
 		if delta == nil {
 			delta = distribution.Diff(c.configuration, next)
@@ -277,7 +280,7 @@
 	c.operatorKeys.revision = max(c.operatorKeys.revision, revision)
 	c.dirty = true
 	c.log("configuration", "number", formatNumber(next.Number), "revision", strconv.FormatInt(revision, 10),
-		"routes", strconv.Itoa(len(next.Routes)), "source", source)
+		"routes", strconv.Itoa(len(next.Routes)), "source", source, "behind_ms", formatMillis(c.endLag(now)))
 }
 
 func formatNumber(n model.Number) string { return strconv.FormatUint(uint64(n), 10) }
--- a/internal/command/catalog/simulation_test.go
+++ b/internal/command/catalog/simulation_test.go
@@ -59,6 +59,7 @@
 	// healthyInstance is the instance with which the target answers health checks.
 	healthyInstance model.InstanceID
 	unanswered      []unansweredRequest
+	logs            []effect.Log
 }
 
 // simulation runs cores against one store in simulated time. Messages and store calls take no time.
@@ -118,6 +119,8 @@
 	switch e := e.(type) {
 	case effect.Publish:
 		n.view = e.View
+	case effect.Log:
+		n.logs = append(n.logs, e)
 	case effect.Watch:
 		n.watches[e.Key] = e.After
 	case effect.Unwatch:
--- a/internal/command/catalog/view.go
+++ b/internal/command/catalog/view.go
@@ -28,7 +28,7 @@
 // applyOperatorEntry applies a change to one of the operator's keys; e is nil if the key was removed.
 func (c *Core) applyOperatorEntry(now time.Time, key string, e *store.Entry) {
 	if key == c.cfg.Operator.KeyConfiguration() {
-		c.applyConfigurationEntry(e)
+		c.applyConfigurationEntry(now, e)
 		return
 	}
 	service, ok := c.cfg.Operator.IntentService(key)
@@ -53,7 +53,7 @@
 
 // applyConfigurationEntry decodes the operator's configuration and puts it in force. A lower number never replaces a higher
 // one, and an invalid configuration is refused as a whole.
-func (c *Core) applyConfigurationEntry(e *store.Entry) {
+func (c *Core) applyConfigurationEntry(now time.Time, e *store.Entry) {
 	if e == nil {
 		return
 	}
@@ -79,7 +79,7 @@
 		c.count("sniperail_configurations_refused", "invalid")
 		return
 	}
-	c.setConfiguration(distribution.Strip(next), nil, e.ModRevision, "platform")
+	c.setConfiguration(now, distribution.Strip(next), nil, e.ModRevision, "platform")
 }
 
 // unresolvedReferences returns a problem for each route that leads to a service missing from the configuration. Versions are
--- a/internal/command/catalog/watch.go
+++ b/internal/command/catalog/watch.go
@@ -52,8 +52,10 @@
 	}
 	k.watching = wanted
 	if wanted {
+		c.log("watch-started", "rank", strconv.Itoa(rank), "daemons", strconv.Itoa(len(daemons)), "revision", strconv.FormatInt(k.revision, 10))
 		c.emit(effect.Watch{Key: k.prefix, After: k.revision})
 	} else {
+		c.log("watch-ended", "rank", strconv.Itoa(rank), "daemons", strconv.Itoa(len(daemons)))
 		c.emit(effect.Unwatch{Key: k.prefix})
 	}
 }
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -38,6 +38,8 @@
 
 // Spread is a gossip message: it sends changes to a peer, which forwards those that it did not have.
 type Spread struct {
+	// From is the peer address of the sender.
+	From    string
 	Changes []Change
 	// Number is the number of the sender's configuration and Revision the store revision of its entry. Delta is the change
 	// that produced it from the configuration before, or nil.
