catalog: every daemon bounds the age of what it knows of the operator's keys

What callers saw: requests on a route that was added, or by a route that was dropped, were handled by the older configuration more than two seconds after the change was acknowledged, on daemons that ran all the while. Cause: the platform was read for all by three watchers and by turns, both derived from the ranks of all known daemons, lost ones included, and the turns from the wall clock too. Restarted daemons did neither for 2.5 s. If the watchers were gone and the next turns belonged to lost daemons, nobody read the change, and no daemon noticed: it had no bound on the age of its knowledge. Change: freshness checks in rounds. A daemon lists the keys and announces the next round by gossip; one that learns of no new round within 1.3 s lists the keys itself. The turns by wall clock are gone. The layout of the messages changes (Spread.Round).

--- a/internal/command/catalog/catalog.go
+++ b/internal/command/catalog/catalog.go
@@ -83,11 +83,11 @@
 	antiEntropy antiEntropy
 	outcomes    localOutcomes
 	lag         lag
-	// settledAt is when this daemon is expected to know all daemons that started at the same time; see settleDelay.
+	freshness   freshness
+	// settledAt is when this daemon is expected to know all daemons that started at the same time, and settled says that this
+	// time has passed; see settleDelay.
 	settledAt time.Time
-	// nextTurnAt is when it is this daemon's turn to list the platform's keys, and nextTurnNumber the number of that turn.
-	nextTurnAt     time.Time
-	nextTurnNumber int64
+	settled   bool
 
 	// ready says that the last published view was ready, and dirty that a new view must be published.
 	ready bool
@@ -160,7 +160,7 @@
 	c.startDueList(now, &c.operatorKeys)
 	c.startDueList(now, &c.meshKeys)
 	c.updateOperatorWatch(now)
-	c.listOnTurn(now)
+	c.startDueCheck(now)
 	c.checkPreviousTarget()
 	c.maintainAnnouncement(now)
 	c.probeUnlistedMembers(now)
@@ -177,10 +177,12 @@
 	if !c.antiEntropy.pending {
 		next = earliest(next, c.antiEntropy.nextAt)
 	}
-	next = earliest(next, c.nextTurnAt)
-	if c.nextTurnAt.IsZero() {
+	if !c.settled {
 		next = earliest(next, c.settledAt)
 	}
+	if c.canCheck() {
+		next = earliest(next, c.freshness.nextWake())
+	}
 	for _, m := range c.roster {
 		if !m.probePending {
 			next = earliest(next, m.probeAt)
--- a/internal/command/catalog/gossip.go
+++ b/internal/command/catalog/gossip.go
@@ -41,16 +41,19 @@
 	pending bool
 }
 
-// gossipChanges sends the changes first seen during this event to a few peers.
+// gossipChanges sends the changes first seen during this event, and a new round, to a few peers.
 func (c *Core) gossipChanges() {
-	if len(c.pendingChanges) == 0 && !c.configurationPending {
+	if len(c.pendingChanges) == 0 && !c.configurationPending && !c.freshness.announcePending {
 		return
 	}
 	spread := &message.Spread{
 		From: c.cfg.Target.PeerAddress, Changes: c.pendingChanges,
 		Number: c.configurationNumber(), Revision: c.configurationRevision, Delta: c.pendingDelta,
 	}
-	c.pendingChanges, c.pendingDelta, c.configurationPending = nil, nil, false
+	if c.freshness.announcePending {
+		spread.Round = c.freshness.round
+	}
+	c.pendingChanges, c.pendingDelta, c.configurationPending, c.freshness.announcePending = nil, nil, false, false
 	for _, address := range c.gossipPeers() {
 		c.send(address, spread, func(time.Time, message.Reply) {
 			// A peer that missed the message catches up by anti-entropy.
@@ -85,6 +88,7 @@
 		c.applyDelta(now, m.Delta, m.Revision, "peer")
 	}
 	c.recordAnnouncedNumber(now, m.Number, m.From)
+	c.handleRound(now, m.Round, m.Number)
 	if m.Number > c.configurationNumber() && c.operatorKeys.listed {
 		c.operatorKeys.scheduleList(now.Add(c.jitter(gapListDelay)))
 	}
--- a/internal/command/catalog/replica.go
+++ b/internal/command/catalog/replica.go
@@ -99,6 +99,9 @@
 	if k.watching {
 		c.emit(effect.Watch{Key: k.prefix, After: k.revision})
 	}
+	if k == &c.operatorKeys && !first {
+		c.beginRound(now, c.freshness.round+1)
+	}
 }
 
 // recordUnavailable logs the first failed list of an outage.
