catalog: a daemon that is behind asks the peer that told it

What callers saw: requests handled by an older configuration by single daemons, while all others had the newer one. Cause: a delta applies to one base only. A daemon that missed one refused all later ones, although each showed that it was behind, and listed the store, which may refuse it, with a backoff of up to 4 s and not at all while a list was scheduled. Anti-entropy each 1 to 2 s helped only if a random peer kept the delta from exactly its number; a peer that had restarted, had skipped numbers or was more than 32 changes ahead answered nothing. Change: the daemon asks the announcing peer within 0.1 s, then random peers each 0.2 to 0.4 s, and lists the store too after the second query, until it has caught up. A peer without the deltas sends the whole configuration.

--- a/internal/command/catalog/behind.go
+++ b/internal/command/catalog/behind.go
@@ -14,8 +14,22 @@
 	from   string
 	// since is when this daemon learned that it is behind; zero while it is not.
 	since time.Time
+	// askAt is when a peer is asked for the configuration next, and asks counts the peers asked so far.
+	askAt time.Time
+	asks  int
 }
 
+const (
+	// firstAskDelay is the longest delay before a daemon that is behind asks a peer. A missing delta often arrives by another
+	// way meanwhile.
+	firstAskDelay = 100 * time.Millisecond
+	// askInterval is the longest time between two such queries. It is shorter than the timeout of a query, since the peer may
+	// be gone and the configuration must be in force within two seconds.
+	askInterval = 400 * time.Millisecond
+	// asksBeforeList is the number of queries after which the daemon also lists the platform's keys.
+	asksBeforeList = 2
+)
+
 // configurationNumber returns the number of the configuration in force, 0 if there is none.
 func (c *Core) configurationNumber() model.Number {
 	if c.configuration == nil {
@@ -30,7 +44,7 @@
 		return
 	}
 	if c.lag.since.IsZero() {
-		c.lag.since = now
+		c.lag.since, c.lag.askAt = now, now.Add(c.jitter(firstAskDelay))
 		c.log("configuration-behind", "number", formatNumber(number), "own", formatNumber(c.configurationNumber()), "from", from)
 	}
 	if number >= c.lag.number {
@@ -49,3 +63,24 @@
 	}
 	return lasted
 }
+
+// askWhileBehind asks a peer for the configuration while this daemon is behind: first the one that announced it, then random
+// ones.
+func (c *Core) askWhileBehind(now time.Time) {
+	l := &c.lag
+	if l.since.IsZero() || now.Before(l.askAt) {
+		return
+	}
+	l.asks++
+	l.askAt = now.Add(c.jitter(askInterval))
+	if l.asks == asksBeforeList && c.operatorKeys.listed {
+		c.operatorKeys.scheduleList(now)
+	}
+	address := l.from
+	if l.asks > 1 {
+		address = c.randomPeerAddress()
+	}
+	if address != "" {
+		c.queryCatalog(address, func() {})
+	}
+}
--- a/internal/command/catalog/catalog.go
+++ b/internal/command/catalog/catalog.go
@@ -157,6 +157,7 @@
 
 // runDueTasks starts whatever is due at this time, and gossips the changes of this event.
 func (c *Core) runDueTasks(now time.Time) {
+	c.askWhileBehind(now)
 	c.startDueList(now, &c.operatorKeys)
 	c.startDueList(now, &c.meshKeys)
 	c.updateOperatorWatch(now)
@@ -183,6 +184,7 @@
 	if c.canCheck() {
 		next = earliest(next, c.freshness.nextWake())
 	}
+	next = earliest(next, c.lag.askAt)
 	for _, m := range c.roster {
 		if !m.probePending {
 			next = earliest(next, m.probeAt)
--- a/internal/command/catalog/gossip.go
+++ b/internal/command/catalog/gossip.go
@@ -30,9 +30,6 @@
 	// of differing partitions are sent: while targets come and go, daemons differ by some entries most of the time, and
 	// sending all announcements would be too much.
 	digestPartitions = 32
-	// gapListDelay is the longest delay before a daemon that missed a delta lists the platform's keys. The delay is random,
-	// so that daemons with the same gap do not all list at once.
-	gapListDelay = 100 * time.Millisecond
 )
 
 // antiEntropy schedules the anti-entropy queries to random peers.
@@ -89,9 +86,6 @@
 	}
 	c.recordAnnouncedNumber(now, m.Number, m.From)
 	c.handleRound(now, m.Round, m.Number)
-	if m.Number > c.configurationNumber() && c.operatorKeys.listed {
-		c.operatorKeys.scheduleList(now.Add(c.jitter(gapListDelay)))
-	}
 }
 
 // mergeChanges merges changes received from a peer, and reports whether any of them changed a replica.
@@ -112,7 +106,7 @@
 	return changed
 }
 
-// applyDelta applies a delta to the configuration. A delta with another base is ignored; the callers then schedule a list.
+// applyDelta applies a delta to the configuration. A delta with another base is ignored; the daemon is then behind its peer.
 func (c *Core) applyDelta(now time.Time, d *message.Delta, revision int64, source string) {
 	if c.configuration == nil || d.Number <= c.configuration.Number {
 		return
@@ -141,11 +135,16 @@
 		return
 	}
 	a.pending = true
+	c.queryCatalog(address, func() { a.pending = false })
+}
+
+// queryCatalog asks a peer for the changes that this daemon lacks. done is called when the query has ended.
+func (c *Core) queryCatalog(address string, done func()) {
 	query := &message.CatalogQuery{
 		Operator: c.digests(&c.operatorKeys), Mesh: c.digests(&c.meshKeys), Number: c.configurationNumber(),
 	}
 	c.send(address, query, func(now time.Time, r message.Reply) {
-		a.pending = false
+		done()
 		if reply, ok := r.(*message.CatalogReply); ok {
 			c.mergeCatalog(now, address, reply)
 		}
@@ -182,9 +181,6 @@
 		for _, d := range reply.Deltas {
 			c.applyDelta(now, d, reply.Revision, "peer")
 		}
-		if reply.Number > c.configuration.Number && c.operatorKeys.listed {
-			c.operatorKeys.scheduleList(now)
-		}
 	}
 	c.recordAnnouncedNumber(now, reply.Number, from)
 	if changed {
@@ -207,10 +203,11 @@
 		return reply
 	}
 	reply.Number = c.configuration.Number
-	if query.Number == 0 {
+	if query.Number >= reply.Number {
+		return reply
+	}
+	if reply.Deltas = c.deltasSince(query.Number); reply.Deltas == nil {
 		reply.Configuration = c.configuration
-	} else if query.Number < reply.Number {
-		reply.Deltas = c.deltasSince(query.Number)
 	}
 	return reply
 }
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -75,7 +75,8 @@
 	Revision int64
 	// Marks are the versions that the answering daemon withholds.
 	Marks []model.Mark
-	// Deltas are the consecutive changes from CatalogQuery.Number to Number. Configuration is set instead if that number is 0.
+	// Deltas are the consecutive changes from CatalogQuery.Number to Number. Configuration is set instead if the answering
+	// daemon does not keep all of them.
 	Deltas        []*Delta
 	Configuration *model.Configuration
 }
