catalog: one word for the freshness checks

Cause: the package called two things a round: the rounds of a move's driver, and the numbered lists of the operator's keys. Change: the lists are freshness checks with a number (Spread.Check, lastCheck). Measured: go test ./internal/command/catalog ./internal/peer.

--- a/internal/command/catalog/freshness.go
+++ b/internal/command/catalog/freshness.go
@@ -24,28 +24,28 @@
 	// platform normally answers within milliseconds.
 	checkTimeout = 500 * time.Millisecond
 	// checkBackoffBase and checkBackoffMax bound the backoff after failed checks. The daemons that watch the keys repeat their
-	// lists sooner, and announce a round when the platform answers again.
+	// lists sooner, and announce a check when the platform answers again.
 	checkBackoffBase = 200 * time.Millisecond
 	checkBackoffMax  = 3 * time.Second
-	// meshListRounds is the number of rounds between two lists of the keys that the daemons share. These lists are needed only
+	// meshListChecks is the number of checks between two lists of the keys that the daemons share. These lists are needed only
 	// to find expired announcements; all other changes are gossiped by the daemon that wrote them.
-	meshListRounds = 4
+	meshListChecks = 4
 )
 
-// freshness bounds the age of what this daemon knows of the operator's keys. In each round, one daemon lists the keys and
-// announces the round to the others. A daemon that learns of no new round lists the keys itself, whatever became of the
-// daemon whose turn it was.
+// freshness bounds the age of what this daemon knows of the operator's keys. In a check, one daemon lists the keys and
+// announces the number of the check to the others. A daemon that learns of no new check lists the keys itself, whatever
+// became of the daemon whose turn it was.
 type freshness struct {
-	// round is the highest round that this daemon has completed or learned of.
-	round uint64
-	// checkAt is when this daemon lists the keys unless it learns of a new round before; zero until the first check is due.
+	// lastCheck is the highest number of a check that this daemon has made or learned of.
+	lastCheck uint64
+	// checkAt is when this daemon makes a check unless it learns of a new one before; zero until the first is scheduled.
 	checkAt time.Time
 	// pendingUntil is when the check in flight counts as failed; zero if there is none.
 	pendingUntil time.Time
-	// checks counts the checks of this daemon, and failures those that failed since the last success.
-	checks   uint64
+	// attempts counts the checks that this daemon has begun, and failures those that failed since the last success.
+	attempts uint64
 	failures int
-	// announcePending says that the round must be gossiped at the end of this event.
+	// announcePending says that lastCheck must be gossiped at the end of this event.
 	announcePending bool
 }
 
@@ -72,15 +72,15 @@
 	if !f.pendingUntil.IsZero() || now.Before(f.checkAt) {
 		return
 	}
-	f.checks++
-	check := f.checks
+	f.attempts++
+	attempt := f.attempts
 	f.pendingUntil = now.Add(checkTimeout)
 	c.relist(&c.operatorKeys, func(now time.Time, applied bool) {
 		switch {
-		case check != f.checks || f.pendingUntil.IsZero():
-			// The check has timed out, or a peer has announced a round meanwhile.
+		case attempt != f.attempts || f.pendingUntil.IsZero():
+			// The check has timed out, or a peer has announced another one meanwhile.
 		case applied:
-			c.handleCheck(now)
+			c.handleSuccessfulCheck(now)
 		default:
 			c.handleFailedCheck(now)
 		}
@@ -93,11 +93,10 @@
 	return c.operatorKeys.loaded && c.meshKeys.loaded && (c.settled || len(c.roster) > 0)
 }
 
-// handleCheck begins a new round after a list of the operator's keys.
-func (c *Core) handleCheck(now time.Time) {
+func (c *Core) handleSuccessfulCheck(now time.Time) {
 	c.freshness.failures = 0
-	c.beginRound(now, c.freshness.round+1)
-	if c.freshness.round%meshListRounds == 0 {
+	c.recordCheck(now, c.freshness.lastCheck+1)
+	if c.freshness.lastCheck%meshListChecks == 0 {
 		c.relist(&c.meshKeys, func(time.Time, bool) {})
 	}
 }
@@ -109,28 +108,28 @@
 	f.failures++
 }
 
-// handleRound processes a round that a peer has announced, with the number of the configuration at that time. A daemon that
-// does not have this configuration yet ignores the round: it must not pass the round on with an older number.
-func (c *Core) handleRound(now time.Time, round uint64, number model.Number) {
-	if round > c.freshness.round && c.configurationNumber() >= number {
-		c.beginRound(now, round)
+// handleAnnouncedCheck processes a check that a peer has announced, with the number of the configuration at that time. A
+// daemon that does not have this configuration yet ignores the check: it must not pass the check on with an older number.
+func (c *Core) handleAnnouncedCheck(now time.Time, check uint64, number model.Number) {
+	if check > c.freshness.lastCheck && c.configurationNumber() >= number {
+		c.recordCheck(now, check)
 	}
 }
 
-// beginRound records a new round, which is gossiped at the end of this event.
-func (c *Core) beginRound(now time.Time, round uint64) {
+// recordCheck records a new check, which is gossiped at the end of this event, and schedules the next one.
+func (c *Core) recordCheck(now time.Time, check uint64) {
 	f := &c.freshness
-	f.round, f.announcePending = round, true
+	f.lastCheck, f.announcePending = check, true
 	f.pendingUntil = time.Time{}
 	c.scheduleCheck(now)
 }
 
-// scheduleCheck schedules this daemon's check of the next round.
+// scheduleCheck schedules this daemon's next check: sooner if it is its turn.
 func (c *Core) scheduleCheck(now time.Time) {
 	f := &c.freshness
 	f.checkAt = now.Add(checkInterval)
 	daemons := c.sortedDaemons()
-	if rank := slices.Index(daemons, c.cfg.Target.Daemon); f.round%uint64(len(daemons)) != uint64(rank) {
+	if rank := slices.Index(daemons, c.cfg.Target.Daemon); f.lastCheck%uint64(len(daemons)) != uint64(rank) {
 		f.checkAt = f.checkAt.Add(backupDelay + time.Duration(c.cfg.Rand.Int64N(int64(backupJitter))))
 	}
 }
--- a/internal/command/catalog/gossip.go
+++ b/internal/command/catalog/gossip.go
@@ -38,7 +38,7 @@
 	pending bool
 }
 
-// gossipChanges sends the changes first seen during this event, and a new round, to a few peers.
+// gossipChanges sends the changes first seen during this event, and a new freshness check, to a few peers.
 func (c *Core) gossipChanges() {
 	if len(c.pendingChanges) == 0 && !c.configurationPending && !c.freshness.announcePending {
 		return
@@ -48,7 +48,7 @@
 		Number: c.configurationNumber(), Revision: c.configurationRevision, Delta: c.pendingDelta,
 	}
 	if c.freshness.announcePending {
-		spread.Round = c.freshness.round
+		spread.Check = c.freshness.lastCheck
 	}
 	c.pendingChanges, c.pendingDelta, c.configurationPending, c.freshness.announcePending = nil, nil, false, false
 	for _, address := range c.gossipPeers() {
@@ -85,7 +85,7 @@
 		c.applyDelta(now, m.Delta, m.Revision, "peer")
 	}
 	c.recordAnnouncedNumber(now, m.Number, m.From)
-	c.handleRound(now, m.Round, m.Number)
+	c.handleAnnouncedCheck(now, m.Check, m.Number)
 }
 
 // mergeChanges merges changes received from a peer, and reports whether any of them changed a replica.
--- a/internal/command/catalog/replica.go
+++ b/internal/command/catalog/replica.go
@@ -100,7 +100,7 @@
 		c.emit(effect.Watch{Key: k.prefix, After: k.revision})
 	}
 	if k == &c.operatorKeys && !first {
-		c.beginRound(now, c.freshness.round+1)
+		c.recordCheck(now, c.freshness.lastCheck+1)
 	}
 }
 
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -46,9 +46,9 @@
 	Number   model.Number
 	Revision int64
 	Delta    *Delta
-	// Round is set if the message announces a round of freshness checks: a daemon has listed the operator's keys, and Number was
-	// the latest configuration.
-	Round uint64
+	// Check is the number of a freshness check if the message announces one: a daemon has listed the operator's keys, and Number
+	// was the latest configuration.
+	Check uint64
 }
 
 // SpreadReply acknowledges a Spread.
