--- a/internal/command/catalog/freshness_test.go
+++ b/internal/command/catalog/freshness_test.go
@@ -107,6 +107,24 @@
 // contactBound is the time in contact with its peers after which a daemon must have the configuration in force.
 const contactBound = 3 * time.Second
 
+// Guards against a daemon that learns of no change because its connections have gone silent, and that finds this out one
+// connection at a time.
+func TestChangeAfterConnectionsWentSilent(t *testing.T) {
+	for silenced := range 13 {
+		sim := newSimulation(t, 13)
+		sim.startTargets("v1")
+		n := sim.nodes[silenced]
+		sim.silenceConnections(n)
+		n.watchesSilent = true
+		sim.run(100 * time.Millisecond)
+		sim.configure(2, "/a/", "/b/")
+		sim.run(contactBound)
+		if got := n.view.Configuration.Number; got != 2 {
+			t.Errorf("%s has configuration %d, %s after its connections went silent", n.address, got, contactBound)
+		}
+	}
+}
+
 // restartPeersOf restarts all daemons but one, one after the other.
 func (sim *simulation) restartPeersOf(kept int) {
 	for i := range sim.nodes {
--- a/internal/command/catalog/simulation_test.go
+++ b/internal/command/catalog/simulation_test.go
@@ -60,6 +60,10 @@
 	healthyInstance model.InstanceID
 	unanswered      []unansweredRequest
 	logs            []effect.Log
+	// silentPeers holds the addresses to which this node's connection has gone silent: the next message there is lost. The next
+	// silentStoreCalls calls to the platform get no response.
+	silentPeers      map[string]bool
+	silentStoreCalls int
 }
 
 // simulation runs cores against one store in simulated time. Messages and store calls take no time.
@@ -136,6 +140,13 @@
 			n.listCalls++
 		}
 		n.storeCalls[e.Call.Reason]++
+		if n.silentStoreCalls > 0 {
+			n.silentStoreCalls--
+			n.unanswered = append(n.unanswered, unansweredRequest{
+				sim.now.Add(storeCallTimeout), effect.StoreDone{Request: e.Request, Result: store.Result{Outcome: store.Unavailable}},
+			})
+			return
+		}
 		result := store.Result{Outcome: store.Unavailable, Detail: "platform unreachable"}
 		if !n.platformUnreachable {
 			result = sim.store.Do(e.Call)
@@ -145,9 +156,9 @@
 		if _, ok := e.Body.(*message.EvidenceQuery); ok {
 			n.evidenceQueries++
 		}
-		reply, answered := sim.deliver(e)
+		reply, answered := sim.deliver(n, e)
 		if !answered {
-			n.unanswered = append(n.unanswered, unansweredRequest{sim.now.Add(sendTimeout), e.Request})
+			n.unanswered = append(n.unanswered, unansweredRequest{sim.now.Add(sendTimeout), effect.SendDone{Request: e.Request}})
 			return
 		}
 		if catalog, ok := reply.(*message.CatalogReply); ok {
@@ -157,17 +168,26 @@
 	}
 }
 
-// sendTimeout is the time after which a message to a stopped daemon fails.
-const sendTimeout = 2500 * time.Millisecond
+const (
+	// sendTimeout is the time after which a message to a stopped daemon fails.
+	sendTimeout = 2500 * time.Millisecond
+	// storeCallTimeout is the time after which a call to the platform without a response fails.
+	storeCallTimeout = 1500 * time.Millisecond
+)
 
-// unansweredRequest is a message to a stopped daemon. Its sender is told at failsAt.
+// unansweredRequest is a message or a call to the platform without an answer. Its sender is told at failsAt.
 type unansweredRequest struct {
 	failsAt time.Time
-	request effect.RequestID
+	failure effect.Event
 }
 
-// deliver hands a message to its receiver and returns the reply. It reports false if the receiver is stopped.
-func (sim *simulation) deliver(e effect.Send) (message.Reply, bool) {
+// deliver hands a message to its receiver and returns the reply. It reports false if the receiver is stopped or the
+// connection is silent.
+func (sim *simulation) deliver(from *node, e effect.Send) (message.Reply, bool) {
+	if from.silentPeers[e.Address] {
+		delete(from.silentPeers, e.Address)
+		return nil, false
+	}
 	for _, to := range sim.nodes {
 		if to.address == e.Address && !to.stopped {
 			to.lastToken++
@@ -179,7 +199,7 @@
 	return nil, false
 }
 
-// failUnanswered tells a node that its unanswered messages have timed out.
+// failUnanswered tells a node that its unanswered messages and calls have timed out.
 func (sim *simulation) failUnanswered(n *node) {
 	unanswered := n.unanswered
 	n.unanswered = nil
@@ -188,7 +208,7 @@
 			n.unanswered = append(n.unanswered, u)
 			continue
 		}
-		sim.handle(n, effect.SendDone{Request: u.request})
+		sim.handle(n, u.failure)
 	}
 }
 
@@ -241,6 +261,22 @@
 	return token
 }
 
+// silenceConnections makes all connections of a node go silent: to and from its peers, and to the platform.
+func (sim *simulation) silenceConnections(n *node) {
+	n.silentStoreCalls = 1
+	n.silentPeers = map[string]bool{}
+	for _, peer := range sim.nodes {
+		if peer == n {
+			continue
+		}
+		n.silentPeers[peer.address] = true
+		if peer.silentPeers == nil {
+			peer.silentPeers = map[string]bool{}
+		}
+		peer.silentPeers[n.address] = true
+	}
+}
+
 // setPlatformOutage starts or ends an outage of the platform for all daemons.
 func (sim *simulation) setPlatformOutage(outage bool) {
 	for _, n := range sim.nodes {
