agent: a load query does not crash before a child's first full heartbeat

Cause: a child is recorded with its first heartbeat, its target only with a full one. Change: children without a known address are left out, as in the other places that send to children. Measured: TestLoadQueryBeforeAFullHeartbeat ended with a nil dereference before, and passes.

--- a/internal/command/agent/load.go
+++ b/internal/command/agent/load.go
@@ -134,11 +134,14 @@
 	c.handleReply(nil)
 }
 
-// loadReceivers returns the addresses of the children and, on a leader for ScopeAll, of the other leaders.
+// loadReceivers returns the addresses of the children and, on a leader for ScopeAll, of the other leaders. The address of a
+// child is unknown until its first full heartbeat.
 func (a *Agent) loadReceivers(scope message.Scope) []string {
 	var to []string
 	for _, c := range a.members.Children() {
-		to = append(to, a.members.Member(c.ID).Target.PeerAddress)
+		if m := a.members.Member(c.ID); m != nil {
+			to = append(to, m.Target.PeerAddress)
+		}
 	}
 	if scope == message.ScopeAll && a.lead.lease.Held() {
 		for _, p := range a.sortedPeers() {
