agent: a leader without a readable document can refuse a child's configuration

With a document it reported the refusal twice, once with the wrong number. Change: applyUpdate and applyEntry each report the refusal with the number of what they refused; the common part applies only.

--- a/internal/command/agent/children.go
+++ b/internal/command/agent/children.go
@@ -216,8 +216,9 @@
 	case d != nil:
 		result, reason = a.replica.ApplyDelta(d)
 	}
-	a.handleApplyResult(result, reason)
 	switch result {
+	case distribution.Applied:
+		a.handleApplied()
 	case distribution.Gap:
 		code = message.Gap
 	case distribution.Refused:
@@ -245,21 +246,14 @@
 	return d.Number
 }
 
-// handleApplyResult updates the agent after the replica applied or refused a configuration.
-func (a *Agent) handleApplyResult(result distribution.Result, reason string) {
-	switch result {
-	case distribution.Applied:
-		a.refusal = nil
-		a.dirty = true
-		a.pruneMarks()
-		a.updateReady()
-		a.pushUpdates()
-		a.scheduleReport()
-	case distribution.Refused:
-		if a.lead.lease.Held() {
-			a.recordRefusal(a.lead.document.Number, reason)
-		}
-	}
+// handleApplied updates the agent after the replica applied a configuration.
+func (a *Agent) handleApplied() {
+	a.refusal = nil
+	a.dirty = true
+	a.pruneMarks()
+	a.updateReady()
+	a.pushUpdates()
+	a.scheduleReport()
 }
 
 func (a *Agent) recordRefusal(number model.Number, reason string) {
--- a/internal/command/agent/leader.go
+++ b/internal/command/agent/leader.go
@@ -308,5 +308,10 @@
 	}
 	result, reason := a.replica.Apply(c)
 	a.lead.validLoaded = a.lead.validLoaded || result != distribution.Refused
-	a.handleApplyResult(result, reason)
+	switch result {
+	case distribution.Applied:
+		a.handleApplied()
+	case distribution.Refused:
+		a.recordRefusal(c.Number, reason)
+	}
 }
