catalog: an unanswered freshness check is repeated at once

Cause: a daemon whose checks had failed for long, and whose connection to the platform went silent as it was reachable again, waited out a backoff of up to 3 s and was behind 3 s after its contact was back. Change: a check without an answer is repeated once before it counts as failed; a check of any daemon ends the backoff. TestChangesAreInForceOnDaemonsInContact plays random stops, restarts, cuts, refusals and silent connections and demands that each daemon in contact with the platform for 3 s has every change of 2 s before.

--- a/internal/command/catalog/freshness.go
+++ b/internal/command/catalog/freshness.go
@@ -20,7 +20,7 @@
 	backupDelay = 250 * time.Millisecond
 	// backupJitter spreads the backups: the first one to check relieves the others.
 	backupJitter = 350 * time.Millisecond
-	// checkTimeout is the time after which an unanswered check is repeated, since its connection may have gone silent. The
+	// checkTimeout is the time after which an unanswered check is repeated once, since its connection may have gone silent. The
 	// platform normally answers within milliseconds.
 	checkTimeout = 500 * time.Millisecond
 	// checkBackoffBase and checkBackoffMax bound the backoff after failed checks. The daemons that watch the keys repeat their
@@ -42,9 +42,11 @@
 	checkAt time.Time
 	// pendingUntil is when the check in flight counts as failed; zero if there is none.
 	pendingUntil time.Time
-	// attempts counts the checks that this daemon has begun, and failures those that failed since the last success.
+	// attempts counts the checks that this daemon has begun, and failures those that failed since the last check of any daemon.
 	attempts uint64
 	failures int
+	// repeated says that the check in flight repeats one that got no answer.
+	repeated bool
 	// announcePending says that lastCheck must be gossiped at the end of this event.
 	announcePending bool
 }
@@ -57,7 +59,7 @@
 	return f.checkAt
 }
 
-// startDueCheck lists the operator's keys if a check is due.
+// startDueCheck begins a check if one is due, and repeats one that got no answer.
 func (c *Core) startDueCheck(now time.Time) {
 	f := &c.freshness
 	if !c.canCheck() {
@@ -66,12 +68,21 @@
 	if f.checkAt.IsZero() {
 		c.scheduleCheck(now)
 	}
-	if !f.pendingUntil.IsZero() && !now.Before(f.pendingUntil) {
-		c.handleFailedCheck(now)
+	if now.Before(f.nextWake()) {
+		return
 	}
-	if !f.pendingUntil.IsZero() || now.Before(f.checkAt) {
+	unanswered := !f.pendingUntil.IsZero()
+	if unanswered && f.repeated {
+		c.handleFailedCheck(now)
 		return
 	}
+	f.repeated = unanswered
+	c.beginCheck(now)
+}
+
+// beginCheck lists the operator's keys.
+func (c *Core) beginCheck(now time.Time) {
+	f := &c.freshness
 	f.attempts++
 	attempt := f.attempts
 	f.pendingUntil = now.Add(checkTimeout)
@@ -94,7 +105,6 @@
 }
 
 func (c *Core) handleSuccessfulCheck(now time.Time) {
-	c.freshness.failures = 0
 	c.recordCheck(now, c.freshness.lastCheck+1)
 	if c.freshness.lastCheck%meshListChecks == 0 {
 		c.relist(&c.meshKeys, func(time.Time, bool) {})
@@ -103,7 +113,7 @@
 
 func (c *Core) handleFailedCheck(now time.Time) {
 	f := &c.freshness
-	f.pendingUntil = time.Time{}
+	f.pendingUntil, f.repeated = time.Time{}, false
 	f.checkAt = now.Add(c.jitter(min(checkBackoffBase<<min(f.failures, 8), checkBackoffMax)))
 	f.failures++
 }
@@ -120,7 +130,7 @@
 func (c *Core) recordCheck(now time.Time, check uint64) {
 	f := &c.freshness
 	f.lastCheck, f.announcePending = check, true
-	f.pendingUntil = time.Time{}
+	f.pendingUntil, f.repeated, f.failures = time.Time{}, false, 0
 	c.scheduleCheck(now)
 }
 
--- a/internal/command/catalog/simulation_test.go
+++ b/internal/command/catalog/simulation_test.go
@@ -43,14 +43,15 @@
 	core    *catalog.Core
 	address string
 	view    *model.View
-	// stopped says that the process is dead or paused, platformUnreachable that it cannot reach the platform, and
-	// watchesSilent that its watches deliver no events.
-	stopped, platformUnreachable, watchesSilent bool
-	watches                                     map[string]int64
-	answers                                     map[effect.Token]model.Outcome
-	replies                                     map[effect.Token]message.Reply
-	lastToken                                   effect.Token
-	listCalls                                   int
+	// stopped says that the process is dead or paused, platformUnreachable that it cannot reach the platform, peersUnreachable
+	// that it cannot reach any peer, and watchesSilent that its watches deliver no events.
+	stopped, platformUnreachable, peersUnreachable, watchesSilent bool
+
+	watches   map[string]int64
+	answers   map[effect.Token]model.Outcome
+	replies   map[effect.Token]message.Reply
+	lastToken effect.Token
+	listCalls int
 	// storeCalls counts calls to the platform's store by reason, and evidenceQueries the evidence queries that the node sent.
 	storeCalls      map[string]int
 	evidenceQueries int
@@ -189,7 +190,7 @@
 		return nil, false
 	}
 	for _, to := range sim.nodes {
-		if to.address == e.Address && !to.stopped {
+		if to.address == e.Address && !to.stopped && !to.peersUnreachable && !from.peersUnreachable {
 			to.lastToken++
 			token := to.lastToken
 			sim.handle(to, effect.RequestReceived{Token: token, Body: e.Body})
