catalog: configuration-behind is logged when the daemon asks a peer

Cause: in a storm of changes a daemon often learns of a number some milliseconds before its delta arrives, and logged a line each time. Measured: TestLagIsLogged.

--- a/internal/command/catalog/behind.go
+++ b/internal/command/catalog/behind.go
@@ -38,14 +38,13 @@
 	return c.configuration.Number
 }
 
-// recordAnnouncedNumber records the configuration number that a peer announced, and logs the start of a lag.
+// recordAnnouncedNumber records the configuration number that a peer announced.
 func (c *Core) recordAnnouncedNumber(now time.Time, number model.Number, from string) {
 	if number <= c.configurationNumber() {
 		return
 	}
 	if c.lag.since.IsZero() {
 		c.lag.since, c.lag.askAt = now, now.Add(c.jitter(firstAskDelay))
-		c.log("configuration-behind", "number", formatNumber(number), "own", formatNumber(c.configurationNumber()), "from", from)
 	}
 	if number >= c.lag.number {
 		c.lag.number, c.lag.from = number, from
@@ -71,6 +70,9 @@
 	if l.since.IsZero() || now.Before(l.askAt) {
 		return
 	}
+	if l.asks == 0 {
+		c.log("configuration-behind", "number", formatNumber(l.number), "own", formatNumber(c.configurationNumber()), "from", l.from)
+	}
 	l.asks++
 	l.askAt = now.Add(c.jitter(askInterval))
 	if l.asks == asksBeforeList && c.operatorKeys.listed {
--- a/internal/command/catalog/behind_test.go
+++ b/internal/command/catalog/behind_test.go
@@ -34,6 +34,7 @@
 	n := sim.nodes[0]
 	n.platformUnreachable, sim.nodes[1].stopped = true, true
 	sim.handle(n, effect.RequestReceived{Token: 99, Body: &message.Spread{From: "d01:1", Number: 7, Revision: 50}})
+	sim.run(200 * time.Millisecond)
 	is.Equal(loggedField(n, "configuration-behind", "number"), "7")
 	is.Equal(loggedField(n, "configuration-behind", "own"), "1")
 	is.Equal(loggedField(n, "configuration-behind", "from"), "d01:1")
