traffic: endless responses of a target are cut, and share a bound on memory

Heads were bounded already. A body without a length was bounded by 8 MB a call only, so that all slots of a target together could take more memory than the VM gives the process. Change: tests for ten kinds of endless responses; bodies without a length share 32 MB in each Inbound. Measured: TestEndlessResponsesAreCut passed before and after (a caller gets 502, an idempotent request is answered by another target, the connection is closed, the slot is free); TestUnsizedResponsesShareABudget fails to compile without the budget.

--- a/internal/traffic/body.go
+++ b/internal/traffic/body.go
@@ -133,6 +133,30 @@
 	return body, err == nil && len(body) <= limit, err
 }
 
+// byteBudget bounds the bytes that several readers buffer together.
+type byteBudget struct{ taken, limit atomic.Int64 }
+
+// budgetReader takes the bytes that it reads from a budget, and fails once the budget is spent. release returns them.
+type budgetReader struct {
+	io.ReadCloser
+	budget *byteBudget
+	taken  int64
+}
+
+func (r *budgetReader) Read(p []byte) (int, error) {
+	n, err := r.ReadCloser.Read(p)
+	r.taken += int64(n)
+	if r.budget.taken.Add(int64(n)) > r.budget.limit.Load() {
+		return 0, errResponseTooLong
+	}
+	return n, err
+}
+
+func (r *budgetReader) release() {
+	r.budget.taken.Add(-r.taken)
+	r.taken = 0
+}
+
 // streamFailure is the reason why a response could not be forwarded completely.
 type streamFailure uint8
 
--- a/internal/traffic/export_test.go
+++ b/internal/traffic/export_test.go
@@ -67,3 +67,6 @@
 	}()
 	return usable
 }
+
+// SetUnsizedLimit sets the bytes of responses without a length that are held at the same time.
+func (in *Inbound) SetUnsizedLimit(limit int64) { in.unsized.limit.Store(limit) }
--- a/internal/traffic/inbound.go
+++ b/internal/traffic/inbound.go
@@ -46,6 +46,7 @@
 	withheld    atomic.Bool
 	lastSent    atomic.Int64 // Unix nanoseconds
 	failureRate atomic.Int64 // smoothed fraction of failed calls in millionths
+	unsized     byteBudget
 }
 
 // NewInbound returns a handler. It refuses calls until SetTarget reports that the target is ready.
@@ -57,6 +58,7 @@
 		idlePerPeer: options.Limits.IdlePerPeer, idleTotal: options.Limits.IdlePerPeer, headerBytes: options.Limits.HeaderBytes,
 		limit: in.queue, idle: targetIdleTimeout,
 	})
+	in.unsized.limit.Store(maxUnsizedTotal)
 	in.target.Store(&model.Target{State: model.TargetStarting})
 	return in
 }
@@ -202,6 +204,11 @@
 		c.streamResponse(w, e, slot)
 		return
 	}
+	if response.ContentLength < 0 {
+		limited := &budgetReader{ReadCloser: response.Body, budget: &c.inbound.unsized}
+		defer limited.release()
+		response.Body = limited
+	}
 	body, complete, err := readResponseBody(c.request.Method, response, maxUnsizedBody)
 	e.finish(err == nil && complete)
 	if err == nil && !complete {
--- a/internal/traffic/outbound_test.go
+++ b/internal/traffic/outbound_test.go
@@ -39,6 +39,9 @@
 	mu       sync.Mutex
 	headers  []http.Header
 	conns    []net.Conn
+	// filler is written after each response until the connection is closed, which is then reported to cut; "" for none.
+	filler string
+	cut    chan struct{}
 }
 
 func startScriptedTarget(t *testing.T, respond func(n int, r *http.Request) string) *scriptedTarget {
@@ -47,7 +50,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &scriptedTarget{listener: listener, respond: respond}
+	s := &scriptedTarget{listener: listener, respond: respond, cut: make(chan struct{}, 1)}
 	s.group.Add(1)
 	go func() {
 		defer s.group.Done()
@@ -94,6 +97,11 @@
 			return
 		}
 		response = strings.ReplaceAll(response, "ID", request.Header.Get("X-Id"))
+		if s.filler != "" {
+			_, _ = io.WriteString(conn, response)
+			s.writeEndlessly(conn)
+			return
+		}
 		if _, err := io.WriteString(conn, response); err != nil || strings.Contains(response, "Connection: close") {
 			return
 		}
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -151,6 +151,9 @@
 	maxBufferedBody = 64 << 10
 	// maxUnsizedBody is the largest response without Content-Length that Inbound reads to its end.
 	maxUnsizedBody = 8 << 20
+	// maxUnsizedTotal bounds the bytes of such responses that one Inbound holds at the same time. Without it, endless responses
+	// on all slots of a target would exceed the memory of the process.
+	maxUnsizedTotal = 32 << 20
 )
 
 // NewServer returns a server for a handler of this package with the limits that a handler cannot enforce.
