catalog: a daemon that is behind asks for deltas before the whole configuration

Cause: a peer that lacked the delta sent the whole configuration at once, hundreds of kilobytes with 1,900 routes, although another peer or the store often has what is missing. Change: two queries for deltas, a list of the store with the second, then queries for the whole configuration. Measured: TestMissedChangeIsLearnedFromPeers passes as before.

--- a/internal/command/catalog/behind.go
+++ b/internal/command/catalog/behind.go
@@ -26,8 +26,9 @@
 	// askInterval is the longest time between two such queries. It is shorter than the timeout of a query, since the peer may
 	// be gone and the configuration must be in force within two seconds.
 	askInterval = 400 * time.Millisecond
-	// asksBeforeList is the number of queries after which the daemon also lists the platform's keys.
-	asksBeforeList = 2
+	// asksForDeltas is the number of queries for deltas only. With the last of them the daemon also lists the platform's keys,
+	// and later ones ask for the whole configuration, which may have hundreds of kilobytes.
+	asksForDeltas = 2
 )
 
 // configurationNumber returns the number of the configuration in force, 0 if there is none.
@@ -75,14 +76,17 @@
 	}
 	l.asks++
 	l.askAt = now.Add(c.jitter(askInterval))
-	if l.asks == asksBeforeList && c.operatorKeys.listed {
-		c.operatorKeys.scheduleList(now)
-	}
-	address := l.from
+	address, number := l.from, c.configurationNumber()
 	if l.asks > 1 {
 		address = c.randomPeerAddress()
 	}
+	if l.asks == asksForDeltas && c.operatorKeys.listed {
+		c.operatorKeys.scheduleList(now)
+	}
+	if l.asks > asksForDeltas {
+		number = 0
+	}
 	if address != "" {
-		c.queryCatalog(address, func() {})
+		c.queryCatalog(address, number, func() {})
 	}
 }
--- a/internal/command/catalog/gossip.go
+++ b/internal/command/catalog/gossip.go
@@ -135,14 +135,13 @@
 		return
 	}
 	a.pending = true
-	c.queryCatalog(address, func() { a.pending = false })
+	c.queryCatalog(address, c.configurationNumber(), func() { a.pending = false })
 }
 
-// queryCatalog asks a peer for the changes that this daemon lacks. done is called when the query has ended.
-func (c *Core) queryCatalog(address string, done func()) {
-	query := &message.CatalogQuery{
-		Operator: c.digests(&c.operatorKeys), Mesh: c.digests(&c.meshKeys), Number: c.configurationNumber(),
-	}
+// queryCatalog asks a peer for the changes that this daemon lacks, and for the changes of the configuration since a number,
+// or for the whole configuration if it is 0. done is called when the query has ended.
+func (c *Core) queryCatalog(address string, since model.Number, done func()) {
+	query := &message.CatalogQuery{Operator: c.digests(&c.operatorKeys), Mesh: c.digests(&c.meshKeys), Number: since}
 	c.send(address, query, func(now time.Time, r message.Reply) {
 		done()
 		if reply, ok := r.(*message.CatalogReply); ok {
@@ -203,11 +202,10 @@
 		return reply
 	}
 	reply.Number = c.configuration.Number
-	if query.Number >= reply.Number {
-		return reply
-	}
-	if reply.Deltas = c.deltasSince(query.Number); reply.Deltas == nil {
+	if query.Number == 0 {
 		reply.Configuration = c.configuration
+	} else if query.Number < reply.Number {
+		reply.Deltas = c.deltasSince(query.Number)
 	}
 	return reply
 }
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -60,7 +60,7 @@
 	// keys are partitioned by hash, with one digest per partition. The highest revision would not be enough: changes arrive
 	// in any order, so an earlier one may still be missing.
 	Operator, Mesh []uint32
-	// Number is the number of the sender's configuration, or 0 if it has none.
+	// Number is the number of the configuration whose changes are wanted, or 0 to get the whole configuration.
 	Number model.Number
 }
 
@@ -75,8 +75,8 @@
 	Revision int64
 	// Marks are the versions that the answering daemon withholds.
 	Marks []model.Mark
-	// Deltas are the consecutive changes from CatalogQuery.Number to Number. Configuration is set instead if the answering
-	// daemon does not keep all of them.
+	// Deltas are the consecutive changes from CatalogQuery.Number to Number, empty if the answering daemon does not keep all of
+	// them. Configuration is set instead if that number is 0.
 	Deltas        []*Delta
 	Configuration *model.Configuration
 }
