catalog: a daemon that finds others on the platform watches and checks at once

During an outage the failed checks grew with the number of daemons. Change: the settle delay holds only for a daemon that finds no other one. The backoff of failed checks grows with the known daemons. Two lists of the shared keys are three checks apart instead of four, since a lost daemon delays a check.

--- a/internal/command/catalog/catalog.go
+++ b/internal/command/catalog/catalog.go
@@ -181,7 +181,7 @@
 	if !c.settled {
 		next = earliest(next, c.settledAt)
 	}
-	if c.canCheck() {
+	if c.settled {
 		next = earliest(next, c.freshness.nextWake())
 	}
 	next = earliest(next, c.lag.askAt)
--- a/internal/command/catalog/freshness.go
+++ b/internal/command/catalog/freshness.go
@@ -23,13 +23,15 @@
 	// checkTimeout is the time after which an unanswered check is repeated once, since its connection may have gone silent. The
 	// platform normally answers within milliseconds.
 	checkTimeout = 500 * time.Millisecond
-	// checkBackoffBase and checkBackoffMax bound the backoff after failed checks. The daemons that watch the keys repeat their
-	// lists sooner, and announce a check when the platform answers again.
-	checkBackoffBase = 200 * time.Millisecond
-	checkBackoffMax  = 3 * time.Second
+	// checkBackoffPerDaemon times the number of known daemons, within checkBackoffMin and checkBackoffMax, is the limit of the
+	// backoff after failed checks. During an outage the calls of all daemons together then do not grow with their number, and
+	// the first check that succeeds is announced to all.
+	checkBackoffPerDaemon = 150 * time.Millisecond
+	checkBackoffMin       = 800 * time.Millisecond
+	checkBackoffMax       = 5 * time.Second
 	// meshListChecks is the number of checks between two lists of the keys that the daemons share. These lists are needed only
 	// to find expired announcements; all other changes are gossiped by the daemon that wrote them.
-	meshListChecks = 4
+	meshListChecks = 3
 )
 
 // freshness bounds the age of what this daemon knows of the operator's keys. In a check, one daemon lists the keys and
@@ -62,7 +64,7 @@
 // startDueCheck begins a check if one is due, and repeats one that got no answer.
 func (c *Core) startDueCheck(now time.Time) {
 	f := &c.freshness
-	if !c.canCheck() {
+	if !c.isSettled(now) {
 		return
 	}
 	if f.checkAt.IsZero() {
@@ -98,12 +100,6 @@
 	})
 }
 
-// canCheck reports whether this daemon takes part in the checks. A daemon that knows no other one waits until it is settled:
-// all daemons that start for the first time would check otherwise.
-func (c *Core) canCheck() bool {
-	return c.operatorKeys.loaded && c.meshKeys.loaded && (c.settled || len(c.roster) > 0)
-}
-
 func (c *Core) handleSuccessfulCheck(now time.Time) {
 	c.recordCheck(now, c.freshness.lastCheck+1)
 	if c.freshness.lastCheck%meshListChecks == 0 {
@@ -114,7 +110,8 @@
 func (c *Core) handleFailedCheck(now time.Time) {
 	f := &c.freshness
 	f.pendingUntil, f.repeated = time.Time{}, false
-	f.checkAt = now.Add(c.jitter(min(checkBackoffBase<<min(f.failures, 8), checkBackoffMax)))
+	limit := min(max(checkBackoffPerDaemon*time.Duration(len(c.roster)+1), checkBackoffMin), checkBackoffMax)
+	f.checkAt = now.Add(c.jitter(limit >> max(2-f.failures, 0)))
 	f.failures++
 }
 
--- a/internal/command/catalog/watch.go
+++ b/internal/command/catalog/watch.go
@@ -15,8 +15,8 @@
 	// the number of calls to the platform does not grow with the number of daemons. There are several, because some of them
 	// may have just failed.
 	watcherCount = 3
-	// settleDelay is the time after its first list for which a daemon does not watch. Until daemons that start together know
-	// each other, each of them would consider itself one of only a few daemons.
+	// settleDelay is the time after its first list for which a daemon that knows no other one neither watches nor checks. Until
+	// daemons that start together know each other, each of them would consider itself one of only a few daemons.
 	settleDelay = 2500 * time.Millisecond
 )
 
@@ -53,13 +53,15 @@
 	}
 }
 
-// isSettled reports whether settleDelay has passed since this daemon loaded the platform's keys.
+// isSettled reports whether this daemon can be expected to know the others. A daemon that restarts or joins finds them on the
+// platform and is settled at once; one that finds none waits for settleDelay, since all may be starting for the first time.
 func (c *Core) isSettled(now time.Time) bool {
 	if !c.operatorKeys.loaded || !c.meshKeys.loaded {
 		return false
 	}
 	if c.settledAt.IsZero() {
 		c.settledAt = now.Add(settleDelay)
+		c.settled = len(c.roster) > 0
 	}
 	c.settled = c.settled || !now.Before(c.settledAt)
 	return c.settled
