catalog: a starting daemon does not ask peers for the configuration it is reading

Cause: a daemon that had just started learned of the configuration's number from gossip before the store had answered, counted as behind and asked peers for the whole configuration. When all daemons restart together, some hundreds of kilobytes each took the links of 10 Mbit/s that the first requests needed. Change: only a daemon with a configuration can be behind; one without gets it by its first list or by anti-entropy, as before. Measured: TestStartingDaemonLeavesThePeersAlone failed before (one query within 0.2 s) and passes.

--- a/internal/command/catalog/behind.go
+++ b/internal/command/catalog/behind.go
@@ -39,9 +39,10 @@
 	return c.configuration.Number
 }
 
-// recordAnnouncedNumber records the configuration number that a peer announced.
+// recordAnnouncedNumber records the configuration number that a peer announced. A daemon without a configuration is already
+// getting it from the platform or by anti-entropy; all daemons that restart together would else send it to each other.
 func (c *Core) recordAnnouncedNumber(now time.Time, number model.Number, from string) {
-	if number <= c.configurationNumber() {
+	if c.configuration == nil || number <= c.configuration.Number {
 		return
 	}
 	if c.lag.since.IsZero() {
--- a/internal/command/catalog/behind_test.go
+++ b/internal/command/catalog/behind_test.go
@@ -8,6 +8,7 @@
 
 	"sniperail.example/sniperail/internal/effect"
 	"sniperail.example/sniperail/internal/message"
+	"sniperail.example/sniperail/internal/model"
 )
 
 // loggedField returns the value of a field in the first log event with the given name; "" if there is none.
@@ -46,3 +47,20 @@
 	behind := loggedField(n, "configuration", "behind_ms")
 	is.True(behind != "" && behind != "0")
 }
+
+// Guards against daemons that restart together and send each other the whole configuration, because each learns of its number
+// before the platform has answered.
+func TestStartingDaemonLeavesThePeersAlone(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t, 3)
+	sim.startTargets("v1")
+	n := sim.start("d02", []string{"d00:1"})
+	n.platformUnreachable = true
+	for range 10 {
+		sim.handle(n, effect.RequestReceived{Token: 99, Body: &message.Spread{From: "d00:1", Number: 1, Revision: 1}})
+		sim.run(20 * time.Millisecond)
+	}
+	is.Equal(n.catalogQueries, 0)
+	sim.run(time.Second)
+	is.Equal(n.view.Configuration.Number, model.Number(1)) // by anti-entropy, as the platform does not answer
+}
--- a/internal/command/catalog/simulation_test.go
+++ b/internal/command/catalog/simulation_test.go
@@ -26,6 +26,9 @@
 	name, ok := strings.CutPrefix(key, "op/intent/")
 	return model.ServiceName(name), ok
 }
+func (operatorCodec) KeyIntent(service model.ServiceName) string {
+	return "op/intent/" + string(service)
+}
 func (operatorCodec) KeyReport(service model.ServiceName) string { return "report/" + string(service) }
 func (operatorCodec) DecodeConfiguration(data []byte) (*model.Configuration, error) {
 	return document.JSON{}.DecodeConfiguration(data)
@@ -55,6 +58,8 @@
 	// storeCalls counts calls to the platform's store by reason, and evidenceQueries the evidence queries that the node sent.
 	storeCalls      map[string]int
 	evidenceQueries int
+	// catalogQueries counts the catalog queries that the node sent.
+	catalogQueries int
 	// changesReceived counts the changes in the catalog replies that the node received.
 	changesReceived int
 	// healthyInstance is the instance with which the target answers health checks.
@@ -157,6 +162,9 @@
 		if _, ok := e.Body.(*message.EvidenceQuery); ok {
 			n.evidenceQueries++
 		}
+		if _, ok := e.Body.(*message.CatalogQuery); ok {
+			n.catalogQueries++
+		}
 		reply, answered := sim.deliver(n, e)
 		if !answered {
 			n.unanswered = append(n.unanswered, unansweredRequest{sim.now.Add(sendTimeout), effect.SendDone{Request: e.Request}})
