catalog: a freshness check compares revisions instead of listing the keys

Cause: a check listed the operator's keys, and so the whole configuration: with 1,900 routes more than 0.3 s on a link of 10 Mbit/s. The backups, which wait 0.25 s longer than the daemon whose turn it is, then listed them too, each time, and the links were busy with lists. Change: a check is a transaction that only compares the revisions of the configuration and of the intents; the store returns values only if one differs. A list each 12 checks finds what is not compared, and a list follows if a compared key is gone.

--- a/internal/command/catalog/catalog.go
+++ b/internal/command/catalog/catalog.go
@@ -21,6 +21,8 @@
 	PrefixOperator() string
 	// IntentService returns the service whose intent a key holds.
 	IntentService(key string) (model.ServiceName, bool)
+	// KeyIntent returns the key of the operator's intent for a service.
+	KeyIntent(service model.ServiceName) string
 	// KeyReport returns the key at which the state of a service's move is reported to the operator.
 	KeyReport(service model.ServiceName) string
 	DecodeConfiguration(data []byte) (*model.Configuration, error)
--- a/internal/command/catalog/freshness.go
+++ b/internal/command/catalog/freshness.go
@@ -15,8 +15,8 @@
 const (
 	// checkInterval is the time from one freshness check to the next. The daemons take turns in the order of their names.
 	checkInterval = 700 * time.Millisecond
-	// backupDelay is how much later a daemon checks whose turn it is not. It covers a list of the keys and the gossip that
-	// follows, so that the backups check only if the check in turn fails to appear.
+	// backupDelay is how much later a daemon checks whose turn it is not. It covers a check and the gossip that follows, so
+	// that the backups check only if the check in turn fails to appear.
 	backupDelay = 250 * time.Millisecond
 	// backupJitter spreads the backups: the first one to check relieves the others.
 	backupJitter = 350 * time.Millisecond
@@ -32,11 +32,17 @@
 	// meshListChecks is the number of checks between two lists of the keys that the daemons share. These lists are needed only
 	// to find expired announcements; all other changes are gossiped by the daemon that wrote them.
 	meshListChecks = 3
+	// operatorListChecks is the number of checks between two lists of the operator's keys, which find what the checks do not
+	// compare: removed intents, and those of further services.
+	operatorListChecks = 12
+	// maxCompares is the number of keys that the platform compares in one call.
+	maxCompares = 32
 )
 
-// freshness bounds the age of what this daemon knows of the operator's keys. In a check, one daemon lists the keys and
-// announces the number of the check to the others. A daemon that learns of no new check lists the keys itself, whatever
-// became of the daemon whose turn it was.
+// freshness bounds the age of what this daemon knows of the operator's keys. In a check, one daemon compares their revisions
+// with the platform's and announces the number of the check to the others. A daemon that learns of no new check makes one
+// itself, whatever became of the daemon whose turn it was. The comparison returns values only if a revision differs; a list
+// would transfer the whole configuration each time, which occupies a slow link for longer than backupDelay.
 type freshness struct {
 	// lastCheck is the highest number of a check that this daemon has made or learned of.
 	lastCheck uint64
@@ -82,17 +88,20 @@
 	c.beginCheck(now)
 }
 
-// beginCheck lists the operator's keys.
+// beginCheck compares the revisions of the operator's keys with the platform's.
 func (c *Core) beginCheck(now time.Time) {
 	f := &c.freshness
 	f.attempts++
 	attempt := f.attempts
 	f.pendingUntil = now.Add(checkTimeout)
-	c.relist(&c.operatorKeys, func(now time.Time, applied bool) {
+	compares := c.operatorCompares()
+	call := store.Call{Kind: store.KindTxn, Priority: store.PriorityRead, Reason: "verify", Txn: store.Txn{Compares: compares}}
+	c.callStore(call, func(now time.Time, r store.Result) {
+		answered := c.mergeComparison(now, compares, r)
 		switch {
 		case attempt != f.attempts || f.pendingUntil.IsZero():
 			// The check has timed out, or a peer has announced another one meanwhile.
-		case applied:
+		case answered:
 			c.handleSuccessfulCheck(now)
 		default:
 			c.handleFailedCheck(now)
@@ -100,10 +109,53 @@
 	})
 }
 
+// operatorCompares returns comparisons with the known revisions of the configuration and of the services' intents.
+func (c *Core) operatorCompares() []store.Compare {
+	keys := []string{c.cfg.Operator.KeyConfiguration()}
+	if c.configuration != nil {
+		for i := range c.configuration.Services {
+			keys = append(keys, c.cfg.Operator.KeyIntent(c.configuration.Services[i].Name))
+		}
+	}
+	compares := make([]store.Compare, 0, maxCompares)
+	for _, key := range keys[:min(len(keys), maxCompares)] {
+		compares = append(compares, store.Compare{Key: key, ModRevision: c.knownRevision(key)})
+	}
+	return compares
+}
+
+// knownRevision returns the revision of one of the operator's keys as this daemon knows it. A configuration that a peer sent
+// has no entry of its own.
+func (c *Core) knownRevision(key string) int64 {
+	revision := c.operatorKeys.entries[key].ModRevision
+	if key == c.cfg.Operator.KeyConfiguration() {
+		revision = max(revision, c.configurationRevision)
+	}
+	return revision
+}
+
+// mergeComparison merges the result of a comparison, and reports whether the platform answered.
+func (c *Core) mergeComparison(now time.Time, compares []store.Compare, r store.Result) bool {
+	k := &c.operatorKeys
+	switch r.Outcome {
+	case store.Applied:
+	case store.Conflict:
+		c.mergeDifferences(now, k, compares, r.Entries)
+	default:
+		c.recordUnavailable(now, k, r)
+		return false
+	}
+	c.recordAvailable(now, k)
+	return true
+}
+
 func (c *Core) handleSuccessfulCheck(now time.Time) {
 	c.recordCheck(now, c.freshness.lastCheck+1)
 	if c.freshness.lastCheck%meshListChecks == 0 {
-		c.relist(&c.meshKeys, func(time.Time, bool) {})
+		c.relist(&c.meshKeys)
+	}
+	if c.freshness.lastCheck%operatorListChecks == 0 {
+		c.relist(&c.operatorKeys)
 	}
 }
 
@@ -141,21 +193,39 @@
 	}
 }
 
-// relist lists the keys of a replica and corrects the replica; if it was outdated, the watch is restarted. done is called with
-// whether the list was applied.
-func (c *Core) relist(k *keyReplica, done func(now time.Time, applied bool)) {
+// mergeDifferences merges the present entries of compared keys. Removed keys are found by a list.
+func (c *Core) mergeDifferences(now time.Time, k *keyReplica, compares []store.Compare, entries []store.Entry) {
+	changed := false
+	present := make(map[string]bool, len(entries))
+	for _, e := range entries {
+		present[e.Key] = e.ModRevision > 0
+		changed = c.mergeEntry(now, k, e, true) || changed
+	}
+	if changed && k.watching {
+		c.restartWatch(k)
+	}
+	if slices.ContainsFunc(compares, func(cmp store.Compare) bool { return cmp.ModRevision > 0 && !present[cmp.Key] }) {
+		c.relist(k)
+	}
+}
+
+// relist lists the keys of a replica and corrects the replica.
+func (c *Core) relist(k *keyReplica) {
 	c.callStore(store.Call{Kind: store.KindList, Priority: store.PriorityRead, Reason: "verify", Key: k.prefix},
 		func(now time.Time, r store.Result) {
 			if r.Outcome != store.Applied {
 				c.recordUnavailable(now, k, r)
-				done(now, false)
 				return
 			}
 			c.recordAvailable(now, k)
 			if c.applyList(now, k, r, true) && k.watching {
-				c.log("watch-behind", "prefix", k.prefix, "revision", strconv.FormatInt(r.Revision, 10))
-				c.emit(effect.Watch{Key: k.prefix, After: r.Revision})
+				c.restartWatch(k)
 			}
-			done(now, true)
 		})
 }
+
+// restartWatch restarts a watch that did not report a change.
+func (c *Core) restartWatch(k *keyReplica) {
+	c.log("watch-behind", "prefix", k.prefix, "revision", strconv.FormatInt(k.revision, 10))
+	c.emit(effect.Watch{Key: k.prefix, After: k.revision})
+}
--- a/internal/command/catalog/freshness_test.go
+++ b/internal/command/catalog/freshness_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"sniperail.example/sniperail/internal/model"
+	"sniperail.example/sniperail/internal/store"
 )
 
 // Guards against a change that no running daemon reads, because all daemons that read the platform for the others have failed
@@ -125,6 +126,28 @@
 	}
 }
 
+// Guards against a removed intent that stays in force because the comparison of a freshness check returns only present keys.
+func TestRemovedIntentIsForgotten(t *testing.T) {
+	sim := newSimulation(t, 3)
+	sim.startTargets("v1")
+	for _, n := range sim.nodes {
+		n.watchesSilent = true
+	}
+	sim.put("op/intent/profiles", model.Intent{Service: "profiles", To: "v2"})
+	sim.run(applyBound)
+	wantVersions := func(want int) {
+		for _, n := range sim.nodes {
+			if got := len(n.view.Configuration.Services[0].Versions); got != want {
+				t.Errorf("%s: %d versions, want %d", n.address, got, want)
+			}
+		}
+	}
+	wantVersions(2)
+	sim.store.Do(store.Call{Kind: store.KindTxn, Txn: store.Txn{Deletes: []string{"op/intent/profiles"}}})
+	sim.run(applyBound)
+	wantVersions(1)
+}
+
 // restartPeersOf restarts all daemons but one, one after the other.
 func (sim *simulation) restartPeersOf(kept int) {
 	for i := range sim.nodes {
