catalog: the first freshness check comes later

Cause: daemons that restart together checked 0.7 to 1.3 s after their first list, while their links still carried these lists. Change: the first check comes 1.2 to 2.4 s after the first list, still within the three seconds after which a daemon has to be current.

--- a/internal/command/catalog/freshness.go
+++ b/internal/command/catalog/freshness.go
@@ -20,6 +20,10 @@
 	backupDelay = 250 * time.Millisecond
 	// backupJitter spreads the backups: the first one to check relieves the others.
 	backupJitter = 350 * time.Millisecond
+	// firstCheckDelay and firstCheckJitter bound the time to a daemon's first check. It has just listed the keys, and need not
+	// be in force before three seconds; when all daemons restart together, their first messages compete with the lists.
+	firstCheckDelay  = 1200 * time.Millisecond
+	firstCheckJitter = 1200 * time.Millisecond
 	// checkTimeout is the time after which an unanswered check is repeated once, since its connection may have gone silent. The
 	// platform normally answers within milliseconds.
 	checkTimeout = 500 * time.Millisecond
@@ -74,7 +78,7 @@
 		return
 	}
 	if f.checkAt.IsZero() {
-		c.scheduleCheck(now)
+		f.checkAt = now.Add(firstCheckDelay + time.Duration(c.cfg.Rand.Int64N(int64(firstCheckJitter))))
 	}
 	if now.Before(f.nextWake()) {
 		return
