--- a/internal/command/agent/extension.go
+++ b/internal/command/agent/extension.go
@@ -50,14 +50,6 @@
 // store revision. It returns nil and 0 before the first read, and may be out of date on a daemon that is not a leader.
 func (a *Agent) Document() (*model.Configuration, int64) { return a.lead.document, a.lead.revision }
 
-// ApplyEntry applies a newer entry of the configuration key, for example one that the extension wrote, before the watch
-// delivers it.
-func (a *Agent) ApplyEntry(entry store.Entry) {
-	if a.lead.lease.Held() {
-		a.applyEntry(entry)
-	}
-}
-
 // Role is the position of a daemon in the tree of its data centre.
 type Role string
 
--- a/internal/command/catalog/catalog.go
+++ b/internal/command/catalog/catalog.go
@@ -86,8 +86,7 @@
 	outcomes    localOutcomes
 	lag         lag
 	freshness   freshness
-	// settledAt is when this daemon is expected to know all daemons that started at the same time, and settled says that this
-	// time has passed; see settleDelay.
+	// settled says that this daemon can be expected to know the others, at settledAt at the latest; see updateSettled.
 	settledAt time.Time
 	settled   bool
 
@@ -162,7 +161,8 @@
 	c.askWhileBehind(now)
 	c.startDueList(now, &c.operatorKeys)
 	c.startDueList(now, &c.meshKeys)
-	c.updateOperatorWatch(now)
+	c.updateSettled(now)
+	c.updateOperatorWatch()
 	c.startDueCheck(now)
 	c.checkPreviousTarget()
 	c.maintainAnnouncement(now)
--- a/internal/command/catalog/freshness.go
+++ b/internal/command/catalog/freshness.go
@@ -2,10 +2,8 @@
 
 import (
 	"slices"
-	"strconv"
 	"time"
 
-	"sniperail.example/sniperail/internal/effect"
 	"sniperail.example/sniperail/internal/model"
 	"sniperail.example/sniperail/internal/store"
 )
@@ -39,8 +37,6 @@
 	// operatorListChecks is the number of checks between two lists of the operator's keys, which find what the checks do not
 	// compare: removed intents, and those of further services.
 	operatorListChecks = 12
-	// maxCompares is the number of keys that the platform compares in one call.
-	maxCompares = 32
 )
 
 // freshness bounds the age of what this daemon knows of the operator's keys. In a check, one daemon compares their revisions
@@ -74,7 +70,7 @@
 // startDueCheck begins a check if one is due, and repeats one that got no answer.
 func (c *Core) startDueCheck(now time.Time) {
 	f := &c.freshness
-	if !c.isSettled(now) {
+	if !c.settled {
 		return
 	}
 	if f.checkAt.IsZero() {
@@ -113,46 +109,7 @@
 	})
 }
 
-// operatorCompares returns comparisons with the known revisions of the configuration and of the services' intents.
-func (c *Core) operatorCompares() []store.Compare {
-	keys := []string{c.cfg.Operator.KeyConfiguration()}
-	if c.configuration != nil {
-		for i := range c.configuration.Services {
-			keys = append(keys, c.cfg.Operator.KeyIntent(c.configuration.Services[i].Name))
-		}
-	}
-	compares := make([]store.Compare, 0, maxCompares)
-	for _, key := range keys[:min(len(keys), maxCompares)] {
-		compares = append(compares, store.Compare{Key: key, ModRevision: c.knownRevision(key)})
-	}
-	return compares
-}
-
-// knownRevision returns the revision of one of the operator's keys as this daemon knows it. A configuration that a peer sent
-// has no entry of its own.
-func (c *Core) knownRevision(key string) int64 {
-	revision := c.operatorKeys.entries[key].ModRevision
-	if key == c.cfg.Operator.KeyConfiguration() {
-		revision = max(revision, c.configurationRevision)
-	}
-	return revision
-}
-
-// mergeComparison merges the result of a comparison, and reports whether the platform answered.
-func (c *Core) mergeComparison(now time.Time, compares []store.Compare, r store.Result) bool {
-	k := &c.operatorKeys
-	switch r.Outcome {
-	case store.Applied:
-	case store.Conflict:
-		c.mergeDifferences(now, k, compares, r.Entries)
-	default:
-		c.recordUnavailable(now, k, r)
-		return false
-	}
-	c.recordAvailable(now, k)
-	return true
-}
-
+// handleSuccessfulCheck announces the check, and lists the keys whose lists are due with it.
 func (c *Core) handleSuccessfulCheck(now time.Time) {
 	c.recordCheck(now, c.freshness.lastCheck+1)
 	if c.freshness.lastCheck%meshListChecks == 0 {
@@ -163,6 +120,7 @@
 	}
 }
 
+// handleFailedCheck schedules the next check after a backoff: a quarter of the limit, half of it, and then the limit.
 func (c *Core) handleFailedCheck(now time.Time) {
 	f := &c.freshness
 	f.pendingUntil, f.repeated = time.Time{}, false
@@ -196,40 +154,3 @@
 		f.checkAt = f.checkAt.Add(backupDelay + time.Duration(c.cfg.Rand.Int64N(int64(backupJitter))))
 	}
 }
-
-// mergeDifferences merges the present entries of compared keys. Removed keys are found by a list.
-func (c *Core) mergeDifferences(now time.Time, k *keyReplica, compares []store.Compare, entries []store.Entry) {
-	changed := false
-	present := make(map[string]bool, len(entries))
-	for _, e := range entries {
-		present[e.Key] = e.ModRevision > 0
-		changed = c.mergeEntry(now, k, e, true) || changed
-	}
-	if changed && k.watching {
-		c.restartWatch(k)
-	}
-	if slices.ContainsFunc(compares, func(cmp store.Compare) bool { return cmp.ModRevision > 0 && !present[cmp.Key] }) {
-		c.relist(k)
-	}
-}
-
-// relist lists the keys of a replica and corrects the replica.
-func (c *Core) relist(k *keyReplica) {
-	c.callStore(store.Call{Kind: store.KindList, Priority: store.PriorityRead, Reason: "verify", Key: k.prefix},
-		func(now time.Time, r store.Result) {
-			if r.Outcome != store.Applied {
-				c.recordUnavailable(now, k, r)
-				return
-			}
-			c.recordAvailable(now, k)
-			if c.applyList(now, k, r, true) && k.watching {
-				c.restartWatch(k)
-			}
-		})
-}
-
-// restartWatch restarts a watch that did not report a change.
-func (c *Core) restartWatch(k *keyReplica) {
-	c.log("watch-behind", "prefix", k.prefix, "revision", strconv.FormatInt(k.revision, 10))
-	c.emit(effect.Watch{Key: k.prefix, After: k.revision})
-}
--- a/internal/command/catalog/replica.go
+++ b/internal/command/catalog/replica.go
@@ -104,6 +104,21 @@
 	}
 }
 
+// relist lists the keys of a replica and corrects the replica.
+func (c *Core) relist(k *keyReplica) {
+	c.callStore(store.Call{Kind: store.KindList, Priority: store.PriorityRead, Reason: "verify", Key: k.prefix},
+		func(now time.Time, r store.Result) {
+			if r.Outcome != store.Applied {
+				c.recordUnavailable(now, k, r)
+				return
+			}
+			c.recordAvailable(now, k)
+			if c.applyList(now, k, r, true) && k.watching {
+				c.restartWatch(k)
+			}
+		})
+}
+
 // recordUnavailable logs the first failed list of an outage.
 func (c *Core) recordUnavailable(now time.Time, k *keyReplica, r store.Result) {
 	if k.unavailableSince.IsZero() {
--- a/internal/command/catalog/watch.go
+++ b/internal/command/catalog/watch.go
@@ -29,9 +29,9 @@
 
 // updateOperatorWatch starts or ends the watch on the operator's keys, depending on whether this daemon is one of the
 // watchers. The watchers are spaced evenly over the sorted names, and so over the data centres.
-func (c *Core) updateOperatorWatch(now time.Time) {
+func (c *Core) updateOperatorWatch() {
 	k := &c.operatorKeys
-	if !c.isSettled(now) || k.listing {
+	if !c.settled || k.listing {
 		return
 	}
 	daemons := c.sortedDaemons()
@@ -53,16 +53,22 @@
 	}
 }
 
-// isSettled reports whether this daemon can be expected to know the others. A daemon that restarts or joins finds them on the
-// platform and is settled at once; one that finds none waits for settleDelay, since all may be starting for the first time.
-func (c *Core) isSettled(now time.Time) bool {
-	if !c.operatorKeys.loaded || !c.meshKeys.loaded {
-		return false
+// updateSettled records whether this daemon can be expected to know the others. A daemon that restarts or joins finds them on
+// the platform and is settled at once; one that finds none waits for settleDelay, since all may be starting for the first time.
+func (c *Core) updateSettled(now time.Time) {
+	if c.settled || !c.operatorKeys.loaded || !c.meshKeys.loaded {
+		return
 	}
 	if c.settledAt.IsZero() {
 		c.settledAt = now.Add(settleDelay)
 		c.settled = len(c.roster) > 0
+		return
 	}
-	c.settled = c.settled || !now.Before(c.settledAt)
-	return c.settled
+	c.settled = !now.Before(c.settledAt)
+}
+
+// restartWatch restarts a watch that did not report a change.
+func (c *Core) restartWatch(k *keyReplica) {
+	c.log("watch-behind", "prefix", k.prefix, "revision", strconv.FormatInt(k.revision, 10))
+	c.emit(effect.Watch{Key: k.prefix, After: k.revision})
 }
