catalog: only a restarted daemon skips the settle delay

Cause: a daemon that found any other one on the platform watched and checked at once. At a first start the late ones find a few early ones, so that each considered itself one of a few daemons: 29 of 30 daemons watched at the same time in a simulation. Change: a daemon skips the delay if the platform lists an announcement of an earlier process of its own.

--- a/internal/command/catalog/announcement.go
+++ b/internal/command/catalog/announcement.go
@@ -34,6 +34,8 @@
 	stopping bool
 	// previous is the target that an earlier process of this daemon announced; nil if there is none or it has been checked.
 	previous *model.Target
+	// restarted says that an earlier process of this daemon has announced a target.
+	restarted bool
 	// healthChecked says that the previous target was asked for its health, which happens at most once per process.
 	healthChecked bool
 
@@ -222,8 +224,11 @@
 	if stored != nil && stored.Incarnation == local.target.Incarnation && stored.Sequence == local.storedSequence {
 		return
 	}
-	if stored != nil && stored.Incarnation != local.target.Incarnation && local.report == nil && !local.healthChecked {
-		local.previous = stored
+	if stored != nil && stored.Incarnation != local.target.Incarnation {
+		local.restarted = true
+		if local.report == nil && !local.healthChecked {
+			local.previous = stored
+		}
 	}
 	if local.report != nil && (stored != nil || local.isAnnounceable()) {
 		local.storedSequence = 0
--- a/internal/command/catalog/freshness_test.go
+++ b/internal/command/catalog/freshness_test.go
@@ -126,6 +126,30 @@
 	}
 }
 
+// Guards against daemons that start together for the first time and all watch the platform, because each knows only a few
+// others.
+func TestFirstStartHasFewWatchers(t *testing.T) {
+	sim := newSimulation(t, 30)
+	sim.configure(1, "/a/")
+	most := 0
+	for i := range 300 {
+		if i < len(sim.nodes) {
+			sim.report(sim.nodes[i], model.TargetReport{
+				Instance: model.InstanceID(fmt.Sprint("i", i)), Born: 1, Seq: 1, Version: "v1", State: model.TargetReady,
+			})
+		}
+		sim.run(20 * time.Millisecond)
+		watching := 0
+		for _, n := range sim.nodes {
+			watching += len(n.watches)
+		}
+		most = max(most, watching)
+	}
+	if most > 5 {
+		t.Errorf("%d of 30 daemons watched at the same time", most)
+	}
+}
+
 // Guards against a removed intent that stays in force because the comparison of a freshness check returns only present keys.
 func TestRemovedIntentIsForgotten(t *testing.T) {
 	sim := newSimulation(t, 3)
--- a/internal/command/catalog/watch.go
+++ b/internal/command/catalog/watch.go
@@ -15,8 +15,8 @@
 	// the number of calls to the platform does not grow with the number of daemons. There are several, because some of them
 	// may have just failed.
 	watcherCount = 3
-	// settleDelay is the time after its first list for which a daemon that knows no other one neither watches nor checks. Until
-	// daemons that start together know each other, each of them would consider itself one of only a few daemons.
+	// settleDelay is the time after its first list for which a daemon that starts for the first time neither watches nor checks.
+	// Until daemons that start together know each other, each of them would consider itself one of only a few daemons.
 	settleDelay = 2500 * time.Millisecond
 )
 
@@ -53,15 +53,15 @@
 	}
 }
 
-// updateSettled records whether this daemon can be expected to know the others. A daemon that restarts or joins finds them on
-// the platform and is settled at once; one that finds none waits for settleDelay, since all may be starting for the first time.
+// updateSettled records whether this daemon can be expected to know the others. A daemon that restarts finds them on the
+// platform and is settled at once. Any other one waits for settleDelay, since all may be starting for the first time.
 func (c *Core) updateSettled(now time.Time) {
 	if c.settled || !c.operatorKeys.loaded || !c.meshKeys.loaded {
 		return
 	}
 	if c.settledAt.IsZero() {
 		c.settledAt = now.Add(settleDelay)
-		c.settled = len(c.roster) > 0
+		c.settled = c.local.restarted
 		return
 	}
 	c.settled = !now.Before(c.settledAt)
