catalog, message: comments of the freshness checks say what they do now

Cause: two comments still spoke of lists, one read awkwardly. Change: comments only. Measured: go test ./internal/command/catalog ./internal/message ./internal/peer.

--- a/internal/command/catalog/freshness.go
+++ b/internal/command/catalog/freshness.go
@@ -13,13 +13,14 @@
 const (
 	// checkInterval is the time from one freshness check to the next. The daemons take turns in the order of their names.
 	checkInterval = 700 * time.Millisecond
-	// backupDelay is how much later a daemon checks whose turn it is not. It covers a check and the gossip that follows, so
+	// backupDelay is how much later a daemon checks if it is not its turn. It covers a check and the gossip that follows, so
 	// that the backups check only if the check in turn fails to appear.
 	backupDelay = 250 * time.Millisecond
 	// backupJitter spreads the backups: the first one to check relieves the others.
 	backupJitter = 350 * time.Millisecond
-	// firstCheckDelay and firstCheckJitter bound the time to a daemon's first check. It has just listed the keys, and need not
-	// be in force before three seconds; when all daemons restart together, their first messages compete with the lists.
+	// firstCheckDelay and firstCheckJitter bound the time to the first check of a process, which has just listed the keys and
+	// has three seconds from its start to be current. When all daemons restart together, an earlier check would compete with
+	// the lists of the others.
 	firstCheckDelay  = 1200 * time.Millisecond
 	firstCheckJitter = 1200 * time.Millisecond
 	// checkTimeout is the time after which an unanswered check is repeated once, since its connection may have gone silent. The
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -46,8 +46,8 @@
 	Number   model.Number
 	Revision int64
 	Delta    *Delta
-	// Check is the number of a freshness check if the message announces one: a daemon has listed the operator's keys, and Number
-	// was the latest configuration.
+	// Check is the number of a freshness check if the message announces one, 0 otherwise: a daemon has compared its operator's
+	// keys with the platform's, and Number was the latest configuration.
 	Check uint64
 }
 
