catalog: tests start a target in one way

Cause: three tests built the first report of a ready target. Change: startTarget of the simulation; the assertions are unchanged. Measured: go test ./internal/command/catalog.

--- a/internal/command/catalog/contact_test.go
+++ b/internal/command/catalog/contact_test.go
@@ -122,9 +122,7 @@
 		}
 		h.change()
 		for i, n := range h.nodes {
-			h.report(n, model.TargetReport{
-				Instance: model.InstanceID(fmt.Sprint("i", i)), Born: 1, Seq: 1, Version: "v1", State: model.TargetReady,
-			})
+			h.startTarget(i, "v1")
 			h.inContactSince[n] = h.now
 		}
 		h.run(6 * time.Second)
--- a/internal/command/catalog/freshness_test.go
+++ b/internal/command/catalog/freshness_test.go
@@ -134,9 +134,7 @@
 	most := 0
 	for i := range 300 {
 		if i < len(sim.nodes) {
-			sim.report(sim.nodes[i], model.TargetReport{
-				Instance: model.InstanceID(fmt.Sprint("i", i)), Born: 1, Seq: 1, Version: "v1", State: model.TargetReady,
-			})
+			sim.startTarget(i, "v1")
 		}
 		sim.run(20 * time.Millisecond)
 		watching := 0
--- a/internal/command/catalog/simulation_test.go
+++ b/internal/command/catalog/simulation_test.go
@@ -313,14 +313,19 @@
 // startTargets starts the targets of all nodes and puts a configuration in force.
 func (sim *simulation) startTargets(version model.VersionName) {
 	sim.configure(1, "/a/")
-	for i, n := range sim.nodes {
-		sim.report(n, model.TargetReport{
-			Instance: model.InstanceID(fmt.Sprint("i", i)), Born: 1, Seq: 1, Version: version, State: model.TargetReady,
-		})
+	for i := range sim.nodes {
+		sim.startTarget(i, version)
 	}
 	sim.run(6 * time.Second)
 }
 
+// startTarget hands the first report of a ready target to the node with the given index.
+func (sim *simulation) startTarget(i int, version model.VersionName) {
+	sim.report(sim.nodes[i], model.TargetReport{
+		Instance: model.InstanceID(fmt.Sprint("i", i)), Born: 1, Seq: 1, Version: version, State: model.TargetReady,
+	})
+}
+
 // configurationNumbers counts the running nodes by the configuration number in force on them.
 func (sim *simulation) configurationNumbers() map[model.Number]int {
 	numbers := map[model.Number]int{}
