routing: two random targets of each data centre are compared, not all

Cause: load reports come back with a daemon's own answers, so that at 295 daemons they are seconds old. From two seconds on a target counted as idle, and all daemons of a data centre sent their calls to the target that looked best. A call crossed to another data centre for a small gain (0.08 of a response), and up to twice only to be refused there. Change: two random targets of each data centre tier are compared; a target without a fresh report is assumed to be as busy as the others of its data centre; a crossing must gain 0.35 of a response; after a refusal for load abroad a request stays in its own data centre; a reported execution time decays over 10 s instead of 6 s.

--- a/internal/query/routing/expected_loss.go
+++ b/internal/query/routing/expected_loss.go
@@ -13,7 +13,7 @@
 	executionTimeSigma = 0.6
 	// dataCentreLoss is the loss of a call to another data centre, as a fraction of the value of a response: traffic between
 	// data centres is paid for. regionLoss is that of a call to another region.
-	dataCentreLoss = 0.08
+	dataCentreLoss = 0.35
 	regionLoss     = 0.3
 	// dataCentreRoundTrip and regionRoundTrip are the round-trip times to a target in another data centre or region.
 	dataCentreRoundTrip = 3 * time.Millisecond
@@ -47,6 +47,8 @@
 	ExecutionTime, MeanExecutionTime time.Duration
 	// ReportAge is the time since the report. An old report of a slow target is weighted less.
 	ReportAge time.Duration
+	// Fresh says that Outstanding includes the calls of other daemons, from a recent report.
+	Fresh bool
 	// FailureRate is the fraction of recent calls that failed.
 	FailureRate float64
 	// Suspect says that the target was ejected, or refused calls because it is leaving. Cold says that it has started
@@ -78,19 +80,28 @@
 	loss                float64
 }
 
-// SelectByExpectedLoss selects the ready target, among those not in tried, at which the expected loss of the call is lowest.
-// The loss covers a response that takes longer than remaining, which is the time until the target latency has passed, a
-// failure, and the distance to the target. It reports false if there is no target.
-func (v *Version) SelectByExpectedLoss(loads LoadProvider, random RandomSource, tried []model.DaemonID,
-	remaining time.Duration) (Choice, bool) {
-	candidates := v.candidates(loads, tried)
+// Selection describes the call for which a target is selected.
+type Selection struct {
+	// Tried are the daemons whose targets are not selected again.
+	Tried []model.DaemonID
+	// Remaining is the time until the target latency has passed.
+	Remaining time.Duration
+	// OwnDataCentre leaves out the targets of other data centres unless the own one has none.
+	OwnDataCentre bool
+}
+
+// SelectByExpectedLoss selects the ready target, among two random ones of each tier, at which the expected loss of the call is
+// lowest. The loss covers a response that takes longer than s.Remaining, a failure, and the distance to the target. It reports
+// false if there is no target.
+func (v *Version) SelectByExpectedLoss(loads LoadProvider, random RandomSource, s Selection) (Choice, bool) {
+	candidates := drawCandidates(v.candidates(loads, s), random)
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
 	best, second := 0, -1
 	for i := range candidates {
 		c := &candidates[i]
-		c.loss = c.lossAt(c.wait, remaining) + lossJitter*float64(random.Uint64()>>11)/(1<<53)
+		c.loss = c.lossAt(c.wait, s.Remaining) + lossJitter*float64(random.Uint64()>>11)/(1<<53)
 		switch {
 		case i == 0:
 		case c.loss < candidates[best].loss:
@@ -102,20 +113,23 @@
 	b := &candidates[best]
 	choice := Choice{Target: b.target, Wait: b.wait, ExecutionTime: b.executionTime, ReportAge: b.load.ReportAge}
 	if second >= 0 {
-		choice.WaitLimit = b.waitLimit(candidates[second].loss, remaining)
+		choice.WaitLimit = b.waitLimit(candidates[second].loss, s.Remaining)
 	}
 	return choice, true
 }
 
-// candidates returns the targets that are not in tried, with the expected wait and execution time at each. A target without
-// a reported time is assumed to be as fast as the fastest one, so that it receives a call soon. For the same reason, an old
-// report of a slow target loses weight.
-func (v *Version) candidates(loads LoadProvider, tried []model.DaemonID) []candidate {
+// candidates returns the targets that may be selected, in the order of their tiers, with the expected wait and execution time
+// at each. A target without a reported time is assumed to be as fast as the fastest one, so that it receives a call soon. For
+// the same reason, an old report of a slow target loses weight.
+func (v *Version) candidates(loads LoadProvider, s Selection) []candidate {
 	candidates := make([]candidate, 0, v.ReadyCount())
 	fastest := time.Duration(0)
 	for tier, targets := range v.tiers {
+		if s.OwnDataCentre && tier > 0 && len(candidates) > 0 {
+			break
+		}
 		for _, target := range targets {
-			if slices.Contains(tried, target.Daemon) {
+			if slices.Contains(s.Tried, target.Daemon) {
 				continue
 			}
 			load := loads.Load(target)
@@ -128,6 +142,7 @@
 	if fastest == 0 {
 		fastest = defaultExecutionTime
 	}
+	assumeMeanLoad(candidates)
 	for i := range candidates {
 		c := &candidates[i]
 		c.executionTime = c.load.ExecutionTime
@@ -145,8 +160,9 @@
 	return candidates
 }
 
-// reportDecay is the age at which a reported execution time has about a third of its weight left (1/e).
-const reportDecay = 6 * time.Second
+// reportDecay is the age at which a reported execution time has about a third of its weight left (1/e). It exceeds the time
+// between the calls of one daemon to one target of a large service, so that a slow target stays known as such.
+const reportDecay = 10 * time.Second
 
 // lossAt returns the expected loss if the call waits at the target for the given time.
 func (c *candidate) lossAt(wait, remaining time.Duration) float64 {
@@ -194,9 +210,11 @@
 
 // expectedWait estimates the time until a slot is free.
 func (l TargetLoad) expectedWait() time.Duration {
-	slots := float64(max(l.Slots, 1))
+	slots := l.slots()
 	if missing := l.Outstanding + 1 - slots; missing > 0 {
 		return time.Duration(missing / slots * float64(l.MeanExecutionTime))
 	}
 	return 0
 }
+
+func (l TargetLoad) slots() float64 { return float64(max(l.Slots, 1)) }
--- a/internal/query/routing/expected_loss_test.go
+++ b/internal/query/routing/expected_loss_test.go
@@ -40,6 +40,10 @@
 
 const ms = time.Millisecond
 
+func selection(tried []model.DaemonID) routing.Selection {
+	return routing.Selection{Tried: tried, Remaining: 400 * ms}
+}
+
 func idleLoad(executionTime time.Duration) routing.TargetLoad {
 	return routing.TargetLoad{Slots: 10, ExecutionTime: executionTime, MeanExecutionTime: executionTime}
 }
@@ -74,7 +78,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			v := versionWithTargets(t, "near", "far")
-			got, ok := v.SelectByExpectedLoss(c.l, rand.NewPCG(1, 1), nil, 400*ms)
+			got, ok := v.SelectByExpectedLoss(c.l, rand.NewPCG(1, 1), selection(nil))
 			is.True(ok)
 			is.Equal(got.Target.Daemon, c.want)
 			is.True(got.WaitLimit > 0)
@@ -91,13 +95,13 @@
 	random := rand.NewPCG(1, 1)
 	for range 100 {
 		choice, _ := v.SelectByExpectedLoss(loads{"near": idleLoad(60 * ms), "new": {Slots: 10, MeanExecutionTime: 100 * ms}},
-			random, nil, 400*ms)
+			random, selection(nil))
 		got[choice.Target.Daemon]++
 	}
 	is.True(got["new"] > 20)
 	slowOnce := idleLoad(2 * time.Second)
 	slowOnce.ReportAge = time.Minute
-	choice, _ := v.SelectByExpectedLoss(loads{"near": busyLoad(60*ms, 12), "new": slowOnce}, random, nil, 400*ms)
+	choice, _ := v.SelectByExpectedLoss(loads{"near": busyLoad(60*ms, 12), "new": slowOnce}, random, selection(nil))
 	is.Equal(choice.Target.Daemon, model.DaemonID("new"))
 }
 
@@ -106,11 +110,11 @@
 	is := is.New(t)
 	v := versionWithTargets(t, "near", "far")
 	l := loads{"near": idleLoad(60 * ms), "far": idleLoad(60 * ms)}
-	choice, ok := v.SelectByExpectedLoss(l, rand.NewPCG(1, 1), []model.DaemonID{"near"}, 400*ms)
+	choice, ok := v.SelectByExpectedLoss(l, rand.NewPCG(1, 1), selection([]model.DaemonID{"near"}))
 	is.True(ok)
 	is.Equal(choice.Target.Daemon, model.DaemonID("far"))
 	is.Equal(choice.WaitLimit, time.Duration(0)) // there is no other target
-	_, ok = v.SelectByExpectedLoss(l, rand.NewPCG(1, 1), []model.DaemonID{"near", "far"}, 400*ms)
+	_, ok = v.SelectByExpectedLoss(l, rand.NewPCG(1, 1), selection([]model.DaemonID{"near", "far"}))
 	is.True(!ok)
 }
 
--- a/internal/traffic/outbound_request.go
+++ b/internal/traffic/outbound_request.go
@@ -38,6 +38,8 @@
 	// sends counts the sends to a target's daemon, attempts those that may have reached a target, busyRefusals the
 	// refusals for load.
 	sends, attempts, busyRefusals int
+	// refusedAbroad is set once a target of another data centre has refused the request for its load.
+	refusedAbroad bool
 	// maybeExecuted is set once the target of an attempt may have executed the request.
 	maybeExecuted bool
 	// lastResponse is the latest attempt that ended with a response of a target, kept while another attempt is made.
@@ -147,7 +149,9 @@
 // pickTarget selects a target of the version that has not been tried.
 func (r *outboundRequest) pickTarget(now time.Time) (routing.Choice, bool) {
 	loads := &peerLoads{r.outbound.peers, r.route.Name, now}
-	return r.version.SelectByExpectedLoss(loads, random{}, r.tried, r.objective.Sub(now))
+	return r.version.SelectByExpectedLoss(loads, random{}, routing.Selection{
+		Tried: r.tried, Remaining: r.objective.Sub(now), OwnDataCentre: r.refusedAbroad,
+	})
 }
 
 // send sends the request to the daemon of the selected target.
@@ -251,6 +255,7 @@
 	case a.refused.reason == string(admission.Busy):
 		// The target is not excluded: the refusal carried its load, with which the next selection weighs it.
 		r.busyRefusals++
+		r.refusedAbroad = r.refusedAbroad || a.target.DataCentre != r.table.View.DataCentre
 		return "busy", r.busyRefusals <= maxBusyRefusals
 	case a.refused.reason == string(admission.Deadline):
 		return a.refused.reason, false
--- a/internal/traffic/peer_load.go
+++ b/internal/traffic/peer_load.go
@@ -66,7 +66,8 @@
 		out.ReportAge = l.now.Sub(p.load.at)
 	}
 	out.Outstanding = float64(own)
-	if out.ReportAge != noReportAge && out.ReportAge < maxReportAge {
+	out.Fresh = out.ReportAge != noReportAge && out.ReportAge < maxReportAge
+	if out.Fresh {
 		out.Outstanding = max(float64(int64(p.load.report.running+p.load.report.queued)+own-p.load.ownInFlight), float64(own))
 	}
 	out.ExecutionTime, out.MeanExecutionTime = p.load.executionTimes[l.route], p.load.report.meanExecutionTime
