catalog: announcements of targets are gossiped together, and hundreds of daemons start with few calls

Cause: 295 daemons that start together passed each announcement on to five peers in a message of its own, and logged it; the gossip fell behind, so that all of them believed to be alone, watched, and made the first freshness checks. Later, random peers missed two of 295 daemons at each check, which then checked too, and daemons that drew their backup delays alike checked by the dozen. Change: changes of targets alone are collected for 100 ms; a change goes to the next daemon by name and two random ones instead of five random ones; the daemons after the one in turn are the first backups; a daemon that finds no other one lists the announcements again before it settles, and waits until it learns of no more; one line settled instead of a line for each target; leases last 30 s.

--- a/internal/command/catalog/announcement.go
+++ b/internal/command/catalog/announcement.go
@@ -12,7 +12,7 @@
 const (
 	// leaseTTL is the lifetime of a target's announcement without renewal. Peers detect a dead daemon by failing calls, so
 	// the lease only has to remove targets that receive no calls.
-	leaseTTL = 15 * time.Second
+	leaseTTL = 30 * time.Second
 	// renewalsPerTTL is the number of renewals of a lease within its lifetime.
 	renewalsPerTTL = 3
 	// announceBackoffBase and announceBackoffMax bound the backoff after a failed call. An announcement must be restored two
--- a/internal/command/catalog/catalog.go
+++ b/internal/command/catalog/catalog.go
@@ -74,10 +74,14 @@
 	pendingChanges       []message.Change
 	configurationPending bool
 	pendingDelta         *message.Delta
+	// gossipAt is when changes of targets alone may be gossiped next.
+	gossipAt time.Time
 
 	intents map[model.ServiceName]*intent
 	moves   map[model.ServiceName]*moveRecord
+	// roster holds the targets of the other daemons, and members their names in order.
 	roster  map[model.DaemonID]*member
+	members []model.DaemonID
 	marks   []model.Mark
 
 	local       localTarget
@@ -86,9 +90,12 @@
 	outcomes    localOutcomes
 	lag         lag
 	freshness   freshness
-	// settled says that this daemon can be expected to know the others, at settledAt at the latest; see updateSettled.
-	settledAt time.Time
-	settled   bool
+	// settled says that this daemon can be expected to know the others; see updateSettled. loadedAt is when it had loaded all
+	// keys, settledAt the time at which it counts as settled unless it learns of another daemon.
+	loadedAt, settledAt time.Time
+	settled             bool
+	// discovered says that the announcements were listed again because there were none at first.
+	discovered bool
 
 	// ready says that the last published view was ready, and dirty that a new view must be published.
 	ready bool
@@ -169,7 +176,7 @@
 	c.probeUnlistedMembers(now)
 	c.runAntiEntropy(now)
 	c.runMoveDriver(now)
-	c.gossipChanges()
+	c.gossipChanges(now)
 }
 
 // NextWake returns when Handle must be called next with effect.Wake; zero means never. A task that waits for an answer has no
@@ -187,6 +194,9 @@
 		next = earliest(next, c.freshness.nextWake())
 	}
 	next = earliest(next, c.lag.askAt)
+	if len(c.pendingChanges) > 0 {
+		next = earliest(next, c.gossipAt)
+	}
 	for _, m := range c.roster {
 		if !m.probePending {
 			next = earliest(next, m.probeAt)
--- a/internal/command/catalog/freshness.go
+++ b/internal/command/catalog/freshness.go
@@ -15,11 +15,15 @@
 	// backupDelay is how much later a daemon checks if it is not its turn. It covers a check and the gossip that follows, so
 	// that the backups check only if the check in turn fails to appear.
 	backupDelay = 250 * time.Millisecond
-	// backupJitter spreads the backups: the first one to check relieves the others.
+	// backupJitter spreads the backups: the first one to check relieves the others. The daemons that follow the one in turn are
+	// the first backups, backupStep apart; there are as many of them as fit, and all others come after them. If hundreds of
+	// daemons drew their delays alike, dozens would check before the announcement of the first check reached them.
 	backupJitter = 350 * time.Millisecond
+	backupStep   = 40 * time.Millisecond
+	firstBackups = 6
 	// firstCheckDelay and firstCheckJitter bound the time to the first check of a process, which has just listed the keys and
 	// has three seconds from its start to be current. When all daemons restart together, an earlier check would compete with
-	// the lists of the others.
+	// the lists of the others. The daemons of lowest rank check first, as with backups.
 	firstCheckDelay  = 1200 * time.Millisecond
 	firstCheckJitter = 1200 * time.Millisecond
 	// checkTimeout is the time after which an unanswered check is repeated once, since its connection may have gone silent. The
@@ -74,7 +78,8 @@
 		return
 	}
 	if f.checkAt.IsZero() {
-		f.checkAt = now.Add(firstCheckDelay + time.Duration(c.cfg.Rand.Int64N(int64(firstCheckJitter))))
+		rank, _ := c.rank()
+		f.checkAt = now.Add(firstCheckDelay + c.backupWait(rank, firstCheckJitter))
 	}
 	if now.Before(f.nextWake()) {
 		return
@@ -149,7 +154,19 @@
 func (c *Core) scheduleCheck(now time.Time) {
 	f := &c.freshness
 	f.checkAt = now.Add(checkInterval)
-	if rank, daemons := c.rank(); f.lastCheck%uint64(daemons) != uint64(rank) {
-		f.checkAt = f.checkAt.Add(backupDelay + time.Duration(c.cfg.Rand.Int64N(int64(backupJitter))))
+	rank, daemons := c.rank()
+	turn := int(f.lastCheck % uint64(daemons))
+	if rank != turn {
+		f.checkAt = f.checkAt.Add(backupDelay + c.backupWait((rank-turn+daemons)%daemons-1, backupJitter))
 	}
 }
+
+// backupWait returns the wait, shorter than limit, of the backup with the given position: the first ones wait for a multiple of
+// backupStep, the others for a random time after them.
+func (c *Core) backupWait(position int, limit time.Duration) time.Duration {
+	if position < firstBackups {
+		return time.Duration(position) * backupStep
+	}
+	first := firstBackups * backupStep
+	return first + time.Duration(c.cfg.Rand.Int64N(int64(limit-first)))
+}
--- a/internal/command/catalog/gossip.go
+++ b/internal/command/catalog/gossip.go
@@ -16,11 +16,18 @@
 )
 
 const (
-	// localFanout and remoteFanout are the numbers of peers in the daemon's own data centre and in other data centres to
-	// which it gossips a change. Every daemon passes a change on once, so a fanout of five reaches nearly all daemons;
-	// anti-entropy reaches the rest.
-	localFanout  = 3
-	remoteFanout = 2
+	// localFanout and remoteFanout are the numbers of random peers in the daemon's own data centre and in other data centres to
+	// which it gossips a change, besides the daemon that follows in the order of names. Every daemon passes a change on once.
+	// With random peers alone some daemons are missed each time, two of 295 at a fanout of five; with the next daemon, only
+	// those whose predecessor is lost or was missed too. Anti-entropy reaches the rest.
+	localFanout  = 1
+	remoteFanout = 1
+	// gossipInterval is the time between two messages with changes of targets alone. Hundreds of daemons that start together
+	// announce their targets within seconds, and each announcement in a message of its own would be too much. A change after
+	// a quiet time is not delayed.
+	gossipInterval = 100 * time.Millisecond
+	// peerDraws is the number of random draws before the members are scanned for a peer in the wanted data centres.
+	peerDraws = 16
 	// antiEntropyInterval is the longest time between anti-entropy queries, each of which asks a random peer for the changes
 	// that this daemon lacks.
 	antiEntropyInterval = 2 * time.Second
@@ -38,11 +45,16 @@
 	pending bool
 }
 
-// gossipChanges sends the changes first seen during this event, and a new freshness check, to a few peers.
-func (c *Core) gossipChanges() {
-	if len(c.pendingChanges) == 0 && !c.configurationPending && !c.freshness.announcePending {
+// gossipChanges sends the changes first seen during this event, and a new freshness check, to a few peers. Changes of targets
+// alone are collected for gossipInterval.
+func (c *Core) gossipChanges(now time.Time) {
+	urgent := c.configurationPending || c.freshness.announcePending
+	if !urgent && (len(c.pendingChanges) == 0 || now.Before(c.gossipAt)) {
 		return
 	}
+	if len(c.pendingChanges) > 0 {
+		c.gossipAt = now.Add(gossipInterval)
+	}
 	spread := &message.Spread{
 		From: c.cfg.Target.PeerAddress, Changes: c.pendingChanges,
 		Number: c.configurationNumber(), Revision: c.configurationRevision, Delta: c.pendingDelta,
@@ -58,24 +70,42 @@
 	}
 }
 
-// gossipPeers returns the addresses of the peers to gossip to, chosen at random.
+// gossipPeers returns the addresses of the peers to gossip to: the next daemon in the order of names, and random ones.
 func (c *Core) gossipPeers() []string {
-	var local, remote []string
-	for _, daemon := range slices.Sorted(maps.Keys(c.roster)) {
-		t := &c.roster[daemon].target
-		if t.DataCentre == c.cfg.Target.DataCentre {
-			local = append(local, t.PeerAddress)
-		} else {
-			remote = append(remote, t.PeerAddress)
-		}
+	if len(c.members) == 0 {
+		return nil
+	}
+	next, _ := slices.BinarySearch(c.members, c.cfg.Target.Daemon)
+	peers := []int{next % len(c.members)}
+	peers = c.appendRandomPeers(peers, localFanout, true)
+	peers = c.appendRandomPeers(peers, remoteFanout, false)
+	addresses := make([]string, len(peers))
+	for i, peer := range peers {
+		addresses[i] = c.roster[c.members[peer]].target.PeerAddress
 	}
-	return append(c.sampleAddresses(local, localFanout), c.sampleAddresses(remote, remoteFanout)...)
+	return addresses
 }
 
-// sampleAddresses returns up to n of the addresses, chosen at random. It shuffles its argument.
-func (c *Core) sampleAddresses(addresses []string, n int) []string {
-	c.cfg.Rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	return addresses[:min(len(addresses), n)]
+// appendRandomPeers appends the positions of up to n random members, in this daemon's data centre or in others, that peers does
+// not contain.
+func (c *Core) appendRandomPeers(peers []int, n int, local bool) []int {
+	usable := func(position int) bool {
+		dataCentre := c.roster[c.members[position]].target.DataCentre
+		return (dataCentre == c.cfg.Target.DataCentre) == local && !slices.Contains(peers, position)
+	}
+	for range n {
+		for draw := range peerDraws + len(c.members) {
+			position := draw % len(c.members)
+			if draw < peerDraws {
+				position = c.cfg.Rand.IntN(len(c.members))
+			}
+			if usable(position) {
+				peers = append(peers, position)
+				break
+			}
+		}
+	}
+	return peers
 }
 
 // handleSpread merges the changes that a peer gossiped.
@@ -157,7 +187,7 @@
 	if !c.operatorKeys.loaded || !c.meshKeys.loaded || len(c.roster) == 0 {
 		addresses = slices.Clone(c.cfg.Seeds)
 	}
-	for _, daemon := range slices.Sorted(maps.Keys(c.roster)) {
+	for _, daemon := range c.members {
 		addresses = append(addresses, c.roster[daemon].target.PeerAddress)
 	}
 	addresses = slices.DeleteFunc(addresses, func(a string) bool { return a == c.cfg.Target.PeerAddress })
--- a/internal/command/catalog/roster.go
+++ b/internal/command/catalog/roster.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -56,8 +57,7 @@
 	}
 	m := c.roster[daemon]
 	if m == nil {
-		m = &member{}
-		c.roster[daemon] = m
+		m = c.addMember(now, daemon)
 	} else if m.target.Newer(target) {
 		return
 	}
@@ -78,7 +78,9 @@
 	if m.target == target {
 		return
 	}
-	if m.target.State != target.State || m.target.Instance != target.Instance || m.target.Incarnation != target.Incarnation {
+	// While this daemon starts, all others are new to it; the event settled tells how many it knows then.
+	first := m.target.Daemon == "" && !c.settled
+	if !first && (m.target.State != target.State || m.target.Instance != target.Instance || m.target.Incarnation != target.Incarnation) {
 		c.log("peer-changed", "daemon", string(target.Daemon), "instance", string(target.Instance),
 			"version", string(target.Version), "state", string(target.State),
 			"sequence", strconv.FormatUint(target.Sequence, 10), "source", source)
@@ -134,8 +136,21 @@
 	}
 }
 
+// addMember adds a daemon to the roster.
+func (c *Core) addMember(now time.Time, daemon model.DaemonID) *member {
+	m := &member{}
+	c.roster[daemon] = m
+	at, _ := slices.BinarySearch(c.members, daemon)
+	c.members = slices.Insert(c.members, at, daemon)
+	c.delaySettled(now)
+	return m
+}
+
 func (c *Core) removeMember(daemon model.DaemonID, reason string) {
 	delete(c.roster, daemon)
+	if at, found := slices.BinarySearch(c.members, daemon); found {
+		c.members = slices.Delete(c.members, at, at+1)
+	}
 	c.dirty = true
 	c.log("peer-removed", "daemon", string(daemon), "reason", reason)
 }
--- a/internal/command/catalog/watch.go
+++ b/internal/command/catalog/watch.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -15,16 +16,16 @@
 	// settleDelay is the time after its first list for which a daemon that starts for the first time neither watches nor checks.
 	// Until daemons that start together know each other, each of them would consider itself one of only a few daemons.
 	settleDelay = 2500 * time.Millisecond
+	// settleQuiet is how long such a daemon must have learned of no other one, and maxSettleDelay the longest time for which it
+	// waits: the targets of hundreds of daemons report over several seconds.
+	settleQuiet    = 700 * time.Millisecond
+	maxSettleDelay = 5 * time.Second
 )
 
 // rank returns the position of this daemon among the sorted names of all known daemons, and their number.
 func (c *Core) rank() (position, daemons int) {
-	for daemon := range c.roster {
-		if daemon < c.cfg.Target.Daemon {
-			position++
-		}
-	}
-	return position, len(c.roster) + 1
+	position, _ = slices.BinarySearch(c.members, c.cfg.Target.Daemon)
+	return position, len(c.members) + 1
 }
 
 // updateOperatorWatch starts or ends the watch on the operator's keys, depending on whether this daemon is one of the
@@ -53,17 +54,48 @@
 }
 
 // updateSettled records whether this daemon can be expected to know the others. A daemon that restarts finds them on the
-// platform and is settled at once. Any other one waits for settleDelay, since all may be starting for the first time.
+// platform and is settled at once. Any other one waits, since all may be starting for the first time.
 func (c *Core) updateSettled(now time.Time) {
 	if c.settled || !c.operatorKeys.loaded || !c.meshKeys.loaded {
 		return
 	}
-	if c.settledAt.IsZero() {
-		c.settledAt = now.Add(settleDelay)
-		c.settled = c.local.restarted
+	if c.loadedAt.IsZero() {
+		c.loadedAt, c.settledAt = now, now.Add(settleDelay)
+		if c.local.restarted {
+			c.settle()
+		}
+		return
+	}
+	if now.Before(c.settledAt) {
+		return
+	}
+	if len(c.members) == 0 && !c.discovered {
+		// The daemons that start together had announced nothing when this one listed the keys.
+		c.discovered = true
+		c.settledAt = now.Add(settleQuiet)
+		c.relist(&c.meshKeys)
 		return
 	}
-	c.settled = !now.Before(c.settledAt)
+	c.settle()
+}
+
+func (c *Core) settle() {
+	c.settled = true
+	c.log("settled", "daemons", strconv.Itoa(len(c.members)+1))
+}
+
+// delaySettled delays the end of the start of a daemon that has learned of another one, which may not be the last.
+func (c *Core) delaySettled(now time.Time) {
+	if c.loadedAt.IsZero() {
+		return
+	}
+	until := now.Add(settleQuiet)
+	if latest := c.loadedAt.Add(maxSettleDelay); until.After(latest) {
+		until = latest
+	}
+	if until.After(c.settledAt) {
+		c.settledAt = until
+	}
 }
 
 // restartWatch restarts a watch that did not report a change.
