traffic: a stop answers requests that were read, and none is run behind a closing response

Cause: three faults, found with tests that act between a read or write and the code that made it. A request that had been read when a daemon stopped reading was dropped without a response, or run on a connection that was closed under it. A request that arrived while a response with Connection: close was being written was run, although its caller considers it unread and sends it again elsewhere, so a confirmation could be executed twice. The process did not wait for requests that were read and not yet dispatched. Change: a request counts as pending from its first byte; whether a response closes the connection is decided under the same lock, and nothing is read behind it; connections without a request are read for 100 ms more; the stop waits for all requests that were read.

--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -353,9 +353,10 @@
 		}
 	}
 	d.ingress.StopReading()
+	process.Wait(abort, traffic.StopLinger)
 	limited, cancel := context.WithDeadline(abort, started.Add(d.settings.Grace-exitMargin))
 	defer cancel()
-	if d.outbound.Wait(limited) != nil || d.inbound.Wait(limited) != nil {
+	if d.ingress.Wait(limited) != nil || d.inbound.Wait(limited) != nil {
 		d.logger.Warn("stopping-cuts", zap.Int("requests", d.outbound.InFlight()), zap.Int("calls", d.inbound.InFlight()))
 	}
 	// The last responses may not have been written to their callers yet.
--- a/internal/traffic/pipeline_server.go
+++ b/internal/traffic/pipeline_server.go
@@ -28,6 +28,9 @@
 	// closeLinger is how long a connection is still read after its last response. Closing it while the caller sends would
 	// reset the connection, and the caller could lose the response.
 	closeLinger = 500 * time.Millisecond
+	// StopLinger is how long a connection without a pending request is still read after StopReading, so that a request that has
+	// already arrived at the socket is answered.
+	StopLinger = 100 * time.Millisecond
 	// bodyTimeout bounds the time in which a caller must send a short body.
 	bodyTimeout = 30 * time.Second
 	// acceptPause is the pause after a failed accept, for example when the process is out of file descriptors.
@@ -51,6 +54,8 @@
 	options        PipelineOptions
 	draining       atomic.Bool
 	stoppedReading atomic.Bool
+	// pending counts the requests of all connections that have been read and not answered.
+	pending inFlightCalls
 
 	mu     sync.Mutex
 	conns  map[*pipelineConn]struct{}
@@ -101,18 +106,21 @@
 // Drain makes each connection close after its last pending response.
 func (s *PipelineServer) Drain() { s.draining.Store(true) }
 
-// StopReading closes the connections that have no pending request and reads no more requests from the others, which are
-// closed after their last response. The listener must be closed before.
+// StopReading closes each connection after its last pending response. A connection without a pending request is closed after
+// StopLinger, or after the response to a request that arrives until then. The listener must be closed before.
 func (s *PipelineServer) StopReading() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.draining.Store(true)
 	s.stoppedReading.Store(true)
 	for c := range s.conns {
-		c.closeIfIdle()
+		c.stopIfIdle()
 	}
 }
 
+// Wait blocks until every request that was read has been answered, or returns the error of ctx.
+func (s *PipelineServer) Wait(ctx context.Context) error { return s.pending.wait(ctx) }
+
 // Close closes all connections at once.
 func (s *PipelineServer) Close() error {
 	s.mu.Lock()
@@ -139,10 +147,13 @@
 	cancel context.CancelFunc
 
 	mu sync.Mutex
-	// pending counts the requests that have been read and not answered.
+	// pending counts the requests of which a byte has been read and that have not been answered.
 	pending int
-	// lastWritten means that the last response has been written, after which the read deadline must not change.
-	lastWritten bool
+	// undecided counts those of them for whose responses it has not been decided whether the connection closes.
+	undecided int
+	// closing means that the connection closes after the response being written. Its head tells the caller that later requests
+	// were not read, so none may be read after that.
+	closing bool
 }
 
 // headerLimitReader returns errHeaderTooLong once left bytes have been read.
@@ -187,18 +198,17 @@
 // read reads one request and starts its handler. It reports whether another request may follow.
 func (c *pipelineConn) read(ctx context.Context) bool {
 	c.limit.left = noReadLimit
-	if _, err := c.reader.Peek(1); err != nil || ctx.Err() != nil || c.server.stoppedReading.Load() {
+	if _, err := c.reader.Peek(1); err != nil || ctx.Err() != nil || !c.beginRequest() {
 		return false
 	}
 	c.limit.left = c.server.options.HeaderBytes + requestBuffer
-	_ = c.conn.SetReadDeadline(time.Now().Add(c.server.options.HeaderTimeout()))
 	request, err := http.ReadRequest(c.reader)
 	c.limit.left = noReadLimit
 	if err != nil {
 		c.refuseUnreadable(err)
 		return false
 	}
-	c.onRequestRead()
+	c.clearReadDeadline()
 	r := newPipelinedResponse(c, request)
 	if request.Host == "" || request.ProtoMajor != 1 {
 		r.setErrorStatus(http.StatusBadRequest)
@@ -230,9 +240,10 @@
 	case isTimeout(err):
 		status = http.StatusRequestTimeout
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), isReset(err):
+		c.abandonRequest()
 		return
 	}
-	c.onRequestRead()
+	c.clearReadDeadline()
 	r := newPipelinedResponse(c, nil)
 	r.setErrorStatus(status)
 	c.responses <- r
@@ -298,40 +309,72 @@
 	return false, nil
 }
 
-// onRequestRead counts a request as pending and removes the read deadline.
-func (c *pipelineConn) onRequestRead() {
+// beginRequest counts a request as pending once its first byte has been read, and bounds the time until its header is read. It
+// returns false for a request that must not be read, because a response before it closes the connection or, once the server
+// reads no more, will close it.
+func (c *pipelineConn) beginRequest() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.closing || c.undecided > 0 && c.server.stoppedReading.Load() {
+		return false
+	}
 	c.pending++
-	if !c.lastWritten {
+	c.undecided++
+	c.server.pending.begin()
+	_ = c.conn.SetReadDeadline(time.Now().Add(c.server.options.HeaderTimeout()))
+	return true
+}
+
+// clearReadDeadline removes the deadline of a request header that has been read.
+func (c *pipelineConn) clearReadDeadline() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.closing {
 		_ = c.conn.SetReadDeadline(time.Time{})
 	}
 }
 
-// onResponseWritten counts a request as answered and starts the idle timeout if no other is pending.
-func (c *pipelineConn) onResponseWritten() {
+// abandonRequest ends a request that its caller never completed.
+func (c *pipelineConn) abandonRequest() {
+	c.mu.Lock()
+	c.undecided--
+	c.mu.Unlock()
+	c.endRequest()
+}
+
+// endRequest counts a request as answered, and starts the idle timeout if no other is pending.
+func (c *pipelineConn) endRequest() {
+	c.server.pending.end()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.pending--
-	if c.pending == 0 && !c.lastWritten {
-		_ = c.conn.SetReadDeadline(time.Now().Add(c.server.options.IdleTimeout()))
+	if c.pending > 0 || c.closing {
+		return
 	}
+	timeout := c.server.options.IdleTimeout()
+	if c.server.stoppedReading.Load() {
+		timeout = StopLinger
+	}
+	_ = c.conn.SetReadDeadline(time.Now().Add(timeout))
 }
 
-// closeIfIdle closes the connection if no request is pending.
-func (c *pipelineConn) closeIfIdle() {
+// stopIfIdle ends the reading of a connection without a pending request after StopLinger.
+func (c *pipelineConn) stopIfIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.pending == 0 {
-		_ = c.conn.Close()
+	if c.pending == 0 && !c.closing {
+		_ = c.conn.SetReadDeadline(time.Now().Add(StopLinger))
 	}
 }
 
-// isLastResponse reports whether the server is draining and only the response being written is pending.
-func (c *pipelineConn) isLastResponse() bool {
+// decideClosing decides whether the connection closes after the response being written: if that is required, or if the server
+// is draining and no other request has been read behind it.
+func (c *pipelineConn) decideClosing(required bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.server.draining.Load() && c.pending == 1
+	c.closing = required || c.server.draining.Load() && c.undecided == 1
+	c.undecided--
+	return c.closing
 }
 
 // write writes the responses in order. The responses after one that closes the connection are discarded.
@@ -345,7 +388,7 @@
 			}
 		}
 		r.discard()
-		c.onResponseWritten()
+		c.endRequest()
 	}
 }
 
@@ -369,9 +412,6 @@
 		_ = c.conn.Close()
 		return
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.lastWritten = true
 	_ = c.conn.SetReadDeadline(time.Now().Add(closeLinger))
 }
 
--- /dev/null
+++ b/internal/traffic/pipeline_stop_test.go
@@ -0,0 +1,185 @@
+package traffic_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"sniperail.example/sniperail/internal/traffic"
+)
+
+// gatedConn lets a test act between the system call of a read or write and the code that made it.
+type gatedConn struct {
+	net.Conn
+	// afterRead and beforeWrite are called, if set, with the bytes of a successful read or of a write.
+	afterRead, beforeWrite func([]byte)
+}
+
+func (c *gatedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && c.afterRead != nil {
+		c.afterRead(p[:n])
+	}
+	return n, err
+}
+
+func (c *gatedConn) Write(p []byte) (int, error) {
+	if c.beforeWrite != nil {
+		c.beforeWrite(p)
+	}
+	return c.Conn.Write(p)
+}
+
+func (c *gatedConn) CloseWrite() error { return c.Conn.(*net.TCPConn).CloseWrite() }
+
+// gatedListener wraps accepted connections.
+type gatedListener struct {
+	net.Listener
+	wrap func(net.Conn) net.Conn
+}
+
+func (l gatedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.wrap(conn), nil
+}
+
+// startGatedPipeline serves a handler on gated connections, and returns the server and a connection of a caller.
+func startGatedPipeline(t *testing.T, gates gatedConn, handler http.HandlerFunc) (*traffic.PipelineServer, net.Conn) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := traffic.NewPipelineServer(traffic.PipelineOptions{
+		Handler: handler, HeaderBytes: 2 << 10, Logger: zap.NewNop(),
+		HeaderTimeout: func() time.Duration { return time.Minute }, IdleTimeout: func() time.Duration { return time.Minute },
+	})
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		_ = server.Serve(gatedListener{listener, func(conn net.Conn) net.Conn {
+			return &gatedConn{conn, gates.afterRead, gates.beforeWrite}
+		}})
+	}()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = conn.Close()
+		_ = listener.Close()
+		_ = server.Close()
+		<-served
+	})
+	_ = conn.SetDeadline(time.Now().Add(hangTimeout))
+	return server, conn
+}
+
+// Guards against a request that has just been read when the server stops, and is cut off without a response. The stop comes
+// between the read of the request and its parsing.
+func TestStopAnswersRequestsThatWereRead(t *testing.T) {
+	is := is.New(t)
+	read, stopped := make(chan struct{}, 1), make(chan struct{})
+	server, conn := startGatedPipeline(t, gatedConn{afterRead: func([]byte) {
+		read <- struct{}{}
+		<-stopped
+	}}, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "served") })
+	_, err := io.WriteString(conn, getRequest("/"))
+	is.NoErr(err)
+	<-read
+	server.StopReading()
+	close(stopped)
+	response, body := readResponse(t, bufio.NewReader(conn))
+	is.Equal(response.StatusCode, http.StatusOK)
+	is.Equal(body, "served")
+	is.True(response.Close)
+}
+
+// Guards against a request that has arrived at the socket before the server stops, on a connection that was idle until then,
+// and is cut off without a response.
+func TestStopAnswersRequestsThatHaveArrived(t *testing.T) {
+	is := is.New(t)
+	server, conn := startGatedPipeline(t, gatedConn{}, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "served")
+	})
+	r := bufio.NewReader(conn)
+	for range 20 {
+		_, err := io.WriteString(conn, getRequest("/"))
+		is.NoErr(err)
+		readResponse(t, r)
+	}
+	_, err := io.WriteString(conn, getRequest("/"))
+	is.NoErr(err)
+	server.StopReading()
+	_, body := readResponse(t, r)
+	is.Equal(body, "served")
+	_, err = r.ReadByte()
+	is.Equal(err, io.EOF)
+}
+
+// Guards against a request that is executed although it came behind a response that closes the connection: its caller
+// considers it unread and sends it again elsewhere.
+func TestRequestBehindClosingResponseIsNotExecuted(t *testing.T) {
+	is := is.New(t)
+	var executed atomic.Int64
+	writing, reads, proceed := make(chan struct{}, 1), make(chan struct{}, 2), make(chan struct{})
+	server, conn := startGatedPipeline(t, gatedConn{
+		afterRead: func([]byte) { reads <- struct{}{} },
+		beforeWrite: func([]byte) {
+			writing <- struct{}{}
+			<-proceed
+		},
+	}, func(w http.ResponseWriter, _ *http.Request) {
+		executed.Add(1)
+		_, _ = io.WriteString(w, "x")
+	})
+	server.Drain()
+	_, err := io.WriteString(conn, getRequest("/first"))
+	is.NoErr(err)
+	<-reads
+	<-writing // the head says that the connection closes
+	_, err = io.WriteString(conn, getRequest("/second"))
+	is.NoErr(err)
+	<-reads
+	close(proceed)
+	r := bufio.NewReader(conn)
+	response, _ := readResponse(t, r)
+	is.True(response.Close)
+	_, err = r.ReadByte()
+	is.Equal(err, io.EOF)
+	is.NoErr(conn.Close())
+	is.NoErr(server.Wait(t.Context()))
+	is.Equal(executed.Load(), int64(1))
+}
+
+// Guards against a stop that ends the process while a response is still being written.
+func TestWaitEndsAfterTheLastResponse(t *testing.T) {
+	is := is.New(t)
+	writing, proceed := make(chan struct{}, 1), make(chan struct{})
+	server, conn := startGatedPipeline(t, gatedConn{beforeWrite: func([]byte) {
+		writing <- struct{}{}
+		<-proceed
+	}}, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "x") })
+	_, err := io.WriteString(conn, getRequest("/"))
+	is.NoErr(err)
+	<-writing
+	server.StopReading()
+	expired, cancel := context.WithCancel(t.Context())
+	cancel()
+	is.Equal(server.Wait(expired), context.Canceled)
+	close(proceed)
+	is.NoErr(server.Wait(t.Context()))
+	_, body := readResponse(t, bufio.NewReader(conn))
+	is.Equal(body, "x")
+}
--- a/internal/traffic/pipelined_response.go
+++ b/internal/traffic/pipelined_response.go
@@ -151,7 +151,7 @@
 	if r.finished && r.length < 0 {
 		r.length = int64(len(r.buffered))
 	}
-	closes := r.closesConnection()
+	closes := r.conn.decideClosing(r.mustClose())
 	r.writeHead(w, closes)
 	r.mu.Unlock()
 	switch {
@@ -177,12 +177,9 @@
 	}
 }
 
-// closesConnection reports whether the connection is closed after this response.
-func (r *pipelinedResponse) closesConnection() bool {
-	if r.header.Get("Connection") == "close" || r.request == nil || r.request.Close {
-		return true
-	}
-	return r.conn.isLastResponse()
+// mustClose reports whether the connection has to close after this response.
+func (r *pipelinedResponse) mustClose() bool {
+	return r.header.Get("Connection") == "close" || r.request == nil || r.request.Close
 }
 
 func (r *pipelinedResponse) hasNoBody() bool {
