--- a/internal/traffic/outbound_test.go
+++ b/internal/traffic/outbound_test.go
@@ -42,8 +42,19 @@
 	// filler is written after each response until the connection is closed, which is then reported to cut; "" for none.
 	filler string
 	cut    chan struct{}
+	// ending says what happens to the connection after a response.
+	ending connectionEnding
 }
 
+// connectionEnding is what a scripted target does with a connection after a response.
+type connectionEnding uint8
+
+const (
+	keepConnection connectionEnding = iota
+	closeConnection
+	resetConnection
+)
+
 func startScriptedTarget(t *testing.T, respond func(n int, r *http.Request) string) *scriptedTarget {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -97,6 +108,8 @@
 			return
 		}
 		response = strings.ReplaceAll(response, "ID", request.Header.Get("X-Id"))
+		send, _, _ := strings.Cut(request.Header.Get(traffic.HeaderDispatch), " ")
+		response = strings.ReplaceAll(response, "SEND", send)
 		if s.filler != "" {
 			_, _ = io.WriteString(conn, response)
 			s.writeEndlessly(conn)
@@ -105,6 +118,12 @@
 		if _, err := io.WriteString(conn, response); err != nil || strings.Contains(response, "Connection: close") {
 			return
 		}
+		if s.ending == resetConnection {
+			_ = conn.(*net.TCPConn).SetLinger(0)
+		}
+		if s.ending != keepConnection {
+			return
+		}
 	}
 }
 
@@ -112,7 +131,7 @@
 
 // chain is an Outbound that sends requests to the Inbounds of some targets.
 type chain struct {
-	out      *httptest.Server
+	url      string
 	inbounds []*traffic.Inbound
 	table    *routing.Table
 	metrics  *telemetry.Metrics
@@ -124,6 +143,13 @@
 
 // startChain starts a chain with a route for idempotent requests below /safe/ and one for other requests below /once/.
 func startChain(t *testing.T, targets ...*scriptedTarget) *chain {
+	t.Helper()
+	return startChainWithDaemons(t, nil, targets)
+}
+
+// startChainWithDaemons starts a chain whose first targets are behind scripted daemons, which get the requests of the Outbound
+// themselves.
+func startChainWithDaemons(t *testing.T, daemons, targets []*scriptedTarget) *chain {
 	t.Helper()
 	metrics, err := telemetry.NewMetrics("test")
 	if err != nil {
@@ -143,6 +169,12 @@
 			{Name: "once", Service: "s", PathPrefix: "/once/", MaxAttempts: 2, TimeoutMS: 20_000},
 		},
 	}}
+	for i, daemon := range daemons {
+		view.Targets = append(view.Targets, model.Target{
+			Daemon: model.DaemonID(fmt.Sprint("s", i)), Service: "s", Version: "v1", DataCentre: "d", State: model.TargetReady,
+			Instance: "i", Slots: 4, Address: daemon.listener.Addr().String(),
+		})
+	}
 	for i, target := range targets {
 		in := traffic.NewInbound(traffic.InboundOptions{
 			Address: target.listener.Addr().String(), Headers: headerNames, Metrics: m, Limits: traffic.DefaultLimits(), Log: log,
@@ -164,12 +196,36 @@
 		Tables: c, Headers: headerNames, Metrics: m, Limits: traffic.DefaultLimits(), Log: log, Service: "own",
 		Budget: retry.SharedLimit{Ratio: 1, Slack: 100, Window: time.Minute},
 	})
-	c.out = httptest.NewServer(out)
-	t.Cleanup(c.out.Close)
+	c.url = servePipelined(t, out)
 	t.Cleanup(out.Close)
 	return c
 }
 
+// servePipelined serves a handler on the server that the callers of a sidecar are connected to, and returns its URL.
+func servePipelined(t *testing.T, handler http.Handler) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	minute := func() time.Duration { return time.Minute }
+	server := traffic.NewPipelineServer(traffic.PipelineOptions{
+		Handler: handler, HeaderBytes: 64 << 10, HeaderTimeout: minute, IdleTimeout: minute, Logger: zap.NewNop(),
+	})
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		_ = server.Serve(listener)
+	}()
+	t.Cleanup(func() {
+		_ = listener.Close()
+		_ = server.Close()
+		<-served
+		http.DefaultTransport.(*http.Transport).CloseIdleConnections()
+	})
+	return "http://" + listener.Addr().String()
+}
+
 // scrape returns the metrics as text.
 func (c *chain) scrape(t *testing.T) string {
 	t.Helper()
@@ -180,11 +236,16 @@
 
 // call sends a request and returns the status, the header and the body, or an error if the response is incomplete.
 func (c *chain) call(ctx context.Context, method, path string) (int, http.Header, string, error) {
-	r, err := http.NewRequestWithContext(ctx, method, c.out.URL+path, nil)
+	return c.callWithID(ctx, "req-1", method, path)
+}
+
+// callWithID sends a request with an id like call.
+func (c *chain) callWithID(ctx context.Context, id, method, path string) (int, http.Header, string, error) {
+	r, err := http.NewRequestWithContext(ctx, method, c.url+path, nil)
 	if err != nil {
 		return 0, nil, "", err
 	}
-	r.Header.Set("X-Id", "req-1")
+	r.Header.Set("X-Id", id)
 	r.Header.Set("X-Deadline", strconv.FormatInt(c.deadline.Milliseconds(), 10))
 	response, err := http.DefaultTransport.RoundTrip(r)
 	if err != nil {
@@ -277,7 +338,7 @@
 	is := is.New(t)
 	target := startScriptedTarget(t, func(int, *http.Request) string { return okResponse })
 	ch := startChain(t, target)
-	r, _ := http.NewRequestWithContext(t.Context(), "GET", ch.out.URL+"/safe/x?q=%2F", nil)
+	r, _ := http.NewRequestWithContext(t.Context(), "GET", ch.url+"/safe/x?q=%2F", nil)
 	r.Header.Set("X-Id", "req-1")
 	r.Header.Set("X-Deadline", "500")
 	r.Header.Set("X-Caller", "forged")
