traffic: names in the dispatch header are escaped; sends of sniperaild have ids of their own too

Cause: a route name with a space broke the header between daemons, and all its calls were refused with 400. The ingress of sniperaild gave all sends of a call one id, as the sidecar did. Change: names are query-escaped; both callers' sides use sendID. Measured: TestRouteNamesMayContainSpaces failed before (the caller got 502) and passes; go test ./internal/traffic ./platform. During a rolling release, names without special characters read the same on both sides.

--- a/internal/traffic/dispatch_header.go
+++ b/internal/traffic/dispatch_header.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -50,10 +51,15 @@
 
 const dispatchHeaderFields = 9
 
-// String joins the fields with spaces. Names must contain none; settings.Checks.Name checks those of services and versions.
+// sendID identifies one send of a call. A call can be sent to the same daemon twice, and the answer to the first send must not be
+// taken for that to the second one.
+func sendID(call string, send int) string { return call + "-" + strconv.Itoa(send) }
+
+// String joins the fields with spaces. Names are escaped, since the operator and the targets choose them.
 func (d *dispatchHeader) String() string {
 	return strings.Join([]string{
-		d.call, string(d.service), string(d.version), string(d.instance), string(d.route), string(d.caller),
+		d.call, url.QueryEscape(string(d.service)), url.QueryEscape(string(d.version)), url.QueryEscape(string(d.instance)),
+		url.QueryEscape(string(d.route)), url.QueryEscape(string(d.caller)),
 		strconv.Itoa(d.priority), formatMicros(d.objective), formatMicros(d.maxWait),
 	}, " ")
 }
@@ -74,6 +80,13 @@
 		}
 		numbers[i] = n
 	}
+	for i := range parts[:6] {
+		name, err := url.QueryUnescape(parts[i])
+		if err != nil {
+			return dispatchHeader{}, false
+		}
+		parts[i] = name
+	}
 	return dispatchHeader{
 		call: parts[0], service: model.ServiceName(parts[1]), version: model.VersionName(parts[2]),
 		instance: model.InstanceID(parts[3]), route: model.RouteName(parts[4]), caller: model.ServiceName(parts[5]),
--- a/internal/traffic/ingress_call.go
+++ b/internal/traffic/ingress_call.go
@@ -190,7 +190,7 @@
 	}
 	response := e.response
 	result.peer.lastResponse.Store(time.Now().UnixNano())
-	if response.Header.Get(HeaderCall) != c.id {
+	if response.Header.Get(HeaderCall) != sendID(c.id, c.attempt) {
 		e.finish(false)
 		result.refused = inDoubt(http.StatusBadGateway, reasonResponseMismatch, "the response belongs to another request")
 		c.recordOutcome(result, true)
@@ -219,7 +219,7 @@
 
 // outgoing builds the request to the daemon of the target.
 func (c *ingressCall) outgoing() *outgoingRequest {
-	header := callHeader{id: c.id, once: "-", service: string(c.version.Service),
+	header := callHeader{id: sendID(c.id, c.attempt), once: "-", service: string(c.version.Service),
 		version: string(c.version.Version), route: string(c.route.Name)}
 	if c.route.Once != nil {
 		header.once = "once"
--- a/internal/traffic/outbound_request.go
+++ b/internal/traffic/outbound_request.go
@@ -168,7 +168,7 @@
 		return a
 	}
 	a.response = e.response
-	if e.response.Header.Get(HeaderCall) != r.sendID() {
+	if e.response.Header.Get(HeaderCall) != sendID(r.id, r.sends) {
 		e.finish(false)
 		a.refused = inDoubt(http.StatusBadGateway, reasonResponseMismatch, "the response belongs to another request")
 		return a
@@ -199,13 +199,9 @@
 	return a
 }
 
-// sendID identifies the latest send. A request can be sent to the same daemon twice, and the answer to the first send must not
-// be taken for that to the second one.
-func (r *outboundRequest) sendID() string { return r.id + "-" + strconv.Itoa(r.sends) }
-
 func (r *outboundRequest) outgoing(choice routing.Choice) *outgoingRequest {
 	d := dispatchHeader{
-		call: r.sendID(), service: r.version.Service, version: r.version.Version, instance: choice.Target.Instance,
+		call: sendID(r.id, r.sends), service: r.version.Service, version: r.version.Version, instance: choice.Target.Instance,
 		route: r.route.Name, caller: r.outbound.options.Service, priority: r.route.Priority,
 		objective: time.Until(r.objective),
 	}
--- a/internal/traffic/outbound_test.go
+++ b/internal/traffic/outbound_test.go
@@ -167,6 +167,7 @@
 		Routes: []model.Route{
 			{Name: "safe", Service: "s", PathPrefix: "/safe/", Idempotent: true, MaxAttempts: 2, TimeoutMS: 20_000},
 			{Name: "once", Service: "s", PathPrefix: "/once/", MaxAttempts: 2, TimeoutMS: 20_000},
+			{Name: "named % with spaces", Service: "s", PathPrefix: "/named/", MaxAttempts: 2, TimeoutMS: 20_000},
 		},
 	}}
 	for i, daemon := range daemons {
@@ -319,6 +320,16 @@
 	is.Equal(header.Get("Content-Length"), "10")
 }
 
+// Guards against a route whose name has spaces and whose calls are all refused by the target's daemon.
+func TestRouteNamesMayContainSpaces(t *testing.T) {
+	is := is.New(t)
+	target := startScriptedTarget(t, func(int, *http.Request) string { return okResponse })
+	status, _, body, err := startChain(t, target).call(t.Context(), "POST", "/named/x")
+	is.NoErr(err)
+	is.Equal(status, http.StatusOK)
+	is.Equal(body, "whole")
+}
+
 // Guards against bytes after a response that are taken for the next response.
 func TestBytesAfterResponseAreNoNextResponse(t *testing.T) {
 	is := is.New(t)
