catalog: removals are not forgotten all at once; a renewed lease is counted from the call

Cause: at 512 tombstones all were dropped, so that late copies of targets that had just left brought them back. The driver counted a renewed lease from the response. Change: the older half of 2,048 tombstones is dropped. A renewed lease lasts from the sending of its call. The lease decides no write, so it has no test.

--- a/internal/command/catalog/driver.go
+++ b/internal/command/catalog/driver.go
@@ -119,7 +119,7 @@
 	case d.lease == 0:
 		c.campaign(now, service, d)
 	case !now.Before(d.renewAt):
-		c.renewDriverLease(d)
+		c.renewDriverLease(now, d)
 	}
 }
 
@@ -222,7 +222,7 @@
 	}
 }
 
-func (c *Core) renewDriverLease(d *moveDriver) {
+func (c *Core) renewDriverLease(started time.Time, d *moveDriver) {
 	d.callPending = true
 	c.callStore(store.Call{Kind: store.KindKeepAlive, Priority: store.PriorityLease, Reason: "drive", Lease: d.lease},
 		func(now time.Time, r store.Result) {
@@ -230,8 +230,8 @@
 			d.renewAt = now.Add(driverLeaseTTL / renewalsPerTTL)
 			switch r.Outcome {
 			case store.Applied:
-				// The new lifetime began when the platform processed the call, which was before this response.
-				d.heldUntil = now.Add(driverLeaseTTL - driverLeaseTTL/renewalsPerTTL)
+				// The new lifetime began when the platform processed the call, at the earliest when it was sent.
+				d.heldUntil = started.Add(driverLeaseTTL)
 			case store.NotFound:
 				c.log("driver-lost", "service", string(c.cfg.Target.Service), "reason", "the lease has ended")
 				d.lease, d.campaignAt = 0, now
--- a/internal/command/catalog/replica.go
+++ b/internal/command/catalog/replica.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -18,8 +20,9 @@
 	// loadedListBackoff is the backoff of a daemon that has loaded all keys and does not watch the prefix: its peers send it
 	// the changes.
 	loadedListBackoff = 4 * time.Second
-	// maxTombstones bounds the tombstones, which keep delayed copies of removed entries from being taken again.
-	maxTombstones = 512
+	// maxTombstones bounds the tombstones, which keep delayed copies of removed entries from being taken again. The older half
+	// is dropped when it is reached.
+	maxTombstones = 2048
 )
 
 // keyReplica is the local replica of all keys below one prefix of the platform's store. Lists from the platform are
@@ -177,7 +180,7 @@
 		return false
 	}
 	if len(k.tombstones) >= maxTombstones {
-		clear(k.tombstones)
+		k.dropOldTombstones()
 	}
 	k.tombstones[key] = revision
 	k.revision = max(k.revision, revision)
@@ -193,6 +196,14 @@
 	return true
 }
 
+// dropOldTombstones drops the older half of the tombstones: copies of entries that were removed recently are the most likely to
+// arrive late.
+func (k *keyReplica) dropOldTombstones() {
+	revisions := slices.Sorted(maps.Values(k.tombstones))
+	oldestKept := revisions[len(revisions)/2]
+	maps.DeleteFunc(k.tombstones, func(_ string, revision int64) bool { return revision < oldestKept })
+}
+
 // forget drops the entry of a key, so that the next entry for the key is stored whatever its revision.
 func (k *keyReplica) forget(key string) { delete(k.entries, key) }
 
--- a/internal/command/catalog/simulation_test.go
+++ b/internal/command/catalog/simulation_test.go
@@ -58,8 +58,8 @@
 	// storeCalls counts calls to the platform's store by reason, and evidenceQueries the evidence queries that the node sent.
 	storeCalls      map[string]int
 	evidenceQueries int
-	// catalogQueries counts the catalog queries that the node sent.
-	catalogQueries int
+	// catalogQueries counts the catalog queries that the node sent, and spreadsSent its gossip messages.
+	catalogQueries, spreadsSent int
 	// changesReceived counts the changes in the catalog replies that the node received.
 	changesReceived int
 	// healthyInstance is the instance with which the target answers health checks.
@@ -165,6 +165,9 @@
 		if _, ok := e.Body.(*message.CatalogQuery); ok {
 			n.catalogQueries++
 		}
+		if _, ok := e.Body.(*message.Spread); ok {
+			n.spreadsSent++
+		}
 		reply, answered := sim.deliver(n, e)
 		if !answered {
 			n.unanswered = append(n.unanswered, unansweredRequest{sim.now.Add(sendTimeout), effect.SendDone{Request: e.Request}})
