telemetry: log lines of 100 ms are written together

Cause: each line woke the writer and made a system call; a daemon writes two to three lines a call. Change: the writer collects the lines of 100 ms. A daemon that is killed loses the lines of its last 100 ms. Measured: TestBoundedWriterCollectsLines: at most 10 writes for 100 lines (before: 100, derived from the code).

--- a/internal/telemetry/bounded.go
+++ b/internal/telemetry/bounded.go
@@ -13,6 +13,9 @@
 	maxQueuedLines = 512
 	// dropReportInterval is how often the number of dropped lines is logged while lines are dropped.
 	dropReportInterval = time.Second
+	// collectTime is how long lines are collected for one write. A write for each line wakes a goroutine and makes a system call
+	// for each call of the mesh.
+	collectTime = 100 * time.Millisecond
 )
 
 // BoundedWriter writes complete lines to a slow writer without ever blocking its callers: one goroutine writes, and lines
@@ -22,13 +25,13 @@
 	lines             chan []byte
 	droppedUnreported atomic.Int64
 	droppedTotal      atomic.Int64
-	done              chan struct{}
+	closing, done     chan struct{}
 	closeOnce         sync.Once
 }
 
 // NewBoundedWriter returns a writer and starts its goroutine, which Close ends.
 func NewBoundedWriter(w io.Writer) *BoundedWriter {
-	b := &BoundedWriter{w: w, lines: make(chan []byte, maxQueuedLines), done: make(chan struct{})}
+	b := &BoundedWriter{w: w, lines: make(chan []byte, maxQueuedLines), closing: make(chan struct{}), done: make(chan struct{})}
 	go b.run()
 	return b
 }
@@ -50,7 +53,10 @@
 
 // Close writes the queued lines and stops the goroutine. Write must not be called after it.
 func (b *BoundedWriter) Close() {
-	b.closeOnce.Do(func() { close(b.lines) })
+	b.closeOnce.Do(func() {
+		close(b.closing)
+		close(b.lines)
+	})
 	<-b.done
 }
 
@@ -59,7 +65,7 @@
 	var reported time.Time
 	for line := range b.lines {
 		// A failure to write the log cannot be reported anywhere.
-		_, _ = b.w.Write(line)
+		_, _ = b.w.Write(b.collect(line))
 		if n := b.droppedUnreported.Load(); n > 0 && time.Since(reported) >= dropReportInterval {
 			reported = time.Now()
 			b.droppedUnreported.Add(-n)
@@ -67,3 +73,24 @@
 		}
 	}
 }
+
+// collect returns a line followed by those that are queued until collectTime has passed or the writer is closed.
+func (b *BoundedWriter) collect(line []byte) []byte {
+	timer := time.NewTimer(collectTime)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-b.closing:
+	}
+	for {
+		select {
+		case next, ok := <-b.lines:
+			if !ok {
+				return line
+			}
+			line = append(line, next...)
+		default:
+			return line
+		}
+	}
+}
--- a/internal/telemetry/bounded_test.go
+++ b/internal/telemetry/bounded_test.go
@@ -42,3 +42,31 @@
 	is.Equal(int64(written)+b.Dropped(), int64(lines))
 	is.True(strings.Contains(slow.text.String(), "event=log-lines-dropped"))
 }
+
+// countingWriter counts writes and keeps the text.
+type countingWriter struct {
+	writes int
+	text   strings.Builder
+}
+
+func (w *countingWriter) Write(p []byte) (int, error) {
+	w.writes++
+	return w.text.Write(p)
+}
+
+// Guards against lines that are lost or mixed up when they are written together, and against a write for each line.
+func TestBoundedWriterCollectsLines(t *testing.T) {
+	is := is.New(t)
+	out := &countingWriter{}
+	b := telemetry.NewBoundedWriter(out)
+	want := strings.Builder{}
+	for i := range 100 {
+		line := strings.Repeat("x", i) + "\n"
+		want.WriteString(line)
+		_, err := b.Write([]byte(line))
+		is.NoErr(err)
+	}
+	b.Close()
+	is.Equal(out.text.String(), want.String())
+	is.True(out.writes <= 10)
+}
