routing: a selection reads the load of a bounded number of targets

Cause: each call read the load of all targets of its version, 138 at the largest service of the users, although two of each data centre are compared. Change: up to eight targets of each tier are read, from a random position on.

--- a/internal/query/routing/candidates.go
+++ b/internal/query/routing/candidates.go
@@ -1,11 +1,46 @@
 package routing
 
-import "sniperail.example/sniperail/internal/model"
+import (
+	"slices"
+
+	"sniperail.example/sniperail/internal/model"
+)
+
+// consideredPerTier is the number of targets of a tier whose load is read for a call. It bounds the work of a selection, which would
+// otherwise grow with the number of targets.
+const consideredPerTier = 8
 
 // choicesPerTier is the number of targets of a tier that are compared for a call. Load reports are up to seconds old: if all
 // targets were compared, many daemons would send their calls to the same target until its next reports show the queue.
 const choicesPerTier = 2
 
+// appendTier appends up to consideredPerTier targets of a tier that have not been tried, from a random position on, and
+// the suspect ones between them, which do not count.
+func (v *Version) appendTier(candidates []candidate, tier int, loads LoadProvider, random RandomSource,
+	tried []model.DaemonID) []candidate {
+	targets := v.tiers[tier]
+	if len(targets) == 0 {
+		return candidates
+	}
+	offset := int(random.Uint64() % uint64(len(targets)))
+	trusted := 0
+	for i := range targets {
+		target := targets[(offset+i)%len(targets)]
+		if slices.Contains(tried, target.Daemon) {
+			continue
+		}
+		load := loads.Load(target)
+		candidates = append(candidates, candidate{target: target, load: load, tier: tier})
+		if load.Suspect {
+			continue
+		}
+		if trusted++; trusted == consideredPerTier {
+			break
+		}
+	}
+	return candidates
+}
+
 // assumeMeanLoad replaces the load of each target without a fresh report by the mean of the fresh reports of its data centre.
 // If it counted as idle, it would be preferred to every target whose load is known, although it is as busy as they are. A data
 // centre without any fresh report counts as idle, so that a call finds out.
--- a/internal/query/routing/expected_loss.go
+++ b/internal/query/routing/expected_loss.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"sniperail.example/sniperail/internal/model"
@@ -96,7 +95,7 @@
 // lowest. The loss covers a response that takes longer than s.Remaining, a failure, and the distance to the target. It reports
 // false if there is no target.
 func (v *Version) SelectByExpectedLoss(loads LoadProvider, random RandomSource, s Selection) (Choice, bool) {
-	candidates := drawCandidates(v.candidates(loads, s), random)
+	candidates := drawCandidates(v.candidates(loads, random, s), random)
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
@@ -123,25 +122,21 @@
 	return choice, true
 }
 
-// candidates returns the targets that may be selected, in the order of their tiers, with the expected wait and execution time
-// at each. A target without a reported time is assumed to be as fast as the fastest one, so that it receives a call soon. For
+// candidates returns targets that may be selected, up to a few of each tier in the order of the tiers, with the expected wait and
+// execution time at each. A target without a reported time is assumed to be as fast as the fastest one, so that it receives a call soon. For
 // the same reason, an old report of a slow target loses weight.
-func (v *Version) candidates(loads LoadProvider, s Selection) []candidate {
-	candidates := make([]candidate, 0, v.ReadyCount())
-	fastest := time.Duration(0)
-	for tier, targets := range v.tiers {
+func (v *Version) candidates(loads LoadProvider, random RandomSource, s Selection) []candidate {
+	candidates := make([]candidate, 0, min(v.ReadyCount(), len(v.tiers)*consideredPerTier))
+	for tier := range v.tiers {
 		if s.OwnDataCentre && tier > 0 && len(candidates) > 0 {
 			break
 		}
-		for _, target := range targets {
-			if slices.Contains(s.Tried, target.Daemon) {
-				continue
-			}
-			load := loads.Load(target)
-			candidates = append(candidates, candidate{target: target, load: load, tier: tier})
-			if load.ExecutionTime > 0 && (fastest == 0 || load.ExecutionTime < fastest) {
-				fastest = load.ExecutionTime
-			}
+		candidates = v.appendTier(candidates, tier, loads, random, s.Tried)
+	}
+	fastest := time.Duration(0)
+	for i := range candidates {
+		if load := &candidates[i].load; load.ExecutionTime > 0 && (fastest == 0 || load.ExecutionTime < fastest) {
+			fastest = load.ExecutionTime
 		}
 	}
 	if fastest == 0 {
