--- a/cmd/sniperail-sidecar/main_test.go
+++ b/cmd/sniperail-sidecar/main_test.go
@@ -17,6 +17,7 @@
 	"app_addr": "10.1.0.8:8301", "listen.outbound": "10.1.0.8:8304", "listen.inbound": "10.1.0.8:8300", "listen.control": "10.1.0.8:8306",
 	"listen.ready": "10.1.0.8:8302", "port_range.0": "7620", "platform.address": "10.200.1.7:8309", "platform.ttl_min_ms": "1000",
 	"seeds": "10.1.0.9:8306,10.1.0.10:8306", "bounds": "drain_ms=2000,grace_s=7,retry_budget_ratio=0.25,budget_slack=62",
+	"bootstrap": "true",
 }
 
 // Guards against settings in the template that the program does not know, and against settings that get a wrong value.
@@ -48,6 +49,7 @@
 	is.Equal(c.Grace, 7*time.Second)
 	is.Equal(c.RetryRatio, 0.25)
 	is.Equal(c.MinLease, time.Second)
+	is.True(c.FirstStart)
 }
 
 // Guards against a start with invalid settings, and against a refusal that names only the first of them.
--- a/internal/command/catalog/catalog.go
+++ b/internal/command/catalog/catalog.go
@@ -50,6 +50,8 @@
 	Rand     *rand.Rand
 	// MinLease is the shortest lease that the platform grants.
 	MinLease time.Duration
+	// FirstStart says that all daemons start for the first time, so that no target has been announced yet.
+	FirstStart bool
 }
 
 // Core holds all control state of a daemon. It is not safe for concurrent use: one goroutine calls it.
@@ -94,6 +96,8 @@
 	// keys, settledAt the time at which it counts as settled unless it learns of another daemon.
 	loadedAt, settledAt time.Time
 	settled             bool
+	// startedAt is the time of the first event.
+	startedAt time.Time
 	// discovered says that the announcements were listed again because there were none at first.
 	discovered bool
 
@@ -122,6 +126,9 @@
 
 // Handle processes one event and returns the effects that the caller must perform, in order.
 func (c *Core) Handle(now time.Time, ev effect.Event) []effect.Effect {
+	if c.startedAt.IsZero() {
+		c.begin(now)
+	}
 	switch ev := ev.(type) {
 	case effect.Wake:
 	case effect.StoreDone:
@@ -163,6 +170,16 @@
 	return effects
 }
 
+// begin prepares the first event. When all daemons start for the first time, the keys are listed once the others have announced
+// their targets: an earlier list would find nothing, and would have to be repeated.
+func (c *Core) begin(now time.Time) {
+	c.startedAt = now
+	if c.cfg.FirstStart {
+		c.operatorKeys.scheduleList(now.Add(settleDelay))
+		c.meshKeys.scheduleList(now.Add(settleDelay))
+	}
+}
+
 // runDueTasks starts whatever is due at this time, and gossips the changes of this event.
 func (c *Core) runDueTasks(now time.Time) {
 	c.askWhileBehind(now)
--- a/internal/command/catalog/fleet_test.go
+++ b/internal/command/catalog/fleet_test.go
@@ -40,6 +40,32 @@
 	is.True(checksAndLists <= 2*daemons)
 }
 
+// Guards against lists that find nothing and are repeated when all daemons start for the first time, and against a daemon that is
+// not ready, or does not know the others, when the traffic begins.
+func TestFirstStartListsOnce(t *testing.T) {
+	is := is.New(t)
+	const daemons = 40
+	sim := startSimulation(t, daemons, true)
+	for i := range sim.nodes {
+		sim.startTarget(i, "v1")
+		sim.run(40 * time.Millisecond)
+	}
+	sim.configure(1, "/a/")
+	sim.run(6 * time.Second)
+	lists, calls := 0, 0
+	for _, n := range sim.nodes {
+		is.Equal(len(n.view.Targets), daemons)
+		is.True(n.view.Ready)
+		lists += n.listCalls
+		for _, count := range n.storeCalls {
+			calls += count
+		}
+	}
+	t.Logf("lists %d, calls %d", lists, calls)
+	is.True(lists <= 2*daemons+5)
+	is.True(calls <= 5*daemons)
+}
+
 // Guards against daemons that gossip misses although no message is lost. They would learn of a change only by anti-entropy, and
 // each would make a freshness check of its own.
 func TestGossipReachesEveryDaemon(t *testing.T) {
--- a/internal/command/catalog/watch.go
+++ b/internal/command/catalog/watch.go
@@ -54,13 +54,17 @@
 }
 
 // updateSettled records whether this daemon can be expected to know the others. A daemon that restarts finds them on the
-// platform and is settled at once. Any other one waits, since all may be starting for the first time.
+// platform and is settled at once. Any other one waits, since all may be starting for the first time; if they do, it has
+// waited before it listed the keys.
 func (c *Core) updateSettled(now time.Time) {
 	if c.settled || !c.operatorKeys.loaded || !c.meshKeys.loaded {
 		return
 	}
 	if c.loadedAt.IsZero() {
 		c.loadedAt, c.settledAt = now, now.Add(settleDelay)
+		if c.cfg.FirstStart {
+			c.settledAt, c.discovered = now.Add(settleQuiet), true
+		}
 		if c.local.restarted {
 			c.settle()
 		}
--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -22,6 +22,8 @@
 	Platform   string   `required:"" placeholder:"URL" help:"Base URL of the platform's store."`
 	Seeds      []string `placeholder:"HOST:PORT" help:"Peer addresses of other daemons, asked while the platform cannot be read."`
 
+	FirstStart bool `help:"All daemons start for the first time, so that no target has been announced yet."`
+
 	MinLease    time.Duration `default:"1s" help:"Shortest lease that the platform grants."`
 	Grace       time.Duration `default:"6s" help:"Time from SIGTERM until the process is killed."`
 	RetryRatio  float64       `default:"0.2" help:"Retries of all daemons for a service, as a part of its requests."`
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -161,7 +161,7 @@
 			State: model.TargetStarting,
 		},
 		Seeds: d.settings.Seeds, Operator: d.adapter.Operator, Records: document.JSON{}, Rand: process.NewRand(),
-		MinLease: d.settings.MinLease,
+		MinLease: d.settings.MinLease, FirstStart: d.settings.FirstStart,
 	})
 	counted := d.metrics.ControlBytesCounter()
 	d.peerClient = peer.NewClient(counted)
