traffic: connections of the pipelining server, and the chain of the tests, have files of their own

Change: pipeline_conn.go and chain_test.go; one function starts the server in tests. The assertions are unchanged. Measured: go test -race ./internal/traffic.

--- /dev/null
+++ b/internal/traffic/chain_test.go
@@ -0,0 +1,233 @@
+package traffic_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"sniperail.example/sniperail/internal/command/retry"
+	"sniperail.example/sniperail/internal/model"
+	"sniperail.example/sniperail/internal/query/routing"
+	"sniperail.example/sniperail/internal/telemetry"
+	"sniperail.example/sniperail/internal/traffic"
+)
+
+var headerNames = traffic.Headers{
+	RequestID: "X-Id", Deadline: "X-Deadline", ExpectInstance: "X-Expect", NotExecuted: "X-Not-Executed",
+	CallerService: "X-Caller", TargetLoad: "X-Load",
+}
+
+// scriptedTarget is a target that answers each request with the bytes that a function returns, and records the requests.
+type scriptedTarget struct {
+	listener net.Listener
+	respond  func(n int, r *http.Request) string
+	received atomic.Int64
+	group    sync.WaitGroup
+	mu       sync.Mutex
+	headers  []http.Header
+	conns    []net.Conn
+	// filler is written after each response until the connection is closed, which is then reported to cut; "" for none.
+	filler string
+	cut    chan struct{}
+	// ending says what happens to the connection after a response.
+	ending connectionEnding
+}
+
+// connectionEnding is what a scripted target does with a connection after a response.
+type connectionEnding uint8
+
+const (
+	keepConnection connectionEnding = iota
+	closeConnection
+	resetConnection
+)
+
+func startScriptedTarget(t *testing.T, respond func(n int, r *http.Request) string) *scriptedTarget {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &scriptedTarget{listener: listener, respond: respond, cut: make(chan struct{}, 1)}
+	s.group.Add(1)
+	go func() {
+		defer s.group.Done()
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			s.mu.Lock()
+			s.conns = append(s.conns, conn)
+			s.mu.Unlock()
+			s.group.Add(1)
+			go s.serve(conn)
+		}
+	}()
+	t.Cleanup(func() {
+		_ = listener.Close()
+		s.mu.Lock()
+		for _, c := range s.conns {
+			_ = c.Close()
+		}
+		s.mu.Unlock()
+		s.group.Wait()
+	})
+	return s
+}
+
+func (s *scriptedTarget) serve(conn net.Conn) {
+	defer s.group.Done()
+	defer func() { _ = conn.Close() }()
+	r := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		n := int(s.received.Add(1))
+		s.mu.Lock()
+		s.headers = append(s.headers, request.Header.Clone())
+		s.mu.Unlock()
+		response := s.respond(n, request)
+		if response == "" {
+			return
+		}
+		response = strings.ReplaceAll(response, "ID", request.Header.Get("X-Id"))
+		send, _, _ := strings.Cut(request.Header.Get(traffic.HeaderDispatch), " ")
+		response = strings.ReplaceAll(response, "SEND", send)
+		if s.filler != "" {
+			_, _ = io.WriteString(conn, response)
+			s.writeEndlessly(conn)
+			return
+		}
+		if _, err := io.WriteString(conn, response); err != nil || strings.Contains(response, "Connection: close") {
+			return
+		}
+		if s.ending == resetConnection {
+			_ = conn.(*net.TCPConn).SetLinger(0)
+		}
+		if s.ending != keepConnection {
+			return
+		}
+	}
+}
+
+const okResponse = "HTTP/1.1 200 OK\r\nX-Id: ID\r\nX-Stamp: s\r\nContent-Length: 5\r\n\r\nwhole"
+
+// chain is an Outbound that sends requests to the Inbounds of some targets.
+type chain struct {
+	url      string
+	inbounds []*traffic.Inbound
+	table    *routing.Table
+	metrics  *telemetry.Metrics
+	// deadline is the deadline that calls set.
+	deadline time.Duration
+}
+
+func (c *chain) Table() *routing.Table { return c.table }
+
+// startChain starts a chain with a route for idempotent requests below /safe/ and one for other requests below /once/.
+func startChain(t *testing.T, targets ...*scriptedTarget) *chain {
+	t.Helper()
+	return startChainWithDaemons(t, nil, targets)
+}
+
+// startChainWithDaemons starts a chain whose first targets are behind scripted daemons, which get the requests of the Outbound
+// themselves.
+func startChainWithDaemons(t *testing.T, daemons, targets []*scriptedTarget) *chain {
+	t.Helper()
+	metrics, err := telemetry.NewMetrics("test")
+	if err != nil {
+		t.Fatal(err)
+	}
+	m, err := traffic.NewMetrics(metrics)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.FractionalRetryAfter = true
+	log := traffic.RequestLog{Logger: zap.NewNop(), RequestID: headerNames.RequestID}
+	c := &chain{metrics: metrics, deadline: 10 * time.Second}
+	view := &model.View{Ready: true, DataCentre: "d", Configuration: &model.Configuration{
+		Services: []model.Service{{Name: "s", Versions: []model.VersionShare{{Version: "v1", Share: model.FullShare}}}},
+		Routes: []model.Route{
+			{Name: "safe", Service: "s", PathPrefix: "/safe/", Idempotent: true, MaxAttempts: 2, TimeoutMS: 20_000},
+			{Name: "once", Service: "s", PathPrefix: "/once/", MaxAttempts: 2, TimeoutMS: 20_000},
+			{Name: "named % with spaces", Service: "s", PathPrefix: "/named/", MaxAttempts: 2, TimeoutMS: 20_000},
+		},
+	}}
+	for i, daemon := range daemons {
+		view.Targets = append(view.Targets, model.Target{
+			Daemon: model.DaemonID(fmt.Sprint("s", i)), Service: "s", Version: "v1", DataCentre: "d", State: model.TargetReady,
+			Instance: "i", Slots: 4, Address: daemon.listener.Addr().String(),
+		})
+	}
+	for i, target := range targets {
+		in := traffic.NewInbound(traffic.InboundOptions{
+			Address: target.listener.Addr().String(), Headers: headerNames, Metrics: m, Limits: traffic.DefaultLimits(), Log: log,
+			Observe: func([]model.KeyedSum, int, time.Time) bool { return true },
+		})
+		server := httptest.NewServer(in)
+		t.Cleanup(server.Close)
+		t.Cleanup(in.Close)
+		described := model.Target{
+			Daemon: model.DaemonID(fmt.Sprint("d", i)), Service: "s", Version: "v1", DataCentre: "d", State: model.TargetReady,
+			Instance: model.InstanceID(fmt.Sprint("i", i)), Slots: 4, Address: server.Listener.Addr().String(),
+		}
+		in.SetTarget(described, false)
+		view.Targets = append(view.Targets, described)
+		c.inbounds = append(c.inbounds, in)
+	}
+	c.table = routing.NewTable(view)
+	out := traffic.NewOutbound(traffic.OutboundOptions{
+		Tables: c, Headers: headerNames, Metrics: m, Limits: traffic.DefaultLimits(), Log: log, Service: "own",
+		Budget: retry.SharedLimit{Ratio: 1, Slack: 100, Window: time.Minute},
+	})
+	_, address := servePipelined(t, out, func(conn net.Conn) net.Conn { return conn })
+	c.url = "http://" + address
+	t.Cleanup(out.Close)
+	return c
+}
+
+// scrape returns the metrics as text.
+func (c *chain) scrape(t *testing.T) string {
+	t.Helper()
+	w := httptest.NewRecorder()
+	c.metrics.Handler().ServeHTTP(w, httptest.NewRequestWithContext(t.Context(), "GET", "/metrics", nil))
+	return w.Body.String()
+}
+
+// call sends a request and returns the status, the header and the body, or an error if the response is incomplete.
+func (c *chain) call(ctx context.Context, method, path string) (int, http.Header, string, error) {
+	return c.callWithID(ctx, "req-1", method, path)
+}
+
+// callWithID sends a request with an id like call.
+func (c *chain) callWithID(ctx context.Context, id, method, path string) (int, http.Header, string, error) {
+	r, err := http.NewRequestWithContext(ctx, method, c.url+path, nil)
+	if err != nil {
+		return 0, nil, "", err
+	}
+	r.Header.Set("X-Id", id)
+	r.Header.Set("X-Deadline", strconv.FormatInt(c.deadline.Milliseconds(), 10))
+	response, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		return 0, nil, "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return response.StatusCode, response.Header, string(body), err
+}
--- /dev/null
+++ b/internal/traffic/pipeline_conn.go
@@ -0,0 +1,308 @@
+package traffic
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// pipelineConn is one connection. One goroutine reads its requests, one writes its responses, and each request runs on its
+// own.
+type pipelineConn struct {
+	server *PipelineServer
+	conn   net.Conn
+	reader *bufio.Reader
+	limit  headerLimitReader
+	// responses holds the responses in the order of their requests.
+	responses chan *pipelinedResponse
+	// semaphore holds an element per running request, at most maxRunning.
+	semaphore chan struct{}
+	// cancel cancels all running requests.
+	cancel context.CancelFunc
+
+	mu sync.Mutex
+	// pending counts the requests of which a byte has been read and that have not been answered.
+	pending int
+	// undecided counts those of them for whose responses it has not been decided whether the connection closes.
+	undecided int
+	// closing means that the connection closes after the response being written. Its head tells the caller that later requests
+	// were not read, so none may be read after that.
+	closing bool
+}
+
+// headerLimitReader returns errHeaderTooLong once left bytes have been read.
+type headerLimitReader struct {
+	conn net.Conn
+	left int
+}
+
+var errHeaderTooLong = errors.New("the request header is over the limit")
+
+func (l *headerLimitReader) Read(p []byte) (int, error) {
+	if l.left <= 0 {
+		return 0, errHeaderTooLong
+	}
+	n, err := l.conn.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
+}
+
+func (c *pipelineConn) serve() {
+	defer c.server.remove(c)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	c.cancel = cancel
+	c.limit.conn = c.conn
+	c.reader = bufio.NewReaderSize(&c.limit, requestBuffer)
+	c.responses = make(chan *pipelinedResponse, maxPipelined)
+	c.semaphore = make(chan struct{}, maxRunning)
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		c.write()
+	}()
+	for c.read(ctx) {
+	}
+	c.awaitClose()
+	close(c.responses)
+	<-written
+	_ = c.conn.Close()
+}
+
+// read reads one request and starts its handler. It reports whether another request may follow.
+func (c *pipelineConn) read(ctx context.Context) bool {
+	c.limit.left = noReadLimit
+	if _, err := c.reader.Peek(1); err != nil || ctx.Err() != nil || !c.beginRequest() {
+		return false
+	}
+	c.limit.left = c.server.options.HeaderBytes + requestBuffer
+	request, err := http.ReadRequest(c.reader)
+	c.limit.left = noReadLimit
+	if err != nil {
+		c.refuseUnreadable(err)
+		return false
+	}
+	c.clearReadDeadline()
+	r := newPipelinedResponse(c, request)
+	if request.Host == "" || request.ProtoMajor != 1 {
+		r.setErrorStatus(http.StatusBadRequest)
+		c.responses <- r
+		return false
+	}
+	c.responses <- r
+	return c.start(ctx, r)
+}
+
+// awaitClose reads until the caller closes the connection or the read deadline passes. If the caller has closed it, the
+// running requests are cancelled.
+func (c *pipelineConn) awaitClose() {
+	_, err := io.Copy(io.Discard, c.conn)
+	if !isTimeout(err) {
+		c.cancel()
+	}
+}
+
+// noReadLimit is the read limit while a body is read, which is in effect none; the handler limits the length of a body.
+const noReadLimit = 1 << 40
+
+// refuseUnreadable responds to a request that could not be parsed, unless the caller has disconnected.
+func (c *pipelineConn) refuseUnreadable(err error) {
+	status := http.StatusBadRequest
+	switch {
+	case errors.Is(err, errHeaderTooLong):
+		status = http.StatusRequestHeaderFieldsTooLarge
+	case isTimeout(err):
+		status = http.StatusRequestTimeout
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), isReset(err):
+		c.abandonRequest()
+		return
+	}
+	c.clearReadDeadline()
+	r := newPipelinedResponse(c, nil)
+	r.setErrorStatus(status)
+	c.responses <- r
+}
+
+func isReset(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op)
+}
+
+// start runs the handler of a request: on its own goroutine if the body is buffered, else before it returns. It returns
+// false if no request can follow on the connection.
+func (c *pipelineConn) start(ctx context.Context, r *pipelinedResponse) bool {
+	request := r.request
+	ctx, cancel := context.WithCancel(ctx)
+	r.request = request.WithContext(context.WithValue(ctx, arrivalTimeKey{}, time.Now()))
+	r.request.RemoteAddr = c.conn.RemoteAddr().String()
+	if request.Header.Get("Expect") == "100-continue" && request.ContentLength != 0 {
+		r.request.Body = &continueBody{ReadCloser: request.Body, response: r}
+	}
+	bodyBuffered, err := c.bufferBody(r.request)
+	if err != nil {
+		cancel()
+		r.abort()
+		return false
+	}
+	if bodyBuffered {
+		c.semaphore <- struct{}{}
+		go func() {
+			defer func() { <-c.semaphore }()
+			defer cancel()
+			r.run()
+		}()
+		return !request.Close
+	}
+	// The handler reads the body from the connection, so the next request can be read only after the handler has returned.
+	r.run()
+	cancel()
+	_, err = io.Copy(io.Discard, io.LimitReader(request.Body, maxReplayBody))
+	return err == nil && !request.Close
+}
+
+// bufferBody reads a short body, so that the next request can be read while this one runs. It reports whether the whole
+// body is buffered.
+func (c *pipelineConn) bufferBody(r *http.Request) (bool, error) {
+	if r.ContentLength == 0 {
+		return true, nil
+	}
+	if _, needsContinue := r.Body.(*continueBody); needsContinue || r.ContentLength > maxReplayBody {
+		return false, nil
+	}
+	_ = c.conn.SetReadDeadline(time.Now().Add(bodyTimeout))
+	defer func() { _ = c.conn.SetReadDeadline(time.Time{}) }()
+	start, err := io.ReadAll(io.LimitReader(r.Body, maxReplayBody+1))
+	if err != nil {
+		return false, err
+	}
+	if len(start) <= maxReplayBody {
+		r.Body = io.NopCloser(bytes.NewReader(start))
+		return true, nil
+	}
+	r.Body = io.NopCloser(io.MultiReader(bytes.NewReader(start), r.Body))
+	return false, nil
+}
+
+// beginRequest counts a request as pending once its first byte has been read, and bounds the time until its header is read. It
+// returns false for a request that must not be read, because a response before it closes the connection or, once the server
+// reads no more, will close it.
+func (c *pipelineConn) beginRequest() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing || c.undecided > 0 && c.server.stoppedReading.Load() {
+		return false
+	}
+	c.pending++
+	c.undecided++
+	c.server.pending.begin()
+	_ = c.conn.SetReadDeadline(time.Now().Add(c.server.options.HeaderTimeout()))
+	return true
+}
+
+// clearReadDeadline removes the deadline of a request header that has been read.
+func (c *pipelineConn) clearReadDeadline() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.closing {
+		_ = c.conn.SetReadDeadline(time.Time{})
+	}
+}
+
+// abandonRequest ends a request that its caller never completed.
+func (c *pipelineConn) abandonRequest() {
+	c.mu.Lock()
+	c.undecided--
+	c.mu.Unlock()
+	c.endRequest()
+}
+
+// endRequest counts a request as answered, and starts the idle timeout if no other is pending.
+func (c *pipelineConn) endRequest() {
+	c.server.pending.end()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pending--
+	if c.pending > 0 || c.closing {
+		return
+	}
+	timeout := c.server.options.IdleTimeout()
+	if c.server.stoppedReading.Load() {
+		timeout = StopLinger
+	}
+	_ = c.conn.SetReadDeadline(time.Now().Add(timeout))
+}
+
+// stopIfIdle ends the reading of a connection without a pending request after StopLinger.
+func (c *pipelineConn) stopIfIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pending == 0 && !c.closing {
+		_ = c.conn.SetReadDeadline(time.Now().Add(StopLinger))
+	}
+}
+
+// decideClosing decides whether the connection closes after the response being written: if that is required, or if the server
+// is draining and no other request has been read behind it.
+func (c *pipelineConn) decideClosing(required bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closing = required || c.server.draining.Load() && c.undecided == 1
+	c.undecided--
+	return c.closing
+}
+
+// write writes the responses in order. The responses after one that closes the connection are discarded.
+func (c *pipelineConn) write() {
+	writer := bufio.NewWriterSize(c.conn, responseBuffer)
+	state := stateOpen
+	for r := range c.responses {
+		if state == stateOpen {
+			if state = r.writeTo(writer); state != stateOpen {
+				c.closeAfterLast(state)
+			}
+		}
+		r.discard()
+		c.endRequest()
+	}
+}
+
+// connState is the state of a connection after a response.
+type connState uint8
+
+const (
+	stateOpen connState = iota
+	// stateLast means that the response is complete and the last one, stateBroken that it is incomplete and the caller
+	// must be able to tell.
+	stateLast
+	stateBroken
+)
+
+// closeAfterLast closes the sending side after the last response, because bytes that arrive after a full close would reset
+// the connection and the response could be lost. After a broken response it closes the connection at once.
+func (c *pipelineConn) closeAfterLast(state connState) {
+	c.cancel()
+	half, ok := c.conn.(interface{ CloseWrite() error })
+	if state == stateBroken || !ok || half.CloseWrite() != nil {
+		_ = c.conn.Close()
+		return
+	}
+	_ = c.conn.SetReadDeadline(time.Now().Add(closeLinger))
+}
+
+// arrivalTimeKey is the context key of the time at which a request was read.
+type arrivalTimeKey struct{}
+
+// arrivalTime returns the time at which a PipelineServer read the request, or the current time for another server.
+func arrivalTime(r *http.Request) time.Time {
+	if at, ok := r.Context().Value(arrivalTimeKey{}).(time.Time); ok {
+		return at
+	}
+	return time.Now()
+}
--- a/internal/traffic/pipeline_server_test.go
+++ b/internal/traffic/pipeline_server_test.go
@@ -20,30 +20,61 @@
 
 // startPipeline serves a handler and returns a connection to it.
 func startPipeline(t *testing.T, handler http.HandlerFunc) (*traffic.PipelineServer, *net.TCPConn) {
+	t.Helper()
+	server, address := servePipelined(t, handler, func(conn net.Conn) net.Conn { return conn })
+	return server, dialPipeline(t, address)
+}
+
+// servePipelined serves a handler on the server that the callers of a sidecar are connected to, and returns it and its address.
+// Each accepted connection is wrapped.
+func servePipelined(t *testing.T, handler http.Handler, wrap func(net.Conn) net.Conn) (*traffic.PipelineServer, string) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
+	minute := func() time.Duration { return time.Minute }
 	server := traffic.NewPipelineServer(traffic.PipelineOptions{
-		Handler: handler, HeaderBytes: 2 << 10, Logger: zap.NewNop(),
-		HeaderTimeout: func() time.Duration { return time.Minute }, IdleTimeout: func() time.Duration { return time.Minute },
+		Handler: handler, HeaderBytes: 2 << 10, Logger: zap.NewNop(), HeaderTimeout: minute, IdleTimeout: minute,
 	})
-	var group sync.WaitGroup
-	group.Add(1)
-	go func() { defer group.Done(); _ = server.Serve(listener) }()
-	conn, err := net.Dial("tcp", listener.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		_ = server.Serve(wrappingListener{listener, wrap})
+	}()
 	t.Cleanup(func() {
-		_ = conn.Close()
 		_ = listener.Close()
 		_ = server.Close()
-		group.Wait()
+		<-served
+		http.DefaultTransport.(*http.Transport).CloseIdleConnections()
 	})
+	return server, listener.Addr().String()
+}
+
+// wrappingListener wraps accepted connections.
+type wrappingListener struct {
+	net.Listener
+	wrap func(net.Conn) net.Conn
+}
+
+func (l wrappingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.wrap(conn), nil
+}
+
+// dialPipeline returns a connection of a caller.
+func dialPipeline(t *testing.T, address string) *net.TCPConn {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
 	_ = conn.SetDeadline(time.Now().Add(hangTimeout))
-	return server, conn.(*net.TCPConn)
+	return conn.(*net.TCPConn)
 }
 
 // hangTimeout ends a test that hangs; no assertion depends on it.
--- a/internal/traffic/pipeline_stop_test.go
+++ b/internal/traffic/pipeline_stop_test.go
@@ -8,10 +8,8 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
-	"go.uber.org/zap"
 
 	"sniperail.example/sniperail/internal/traffic"
 )
@@ -40,50 +38,13 @@
 
 func (c *gatedConn) CloseWrite() error { return c.Conn.(*net.TCPConn).CloseWrite() }
 
-// gatedListener wraps accepted connections.
-type gatedListener struct {
-	net.Listener
-	wrap func(net.Conn) net.Conn
-}
-
-func (l gatedListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return l.wrap(conn), nil
-}
-
 // startGatedPipeline serves a handler on gated connections, and returns the server and a connection of a caller.
 func startGatedPipeline(t *testing.T, gates gatedConn, handler http.HandlerFunc) (*traffic.PipelineServer, net.Conn) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	server := traffic.NewPipelineServer(traffic.PipelineOptions{
-		Handler: handler, HeaderBytes: 2 << 10, Logger: zap.NewNop(),
-		HeaderTimeout: func() time.Duration { return time.Minute }, IdleTimeout: func() time.Duration { return time.Minute },
-	})
-	served := make(chan struct{})
-	go func() {
-		defer close(served)
-		_ = server.Serve(gatedListener{listener, func(conn net.Conn) net.Conn {
-			return &gatedConn{conn, gates.afterRead, gates.beforeWrite}
-		}})
-	}()
-	conn, err := net.Dial("tcp", listener.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() {
-		_ = conn.Close()
-		_ = listener.Close()
-		_ = server.Close()
-		<-served
+	server, address := servePipelined(t, handler, func(conn net.Conn) net.Conn {
+		return &gatedConn{conn, gates.afterRead, gates.beforeWrite}
 	})
-	_ = conn.SetDeadline(time.Now().Add(hangTimeout))
-	return server, conn
+	return server, dialPipeline(t, address)
 }
 
 // Guards against a request that has just been read when the server stops, and is cut off without a response. The stop comes
