catalog: the next move starts from the version that the last one left in force

An intent that followed a finished move gave the calls back to the replaced version, whose targets had not all left; if the targets of the old version had been replaced, a withdrawn version got all calls, because its targets were the oldest. The move was compared with that version too. Ruled out: the loss of the targets themselves: five of v2 were ready all the time. Change: the version besides the wanted one is the one that the latest move left in force, if it has a ready target. Measured: TestNextMoveStartsFromTheLastVersion and TestNextMoveAfterWithdrawalStartsFromTheOldVersion failed before (the wrong version had 100% of the calls) and pass; go test ./internal/command/catalog.

--- a/internal/command/catalog/driver.go
+++ b/internal/command/catalog/driver.go
@@ -314,7 +314,7 @@
 func (c *Core) createMove(service model.ServiceName, d *moveDriver) {
 	in := c.intents[service]
 	m := &model.Move{
-		ID: moveID(in), Service: service, From: oldVersion(c.targets(), service, in.To), To: in.To, Deadline: in.By,
+		ID: moveID(in), Service: service, From: c.oldVersion(c.targets(), service, in.To), To: in.To, Deadline: in.By,
 		Phase: model.PhaseRunning, Step: -1, ConfirmedBy: "operator",
 	}
 	var revision int64
--- a/internal/command/catalog/driver_test.go
+++ b/internal/command/catalog/driver_test.go
@@ -121,6 +121,62 @@
 	}
 }
 
+// nextMove returns the record of the move to v3. The last driver has revoked its lease, which ends its key.
+func nextMove(t *testing.T, sim *simulation) model.Move {
+	t.Helper()
+	sim.store.Expire(store.PrefixDrivers + "profiles")
+	runTraffic(sim, 5*time.Second, 0)
+	m := storedMove(t, sim)
+	if m.To != "v3" {
+		t.Fatalf("the move to v3 has not begun: %+v", m)
+	}
+	return m
+}
+
+// Guards against an intent that follows a finished move and gives the calls back to the version that the move replaced, because
+// some of its targets have not left yet, and against a new version that is compared with that version.
+func TestNextMoveStartsFromTheLastVersion(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t, 8)
+	startMove(sim)
+	runTraffic(sim, 13*time.Second, 0)
+	is.Equal(reportedPhase(sim), string(model.PhaseDone))
+	// The targets of v1 are still there when the next version starts on the last node.
+	sim.report(sim.nodes[7], model.TargetReport{Instance: "i7b", Born: 3, Seq: 1, Version: "v3", State: model.TargetReady})
+	sim.put("op/intent/profiles", model.Intent{Service: "profiles", To: "v3"})
+	for range 20 {
+		sim.run(20 * time.Millisecond)
+		for _, n := range sim.nodes {
+			is.Equal(shareOf(n.view, "v1"), model.Share(0))
+		}
+	}
+	is.Equal(nextMove(t, sim).From, model.VersionName("v2"))
+}
+
+// Guards against an intent that follows a withdrawal and gives calls to the withdrawn version.
+func TestNextMoveAfterWithdrawalStartsFromTheOldVersion(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t, 8)
+	startMove(sim)
+	runTraffic(sim, 10*time.Second, 0.5)
+	is.Equal(reportedPhase(sim), string(model.PhaseWithdrawn))
+	sim.report(sim.nodes[7], model.TargetReport{Instance: "i7b", Born: 3, Seq: 1, Version: "v3", State: model.TargetReady})
+	// The targets of the old version were replaced meanwhile, so that those of the withdrawn one are the oldest.
+	for i := range 4 {
+		sim.report(sim.nodes[i], model.TargetReport{
+			Instance: model.InstanceID(fmt.Sprint("i", i, "b")), Born: 9, Seq: 1, Version: "v1", State: model.TargetReady,
+		})
+	}
+	sim.put("op/intent/profiles", model.Intent{Service: "profiles", To: "v3"})
+	for range 20 {
+		sim.run(20 * time.Millisecond)
+		for _, n := range sim.nodes {
+			is.Equal(shareOf(n.view, "v2"), model.Share(0))
+		}
+	}
+	is.Equal(nextMove(t, sim).From, model.VersionName("v1"))
+}
+
 // Guards against a move that stops because its driver failed, and against two drivers that both write.
 func TestDriverFailure(t *testing.T) {
 	is := is.New(t)
--- a/internal/command/catalog/view.go
+++ b/internal/command/catalog/view.go
@@ -165,7 +165,7 @@
 // old version has the rest. Any other version has no share.
 func (c *Core) versionShares(service model.ServiceName, targets []model.Target) []model.VersionShare {
 	wanted, share := c.wantedVersion(service)
-	old := oldVersion(targets, service, wanted)
+	old := c.oldVersion(targets, service, wanted)
 	wantedReady := false
 	others := map[model.VersionName]bool{}
 	for i := range targets {
@@ -203,9 +203,28 @@
 	return shares
 }
 
-// oldVersion returns the version of the service's oldest ready target among those that run another version than the given
+// oldVersion returns the version of a service that has the calls which the wanted version does not have, or "". It is the version
+// that the latest move left in force, if it has a ready target: targets of an even older version may not have left yet, and those of a
+// withdrawn one may be older than all others.
+func (c *Core) oldVersion(targets []model.Target, service model.ServiceName, wanted model.VersionName) model.VersionName {
+	if m := c.moves[service]; m != nil {
+		left := m.From
+		if m.Phase == model.PhaseDone {
+			left = m.To
+		}
+		isReady := func(t model.Target) bool {
+			return t.Service == service && t.State == model.TargetReady && t.Version == left
+		}
+		if left != wanted && slices.ContainsFunc(targets, isReady) {
+			return left
+		}
+	}
+	return oldestVersion(targets, service, wanted)
+}
+
+// oldestVersion returns the version of the service's oldest ready target among those that run another version than the given
 // one, or "".
-func oldVersion(targets []model.Target, service model.ServiceName, except model.VersionName) model.VersionName {
+func oldestVersion(targets []model.Target, service model.ServiceName, except model.VersionName) model.VersionName {
 	var old *model.Target
 	for i := range targets {
 		t := &targets[i]
