--- a/internal/command/catalog/catalog.go
+++ b/internal/command/catalog/catalog.go
@@ -96,8 +96,8 @@
 	// keys, settledAt the time at which it counts as settled unless it learns of another daemon.
 	loadedAt, settledAt time.Time
 	settled             bool
-	// startedAt is the time of the first event.
-	startedAt time.Time
+	// begun says that the first event has been processed.
+	begun bool
 	// discovered says that the announcements were listed again because there were none at first.
 	discovered bool
 
@@ -126,7 +126,7 @@
 
 // Handle processes one event and returns the effects that the caller must perform, in order.
 func (c *Core) Handle(now time.Time, ev effect.Event) []effect.Effect {
-	if c.startedAt.IsZero() {
+	if !c.begun {
 		c.begin(now)
 	}
 	switch ev := ev.(type) {
@@ -170,10 +170,10 @@
 	return effects
 }
 
-// begin prepares the first event. When all daemons start for the first time, the keys are listed once the others have announced
+// begin schedules the first lists. When all daemons start for the first time, the keys are listed once the others have announced
 // their targets: an earlier list would find nothing, and would have to be repeated.
 func (c *Core) begin(now time.Time) {
-	c.startedAt = now
+	c.begun = true
 	if c.cfg.FirstStart {
 		c.operatorKeys.scheduleList(now.Add(settleDelay))
 		c.meshKeys.scheduleList(now.Add(settleDelay))
--- a/internal/command/catalog/freshness.go
+++ b/internal/command/catalog/freshness.go
@@ -15,9 +15,9 @@
 	// backupDelay is how much later a daemon checks if it is not its turn. It covers a check and the gossip that follows, so
 	// that the backups check only if the check in turn fails to appear.
 	backupDelay = 250 * time.Millisecond
-	// backupJitter spreads the backups: the first one to check relieves the others. The daemons that follow the one in turn are
-	// the first backups, backupStep apart; there are as many of them as fit, and all others come after them. If hundreds of
-	// daemons drew their delays alike, dozens would check before the announcement of the first check reached them.
+	// backupJitter spreads the backups: the first one to check relieves the others. The firstBackups daemons that follow the one
+	// in turn check backupStep apart, and all others after them. If hundreds of daemons drew their delays alike, dozens would
+	// check before the announcement of the first check reached them.
 	backupJitter = 350 * time.Millisecond
 	backupStep   = 40 * time.Millisecond
 	firstBackups = 6
--- a/internal/query/routing/candidates.go
+++ b/internal/query/routing/candidates.go
@@ -6,8 +6,8 @@
 	"sniperail.example/sniperail/internal/model"
 )
 
-// consideredPerTier is the number of targets of a tier whose load is read for a call. It bounds the work of a selection, which would
-// otherwise grow with the number of targets.
+// consideredPerTier is the number of targets of a tier whose load is read for a call. It bounds the work of a selection, which
+// would otherwise grow with the number of targets.
 const consideredPerTier = 8
 
 // choicesPerTier is the number of targets of a tier that are compared for a call. Load reports are up to seconds old: if all
--- a/internal/query/routing/expected_loss.go
+++ b/internal/query/routing/expected_loss.go
@@ -122,9 +122,9 @@
 	return choice, true
 }
 
-// candidates returns targets that may be selected, up to a few of each tier in the order of the tiers, with the expected wait and
-// execution time at each. A target without a reported time is assumed to be as fast as the fastest one, so that it receives a call soon. For
-// the same reason, an old report of a slow target loses weight.
+// candidates returns targets that may be selected, a few of each tier in the order of the tiers, with the expected wait and
+// execution time at each. A target without a reported time is assumed to be as fast as the fastest one, so that it receives a
+// call soon. For the same reason, an old report of a slow target loses weight.
 func (v *Version) candidates(loads LoadProvider, random RandomSource, s Selection) []candidate {
 	candidates := make([]candidate, 0, min(v.ReadyCount(), len(v.tiers)*consideredPerTier))
 	for tier := range v.tiers {
