--- a/internal/command/catalog/driver_test.go
+++ b/internal/command/catalog/driver_test.go
@@ -121,9 +121,19 @@
 	}
 }
 
-// nextMove returns the record of the move to v3. The last driver has revoked its lease, which ends its key.
-func nextMove(t *testing.T, sim *simulation) model.Move {
+// startNextMove writes an intent to move to v3, checks that the given version gets no calls, and returns the record of the move. The
+// last driver has revoked its lease, which ends its key.
+func startNextMove(t *testing.T, sim *simulation, unused model.VersionName) model.Move {
 	t.Helper()
+	sim.put("op/intent/profiles", model.Intent{Service: "profiles", To: "v3"})
+	for range 20 {
+		sim.run(20 * time.Millisecond)
+		for _, n := range sim.nodes {
+			if share := shareOf(n.view, unused); share != 0 {
+				t.Fatalf("%s has %s of the calls", unused, share)
+			}
+		}
+	}
 	sim.store.Expire(store.PrefixDrivers + "profiles")
 	runTraffic(sim, 5*time.Second, 0)
 	m := storedMove(t, sim)
@@ -143,14 +153,7 @@
 	is.Equal(reportedPhase(sim), string(model.PhaseDone))
 	// The targets of v1 are still there when the next version starts on the last node.
 	sim.report(sim.nodes[7], model.TargetReport{Instance: "i7b", Born: 3, Seq: 1, Version: "v3", State: model.TargetReady})
-	sim.put("op/intent/profiles", model.Intent{Service: "profiles", To: "v3"})
-	for range 20 {
-		sim.run(20 * time.Millisecond)
-		for _, n := range sim.nodes {
-			is.Equal(shareOf(n.view, "v1"), model.Share(0))
-		}
-	}
-	is.Equal(nextMove(t, sim).From, model.VersionName("v2"))
+	is.Equal(startNextMove(t, sim, "v1").From, model.VersionName("v2"))
 }
 
 // Guards against an intent that follows a withdrawal and gives calls to the withdrawn version.
@@ -167,14 +170,7 @@
 			Instance: model.InstanceID(fmt.Sprint("i", i, "b")), Born: 9, Seq: 1, Version: "v1", State: model.TargetReady,
 		})
 	}
-	sim.put("op/intent/profiles", model.Intent{Service: "profiles", To: "v3"})
-	for range 20 {
-		sim.run(20 * time.Millisecond)
-		for _, n := range sim.nodes {
-			is.Equal(shareOf(n.view, "v2"), model.Share(0))
-		}
-	}
-	is.Equal(nextMove(t, sim).From, model.VersionName("v1"))
+	is.Equal(startNextMove(t, sim, "v2").From, model.VersionName("v1"))
 }
 
 // Guards against a move that stops because its driver failed, and against two drivers that both write.
