rollout: a version that fails more than a failing old one is withdrawn in time

While the old version failed 35% of its calls, a version that failed 60% was proven bad after some 58 failures, twenty seconds after its first call; the comparison tolerates a multiple of the old failures. Ruled out: late withdrawal after the verdict: the daemons beside the targets refused within 10 ms of it. Change: a Mantel-Haenszel test of the failures within each round, and no fixed bound where most calls were compared.

--- a/internal/command/rollout/rollout.go
+++ b/internal/command/rollout/rollout.go
@@ -88,8 +88,9 @@
 // Driver decides on the steps of one move. It keeps the evidence in memory. A driver that takes over collects it again from
 // the sums that the daemons beside the targets keep.
 type Driver struct {
-	judge    *moves.Judge
-	slowTest *slowCallTest
+	judge       *moves.Judge
+	slowTest    *slowCallTest
+	failureTest excessFailureTest
 }
 
 // NewDriver returns a driver without evidence.
@@ -101,6 +102,7 @@
 func (d *Driver) Observe(now time.Time, configuration *model.Configuration, m *model.Move, observations []Observation) {
 	d.judge.Track(configuration)
 	d.slowTest.observeRound(m, observations)
+	d.failureTest.observeRound(m, observations)
 	batches := make([]moves.Batch, 0, len(observations))
 	for i := range observations {
 		if len(observations[i].Sums) > 0 {
@@ -127,7 +129,11 @@
 		return newDecision(now, m, model.PhaseWithdrawing, m.Step,
 			fmt.Sprintf("%d of %d calls took four times the median of %s", d.slowTest.slowCalls, d.slowTest.calls, m.From))
 	}
-	if exceedsFailureFraction(verdict, brokenCalls, brokenFraction) {
+	if t := &d.failureTest; t.provesWorse() {
+		return newDecision(now, m, model.PhaseWithdrawing, m.Step,
+			fmt.Sprintf("%d of %d calls failed, beside %s %.0f would have", t.failures, t.calls, m.From, t.expected))
+	}
+	if exceedsFailureFraction(verdict, brokenCalls, brokenFraction) && !d.failureTest.comparesMost(verdict.Calls) {
 		return newDecision(now, m, model.PhaseWithdrawing, m.Step,
 			fmt.Sprintf("%d of %d calls failed, and %s has too few to compare", verdict.Failures, verdict.Calls, m.From))
 	}
--- a/internal/command/rollout/rollout_test.go
+++ b/internal/command/rollout/rollout_test.go
@@ -241,3 +241,94 @@
 		t.Fatalf("2 of 54 calls failed, and the move did not go on: %+v", got)
 	}
 }
+
+// besideFailing is a move to a version beside an old one that fails calls, as it does while a service that both call is
+// overloaded. The new version has a tenth of 60 calls a second.
+type besideFailing struct {
+	move     *model.Move
+	failures int
+}
+
+// playBesideFailing plays rounds of a move in which the old and the new version fail the given fractions of their calls, until the
+// move is withdrawn or stop returns true.
+func playBesideFailing(seed uint64, oldRate func(time.Duration) float64, newRate float64,
+	stop func(since time.Duration, failures int) bool) besideFailing {
+	const rate, newShare, round = 60, 0.1, 300 * time.Millisecond
+	random := rand.New(rand.NewPCG(seed, 7))
+	start := time.Unix(10_000, 0)
+	result := besideFailing{move: &model.Move{
+		ID: "m", Service: service, From: "v1", To: "v2", Deadline: start.Add(time.Minute), Phase: model.PhaseRunning, Step: 0, Since: start,
+		Steps: []model.Step{{Share: model.FullShare / 10}, {Share: model.FullShare, Earliest: start.Add(time.Hour)}},
+	}}
+	d := rollout.NewDriver()
+	for now := start; result.move.Phase == model.PhaseRunning && !stop(now.Sub(start), result.failures); now = now.Add(round) {
+		observations := []rollout.Observation{newObservation("old", "v1", now, start), newObservation("new", "v2", now, start)}
+		for range int(rate * round.Seconds()) {
+			i, fail := 0, oldRate(now.Sub(start))
+			if random.Float64() < newShare {
+				i, fail = 1, max(fail, newRate)
+			}
+			failed := random.Float64() < fail
+			if failed && i == 1 {
+				result.failures++
+			}
+			observations[i].Sums[0].Observe(failed, 100*time.Millisecond)
+		}
+		configuration := &model.Configuration{Moves: []model.Move{*result.move}, Routes: []model.Route{{Name: route, Service: service}}}
+		d.Observe(now, configuration, result.move, observations)
+		if decision := d.Decide(now, result.move, observations); decision.Next != nil {
+			result.move = decision.Next
+		}
+	}
+	return result
+}
+
+// Guards against a bad version that keeps getting calls because the old version fails calls too. Five seconds after its 50th
+// failed call a bad version must get none. One move in 20 may end late.
+func TestBadVersionIsStoppedBesideAFailingOldOne(t *testing.T) {
+	late := 0
+	for seed := range uint64(40) {
+		var mustStop time.Duration
+		result := playBesideFailing(seed, func(time.Duration) float64 { return 0.35 }, 0.6, func(since time.Duration, failures int) bool {
+			if failures >= 50 && mustStop == 0 {
+				mustStop = since + 5*time.Second
+			}
+			return mustStop != 0 && since > mustStop
+		})
+		if result.move.Phase == model.PhaseRunning {
+			late++
+		}
+	}
+	t.Logf("late in %d of 40 moves", late)
+	if late > 2 {
+		t.Fatal("bad versions were not stopped in time")
+	}
+}
+
+// Guards against a good version that is withdrawn for a fault that the old version has too, steady or in bursts. One move in 40
+// may end wrong.
+func TestGoodVersionIsKeptBesideAFailingOldOne(t *testing.T) {
+	faults := map[string]func(time.Duration) float64{
+		"steady": func(time.Duration) float64 { return 0.35 },
+		"bursts": func(since time.Duration) float64 {
+			if since%(4*time.Second) < 2*time.Second {
+				return 0.8
+			}
+			return 0.01
+		},
+	}
+	for name, fault := range faults {
+		withdrawn := 0
+		for seed := range uint64(80) {
+			result := playBesideFailing(seed, fault, 0, func(since time.Duration, _ int) bool { return since > 15*time.Second })
+			if result.move.Phase != model.PhaseRunning {
+				withdrawn++
+				t.Log(result.move.Reason)
+			}
+		}
+		t.Logf("%s: withdrawn in %d of 80 moves", name, withdrawn)
+		if withdrawn > 2 {
+			t.Fatal("good versions were withdrawn")
+		}
+	}
+}
