rollout: the log shows what a new version has received and may receive

Change: the driver counts the calls of the new version, estimates the calls per second and the calls that the version may receive, and logs them once a second (move-progress). No decision reads it yet.

--- a/internal/command/catalog/catalog.go
+++ b/internal/command/catalog/catalog.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"time"
 
+	"sniperail.example/sniperail/internal/command/rollout"
 	"sniperail.example/sniperail/internal/effect"
 	"sniperail.example/sniperail/internal/message"
 	"sniperail.example/sniperail/internal/model"
@@ -52,6 +53,8 @@
 	MinLease time.Duration
 	// FirstStart says that all daemons start for the first time, so that no target has been announced yet.
 	FirstStart bool
+	// Exposure bounds the calls of a new version that is not known to be good.
+	Exposure rollout.ExposureLimit
 }
 
 // Core holds all control state of a daemon. It is not safe for concurrent use: one goroutine calls it.
--- a/internal/command/catalog/driver.go
+++ b/internal/command/catalog/driver.go
@@ -27,6 +27,8 @@
 	campaignBackoffMax  = time.Second
 	// roundInterval is the time between two rounds, in each of which the driver decides on the move and queries outcomes.
 	roundInterval = 300 * time.Millisecond
+	// progressInterval bounds the log lines about the progress of a move.
+	progressInterval = time.Second
 )
 
 // moveDriver is this daemon's part in driving the move of its service. Of the daemons beside the service's targets, the one
@@ -57,8 +59,9 @@
 	rollout *rollout.Driver
 	move    model.PlanID
 	reports map[model.DaemonID]*evidenceReport
-	// holdReason is the last logged reason for which the move was held.
+	// holdReason is the last logged reason for which the move was held. progressAt is when the progress was last logged.
 	holdReason string
+	progressAt time.Time
 }
 
 func (d *moveDriver) nextWake() time.Time {
@@ -253,10 +256,11 @@
 		}
 	default:
 		if d.rollout == nil || d.move != m.ID {
-			d.rollout, d.move, d.reports = rollout.NewDriver(), m.ID, map[model.DaemonID]*evidenceReport{}
+			d.rollout, d.move, d.reports = rollout.NewDriver(c.cfg.Exposure), m.ID, map[model.DaemonID]*evidenceReport{}
 		}
 		observations := d.takeObservations()
 		d.rollout.Observe(now, c.composeConfiguration(c.targets()), &m.Move, observations)
+		c.logProgress(now, d, m, observations)
 		decision := d.rollout.Decide(now, &m.Move, observations)
 		if mark := c.findMark(m.Version(), m.ID); mark != nil && m.Phase == model.PhaseRunning {
 			// A withheld version receives no calls, so there is no new evidence against it. It must still be withdrawn,
@@ -273,11 +277,25 @@
 	observations := make([]rollout.Observation, 0, len(d.reports))
 	for _, r := range d.reports {
 		observations = append(observations, r.Observation)
-		r.Sums = nil
+		r.Sums, r.Window = nil, 0
 	}
 	return observations
 }
 
+// logProgress logs what the new version of a running move has received, at intervals of progressInterval.
+func (c *Core) logProgress(now time.Time, d *moveDriver, m *moveRecord, observations []rollout.Observation) {
+	if m.Phase != model.PhaseRunning || m.Step < 0 || now.Sub(d.progressAt) < progressInterval {
+		return
+	}
+	d.progressAt = now
+	p := d.rollout.Progress(now, &m.Move, observations)
+	decimal := func(x float64) string { return strconv.FormatFloat(x, 'f', 2, 64) }
+	c.log("move-progress", "service", string(m.Service), "move", string(m.ID), "step", strconv.Itoa(m.Step),
+		"calls", strconv.Itoa(p.Calls), "failures", strconv.Itoa(p.Failures), "allowed", strconv.Itoa(p.Allowed),
+		"service_per_s", decimal(p.Rate), "new_per_s", decimal(p.NewRate),
+		"busiest", decimal(p.Busiest), "old_busiest", decimal(p.OldBusiest))
+}
+
 // applyDecision logs why a move is held, or withholds the version and writes the changed move as decided.
 func (c *Core) applyDecision(service model.ServiceName, d *moveDriver, m *moveRecord, decision rollout.Decision) {
 	if decision.Next == nil {
--- a/internal/command/catalog/evidence.go
+++ b/internal/command/catalog/evidence.go
@@ -53,7 +53,10 @@
 		report = &evidenceReport{incarnation: reply.Target.Incarnation, totals: map[model.OutcomeKey]model.OutcomeSum{}}
 		d.reports[reply.Target.Daemon] = report
 	}
-	unread := report.Sums
+	unread, window := report.Sums, report.Window
+	if !report.At.IsZero() {
+		window += now.Sub(report.At)
+	}
 	for _, s := range reply.Sums {
 		previous := report.totals[s.OutcomeKey]
 		report.totals[s.OutcomeKey] = s.OutcomeSum
@@ -62,7 +65,7 @@
 		}
 	}
 	report.Observation = rollout.Observation{
-		Target: reply.Target, Sums: unread, Running: reply.Running, Idle: reply.Idle, At: now,
+		Target: reply.Target, Sums: unread, Window: window, Running: reply.Running, Idle: reply.Idle, At: now,
 	}
 }
 
--- a/internal/command/catalog/simulation_test.go
+++ b/internal/command/catalog/simulation_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"sniperail.example/sniperail/internal/command/catalog"
+	"sniperail.example/sniperail/internal/command/rollout"
 	"sniperail.example/sniperail/internal/document"
 	"sniperail.example/sniperail/internal/effect"
 	"sniperail.example/sniperail/internal/message"
@@ -110,7 +111,7 @@
 			Address:    name + ":2", PeerAddress: n.address, State: model.TargetStarting,
 		},
 		Seeds: seeds, Operator: operatorCodec{}, Records: document.JSON{}, Rand: rand.New(rand.NewPCG(uint64(sim.incarnation), 3)),
-		MinLease: time.Second, FirstStart: sim.firstStart,
+		MinLease: time.Second, FirstStart: sim.firstStart, Exposure: rollout.ExposureLimit{Fraction: 0.1, Slack: 50},
 	})
 	if old := sim.byName[name]; old != nil {
 		for i := range sim.nodes {
--- a/internal/command/rollout/rollout.go
+++ b/internal/command/rollout/rollout.go
@@ -70,13 +70,18 @@
 // Observation is the latest report of the daemon beside a target.
 type Observation struct {
 	Target model.Target
-	// Sums are the outcomes since the previous report.
+	// Sums are the outcomes since the previous report, Window the time between the two reports. Window is 0 for the first
+	// report of a daemon, whose sums count from its start.
 	Sums    []model.KeyedSum
+	Window  time.Duration
 	Running int
 	Idle    time.Duration
 	At      time.Time
 }
 
+// isRecent reports whether the report is younger than silenceTimeout.
+func (o *Observation) isRecent(now time.Time) bool { return now.Sub(o.At) < silenceTimeout }
+
 // Decision is the result of Decide. The zero value leaves the move unchanged.
 type Decision struct {
 	// Next is the changed move, or nil if nothing changes.
@@ -91,11 +96,14 @@
 	judge       *moves.Judge
 	slowTest    *slowCallTest
 	failureTest excessFailureTest
+	exposure    exposure
 }
 
 // NewDriver returns a driver without evidence.
-func NewDriver() *Driver {
-	return &Driver{judge: moves.NewJudge(Policy(), moves.Level{Judges: 1}), slowTest: newSlowCallTest()}
+func NewDriver(limit ExposureLimit) *Driver {
+	return &Driver{
+		judge: moves.NewJudge(Policy(), moves.Level{Judges: 1}), slowTest: newSlowCallTest(), exposure: exposure{limit: limit},
+	}
 }
 
 // Observe adds the outcomes that were reported since the last call. The configuration must contain the move.
@@ -103,6 +111,7 @@
 	d.judge.Track(configuration)
 	d.slowTest.observeRound(m, observations)
 	d.failureTest.observeRound(m, observations)
+	d.exposure.observeRound(m, observations)
 	batches := make([]moves.Batch, 0, len(observations))
 	for i := range observations {
 		if len(observations[i].Sums) > 0 {
@@ -174,7 +183,7 @@
 // hasRecentReport reports whether a daemon beside a target of a version has reported within silenceTimeout.
 func hasRecentReport(now time.Time, observations []Observation, version model.VersionName) bool {
 	return slices.ContainsFunc(observations, func(o Observation) bool {
-		return o.Target.Version == version && now.Sub(o.At) < silenceTimeout
+		return o.Target.Version == version && o.isRecent(now)
 	})
 }
 
@@ -194,7 +203,7 @@
 	warm := 0
 	for i := range observations {
 		t := &observations[i].Target
-		if t.Version == m.To && t.State == model.TargetReady && !t.WarmAt.After(now) && now.Sub(observations[i].At) < silenceTimeout {
+		if t.Version == m.To && t.State == model.TargetReady && !t.WarmAt.After(now) && observations[i].isRecent(now) {
 			warm++
 		}
 	}
@@ -212,7 +221,7 @@
 	var newSlots, oldSlots int
 	for i := range observations {
 		t := &observations[i].Target
-		if t.State != model.TargetReady || now.Sub(observations[i].At) >= silenceTimeout {
+		if t.State != model.TargetReady || !observations[i].isRecent(now) {
 			continue
 		}
 		if t.Version == m.To {
@@ -235,7 +244,7 @@
 	for i := range observations {
 		o := &observations[i]
 		losesCalls := o.Target.Version == losing || phase == model.PhaseDone && o.Target.Version != m.To
-		if !losesCalls || now.Sub(o.At) >= silenceTimeout {
+		if !losesCalls || !o.isRecent(now) {
 			continue
 		}
 		if o.Running > 0 || o.Idle < idleTime {
--- a/internal/command/rollout/rollout_test.go
+++ b/internal/command/rollout/rollout_test.go
@@ -17,6 +17,9 @@
 	moveTime = 14 * time.Second
 )
 
+// exposureLimit is the limit of all moves in these tests.
+var exposureLimit = rollout.ExposureLimit{Fraction: 0.1, Slack: 50}
+
 // behaviour returns the rates of failed and of very slow calls of the new version, given the time since its start and its
 // share of the calls. A negative slow rate stands for targets with half the speed.
 type behaviour func(since time.Duration, share float64) (failRate, slowRate float64)
@@ -60,7 +63,7 @@
 		ID: "m", Service: service, From: "v1", To: "v2", Deadline: deadline,
 		Phase: model.PhaseRunning, Step: -1, Since: start,
 	}
-	d := rollout.NewDriver()
+	d := rollout.NewDriver(exposureLimit)
 	born := start.Add(time.Second)
 	var result moveResult
 	share := 0.0
@@ -177,7 +180,7 @@
 	m.Steps = rollout.Steps(now, now)
 	m.Step = len(m.Steps) - 1
 	old := newObservation("old", "v1", now, now)
-	d := rollout.NewDriver()
+	d := rollout.NewDriver(exposureLimit)
 	for _, busy := range []rollout.Observation{{Running: 1, Idle: time.Minute}, {Running: 0, Idle: 0}} {
 		old.Running, old.Idle = busy.Running, busy.Idle
 		if got := d.Decide(now, m, []rollout.Observation{old}); got.Next != nil {
@@ -203,7 +206,7 @@
 	m.Step = len(m.Steps) - 2
 	small := newObservation("new", "v2", now, now)
 	small.Target.Slots = 2
-	d := rollout.NewDriver()
+	d := rollout.NewDriver(exposureLimit)
 	configuration := &model.Configuration{Moves: []model.Move{*m}}
 	d.Observe(now, configuration, m, nil)
 	if got := d.Decide(now, m, []rollout.Observation{newObservation("old", "v1", now, now), small}); got.Next != nil {
@@ -223,7 +226,7 @@
 	m.Step = 1
 	configuration := &model.Configuration{Moves: []model.Move{*m}}
 	decide := func(calls, failures int) rollout.Decision {
-		d := rollout.NewDriver()
+		d := rollout.NewDriver(exposureLimit)
 		o := newObservation("new", "v2", now, now)
 		for i := range calls {
 			o.Sums[0].Observe(i < failures, 100*time.Millisecond)
@@ -260,7 +263,7 @@
 		ID: "m", Service: service, From: "v1", To: "v2", Deadline: start.Add(time.Minute), Phase: model.PhaseRunning, Step: 0, Since: start,
 		Steps: []model.Step{{Share: model.FullShare / 10}, {Share: model.FullShare, Earliest: start.Add(time.Hour)}},
 	}}
-	d := rollout.NewDriver()
+	d := rollout.NewDriver(exposureLimit)
 	for now := start; result.move.Phase == model.PhaseRunning && !stop(now.Sub(start), result.failures); now = now.Add(round) {
 		observations := []rollout.Observation{newObservation("old", "v1", now, start), newObservation("new", "v2", now, start)}
 		for range int(rate * round.Seconds()) {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -71,7 +71,7 @@
 // Guards against a flag of the sidecar that no check covers.
 func TestSidecarChecksEveryFlag(t *testing.T) {
 	is := is.New(t)
-	s := Sidecar{Seeds: []string{"x"}, Metrics: "x", Advertise: "a b", RetryRatio: 2, RetrySlack: -1}
+	s := Sidecar{Seeds: []string{"x"}, Metrics: "x", Advertise: "a b", RetryRatio: 2, RetrySlack: -1, ExposureFraction: 2, ExposureSlack: -1}
 	flags := map[string]bool{}
 	for _, p := range s.Validate().(Problems) {
 		flags[p.Flag] = true
--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -29,7 +29,11 @@
 	RetryRatio  float64       `default:"0.2" help:"Retries of all daemons for a service, as a part of its requests."`
 	RetrySlack  float64       `default:"50" help:"Retries of all daemons for a service beyond that, within the window."`
 	RetryWindow time.Duration `default:"10s" help:"Window over which retries are counted."`
-	LogLevel    string        `default:"info" help:"Least level of the events that are logged: debug, info, warn or error."`
+
+	ExposureFraction float64 `default:"0.1" help:"Requests that a new version may get before it is known to be good, as a part of those of its service from the order to the deadline."`
+	ExposureSlack    float64 `default:"50" help:"Requests that such a version may get beyond that."`
+
+	LogLevel string `default:"info" help:"Least level of the events that are logged: debug, info, warn or error."`
 }
 
 // Advertised returns the address at which other daemons reach a listener.
@@ -45,7 +49,7 @@
 	// minGrace leaves time for calls in flight after callers have been told to leave this daemon.
 	minGrace = time.Second
 	maxGrace = 10 * time.Minute
-	// maxSlack is far above any retry budget in use; a larger value is a mistake.
+	// maxSlack is far above any retry budget or exposure limit in use; a larger value is a mistake.
 	maxSlack = 1e6
 )
 
@@ -79,6 +83,8 @@
 	c.Number("retry-ratio", s.RetryRatio, 0, 1)
 	c.Number("retry-slack", s.RetrySlack, 0, maxSlack)
 	c.Duration("retry-window", s.RetryWindow, time.Second, maxGrace)
+	c.Number("exposure-fraction", s.ExposureFraction, 0, 1)
+	c.Number("exposure-slack", s.ExposureSlack, 0, maxSlack)
 	c.OneOf("log-level", s.LogLevel, LogLevels...)
 	return c.Err()
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -17,6 +17,7 @@
 
 	"sniperail.example/sniperail/internal/command/catalog"
 	"sniperail.example/sniperail/internal/command/retry"
+	"sniperail.example/sniperail/internal/command/rollout"
 	"sniperail.example/sniperail/internal/control"
 	"sniperail.example/sniperail/internal/document"
 	"sniperail.example/sniperail/internal/effect"
@@ -162,6 +163,7 @@
 		},
 		Seeds: d.settings.Seeds, Operator: d.adapter.Operator, Records: document.JSON{}, Rand: process.NewRand(),
 		MinLease: d.settings.MinLease, FirstStart: d.settings.FirstStart,
+		Exposure: rollout.ExposureLimit{Fraction: d.settings.ExposureFraction, Slack: d.settings.ExposureSlack},
 	})
 	counted := d.metrics.ControlBytesCounter()
 	d.peerClient = peer.NewClient(counted)
