rollout: a few targets of a new version bear its load before it gets more calls than the exposure limit

Callers saw: a version of ticket-desk that fails under load got 400 to 800 requests where some 300 are allowed (EXPOSURE). Cause: the ramp followed the time. Its share was spread over all targets of the new version, so that each was idle until the last steps; the calls that the version had received were not counted; a step was taken while the calls so far made a fault probable; and the comparison raised the expected failures by those of routes that always fail. Evidence: move-progress: 65% taken with 54 of 278 calls left and 13 of 224 failed, the busiest new target at a third of its slots. Change: one or some targets (canaries) get nearly all calls of the version, first half and then at least the load that they have at 100%. The version goes on when these calls exclude a fault; when the limit is nearly used up it goes on only if a fault is no more probable than none. A likelihood ratio by route holds, clears or withdraws it. A version may be four times slower instead of 2.6, as a canary of a slower version cannot leave its calls to faster targets. The record of a move names the canaries; messages between daemons are unchanged. Why it works: a fault that depends on the load of a target shows at that load while three quarters of the calls go to the old version.

--- a/internal/bench/rollouts/rollouts_test.go
+++ b/internal/bench/rollouts/rollouts_test.go
@@ -26,6 +26,7 @@
 	for _, targets := range []int{4, 30} {
 		for _, failureRate := range []float64{0.25, 0.5, 0.9} {
 			t.Run(fmt.Sprintf("%d targets, %.2f fail", targets, failureRate), func(t *testing.T) {
+				t.Parallel()
 				checkBad(t, KindUnderLoad, targets, failureRate)
 			})
 		}
@@ -52,7 +53,10 @@
 func TestOtherBadVersionsAreWithdrawnWithinTheExposureLimit(t *testing.T) {
 	for _, targets := range []int{4, 30} {
 		for _, kind := range []Kind{KindFailing, KindSlow, KindLate, KindOneRoute} {
-			t.Run(fmt.Sprintf("%s, %d targets", kind, targets), func(t *testing.T) { checkBad(t, kind, targets, 0.5) })
+			t.Run(fmt.Sprintf("%s, %d targets", kind, targets), func(t *testing.T) {
+				t.Parallel()
+				checkBad(t, kind, targets, 0.5)
+			})
 		}
 	}
 }
@@ -62,6 +66,7 @@
 	for _, targets := range []int{4, 30} {
 		for _, kind := range []Kind{KindGood, KindGoodHalf} {
 			t.Run(fmt.Sprintf("%s, %d targets", kind, targets), func(t *testing.T) {
+				t.Parallel()
 				wrong := 0
 				for seed := range runs {
 					s := scenario(kind, targets, 0, seed)
--- a/internal/bench/rollouts/simulation.go
+++ b/internal/bench/rollouts/simulation.go
@@ -23,6 +23,8 @@
 	latencyObjective  = 400 * time.Millisecond
 	// warmTime is the time from the order until the targets of the new version are warm.
 	warmTime = 2 * time.Second
+	// history is the time for which the old version has served before the order.
+	history = 10 * time.Second
 	// round is the time between two decisions. A decision is in force one round later.
 	round = 300 * time.Millisecond
 	// badAnswers is the number of bad answers after which a version must be stopped within stopTime.
@@ -47,8 +49,8 @@
 
 // decider decides on the steps of a move, as rollout.Driver does.
 type decider interface {
-	Observe(now time.Time, configuration *model.Configuration, m *model.Move, observations []rollout.Observation)
-	Decide(now time.Time, m *model.Move, observations []rollout.Observation) rollout.Decision
+	Observe(now time.Time, configuration *model.Configuration, m *model.Rollout, observations []rollout.Observation)
+	Decide(now time.Time, m *model.Rollout, observations []rollout.Observation) rollout.Decision
 }
 
 // Result is the result of one move.
@@ -71,10 +73,10 @@
 	start    time.Time
 	targets  []*target
 	byDaemon map[model.DaemonID]*target
-	move     *model.Move
+	move     *model.Rollout
 	// tables are the routing tables by data centre. pending is a decided move that is not in force yet.
 	tables  []*routing.Table
-	pending *model.Move
+	pending *model.Rollout
 	counter uint64
 	ends    callEnds
 	// mustStopAt is the time after which a bad version must receive no calls; zero while it may.
@@ -108,16 +110,18 @@
 func simulate(s Scenario, d decider) Result {
 	f := newFleet(s)
 	rate := float64(s.Targets*s.Slots) * s.Utilization / meanExecutionTime.Seconds()
-	nextCall := f.start
+	nextCall := f.start.Add(-history)
+	window := time.Duration(0)
 	for now := f.start; now.Sub(f.start) < 2*s.Within; now = now.Add(round) {
 		for nextCall.Before(now) {
 			f.call(nextCall)
 			nextCall = nextCall.Add(time.Duration(f.random.ExpFloat64() / rate * float64(time.Second)))
 		}
 		f.endCalls(now)
-		if f.decide(now, d) {
+		if f.decide(now, d, window) {
 			break
 		}
+		window = round
 	}
 	f.result.Phase, f.result.Reason = f.move.Phase, f.move.Reason
 	f.result.Allowed = s.Limit.Fraction*rate*s.Within.Seconds() + s.Limit.Slack
@@ -145,10 +149,10 @@
 			f.byDaemon[t.Daemon] = t
 		}
 	}
-	f.move = &model.Move{
+	f.move = &model.Rollout{Move: model.Move{
 		ID: "m", Service: service, From: oldVersion, To: newVersion, Deadline: start.Add(s.Within),
 		Phase: model.PhaseRunning, Step: -1, Since: start,
-	}
+	}}
 	f.publish()
 	return f
 }
@@ -158,6 +162,9 @@
 	f.tables = f.tables[:0]
 	for _, dc := range dataCentres {
 		view := &model.View{Configuration: f.configuration(), DataCentre: dc, Region: "r"}
+		if f.move.Phase == model.PhaseRunning {
+			view.Canaries = map[model.ServiceName][]model.DaemonID{service: f.move.Canaries}
+		}
 		for _, t := range f.targets {
 			view.Targets = append(view.Targets, t.Target)
 		}
@@ -174,7 +181,7 @@
 		Services: []model.Service{{Name: service, Versions: []model.VersionShare{
 			{Version: newVersion, Share: share}, {Version: oldVersion, Share: model.FullShare - share},
 		}}},
-		Moves: []model.Move{*f.move},
+		Moves: []model.Move{f.move.Move},
 	}
 	for _, r := range routes {
 		c.Routes = append(c.Routes, model.Route{Name: r.name, Service: service})
@@ -197,7 +204,7 @@
 	}
 	t := f.byDaemon[choice.Target.Daemon]
 	isNew := t.Version == newVersion
-	if now.Before(f.move.Deadline) {
+	if !now.Before(f.start) && now.Before(f.move.Deadline) {
 		f.result.Calls++
 		if isNew {
 			f.result.Exposed++
@@ -256,8 +263,9 @@
 	}
 }
 
-// decide plays one round of the driver and reports whether the move is over.
-func (f *fleet) decide(now time.Time, d decider) bool {
+// decide plays one round of the driver, given the time since the round before, and reports whether the move is over. The first
+// reports count from the start of the daemons.
+func (f *fleet) decide(now time.Time, d decider, window time.Duration) bool {
 	if f.pending != nil {
 		f.move, f.pending = f.pending, nil
 		f.publish()
@@ -269,7 +277,7 @@
 	observations := make([]rollout.Observation, 0, len(f.targets))
 	for _, t := range f.targets {
 		o := rollout.Observation{
-			Target: t.Target, Running: t.outstanding(now), Idle: now.Sub(t.arrivedAt), At: now, Window: round,
+			Target: t.Target, Running: t.outstanding(now), Idle: now.Sub(t.arrivedAt), At: now, Window: window,
 		}
 		for key, sum := range t.sums {
 			o.Sums = append(o.Sums, model.KeyedSum{OutcomeKey: key, OutcomeSum: *sum})
--- a/internal/command/catalog/catalog.go
+++ b/internal/command/catalog/catalog.go
@@ -35,8 +35,8 @@
 type RecordCodec interface {
 	EncodeTarget(t *model.Target) ([]byte, error)
 	DecodeTarget(data []byte) (*model.Target, error)
-	EncodeMove(m *model.Move) ([]byte, error)
-	DecodeMove(data []byte) (*model.Move, error)
+	EncodeMove(m *model.Rollout) ([]byte, error)
+	DecodeMove(data []byte) (*model.Rollout, error)
 }
 
 // Config configures a Core.
--- a/internal/command/catalog/driver.go
+++ b/internal/command/catalog/driver.go
@@ -259,13 +259,13 @@
 			d.rollout, d.move, d.reports = rollout.NewDriver(c.cfg.Exposure), m.ID, map[model.DaemonID]*evidenceReport{}
 		}
 		observations := d.takeObservations()
-		d.rollout.Observe(now, c.composeConfiguration(c.targets()), &m.Move, observations)
+		d.rollout.Observe(now, c.composeConfiguration(c.targets()), &m.Rollout, observations)
 		c.logProgress(now, d, m, observations)
-		decision := d.rollout.Decide(now, &m.Move, observations)
+		decision := d.rollout.Decide(now, &m.Rollout, observations)
 		if mark := c.findMark(m.Version(), m.ID); mark != nil && m.Phase == model.PhaseRunning {
 			// A withheld version receives no calls, so there is no new evidence against it. It must still be withdrawn,
 			// because the daemons beside its targets lose the mark when they restart.
-			decision = rollout.Withdraw(now, &m.Move, mark.Reason)
+			decision = rollout.Withdraw(now, &m.Rollout, mark.Reason)
 		}
 		c.applyDecision(service, d, m, decision)
 	}
@@ -288,7 +288,7 @@
 		return
 	}
 	d.progressAt = now
-	p := d.rollout.Progress(now, &m.Move, observations)
+	p := d.rollout.Progress(now, &m.Rollout, observations)
 	decimal := func(x float64) string { return strconv.FormatFloat(x, 'f', 2, 64) }
 	c.log("move-progress", "service", string(m.Service), "move", string(m.ID), "step", strconv.Itoa(m.Step),
 		"calls", strconv.Itoa(p.Calls), "failures", strconv.Itoa(p.Failures), "allowed", strconv.Itoa(p.Allowed),
@@ -316,7 +316,7 @@
 }
 
 // withholdAtTargets withholds a version on this daemon and on the daemons beside the service's other targets.
-func (c *Core) withholdAtTargets(m *model.Move) {
+func (c *Core) withholdAtTargets(m *model.Rollout) {
 	mark := model.Mark{VersionRef: m.Version(), Move: m.ID, Reason: m.Reason, By: c.cfg.Target.Daemon, At: m.Since}
 	c.addMarks([]model.Mark{mark})
 	for _, member := range c.roster {
@@ -331,10 +331,10 @@
 // createMove writes the operator's intent as a confirmed move that has not begun. Its deadline is that of the intent.
 func (c *Core) createMove(service model.ServiceName, d *moveDriver) {
 	in := c.intents[service]
-	m := &model.Move{
+	m := &model.Rollout{Move: model.Move{
 		ID: moveID(in), Service: service, From: c.oldVersion(c.targets(), service, in.To), To: in.To, Deadline: in.By,
 		Phase: model.PhaseRunning, Step: -1, ConfirmedBy: "operator",
-	}
+	}}
 	var revision int64
 	if previous := c.moves[service]; previous != nil {
 		revision = previous.revision
@@ -344,11 +344,11 @@
 
 // writeMove writes the record of a move, and its report if the reported phase changes. The compares on the keys of the move
 // and the driver reject the write of a driver that was paused or replaced.
-func (c *Core) writeMove(service model.ServiceName, d *moveDriver, m *model.Move, revision int64) {
+func (c *Core) writeMove(service model.ServiceName, d *moveDriver, m *model.Rollout, revision int64) {
 	moveValue, err := c.cfg.Records.EncodeMove(m)
 	if err == nil {
 		var report []byte
-		if report, err = c.cfg.Operator.EncodeReport(m); err == nil {
+		if report, err = c.cfg.Operator.EncodeReport(&m.Move); err == nil {
 			c.commitMove(service, d, m, moveValue, report, revision)
 			return
 		}
@@ -356,7 +356,7 @@
 	c.log("move-failed", "service", string(service), "step", "encode", "detail", err.Error())
 }
 
-func (c *Core) commitMove(service model.ServiceName, d *moveDriver, m *model.Move, moveValue, report []byte, revision int64) {
+func (c *Core) commitMove(service model.ServiceName, d *moveDriver, m *model.Rollout, moveValue, report []byte, revision int64) {
 	key := store.PrefixMoves + string(service)
 	txn := store.Txn{
 		Compares: []store.Compare{
--- a/internal/command/catalog/view.go
+++ b/internal/command/catalog/view.go
@@ -21,7 +21,7 @@
 
 // moveRecord is the stored state of a move, with the revision of its key.
 type moveRecord struct {
-	model.Move
+	model.Rollout
 	revision int64
 }
 
@@ -106,6 +106,7 @@
 	}
 	if c.configuration != nil {
 		view.Configuration = c.composeConfiguration(view.Targets)
+		view.Canaries = c.canaries()
 	}
 	view.Ready = c.configuration != nil && c.operatorKeys.loaded && c.meshKeys.loaded
 	if view.Ready && !c.ready {
@@ -261,6 +262,17 @@
 	return in.To, 0
 }
 
+// canaries returns the canaries of the running moves by service.
+func (c *Core) canaries() map[model.ServiceName][]model.DaemonID {
+	canaries := map[model.ServiceName][]model.DaemonID{}
+	for service, m := range c.moves {
+		if c.isCurrent(m) && m.Phase == model.PhaseRunning && len(m.Canaries) > 0 {
+			canaries[service] = m.Canaries
+		}
+	}
+	return canaries
+}
+
 // isCurrent reports whether a move belongs to the operator's latest intent for its service.
 func (c *Core) isCurrent(m *moveRecord) bool {
 	in := c.intents[m.Service]
@@ -285,9 +297,10 @@
 			"detail", entryRefusal(err, "the service of the key differs"))
 		return
 	}
-	if previous := c.moves[service]; previous == nil || previous.ID != m.ID || previous.Step != m.Step || previous.Phase != m.Phase {
+	if previous := c.moves[service]; previous == nil || previous.ID != m.ID || previous.Step != m.Step || previous.Phase != m.Phase ||
+		!slices.Equal(previous.Canaries, m.Canaries) {
 		c.log("move", "service", string(service), "move", string(m.ID), "version", string(m.To), "phase", string(m.Phase),
-			"step", strconv.Itoa(m.Step), "reason", m.Reason, "revision", strconv.FormatInt(e.ModRevision, 10))
+			"step", strconv.Itoa(m.Step), "canaries", strconv.Itoa(len(m.Canaries)), "reason", m.Reason, "revision", strconv.FormatInt(e.ModRevision, 10))
 	}
 	c.moves[service] = &moveRecord{*m, e.ModRevision}
 }
--- a/internal/command/rollout/exposure.go
+++ b/internal/command/rollout/exposure.go
@@ -29,7 +29,7 @@
 }
 
 // observeRound adds the reports of one round.
-func (e *exposure) observeRound(m *model.Move, observations []Observation) {
+func (e *exposure) observeRound(m *model.Rollout, observations []Observation) {
 	var rate, newRate float64
 	measured := false
 	for i := range observations {
@@ -66,13 +66,23 @@
 }
 
 // allowed estimates the calls that the new version may receive between the start of its move and the deadline.
-func (e *exposure) allowed(m *model.Move) float64 {
+func (e *exposure) allowed(m *model.Rollout) float64 {
 	if len(m.Steps) == 0 {
 		return e.limit.Slack
 	}
 	return e.limit.Fraction*e.rate*m.Deadline.Sub(m.Steps[0].Earliest).Seconds() + e.limit.Slack
 }
 
+// reactionTime is the time from the calls that prove a fault until the version receives no more: they are reported, and the
+// withdrawal reaches all daemons.
+const reactionTime = 700 * time.Millisecond
+
+// isExhausted reports whether the new version will have received all calls that it may receive before a withdrawal that is
+// decided now is in force.
+func (e *exposure) isExhausted(m *model.Rollout) bool {
+	return e.rounds > 0 && float64(e.calls)+e.newRate*reactionTime.Seconds() >= e.allowed(m)
+}
+
 // Progress describes the new version of a move for logs and reports.
 type Progress struct {
 	// Calls and Failures are those of the new version since its move began, Allowed the calls that it may receive before it
@@ -85,7 +95,7 @@
 }
 
 // Progress returns the progress of a move, given the latest report of each target.
-func (d *Driver) Progress(now time.Time, m *model.Move, observations []Observation) Progress {
+func (d *Driver) Progress(now time.Time, m *model.Rollout, observations []Observation) Progress {
 	e := &d.exposure
 	p := Progress{
 		Calls: e.calls, Failures: e.failures, Allowed: int(e.allowed(m)), Rate: e.rate, NewRate: e.newRate,
--- a/internal/command/rollout/failures.go
+++ b/internal/command/rollout/failures.go
@@ -29,7 +29,7 @@
 type roundCounts struct{ calls, failures float64 }
 
 // observeRound adds the outcomes of one round. A round in which only one version had calls shows nothing.
-func (t *excessFailureTest) observeRound(m *model.Move, observations []Observation) {
+func (t *excessFailureTest) observeRound(m *model.Rollout, observations []Observation) {
 	var previous, next roundCounts
 	for i := range observations {
 		for j := range observations[i].Sums {
--- a/internal/command/rollout/rollout.go
+++ b/internal/command/rollout/rollout.go
@@ -38,31 +38,13 @@
 	capacityFraction = 0.6
 )
 
-// stages are the shares of a move, and the fractions of the time up to the step to 100% at which they begin. They are such
-// that a version that fails only after some time or under load has received less than a tenth of the calls when its failures
-// appear.
-var stages = []struct {
-	share    model.Share
-	fraction float64
-}{{500, 0}, {1500, 0.3}, {3500, 0.55}, {6500, 0.78}, {model.FullShare, 1}}
-
-// Steps returns the steps of a move that begins now. If the deadline is too close, the steps may end after it.
-func Steps(now, deadline time.Time) []model.Step {
-	span := max(deadline.Sub(now)-finishReserve, time.Duration(len(stages)-1)*minStepDuration)
-	steps := make([]model.Step, len(stages))
-	for i, s := range stages {
-		steps[i] = model.Step{Share: s.share, Earliest: now.Add(time.Duration(s.fraction * float64(span)))}
-	}
-	return steps
-}
-
 // Policy returns the test parameters for moves that take seconds. Targets of the same version differ in speed by a factor of
 // two or three, so only a version that is several times slower counts as bad. Such a move has few calls to decide on, and an
 // operator can request a wrongly withdrawn version again, so the bound on false withdrawals is wider than the default.
 func Policy() moves.Policy {
 	p := moves.DefaultPolicy()
 	p.FalseWithdrawal = 0.03
-	p.LatencyShift = 2
+	p.LatencyShift = 3
 	p.LongestWindow = 2 * time.Second
 	return p
 }
@@ -85,7 +67,7 @@
 // Decision is the result of Decide. The zero value leaves the move unchanged.
 type Decision struct {
 	// Next is the changed move, or nil if nothing changes.
-	Next *model.Move
+	Next *model.Rollout
 	// Hold says why the move does not advance.
 	Hold string
 }
@@ -97,21 +79,27 @@
 	slowTest    *slowCallTest
 	failureTest excessFailureTest
 	exposure    exposure
+	clearance   *clearanceTest
+	// byTarget sums the outcomes of each target of the new version.
+	byTarget map[model.DaemonID]*model.OutcomeSum
 }
 
 // NewDriver returns a driver without evidence.
 func NewDriver(limit ExposureLimit) *Driver {
 	return &Driver{
 		judge: moves.NewJudge(Policy(), moves.Level{Judges: 1}), slowTest: newSlowCallTest(), exposure: exposure{limit: limit},
+		clearance: newClearanceTest(), byTarget: map[model.DaemonID]*model.OutcomeSum{},
 	}
 }
 
 // Observe adds the outcomes that were reported since the last call. The configuration must contain the move.
-func (d *Driver) Observe(now time.Time, configuration *model.Configuration, m *model.Move, observations []Observation) {
+func (d *Driver) Observe(now time.Time, configuration *model.Configuration, m *model.Rollout, observations []Observation) {
 	d.judge.Track(configuration)
 	d.slowTest.observeRound(m, observations)
 	d.failureTest.observeRound(m, observations)
 	d.exposure.observeRound(m, observations)
+	d.clearance.observeRound(m, observations)
+	d.observeTargets(m, observations)
 	batches := make([]moves.Batch, 0, len(observations))
 	for i := range observations {
 		if len(observations[i].Sums) > 0 {
@@ -123,7 +111,7 @@
 
 // Decide decides whether a move takes its next step, is held, finishes or is withdrawn. observations holds the latest report
 // of each target of the service.
-func (d *Driver) Decide(now time.Time, m *model.Move, observations []Observation) Decision {
+func (d *Driver) Decide(now time.Time, m *model.Rollout, observations []Observation) Decision {
 	switch m.Phase {
 	case model.PhaseDone, model.PhaseWithdrawn:
 		return Decision{}
@@ -146,6 +134,10 @@
 		return newDecision(now, m, model.PhaseWithdrawing, m.Step,
 			fmt.Sprintf("%d of %d calls failed, and %s has too few to compare", verdict.Failures, verdict.Calls, m.From))
 	}
+	if t := d.clearance; t.proves() {
+		return newDecision(now, m, model.PhaseWithdrawing, m.Step,
+			fmt.Sprintf("%d of %d calls failed, more often than those of %s", t.failures, t.calls, m.From))
+	}
 	if m.Step < 0 {
 		return startFirstStep(now, m, observations)
 	}
@@ -155,11 +147,21 @@
 		}
 		return finishWhenIdle(now, m, observations, m.From, model.PhaseDone)
 	}
+	return d.decideStep(now, m, verdict, observations)
+}
+
+// decideStep decides whether a running move that is not proven bad takes its next step.
+func (d *Driver) decideStep(now time.Time, m *model.Rollout, verdict moves.Verdict, observations []Observation) Decision {
 	next := m.Steps[m.Step+1]
 	switch {
 	case !hasRecentReport(now, observations, m.To):
 		// A driver that has just taken over has no evidence yet. This must not be mistaken for a route with too few calls.
 		return Decision{Hold: "no daemon beside the new version has reported"}
+	case lostCanaries(now, m, observations):
+		return newDecision(now, d.withCanaries(now, m, observations), model.PhaseRunning, m.Step, "no canary is ready")
+	case m.Step <= canaryStep && !d.clearance.isAcceptable() && d.exposure.isExhausted(m):
+		return newDecision(now, m, model.PhaseWithdrawing, m.Step, fmt.Sprintf("%d of %d calls failed, and no more may be risked",
+			d.clearance.failures, d.clearance.calls))
 	case now.Before(next.Earliest) || now.Sub(m.Since) < minStepDuration:
 		return Decision{Hold: "the next step is not due"}
 	case exceedsFailureFraction(verdict, failingCalls, failingFraction):
@@ -168,15 +170,29 @@
 		return Decision{Hold: verdict.Cause + ": " + verdict.Evidence}
 	case verdict.Kind == moves.BothBad:
 		return Decision{Hold: verdict.Cause}
+	case d.clearance.suspects():
+		return Decision{Hold: "the calls of this step make a fault probable"}
+	case m.Step == canaryStep && !d.clearance.clears() && !d.exposure.isExhausted(m) && now.Before(m.Steps[lastStep].Earliest):
+		return Decision{Hold: "too few calls under load to exclude a fault"}
 	case next.Share == model.FullShare && !hasCapacity(m, observations, now):
 		return Decision{Hold: "the new version has too few slots for all calls"}
 	}
-	return newDecision(now, m, model.PhaseRunning, m.Step+1, verdict.Evidence)
+	return d.advance(now, m, verdict.Evidence, observations)
+}
+
+// advance takes the next step of a move. The steps up to canaryStep have canaries, the later ones use all targets.
+func (d *Driver) advance(now time.Time, m *model.Rollout, reason string, observations []Observation) Decision {
+	next := *m
+	next.Canaries = nil
+	if step := m.Step + 1; step == halfCanaryStep || step == canaryStep {
+		next = *d.withCanaries(now, m, observations)
+	}
+	return newDecision(now, &next, model.PhaseRunning, m.Step+1, reason)
 }
 
 // Withdraw ends the move of a version that is already withheld, for example by a daemon that judged it during an outage of
 // the platform.
-func Withdraw(now time.Time, m *model.Move, reason string) Decision {
+func Withdraw(now time.Time, m *model.Rollout, reason string) Decision {
 	return newDecision(now, m, model.PhaseWithdrawing, m.Step, reason)
 }
 
@@ -199,7 +215,7 @@
 const tooFewCalls = "too few calls"
 
 // startFirstStep starts the first step once a target of the new version has warmed up.
-func startFirstStep(now time.Time, m *model.Move, observations []Observation) Decision {
+func startFirstStep(now time.Time, m *model.Rollout, observations []Observation) Decision {
 	warm := 0
 	for i := range observations {
 		t := &observations[i].Target
@@ -217,7 +233,7 @@
 }
 
 // hasCapacity reports whether the new version has enough slots for all calls.
-func hasCapacity(m *model.Move, observations []Observation, now time.Time) bool {
+func hasCapacity(m *model.Rollout, observations []Observation, now time.Time) bool {
 	var newSlots, oldSlots int
 	for i := range observations {
 		t := &observations[i].Target
@@ -235,7 +251,7 @@
 
 // finishWhenIdle ends a move in the given final phase, once the targets that lose their calls have no running calls and have
 // been idle for idleTime.
-func finishWhenIdle(now time.Time, m *model.Move, observations []Observation, losing model.VersionName,
+func finishWhenIdle(now time.Time, m *model.Rollout, observations []Observation, losing model.VersionName,
 	phase model.Phase,
 ) Decision {
 	if now.Sub(m.Since) < propagationTime {
@@ -255,7 +271,7 @@
 }
 
 // newDecision returns the decision to change the phase and the step of a move.
-func newDecision(now time.Time, m *model.Move, phase model.Phase, step int, reason string) Decision {
+func newDecision(now time.Time, m *model.Rollout, phase model.Phase, step int, reason string) Decision {
 	next := *m
 	next.Phase, next.Step, next.Since, next.Reason = phase, step, now, reason
 	return Decision{Next: &next}
--- a/internal/command/rollout/rollout_test.go
+++ b/internal/command/rollout/rollout_test.go
@@ -59,10 +59,10 @@
 	random := rand.New(rand.NewPCG(seed, 2))
 	start := time.Unix(10_000, 0)
 	deadline := start.Add(moveTime)
-	m := &model.Move{
+	m := &model.Rollout{Move: model.Move{
 		ID: "m", Service: service, From: "v1", To: "v2", Deadline: deadline,
 		Phase: model.PhaseRunning, Step: -1, Since: start,
-	}
+	}}
 	d := rollout.NewDriver(exposureLimit)
 	born := start.Add(time.Second)
 	var result moveResult
@@ -95,7 +95,7 @@
 				observations[i].Idle, observations[i].Running = 0, 1
 			}
 		}
-		configuration := &model.Configuration{Moves: []model.Move{*m}, Routes: []model.Route{{Name: route, Service: service}}}
+		configuration := &model.Configuration{Moves: []model.Move{m.Move}, Routes: []model.Route{{Name: route, Service: service}}}
 		if now.Before(born) {
 			observations = observations[:1]
 		}
@@ -114,7 +114,7 @@
 	return result
 }
 
-func shareOf(m *model.Move) float64 {
+func shareOf(m *model.Rollout) float64 {
 	if m.Phase != model.PhaseRunning || m.Step < 0 {
 		return 0
 	}
@@ -173,10 +173,10 @@
 // at once then.
 func TestDoneOnlyWhenTheOldVersionIsIdle(t *testing.T) {
 	now := time.Unix(10_000, 0)
-	m := &model.Move{
+	m := &model.Rollout{Move: model.Move{
 		ID: "m", Service: service, From: "v1", To: "v2", Deadline: now,
 		Phase: model.PhaseRunning, Since: now.Add(-time.Minute),
-	}
+	}}
 	m.Steps = rollout.Steps(now, now)
 	m.Step = len(m.Steps) - 1
 	old := newObservation("old", "v1", now, now)
@@ -198,16 +198,16 @@
 // targets are stopped then.
 func TestTooFewSlotsHoldTheLastStep(t *testing.T) {
 	now := time.Unix(10_000, 0)
-	m := &model.Move{
+	m := &model.Rollout{Move: model.Move{
 		ID: "m", Service: service, From: "v1", To: "v2", Deadline: now,
 		Phase: model.PhaseRunning, Since: now.Add(-time.Minute),
-	}
+	}}
 	m.Steps = rollout.Steps(now.Add(-time.Hour), now.Add(-time.Minute))
 	m.Step = len(m.Steps) - 2
 	small := newObservation("new", "v2", now, now)
 	small.Target.Slots = 2
 	d := rollout.NewDriver(exposureLimit)
-	configuration := &model.Configuration{Moves: []model.Move{*m}}
+	configuration := &model.Configuration{Moves: []model.Move{m.Move}}
 	d.Observe(now, configuration, m, nil)
 	if got := d.Decide(now, m, []rollout.Observation{newObservation("old", "v1", now, now), small}); got.Next != nil {
 		t.Fatalf("the move went on to %+v", got.Next)
@@ -218,13 +218,13 @@
 // after its daemons failed. Found by seed 2006 of platform/soak: "54 calls, 54 failed", and the move was done.
 func TestFailingVersionWithoutOldCalls(t *testing.T) {
 	now := time.Unix(10_000, 0)
-	m := &model.Move{
+	m := &model.Rollout{Move: model.Move{
 		ID: "m", Service: service, From: "v1", To: "v2", Deadline: now.Add(time.Minute),
 		Phase: model.PhaseRunning, Since: now.Add(-time.Minute),
-	}
+	}}
 	m.Steps = rollout.Steps(now.Add(-time.Hour), now.Add(time.Minute))
 	m.Step = 1
-	configuration := &model.Configuration{Moves: []model.Move{*m}}
+	configuration := &model.Configuration{Moves: []model.Move{m.Move}}
 	decide := func(calls, failures int) rollout.Decision {
 		d := rollout.NewDriver(exposureLimit)
 		o := newObservation("new", "v2", now, now)
@@ -248,7 +248,7 @@
 // besideFailing is a move to a version beside an old one that fails calls, as it does while a service that both call is
 // overloaded. The new version has a tenth of 60 calls a second.
 type besideFailing struct {
-	move     *model.Move
+	move     *model.Rollout
 	failures int
 }
 
@@ -259,10 +259,10 @@
 	const rate, newShare, round = 60, 0.1, 300 * time.Millisecond
 	random := rand.New(rand.NewPCG(seed, 7))
 	start := time.Unix(10_000, 0)
-	result := besideFailing{move: &model.Move{
+	result := besideFailing{move: &model.Rollout{Move: model.Move{
 		ID: "m", Service: service, From: "v1", To: "v2", Deadline: start.Add(time.Minute), Phase: model.PhaseRunning, Step: 0, Since: start,
 		Steps: []model.Step{{Share: model.FullShare / 10}, {Share: model.FullShare, Earliest: start.Add(time.Hour)}},
-	}}
+	}}}
 	d := rollout.NewDriver(exposureLimit)
 	for now := start; result.move.Phase == model.PhaseRunning && !stop(now.Sub(start), result.failures); now = now.Add(round) {
 		observations := []rollout.Observation{newObservation("old", "v1", now, start), newObservation("new", "v2", now, start)}
@@ -277,7 +277,7 @@
 			}
 			observations[i].Sums[0].Observe(failed, 100*time.Millisecond)
 		}
-		configuration := &model.Configuration{Moves: []model.Move{*result.move}, Routes: []model.Route{{Name: route, Service: service}}}
+		configuration := &model.Configuration{Moves: []model.Move{result.move.Move}, Routes: []model.Route{{Name: route, Service: service}}}
 		d.Observe(now, configuration, result.move, observations)
 		if decision := d.Decide(now, result.move, observations); decision.Next != nil {
 			result.move = decision.Next
--- a/internal/command/rollout/slow.go
+++ b/internal/command/rollout/slow.go
@@ -38,7 +38,7 @@
 }
 
 // observeRound adds the outcomes of one round.
-func (t *slowCallTest) observeRound(m *model.Move, observations []Observation) {
+func (t *slowCallTest) observeRound(m *model.Rollout, observations []Observation) {
 	for _, histogram := range t.oldLatencies {
 		for i := range histogram {
 			histogram[i] *= oldDecay
--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -60,11 +60,11 @@
 }
 
 // EncodeMove encodes the record of a move.
-func (JSON) EncodeMove(m *model.Move) ([]byte, error) { return json.Marshal(m) }
+func (JSON) EncodeMove(m *model.Rollout) ([]byte, error) { return json.Marshal(m) }
 
 // DecodeMove decodes the record of a move. It refuses one without an ID or a service, or with a step number beyond its steps.
-func (JSON) DecodeMove(data []byte) (*model.Move, error) {
-	m, err := decode[model.Move](data, "move record")
+func (JSON) DecodeMove(data []byte) (*model.Rollout, error) {
+	m, err := decode[model.Rollout](data, "move record")
 	if err == nil && (m.ID == "" || m.Service == "" || m.Step >= len(m.Steps)) {
 		return nil, errors.New("move record: a field is missing")
 	}
--- a/internal/model/move.go
+++ b/internal/model/move.go
@@ -99,6 +99,14 @@
 	ConfirmedBy string `json:"confirmedBy"`
 }
 
+// Rollout is a move that must finish within seconds, with the state of its current step.
+type Rollout struct {
+	Move
+	// Canaries are the daemons whose targets receive nearly all calls of the new version in this step; empty means all
+	// targets of the version.
+	Canaries []DaemonID `json:"canaries,omitempty"`
+}
+
 // Version returns the version that the move rolls out.
 func (m *Move) Version() VersionRef { return VersionRef{Service: m.Service, Version: m.To} }
 
--- a/internal/model/target.go
+++ b/internal/model/target.go
@@ -128,6 +128,8 @@
 	Targets []Target
 	// Marks are the versions withheld on this daemon.
 	Marks []Mark
+	// Canaries are, by service under a move, the daemons of Rollout.Canaries.
+	Canaries map[ServiceName][]DaemonID
 	// Ready says that the daemon has a configuration that is known to be current.
 	Ready bool
 	// Isolated says that no parent has answered within the time limit; a version that is being rolled out then gets no
--- a/internal/query/routing/expected_loss.go
+++ b/internal/query/routing/expected_loss.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"sniperail.example/sniperail/internal/model"
@@ -23,6 +24,12 @@
 	// lossJitter bounds a random addition to the loss at each target, so that daemons with the same load reports do not all
 	// choose the same target.
 	lossJitter = 0.02
+	// spareLoss is added for a target of a version that has canaries and is not one of them. It exceeds the loss of a call to
+	// another data centre, so that such a target only receives the calls that would be late at every canary.
+	spareLoss = 0.6
+	// spareInterval is the mean number of calls between two that are placed without regard to canaries: the other targets of
+	// a version must receive calls too, so that a fault of one of them shows.
+	spareInterval = 16
 	// suspectLoss is added for a target that was ejected or is leaving. It exceeds every other loss, so that such a target is
 	// used only if there is no other.
 	suspectLoss = 100
@@ -78,7 +85,9 @@
 	load                TargetLoad
 	tier                int
 	wait, executionTime time.Duration
-	loss                float64
+	// spare says that other targets are the canaries of the version.
+	spare bool
+	loss  float64
 }
 
 // Selection describes the call for which a target is selected.
@@ -95,7 +104,7 @@
 // lowest. The loss covers a response that takes longer than s.Remaining, a failure, and the distance to the target. It reports
 // false if there is no target.
 func (v *Version) SelectByExpectedLoss(loads LoadProvider, random RandomSource, s Selection) (Choice, bool) {
-	candidates := drawCandidates(v.candidates(loads, random, s), random)
+	candidates := v.drawWithCanaries(loads, random, s)
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
@@ -122,6 +131,22 @@
 	return choice, true
 }
 
+// drawWithCanaries returns the candidates of a call: random targets of each tier, and the canaries of the version besides.
+func (v *Version) drawWithCanaries(loads LoadProvider, random RandomSource, s Selection) []candidate {
+	drawn := drawCandidates(v.candidates(loads, random, s), random)
+	if v.canaries == nil || random.Uint64()%spareInterval == 0 {
+		return drawn
+	}
+	canaries := drawCandidates(v.canaries.candidates(loads, random, s), random)
+	for i := range drawn {
+		isCanary := func(c candidate) bool { return c.target == drawn[i].target }
+		if drawn[i].spare = !slices.ContainsFunc(canaries, isCanary); drawn[i].spare {
+			canaries = append(canaries, drawn[i])
+		}
+	}
+	return canaries
+}
+
 // candidates returns targets that may be selected, a few of each tier in the order of the tiers, with the expected wait and
 // execution time at each. A target without a reported time is assumed to be as fast as the fastest one, so that it receives a
 // call soon. For the same reason, an old report of a slow target loses weight.
@@ -176,6 +201,9 @@
 		took += regionRoundTrip
 		loss += regionLoss
 	}
+	if c.spare {
+		loss += spareLoss
+	}
 	if c.load.Suspect {
 		loss += suspectLoss
 	}
--- a/internal/query/routing/versions.go
+++ b/internal/query/routing/versions.go
@@ -1,6 +1,10 @@
 package routing
 
-import "sniperail.example/sniperail/internal/model"
+import (
+	"slices"
+
+	"sniperail.example/sniperail/internal/model"
+)
 
 // Service is a compiled service: its versions and the weights by which calls are distributed over them.
 type Service struct {
@@ -17,6 +21,8 @@
 	UnderMove bool
 	// tiers holds the ready targets of the own data centre, of the region, and of other regions.
 	tiers [3][]*model.Target
+	// canaries holds those targets that receive nearly all calls of the version; nil means that no target is preferred.
+	canaries *Version
 }
 
 // SelectVersion selects the version of the call with the given counter. Of any consecutive calls, as many as the sum of the
@@ -83,8 +89,10 @@
 		}
 		v := &Version{VersionRef: share.ref, UnderMove: share.underMove}
 		for _, target := range ready[share.ref] {
-			tier := tierOf(view, target)
-			v.tiers[tier] = append(v.tiers[tier], target)
+			v.addTarget(view, target)
+		}
+		if share.underMove {
+			v.canaries = canariesOf(view, v.VersionRef, ready[share.ref])
 		}
 		out.versions = append(out.versions, v)
 		out.weights = append(out.weights, share.weight)
@@ -93,6 +101,26 @@
 	return out
 }
 
+func (v *Version) addTarget(view *model.View, target *model.Target) {
+	tier := tierOf(view, target)
+	v.tiers[tier] = append(v.tiers[tier], target)
+}
+
+// canariesOf returns the canaries among the ready targets of a version, or nil if there are none.
+func canariesOf(view *model.View, ref model.VersionRef, ready []*model.Target) *Version {
+	daemons := view.Canaries[ref.Service]
+	canaries := &Version{VersionRef: ref}
+	for _, target := range ready {
+		if slices.Contains(daemons, target.Daemon) {
+			canaries.addTarget(view, target)
+		}
+	}
+	if canaries.ReadyCount() == 0 {
+		return nil
+	}
+	return canaries
+}
+
 func tierOf(view *model.View, target *model.Target) int {
 	switch {
 	case target.DataCentre == view.DataCentre:
