traffic: a target that says in an answer that it is leaving gets no more calls

Drains relied on the reports of the target alone. Cause: no daemon read the header, so a target that leaves without a report, or whose report is late, got calls until it was gone. Change: the daemon beside the target closes it with the first such answer, refusals included, and announces it as draining. Daemons that forward such an answer remember the run, so that a restart of the target's daemon does not bring it back. A later run of the target is another one, and a late answer of an earlier run is ignored.

--- a/internal/command/catalog/announcement.go
+++ b/internal/command/catalog/announcement.go
@@ -30,8 +30,11 @@
 type localTarget struct {
 	target model.Target
 	// report is the latest accepted report of the target; nil before the first.
-	report   *model.TargetReport
-	stopping bool
+	report *model.TargetReport
+	// leaving is the run that has said in a response that it is leaving, and leavingBorn its start time.
+	leaving     model.InstanceID
+	leavingBorn int64
+	stopping    bool
 	// previous is the target that an earlier process of this daemon announced; nil if there is none or it has been checked.
 	previous *model.Target
 	// restarted says that an earlier process of this daemon has announced a target.
@@ -101,6 +104,28 @@
 	c.emit(effect.Answer{Token: ev.Token, Outcome: model.Outcome{Code: model.OutcomeApplied}})
 }
 
+// handleTargetLeaving announces that the local target is leaving, if the run that said so is the present one. Its later reports
+// do not undo it.
+func (c *Core) handleTargetLeaving(now time.Time, ev effect.TargetLeaving) {
+	local := &c.local
+	if ev.Born < local.leavingBorn {
+		// A late answer of an earlier run.
+		return
+	}
+	local.leaving, local.leavingBorn = ev.Instance, ev.Born
+	if local.report == nil || !local.isLeaving(local.report) || local.target.State != model.TargetReady && !local.target.DaemonEnds {
+		return
+	}
+	next := local.target
+	next.State, next.DaemonEnds = model.TargetDraining, false
+	c.setLocalTarget(now, next)
+}
+
+// isLeaving reports whether a report comes from the run that is leaving.
+func (l *localTarget) isLeaving(r *model.TargetReport) bool {
+	return r.Instance == l.leaving && r.Born == l.leavingBorn
+}
+
 // checkReport returns why a report cannot come from the target of this daemon, or "".
 func (c *Core) checkReport(r *model.TargetReport) string {
 	if r.State != model.TargetGone && r.Service != c.cfg.Target.Service {
@@ -126,6 +151,9 @@
 	next := local.target
 	next.Instance, next.Born, next.Version = local.report.Instance, local.report.Born, local.report.Version
 	next.Slots, next.State = local.report.Slots, local.report.State
+	if next.State == model.TargetReady && local.isLeaving(r) {
+		next.State = model.TargetDraining
+	}
 	next.DaemonEnds = local.stopping && next.State == model.TargetReady
 	if next.DaemonEnds {
 		next.State = model.TargetDraining
--- a/internal/command/catalog/catalog.go
+++ b/internal/command/catalog/catalog.go
@@ -150,6 +150,8 @@
 		c.handleRequest(now, ev)
 	case effect.TargetReported:
 		c.handleTargetReport(now, ev)
+	case effect.TargetLeaving:
+		c.handleTargetLeaving(now, ev)
 	case effect.HealthChecked:
 		c.handleHealthChecked(now, ev)
 	case effect.TargetOutcomesObserved:
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -150,7 +150,16 @@
 
 // ObserveTarget sends the outcomes of the local target's calls to the loop. It never blocks: it returns false if they were
 // dropped.
-func (l *Loop) ObserveTarget(ev effect.TargetOutcomesObserved) bool {
+func (l *Loop) ObserveTarget(ev effect.TargetOutcomesObserved) bool { return l.offer(ev) }
+
+// ObserveTargetLeaving sends the run of the local target that is leaving to the loop. It never blocks: it returns false if the
+// event was dropped.
+func (l *Loop) ObserveTargetLeaving(instance model.InstanceID, born int64) bool {
+	return l.offer(effect.TargetLeaving{Instance: instance, Born: born})
+}
+
+// offer sends an event to the loop unless its queue is full.
+func (l *Loop) offer(ev effect.Event) bool {
 	select {
 	case l.inputs <- input{event: func(effect.Token) effect.Event { return ev }}:
 		return true
--- a/internal/effect/effect.go
+++ b/internal/effect/effect.go
@@ -62,6 +62,11 @@
 		Token  Token
 		Report model.TargetReport
 	}
+	// TargetLeaving reports that a run of the local target has said in a response that it is leaving.
+	TargetLeaving struct {
+		Instance model.InstanceID
+		Born     int64
+	}
 	// HealthChecked is the result of a CheckHealth. Instance identifies the process of the target that reported itself
 	// healthy; it is empty if the target is not healthy.
 	HealthChecked struct{ Instance model.InstanceID }
@@ -142,6 +147,7 @@
 func (KeyChanged) event()             {}
 func (OutcomesObserved) event()       {}
 func (TargetOutcomesObserved) event() {}
+func (TargetLeaving) event()          {}
 func (TargetChanged) event()          {}
 func (TargetReported) event()         {}
 func (HealthChecked) event()          {}
--- a/internal/query/routing/candidates.go
+++ b/internal/query/routing/candidates.go
@@ -30,6 +30,9 @@
 			continue
 		}
 		load := loads.Load(target)
+		if load.Leaving {
+			continue
+		}
 		candidates = append(candidates, candidate{target: target, load: load, tier: tier})
 		if load.Suspect {
 			continue
--- a/internal/query/routing/expected_loss.go
+++ b/internal/query/routing/expected_loss.go
@@ -59,6 +59,8 @@
 	Fresh bool
 	// FailureRate is the fraction of recent calls that failed.
 	FailureRate float64
+	// Leaving says that the target has said that it is leaving: it gets no more calls, even if there is no other.
+	Leaving bool
 	// Suspect says that the target was ejected, or refused calls because it is leaving. Cold says that it has started
 	// recently and is still slow.
 	Suspect, Cold bool
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -218,6 +218,7 @@
 		Observe: func(sums []model.KeyedSum, running int, arrived time.Time) bool {
 			return d.loop.ObserveTarget(effect.TargetOutcomesObserved{Sums: sums, Running: running, Arrived: arrived})
 		},
+		Leaving: d.loop.ObserveTargetLeaving,
 	})
 	if err := metrics.RegisterAdmissionGauges(d.inbound); err != nil {
 		return err
--- a/internal/traffic/dispatch_header.go
+++ b/internal/traffic/dispatch_header.go
@@ -29,6 +29,8 @@
 	// TargetRateLimit holds the requests per second that a target takes from all VMs together, as a decimal number. A target
 	// names it in all its answers while it applies.
 	TargetRateLimit string
+	// TargetLeaving marks the responses of a target that is leaving.
+	TargetLeaving string
 }
 
 // HeaderDispatch tells the target's daemon what the caller's daemon selected; see dispatchHeader. HeaderLoad returns the
--- a/internal/traffic/inbound.go
+++ b/internal/traffic/inbound.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -33,6 +34,9 @@
 	// Observe receives, at intervals, the outcomes of the target's calls, the running calls and the time of the latest call
 	// sent. It must not block and returns false if it dropped the outcomes.
 	Observe func(sums []model.KeyedSum, running int, lastSent time.Time) bool
+	// Leaving receives the run of the target that has said in a response that it is leaving. It must not block; it returns
+	// false if it could not take the run, which is then offered again. Nil if nobody is to know.
+	Leaving func(instance model.InstanceID, born int64) bool
 }
 
 // Inbound handles the calls from other daemons to the local target, which is reached in no other way. It counts the
@@ -45,6 +49,10 @@
 	recorder *recorder
 	target   atomic.Pointer[model.Target]
 	withheld atomic.Bool
+	leaving  leavingRuns
+	// unreported is a run that is leaving and that Leaving has not taken yet.
+	unreported atomic.Pointer[targetRun]
+	targetMu   sync.Mutex // serializes changes of the target
 	// invalidLimit is the latest rate limit that could not be read, which is logged once.
 	invalidLimit atomic.Pointer[string]
 	lastSent     atomic.Int64 // Unix nanoseconds
@@ -69,18 +77,30 @@
 // SetTarget sets the target as the control loop publishes it, and whether its version is withheld. Once it has returned, no
 // call is sent to a target that is leaving or whose version is withheld.
 func (in *Inbound) SetTarget(t model.Target, withheld bool) {
+	in.targetMu.Lock()
+	defer in.targetMu.Unlock()
+	in.setTarget(t, withheld)
+}
+
+// setTarget sets the target. A run that has said that it is leaving counts as draining, whatever else it reports. The lock must
+// be held.
+func (in *Inbound) setTarget(t model.Target, withheld bool) {
+	if t.State == model.TargetReady && in.leaving.contains(runOf(&t)) {
+		t.State = model.TargetDraining
+	}
 	in.target.Store(&t)
 	in.withheld.Store(withheld)
 	in.queue.setTarget(&t, withheld)
 }
 
-// Run reports outcomes until ctx ends.
+// Run reports outcomes, and a run of the target that is leaving, until ctx ends.
 func (in *Inbound) Run(ctx context.Context) {
 	ticker := time.NewTicker(flushInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ticker.C:
+			in.reportLeaving()
 			running, _, _ := in.queue.occupancy()
 			sums := in.recorder.collect(ctx)
 			if !in.options.Observe(sums, running, time.Unix(0, in.lastSent.Load())) {
@@ -260,6 +280,30 @@
 	if text := strings.Join(h.Values(in.options.Headers.TargetRateLimit), ", "); changed || s.invalid && in.isNewInvalidLimit(text) {
 		in.options.Log.RateLimit(c.request, run, s, text)
 	}
+	if s.leaving {
+		c.recordLeaving(run)
+	}
+}
+
+// recordLeaving takes the target out of service if the run that is leaving is the present one.
+func (c *inboundCall) recordLeaving(run targetRun) {
+	in := c.inbound
+	if !in.leaving.add(run) {
+		return
+	}
+	in.options.Log.TargetLeaving(c.request, run)
+	in.targetMu.Lock()
+	in.setTarget(*in.target.Load(), in.withheld.Load())
+	in.targetMu.Unlock()
+	in.unreported.Store(&run)
+}
+
+// reportLeaving offers the run that is leaving to the option Leaving, until it is taken.
+func (in *Inbound) reportLeaving() {
+	run := in.unreported.Load()
+	if run != nil && (in.options.Leaving == nil || in.options.Leaving(run.instance, run.born)) {
+		in.unreported.CompareAndSwap(run, nil)
+	}
 }
 
 // isNewInvalidLimit reports whether a rate limit that cannot be read differs from the previous one.
--- a/internal/traffic/outbound.go
+++ b/internal/traffic/outbound.go
@@ -39,6 +39,7 @@
 	rotations        rotationCounters
 	budgets          lazyMap[model.ServiceName, sharedBudget]
 	longestDeadlines longestDeadlines
+	leaving          leavingRuns
 }
 
 // NewOutbound returns a handler. A call is not cancelled because its target leaves the table or has not answered for long:
--- a/internal/traffic/outbound_request.go
+++ b/internal/traffic/outbound_request.go
@@ -149,7 +149,7 @@
 
 // pickTarget selects a target of the version that has not been tried.
 func (r *outboundRequest) pickTarget(now time.Time) (routing.Choice, bool) {
-	loads := &peerLoads{r.outbound.peers, r.route.Name, now}
+	loads := &peerLoads{r.outbound.peers, &r.outbound.leaving, r.route.Name, now}
 	return r.version.SelectByExpectedLoss(loads, random{}, routing.Selection{
 		Tried: r.tried, Remaining: r.objective.Sub(now), OwnDataCentre: r.refusedAbroad,
 	})
@@ -174,6 +174,10 @@
 		a.refused = inDoubt(http.StatusBadGateway, reasonResponseMismatch, "the response belongs to another request")
 		return a
 	}
+	if parseTargetStatement(r.outbound.options.Headers, e.response.Header).leaving {
+		// The target's daemon stops its calls too, but it may restart and not know it any more.
+		r.outbound.leaving.add(runOf(target))
+	}
 	if load, ok := parseLoad(e.response.Header.Get(HeaderLoad)); ok {
 		a.peer.recordLoad(time.Now(), r.route.Name, load, parseRate(e.response.Header.Get(HeaderRate)))
 	}
--- a/internal/traffic/peer_load.go
+++ b/internal/traffic/peer_load.go
@@ -47,9 +47,10 @@
 
 // peerLoads implements routing.LoadProvider for a route at one moment.
 type peerLoads struct {
-	peers *peers
-	route model.RouteName
-	now   time.Time
+	peers   *peers
+	leaving *leavingRuns
+	route   model.RouteName
+	now     time.Time
 }
 
 func (l *peerLoads) Load(target *model.Target) routing.TargetLoad {
@@ -57,6 +58,7 @@
 	now := l.now.UnixNano()
 	out := routing.TargetLoad{
 		Slots: target.Slots, Cold: target.WarmAt.After(l.now),
+		Leaving: l.leaving.contains(runOf(target)),
 		Suspect: p.ejectedUntil.Load() > now || p.leavingUntil.Load() > now,
 	}
 	own := p.inFlight.Load()
--- a/internal/traffic/request_log.go
+++ b/internal/traffic/request_log.go
@@ -120,4 +120,9 @@
 
 func truncate(value string) string { return value[:min(len(value), maxLoggedValue)] }
 
+// TargetLeaving logs that the target said in the response to a request that it is leaving.
+func (l RequestLog) TargetLeaving(r *http.Request, run targetRun) {
+	l.Logger.Info("target-leaving", l.id(r), zap.String("instance", string(run.instance)), zap.Int64("born", run.born))
+}
+
 func milliseconds(name string, d time.Duration) zap.Field { return zap.Int64(name, d.Milliseconds()) }
--- a/internal/traffic/target_statement.go
+++ b/internal/traffic/target_statement.go
@@ -1,10 +1,13 @@
 package traffic
 
 import (
+	"maps"
 	"math"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"sniperail.example/sniperail/internal/model"
@@ -19,11 +22,13 @@
 	limited   bool
 	perSecond float64
 	invalid   bool
+	// leaving says that the target is leaving.
+	leaving bool
 }
 
 // parseTargetStatement reads the statement of a target. Of several limits the lowest one counts.
 func parseTargetStatement(names Headers, h http.Header) targetStatement {
-	var s targetStatement
+	s := targetStatement{leaving: names.TargetLeaving != "" && h.Get(names.TargetLeaving) == "1"}
 	if names.TargetRateLimit == "" {
 		return s
 	}
@@ -50,6 +55,45 @@
 
 func runOf(t *model.Target) targetRun { return targetRun{t.Instance, t.Born} }
 
+// maxLeavingRuns is the number of runs that leavingRuns holds at most. It bounds the memory; older runs have ended long ago.
+const maxLeavingRuns = 4096
+
+// leavingRuns holds the runs of targets that have said in a response that they are leaving. A run that leaves does not return;
+// a later run of the same target has another start time.
+type leavingRuns struct {
+	mu    sync.Mutex
+	known atomic.Pointer[map[targetRun]struct{}]
+	order []targetRun
+}
+
+// add adds a run and reports whether it is new.
+func (l *leavingRuns) add(run targetRun) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.contains(run) {
+		return false
+	}
+	next := map[targetRun]struct{}{run: {}}
+	if known := l.known.Load(); known != nil {
+		maps.Copy(next, *known)
+	}
+	if l.order = append(l.order, run); len(l.order) > maxLeavingRuns {
+		delete(next, l.order[0])
+		l.order = l.order[1:]
+	}
+	l.known.Store(&next)
+	return true
+}
+
+func (l *leavingRuns) contains(run targetRun) bool {
+	known := l.known.Load()
+	if known == nil {
+		return false
+	}
+	_, ok := (*known)[run]
+	return ok
+}
+
 // rateReport is the content of HeaderRate: the rate limit of a target in calls per second, and the time until it has room for
 // another call. The header is missing while the target has no limit.
 type rateReport struct {
