rollout: a move whose record has other steps is decided without canaries

Callers saw: nothing; found by a test for odd entries in the store. A driver that reads a record with other steps than its own, from another writer or another release, indexes beyond them, ends, and so does the next driver. Cause: the steps with canaries are addressed by constant indexes. Change: a move with other steps is taken through them without canaries. Measured: TestMoveWithOtherStepsIsDecided panicked (index 3 of 2 steps) before.

--- a/internal/command/rollout/canary.go
+++ b/internal/command/rollout/canary.go
@@ -135,6 +135,9 @@
 // withCanaries returns the move with canaries and with the shares of the steps that depend on them.
 func (d *Driver) withCanaries(now time.Time, m *model.Rollout, observations []Observation) *model.Rollout {
 	next := *m
+	if next.Canaries = nil; !hasStages(m) {
+		return &next
+	}
 	daemons, share := d.selectCanaries(now, m, observations)
 	next.Canaries = daemons
 	next.Steps = slices.Clone(m.Steps)
--- a/internal/command/rollout/canary_test.go
+++ b/internal/command/rollout/canary_test.go
@@ -48,3 +48,31 @@
 	is.Equal(got.Next.Step, 3)
 	is.Equal(len(got.Next.Canaries), 0)
 }
+
+// Guards against a driver that ends because the record of its move, from another writer or another release, has other steps.
+func TestMoveWithOtherStepsIsDecided(t *testing.T) {
+	now := time.Unix(10_000, 0)
+	for steps := 1; steps <= 7; steps++ {
+		for step := range steps {
+			m := &model.Rollout{Move: model.Move{
+				ID: "m", Service: service, From: "v1", To: "v2", Deadline: now.Add(-time.Second),
+				Phase: model.PhaseRunning, Since: now.Add(-time.Minute), Step: step, Steps: make([]model.Step, steps),
+			}, Canaries: []model.DaemonID{"gone"}}
+			observations := []rollout.Observation{
+				newObservation("old", "v1", now, now), newObservation("new1", "v2", now, now), newObservation("new2", "v2", now, now),
+			}
+			d := rollout.NewDriver(exposureLimit)
+			for range 5 {
+				d.Observe(now, &model.Configuration{Moves: []model.Move{m.Move}}, m, observations)
+				if next := d.Decide(now, m, observations).Next; next != nil {
+					m = next
+				}
+				now = now.Add(2 * time.Second)
+				for i := range observations {
+					observations[i].At = now
+				}
+			}
+			is.New(t).True(m.Step < len(m.Steps))
+		}
+	}
+}
--- a/internal/command/rollout/rollout.go
+++ b/internal/command/rollout/rollout.go
@@ -172,7 +172,7 @@
 		return Decision{Hold: verdict.Cause}
 	case d.clearance.suspects():
 		return Decision{Hold: "the calls of this step make a fault probable"}
-	case m.Step == canaryStep && !d.clearance.clears() && !d.exposure.isExhausted(m) && now.Before(m.Steps[lastStep].Earliest):
+	case m.Step == canaryStep && hasStages(m) && !d.clearance.clears() && !d.exposure.isExhausted(m) && now.Before(m.Steps[lastStep].Earliest):
 		return Decision{Hold: "too few calls under load to exclude a fault"}
 	case next.Share == model.FullShare && !hasCapacity(m, observations, now):
 		return Decision{Hold: "the new version has too few slots for all calls"}
--- a/internal/command/rollout/stages.go
+++ b/internal/command/rollout/stages.go
@@ -34,3 +34,7 @@
 	}
 	return steps
 }
+
+// hasStages reports whether the steps of a move are those of stages. A record from another release may have others, which are
+// taken without canaries.
+func hasStages(m *model.Rollout) bool { return len(m.Steps) == len(stages) }
