document: records of targets and moves that cannot be used are skipped

Cause: a record was taken if it had names and addresses. One with a port, slots, a state or shares out of range became a target or a move; slots in the billions would have drawn the service's calls. No daemon ended: the depth and the numbers are bounded by the decoder. Change: such records are refused, each with one line and a counter (sniperail_entries_refused); all others are followed.

--- a/internal/command/catalog/roster.go
+++ b/internal/command/catalog/roster.go
@@ -47,8 +47,7 @@
 	}
 	target, err := c.cfg.Records.DecodeTarget(e.Value)
 	if err != nil || target.Daemon != daemon {
-		c.log("entry-refused", "key", e.Key, "revision", strconv.FormatInt(e.ModRevision, 10),
-			"detail", entryRefusal(err, "the daemon of the key differs"))
+		c.log("entry-refused", c.countRefusedEntry(e, "target", err)...)
 		return
 	}
 	if daemon == c.cfg.Target.Daemon {
@@ -65,15 +64,22 @@
 	c.updateMember(m, *target, "platform")
 }
 
-// entryRefusal returns why an entry is refused: the decoding error, or the given mismatch between the value and its key if
-// err is nil.
-func entryRefusal(err error, mismatch string) string {
-	if err == nil {
-		return mismatch
+// countRefusedEntry counts an entry of the store that is skipped and returns the fields of its log line: it cannot be decoded,
+// or, if err is nil, does not match its key.
+func (c *Core) countRefusedEntry(e *store.Entry, kind string, err error) []string {
+	c.count("sniperail_entries_refused", kind)
+	detail := "the value does not match the key"
+	if err != nil {
+		detail = err.Error()
 	}
-	return err.Error()
+	return []string{"key", e.Key, "revision", strconv.FormatInt(e.ModRevision, 10), "detail", truncate(detail)}
 }
 
+// maxLoggedDetail is the length in bytes to which a detail that quotes a foreign value is cut for the log.
+const maxLoggedDetail = 200
+
+func truncate(text string) string { return text[:min(len(text), maxLoggedDetail)] }
+
 func (c *Core) updateMember(m *member, target model.Target, source string) {
 	if m.target == target {
 		return
--- a/internal/command/catalog/view.go
+++ b/internal/command/catalog/view.go
@@ -42,8 +42,7 @@
 	}
 	in, err := c.cfg.Operator.DecodeIntent(e.Value, now)
 	if err != nil || in.Service != service {
-		c.log("intent-refused", "key", key, "revision", strconv.FormatInt(e.ModRevision, 10),
-			"detail", entryRefusal(err, "the service of the key differs"))
+		c.log("intent-refused", c.countRefusedEntry(e, "intent", err)...)
 		return
 	}
 	c.intents[service] = &intent{in, e.ModRevision}
@@ -293,8 +292,7 @@
 	}
 	m, err := c.cfg.Records.DecodeMove(e.Value)
 	if err != nil || m.Service != service {
-		c.log("entry-refused", "key", e.Key, "revision", strconv.FormatInt(e.ModRevision, 10),
-			"detail", entryRefusal(err, "the service of the key differs"))
+		c.log("entry-refused", c.countRefusedEntry(e, "move", err)...)
 		return
 	}
 	if previous := c.moves[service]; previous == nil || previous.ID != m.ID || previous.Step != m.Step || previous.Phase != m.Phase ||
--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -3,6 +3,8 @@
 
 import (
 	"encoding/json"
+	"net"
+	"strconv"
 
 	"github.com/pkg/errors"
 
@@ -50,23 +52,76 @@
 // EncodeTarget encodes the record of a target.
 func (JSON) EncodeTarget(t *model.Target) ([]byte, error) { return json.Marshal(t) }
 
-// DecodeTarget decodes the record of a target. It refuses one without a daemon name or an address.
+const (
+	// maxRecordBytes bounds a record of a target or a move, which has some hundred bytes.
+	maxRecordBytes = 64 << 10
+	// maxTargetSlots and maxTargetConnections bound the capacity of a target. A larger value is a mistake, and would draw all calls.
+	maxTargetSlots       = 100_000
+	maxTargetConnections = 1_000_000
+)
+
+// DecodeTarget decodes the record of a target. It refuses one that names no target which could be called.
 func (JSON) DecodeTarget(data []byte) (*model.Target, error) {
-	t, err := decode[model.Target](data, "target record")
-	if err == nil && (t.Daemon == "" || t.Address == "" || t.PeerAddress == "") {
-		return nil, errors.New("target record: a name or an address is missing")
+	t, err := decodeRecord[model.Target](data, "target record")
+	if err != nil {
+		return nil, err
+	}
+	switch {
+	case t.Daemon == "" || t.Service == "":
+		return nil, errors.New("target record: a name is missing")
+	case t.Slots < 1 || t.Slots > maxTargetSlots:
+		return nil, errors.Errorf("target record: %d slots", t.Slots)
+	case t.Connections < 0 || t.Connections > maxTargetConnections:
+		return nil, errors.Errorf("target record: %d connections", t.Connections)
+	case !t.State.IsKnown():
+		return nil, errors.Errorf("target record: state %.40q is unknown", t.State)
+	}
+	for _, address := range []string{t.Address, t.PeerAddress} {
+		if err := checkAddress(address); err != nil {
+			return nil, errors.Wrap(err, "target record")
+		}
+	}
+	return t, nil
+}
+
+// checkAddress checks an address that is dialled, host:port.
+func checkAddress(address string) error {
+	host, port, err := net.SplitHostPort(address)
+	if err != nil {
+		return errors.Errorf("address %.80q is not HOST:PORT", address)
 	}
-	return t, err
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 || host == "" {
+		return errors.Errorf("address %.80q has no host or no port from 1 to 65535", address)
+	}
+	return nil
+}
+
+func decodeRecord[T any](data []byte, what string) (*T, error) {
+	if len(data) > maxRecordBytes {
+		return nil, errors.Errorf("%s: %d bytes, at most %d are read", what, len(data), maxRecordBytes)
+	}
+	return decode[T](data, what)
 }
 
 // EncodeMove encodes the record of a move.
 func (JSON) EncodeMove(m *model.Rollout) ([]byte, error) { return json.Marshal(m) }
 
-// DecodeMove decodes the record of a move. It refuses one without an ID or a service, or with a step number beyond its steps.
+// DecodeMove decodes the record of a move. It refuses one without an ID or a service, with a step number beyond its steps, or
+// with a share that is none.
 func (JSON) DecodeMove(data []byte) (*model.Rollout, error) {
-	m, err := decode[model.Rollout](data, "move record")
-	if err == nil && (m.ID == "" || m.Service == "" || m.Step >= len(m.Steps)) {
-		return nil, errors.New("move record: a field is missing")
+	m, err := decodeRecord[model.Rollout](data, "move record")
+	switch {
+	case err != nil:
+		return nil, err
+	case m.ID == "" || m.Service == "":
+		return nil, errors.New("move record: a name is missing")
+	case m.Step < -1 || m.Step >= len(m.Steps):
+		return nil, errors.Errorf("move record: step %d of %d", m.Step, len(m.Steps))
+	}
+	for _, step := range m.Steps {
+		if step.Share < 0 || step.Share > model.FullShare {
+			return nil, errors.Errorf("move record: share %d of %d", step.Share, model.FullShare)
+		}
 	}
-	return m, err
+	return m, nil
 }
--- a/internal/model/target.go
+++ b/internal/model/target.go
@@ -16,6 +16,15 @@
 	TargetGone TargetState = "gone"
 )
 
+// IsKnown reports whether s is one of the states above.
+func (s TargetState) IsKnown() bool {
+	switch s {
+	case TargetStarting, TargetReady, TargetDraining, TargetDown, TargetSilent, TargetGone:
+		return true
+	}
+	return false
+}
+
 // Target is one upstream: a process that runs one version of a service, and the daemon beside it.
 type Target struct {
 	Daemon      DaemonID    `json:"daemon"`
