peer: a message that is skipped cannot exhaust the stack

Callers saw: nothing here; found while looking for the report of a similar system (an odd entry, very deeply nested, ends the machines). Cause: a body that nobody wants is skipped recursively by the library, one stack frame a level: 8 MB of nested arrays end the process with a stack over 1 GB, and fewer with the memory limit. Decoding into known messages is bounded by their types.

--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
+	"github.com/vmihailenco/msgpack/v5/msgpcode"
 )
 
 // bufferSize is the size of the read and write buffers of a connection in bytes. Most messages are smaller, and a daemon may
@@ -138,11 +139,36 @@
 // readBody decodes a message body, or skips it if body is nil.
 func (c *codec) readBody(body any) error {
 	if body == nil {
-		return c.dec.Skip()
+		return skipValue(c.dec)
 	}
 	return c.dec.Decode(body)
 }
 
+// skipValue skips a value without recursion: a value that is nested deeply enough would exhaust the stack, which ends the process.
+func skipValue(d *msgpack.Decoder) error {
+	for pending := 1; pending > 0; pending-- {
+		code, err := d.PeekCode()
+		if err != nil {
+			return err
+		}
+		elements := 0
+		switch {
+		case msgpcode.IsFixedArray(code) || code == msgpcode.Array16 || code == msgpcode.Array32:
+			elements, err = d.DecodeArrayLen()
+		case msgpcode.IsFixedMap(code) || code == msgpcode.Map16 || code == msgpcode.Map32:
+			elements, err = d.DecodeMapLen()
+			elements *= 2
+		default:
+			err = d.Skip()
+		}
+		if err != nil {
+			return err
+		}
+		pending += elements
+	}
+	return nil
+}
+
 // readHeader returns errors unwrapped, since net/rpc compares them with io.EOF to detect the end of a connection.
 func (c *codec) readHeader() (Header, error) {
 	var h Header
