platform: one unreadable item does not hide the others of a list or a watch

Cause: the items of an answer of the store were decoded as a whole. One with a revision out of range or a value that is no base64 made the list unavailable and ended the watch, again and again. Change: each item is decoded on its own. An unreadable one is logged (entry-unreadable) and counted, what was read last under its key holds, and the pages of a list go on behind it.

--- a/internal/command/catalog/replica.go
+++ b/internal/command/catalog/replica.go
@@ -148,6 +148,11 @@
 		present[r.Entries[i].Key] = true
 		changed = c.mergeEntry(now, k, r.Entries[i], gossip) || changed
 	}
+	for i := range r.Skipped {
+		// The entry that was read last holds until its key can be read again.
+		present[r.Skipped[i].Key] = true
+		c.logUnreadable(&r.Skipped[i])
+	}
 	for key, e := range k.entries {
 		if !present[key] && e.ModRevision <= r.Revision {
 			changed = c.mergeRemoval(now, k, key, r.Revision, gossip) || changed
@@ -157,6 +162,12 @@
 	return changed
 }
 
+// logUnreadable logs and counts an entry that could not be read.
+func (c *Core) logUnreadable(s *store.Skipped) {
+	c.log("entry-unreadable", "key", truncate(s.Key), "detail", truncate(s.Detail))
+	c.count("sniperail_entries_refused", "unreadable")
+}
+
 // mergeEntry stores an entry unless the same or a later revision of its key is known. It reports whether the entry was
 // stored.
 func (c *Core) mergeEntry(now time.Time, k *keyReplica, e store.Entry, gossip bool) bool {
@@ -215,6 +226,8 @@
 	case e.Lost:
 		c.log("watch-lost", "prefix", k.prefix, "revision", fmt.Sprint(k.revision), "detail", e.Detail)
 		k.scheduleList(now)
+	case e.Skipped != nil:
+		c.logUnreadable(e.Skipped)
 	case e.Deleted:
 		c.mergeRemoval(now, k, e.Entry.Key, e.Entry.ModRevision, true)
 	default:
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -121,17 +121,34 @@
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	result := c.doOnce(ctx, call)
-	for page := result; page.Truncated && page.Outcome == store.Applied && len(page.Entries) > 0; {
-		call.After = page.Entries[len(page.Entries)-1].Key
+	for page := result; page.Truncated && page.Outcome == store.Applied; {
+		after := lastKey(page)
+		if after <= call.After {
+			return store.Result{Outcome: store.Unavailable, Detail: "a page of the list does not say where the next one begins"}
+		}
+		call.After = after
 		if page = c.doOnce(ctx, call); page.Outcome != store.Applied {
 			return page
 		}
 		result.Entries = append(result.Entries, page.Entries...)
+		result.Skipped = append(result.Skipped, page.Skipped...)
 	}
 	result.Truncated = false
 	return result
 }
 
+// lastKey returns the highest key of a page, which unreadable entries may have too.
+func lastKey(page store.Result) string {
+	last := ""
+	for i := range page.Entries {
+		last = max(last, page.Entries[i].Key)
+	}
+	for i := range page.Skipped {
+		last = max(last, page.Skipped[i].Key)
+	}
+	return last
+}
+
 // doOnce performs one call. It starts with the endpoint in use and tries the next ones while callEndpoint allows it.
 func (c *Client) doOnce(ctx context.Context, call store.Call) store.Result {
 	request, err := c.protocol.Encode(call)
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -133,14 +133,21 @@
 	TTL      time.Duration
 	// Truncated means that the list has more entries after the last one. platform.Client reads the remaining pages itself.
 	Truncated bool
+	// Skipped are the entries of a list that could not be read.
+	Skipped []Skipped
 	// Detail explains an outcome other than Applied in logs.
 	Detail string
 }
 
+// Skipped is an entry that could not be read. Key is empty if not even its key could be.
+type Skipped struct{ Key, Detail string }
+
 // WatchEvent is a change of a watched key.
 type WatchEvent struct {
 	Entry   Entry
 	Deleted bool
+	// Skipped is set instead of Entry for a change that could not be read.
+	Skipped *Skipped
 	// Lost means that the watch has ended and events may be missing: read again before the next watch.
 	Lost bool
 	// Detail explains in logs why the watch was lost.
