sidecar: requests that arrive during a planned stop end before it, or are refused

Callers saw: nothing here yet; a report of a similar system (requests that came late in the grace were cut with no answer at its end). Here a request that arrives after the daemon was told to stop, up to 2.4 s, and runs for more than 2.9 s was cut without an answer. Cause: the deadline of such a request did not know the end of the daemon. Change: while the daemon stops, no deadline lies behind its end. The target's deadline is the same.

--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -50,6 +50,9 @@
 	targetDrainNotice = 1500 * time.Millisecond
 	// exitMargin is the time reserved between the end of a drain and the end of the grace period, when the process is killed.
 	exitMargin = 700 * time.Millisecond
+	// lastAnswerMargin is the time between the deadline of the last requests and the end of the drain. In it, the requests that
+	// are still running then are answered.
+	lastAnswerMargin = 100 * time.Millisecond
 	// responseFlushTime is the time allowed for writing the last responses.
 	responseFlushTime = 100 * time.Millisecond
 	// gcPercent keeps the heap small, because the VM's memory is meant for the target. The cost of more frequent collections
@@ -351,6 +354,8 @@
 	started := time.Now()
 	d.logger.Info("stopping", zap.Int("requests", d.outbound.InFlight()), zap.Int("calls", d.inbound.InFlight()))
 	d.draining.Store(true)
+	drained := started.Add(d.settings.Grace - exitMargin)
+	d.outbound.StopAt(drained.Add(-lastAnswerMargin))
 	d.ingress.Drain()
 	process.Wait(abort, targetDrainNotice)
 	d.loop.NotifyStopping(abort)
@@ -362,7 +367,7 @@
 	}
 	d.ingress.StopReading()
 	process.Wait(abort, traffic.StopLinger)
-	limited, cancel := context.WithDeadline(abort, started.Add(d.settings.Grace-exitMargin))
+	limited, cancel := context.WithDeadline(abort, drained)
 	defer cancel()
 	if d.ingress.Wait(limited) != nil || d.inbound.Wait(limited) != nil {
 		d.logger.Warn("stopping-cuts", zap.Int("requests", d.outbound.InFlight()), zap.Int("calls", d.inbound.InFlight()))
--- a/internal/traffic/chain_test.go
+++ b/internal/traffic/chain_test.go
@@ -131,6 +131,7 @@
 // chain is an Outbound that sends requests to the Inbounds of some targets.
 type chain struct {
 	url      string
+	outbound *traffic.Outbound
 	inbounds []*traffic.Inbound
 	table    *routing.Table
 	metrics  *telemetry.Metrics
@@ -196,6 +197,7 @@
 		Tables: c, Headers: headerNames, Metrics: m, Limits: traffic.DefaultLimits(), Log: log, Service: "own",
 		Budget: retry.SharedLimit{Ratio: 1, Slack: 100, Window: time.Minute},
 	})
+	c.outbound = out
 	_, address := servePipelined(t, out, func(conn net.Conn) net.Conn { return conn })
 	c.url = "http://" + address
 	t.Cleanup(out.Close)
