traffic, catalog: refusals and statements of a target, and the evidence of a move, have files of their own

Change: functions moved, none changed. Measured: not measured, no behaviour changes; the packages' tests pass.

--- a/internal/command/catalog/evidence.go
+++ b/internal/command/catalog/evidence.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 
 	"sniperail.example/sniperail/internal/command/rollout"
@@ -89,3 +90,35 @@
 		c.log("version-withheld", "version", m.String(), "move", string(m.Move), "by", string(m.By), "reason", m.Reason)
 	}
 }
+
+// queryEvidence asks the daemons beside the service's targets for call outcomes, and adds those of the local target.
+func (c *Core) queryEvidence(now time.Time, service model.ServiceName, d *moveDriver) {
+	for daemon, m := range c.roster {
+		if m.target.Service != service {
+			continue
+		}
+		c.send(m.target.PeerAddress, &message.EvidenceQuery{Service: service, Held: d.lease != 0},
+			func(now time.Time, r message.Reply) {
+				if reply, ok := r.(*message.EvidenceReply); ok && reply.Target.Daemon == daemon && d.reports != nil {
+					d.addReport(now, reply)
+				}
+			})
+	}
+	if c.local.isAnnounceable() {
+		d.addReport(now, c.outcomes.evidenceReply(now, c.local.target))
+	}
+}
+
+// logProgress logs what the new version of a running move has received, at intervals of progressInterval.
+func (c *Core) logProgress(now time.Time, d *moveDriver, m *moveRecord, observations []rollout.Observation) {
+	if m.Phase != model.PhaseRunning || m.Step < 0 || now.Sub(d.progressAt) < progressInterval {
+		return
+	}
+	d.progressAt = now
+	p := d.rollout.Progress(now, &m.Rollout, observations)
+	decimal := func(x float64) string { return strconv.FormatFloat(x, 'f', 2, 64) }
+	c.log("move-progress", "service", string(m.Service), "move", string(m.ID), "step", strconv.Itoa(m.Step),
+		"calls", strconv.Itoa(p.Calls), "failures", strconv.Itoa(p.Failures), "allowed", strconv.Itoa(p.Allowed),
+		"service_per_s", decimal(p.Rate), "new_per_s", decimal(p.NewRate),
+		"busiest", decimal(p.Busiest), "old_busiest", decimal(p.OldBusiest))
+}
--- a/internal/traffic/inbound.go
+++ b/internal/traffic/inbound.go
@@ -4,13 +4,10 @@
 	"context"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"sniperail.example/sniperail/internal/command/admission"
 	"sniperail.example/sniperail/internal/model"
 )
@@ -272,46 +269,6 @@
 	c.inbound.writeLoad(w, string(c.dispatch.route))
 }
 
-// recordStatement takes over what a run of the target says of itself in the response to a call that was sent at the given time.
-func (c *inboundCall) recordStatement(run targetRun, h http.Header, sent time.Time) {
-	in := c.inbound
-	s := parseTargetStatement(in.options.Headers, h)
-	changed := in.queue.recordStatement(run, s, sent)
-	if text := strings.Join(h.Values(in.options.Headers.TargetRateLimit), ", "); changed || s.invalid && in.isNewInvalidLimit(text) {
-		in.options.Log.RateLimit(c.request, run, s, text)
-	}
-	if s.leaving {
-		c.recordLeaving(run)
-	}
-}
-
-// recordLeaving takes the target out of service if the run that is leaving is the present one.
-func (c *inboundCall) recordLeaving(run targetRun) {
-	in := c.inbound
-	if !in.leaving.add(run) {
-		return
-	}
-	in.options.Log.TargetLeaving(c.request, run)
-	in.targetMu.Lock()
-	in.setTarget(*in.target.Load(), in.withheld.Load())
-	in.targetMu.Unlock()
-	in.unreported.Store(&run)
-}
-
-// reportLeaving offers the run that is leaving to the option Leaving, until it is taken.
-func (in *Inbound) reportLeaving() {
-	run := in.unreported.Load()
-	if run != nil && (in.options.Leaving == nil || in.options.Leaving(run.instance, run.born)) {
-		in.unreported.CompareAndSwap(run, nil)
-	}
-}
-
-// isNewInvalidLimit reports whether a rate limit that cannot be read differs from the previous one.
-func (in *Inbound) isNewInvalidLimit(text string) bool {
-	previous := in.invalidLimit.Swap(&text)
-	return previous == nil || *previous != text
-}
-
 // writeLoad adds the load and the rate limit of the target to a response.
 func (in *Inbound) writeLoad(w http.ResponseWriter, route string) {
 	w.Header()[HeaderLoad] = []string{in.load(route).String()}
@@ -422,39 +379,3 @@
 	l.failureRate = float64(in.failureRate.Load()) / 1e6
 	return l
 }
-
-// failureRefusal returns the refusal for a failed exchange with the target. MaybeSent means that the target may have received
-// the request.
-func (c *inboundCall) failureRefusal(err error, maybeSent bool) *refusal {
-	if c.body.readFailed.Load() {
-		return inDoubt(http.StatusBadRequest, reasonBodyUnreadable, "the request body broke off or is over the limit")
-	}
-	deadlinePassed := isTimeout(err) && !time.Now().Before(c.deadline)
-	switch {
-	case maybeSent && c.isCallerGone():
-		// The exchange was cancelled because the caller disconnected, which is not a failure of the target.
-		return inDoubt(http.StatusBadGateway, reasonCallerGone, "the caller left while the target worked")
-	case c.isCallerGone():
-		return c.unsentCallerGoneRefusal()
-	case maybeSent && deadlinePassed:
-		return inDoubt(http.StatusGatewayTimeout, reasonDeadline, "the target did not answer before the deadline")
-	case maybeSent:
-		return inDoubt(http.StatusBadGateway, reasonConnectionLost, "the connection to the target broke or its response is malformed")
-	case deadlinePassed:
-		return notExecuted(http.StatusServiceUnavailable, reasonDeadline, "the deadline passed before the call was sent")
-	case errors.Is(err, errNoConnectionLeft):
-		return notExecuted(http.StatusServiceUnavailable, string(admission.Connections), err.Error())
-	}
-	return notExecuted(http.StatusServiceUnavailable, reasonTargetUnreachable, "the target does not accept connections")
-}
-
-func (c *inboundCall) unsentCallerGoneRefusal() *refusal {
-	return notExecuted(http.StatusServiceUnavailable, reasonCallerGone, "the caller left before the call was sent")
-}
-
-// writeRefusal responds with a refusal and the load of the target.
-func (c *inboundCall) writeRefusal(w http.ResponseWriter, refused *refusal) {
-	c.inbound.options.Log.Refused(c, refused)
-	c.inbound.writeLoad(w, string(c.dispatch.route))
-	refused.write(w, c.request, c.inbound.options.Metrics)
-}
