admission: calls queued before a target names its rate limit are released when it has no room for them

Callers saw: calls that waited until their deadline and got 504, although another target could serve them. Cause: only a new call was compared with the limit. Calls that waited for a slot when the limit was named stayed in the queue, whatever the wait for room in the limit became. Evidence: the four calls ended at their deadline of 10 s, at a target that names 0.5 calls a second. Change: calls that would wait longer than their sender allows, or beyond their deadline, leave the queue when the limit is named and at each dispatch, refused as not executed. Without a limit nothing changes.

--- a/internal/command/admission/priority_queue.go
+++ b/internal/command/admission/priority_queue.go
@@ -192,8 +192,11 @@
 	q.excessUntil = now.Add(excessDuration)
 }
 
-// NameRateLimit sets the calls per second that the target has named in an answer.
-func (q *PriorityQueue) NameRateLimit(now time.Time, perSecond float64) { q.rate.name(now, perSecond) }
+// NameRateLimit sets the calls per second that the target has named in an answer. It returns the calls that leave the queue.
+func (q *PriorityQueue) NameRateLimit(now time.Time, perSecond float64) []Dequeued {
+	q.rate.name(now, perSecond)
+	return q.dispatch(now)
+}
 
 // EndRateLimit removes the limit after an answer without it, to a call that was sent at the given time. It returns the calls that
 // leave the queue, and whether the limit has ended.
@@ -336,6 +339,29 @@
 		q.queue = slices.Delete(q.queue, 0, 1)
 		q.running++
 	}
+	return append(dequeued, q.refuseBeyondRateLimit(now)...)
+}
+
+// refuseBeyondRateLimit refuses the waiting calls for which the rate limit has no room in the time that they may wait: the target may
+// have named it, or a lower one, after they were queued, and another target may serve them.
+func (q *PriorityQueue) refuseBeyondRateLimit(now time.Time) []Dequeued {
+	if q.rate.perSecond == 0 {
+		return nil
+	}
+	var dequeued []Dequeued
+	kept := q.queue[:0]
+	for _, call := range q.queue {
+		wait := q.rate.wait(now, len(kept)+1)
+		switch {
+		case call.MaxWait > 0 && wait > call.MaxWait:
+			dequeued = append(dequeued, Dequeued{call.ticket, Busy})
+		case !now.Add(wait + scale(q.ExpectedExecutionTime(call.Kind), minExecutionFraction)).Before(call.Deadline):
+			dequeued = append(dequeued, Dequeued{call.ticket, Deadline})
+		default:
+			kept = append(kept, call)
+		}
+	}
+	q.queue = kept
 	return dequeued
 }
 
--- a/internal/command/admission/rate_limit_test.go
+++ b/internal/command/admission/rate_limit_test.go
@@ -33,7 +33,7 @@
 			admit(now, countAdmitted(q.Release(now, "k", took)))
 		}
 		if now.Sub(start) == time.Second {
-			q.NameRateLimit(now, perSecond)
+			admit(now, countAdmitted(q.NameRateLimit(now, perSecond)))
 		}
 		if wait, ok := q.NextDispatch(now); ok && wait <= 0 {
 			admit(now, countAdmitted(q.Dispatch(now)))
@@ -115,3 +115,23 @@
 	is.Equal(call(now.Add(time.Second)), Refuse) // at once, since the call would wait beyond its deadline
 	is.Equal(call(now.Add(5*time.Second)), Run)
 }
+
+// Guards against calls that wait until their deadline at a target that has named a limit after they were queued, although another
+// target could serve them.
+func TestCallsQueuedBeforeTheRateLimitAreReleased(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	q := NewPriorityQueue()
+	q.SetTarget(now, 1, true)
+	wait := func(maxWait, lifetime time.Duration) Decision {
+		return q.Acquire(now, Call{Kind: "k", Objective: now.Add(lifetime), Deadline: now.Add(lifetime), MaxWait: maxWait})
+	}
+	is.Equal(wait(0, time.Second).Verdict, Run)
+	patient, impatient, brief := wait(0, 10*time.Second), wait(time.Second, 20*time.Second), wait(0, 1100*time.Millisecond)
+	for _, d := range []Decision{patient, impatient, brief} {
+		is.Equal(d.Verdict, Wait)
+	}
+	dequeued := q.NameRateLimit(now, 0.5)
+	is.Equal(dequeued, []Dequeued{{brief.Ticket, Deadline}, {impatient.Ticket, Busy}})
+	is.Equal(q.Queued(), 1)
+}
--- a/internal/traffic/priority_queue.go
+++ b/internal/traffic/priority_queue.go
@@ -62,7 +62,7 @@
 		// A slot that was granted at the same moment is free again, and other calls may wait for the rate limit.
 		q.updateAndNotify(func(time.Time) []admission.Dequeued { return nil })
 	}
-	return priorityQueueRefusal(reason, 0)
+	return priorityQueueRefusal(reason, q.rate().wait)
 }
 
 func priorityQueueRefusal(reason admission.Reason, after time.Duration) *refusal {
@@ -114,7 +114,7 @@
 		before, _ := q.queue.RateLimit(now)
 		switch {
 		case s.limited:
-			q.queue.NameRateLimit(now, s.perSecond)
+			dequeued = q.queue.NameRateLimit(now, s.perSecond)
 		case !s.invalid:
 			dequeued, _ = q.queue.EndRateLimit(now, sent)
 		}
