--- a/internal/bench/rollouts/rollouts_test.go
+++ b/internal/bench/rollouts/rollouts_test.go
@@ -85,3 +85,18 @@
 		}
 	}
 }
+
+// Guards against a version that fails under load and is taken as good on a service that is too quiet to show it.
+func TestBadUnderLoadIsWithdrawnOnAQuietService(t *testing.T) {
+	wrong := 0
+	for seed := range runs {
+		s := scenario(KindUnderLoad, 4, 0.25, seed)
+		s.Utilization = 0.15
+		if r := Simulate(s); r.Phase != model.PhaseWithdrawn || float64(r.Exposed) > r.Allowed {
+			wrong++
+		}
+	}
+	if wrong > mostBad {
+		t.Errorf("%d of %d moves went wrong", wrong, runs)
+	}
+}
