traffic: a response without a statement of its target costs less

Cause: each answer of a target joined the values of a header that is mostly missing, and the caller's side parsed the rate limit only to learn whether the target is leaving. Change: the values are joined when there is something to log; the caller's side reads the one header. No behaviour changes.

--- a/internal/traffic/inbound_statement.go
+++ b/internal/traffic/inbound_statement.go
@@ -11,8 +11,11 @@
 	in := c.inbound
 	s := parseTargetStatement(in.options.Headers, h)
 	changed := in.queue.recordStatement(run, s, sent)
-	if text := strings.Join(h.Values(in.options.Headers.TargetRateLimit), ", "); changed || s.invalid && in.isNewInvalidLimit(text) {
-		in.options.Log.RateLimit(c.request, run, s, text)
+	if changed || s.invalid {
+		text := strings.Join(h.Values(in.options.Headers.TargetRateLimit), ", ")
+		if changed || in.isNewInvalidLimit(text) {
+			in.options.Log.RateLimit(c.request, run, s, text)
+		}
 	}
 	if s.leaving {
 		c.recordLeaving(run)
--- a/internal/traffic/outbound_request.go
+++ b/internal/traffic/outbound_request.go
@@ -174,7 +174,7 @@
 		a.refused = inDoubt(http.StatusBadGateway, reasonResponseMismatch, "the response belongs to another request")
 		return a
 	}
-	if parseTargetStatement(r.outbound.options.Headers, e.response.Header).leaving {
+	if saysLeaving(r.outbound.options.Headers, e.response.Header) {
 		// The target's daemon stops its calls too, but it may restart and not know it any more.
 		r.outbound.leaving.add(runOf(target))
 	}
--- a/internal/traffic/target_statement.go
+++ b/internal/traffic/target_statement.go
@@ -28,7 +28,7 @@
 
 // parseTargetStatement reads the statement of a target. Of several limits the lowest one counts.
 func parseTargetStatement(names Headers, h http.Header) targetStatement {
-	s := targetStatement{leaving: names.TargetLeaving != "" && h.Get(names.TargetLeaving) == "1"}
+	s := targetStatement{leaving: saysLeaving(names, h)}
 	if names.TargetRateLimit == "" {
 		return s
 	}
@@ -47,6 +47,11 @@
 	return s
 }
 
+// saysLeaving reports whether a response says that its target is leaving.
+func saysLeaving(names Headers, h http.Header) bool {
+	return names.TargetLeaving != "" && h.Get(names.TargetLeaving) == "1"
+}
+
 // targetRun identifies one run of a target, which a later run under the same name does not share.
 type targetRun struct {
 	instance model.InstanceID
