--- a/review/testdata/harness/target.go
+++ b/review/testdata/harness/target.go
@@ -35,6 +35,9 @@
 	running  atomic.Int64
 	// work returns how long a request runs and how many bytes its answer has.
 	work func(r *http.Request) (time.Duration, int)
+	// breakOffEvery, unless 0, makes the target break off every so many answers in the middle of the body.
+	breakOffEvery atomic.Int64
+	answered      atomic.Int64
 
 	mu      sync.Mutex
 	seq     int
@@ -110,7 +113,13 @@
 	}
 	h.Set(headerStamp, "stamp."+id)
 	h.Set("Content-Length", fmt.Sprint(size))
-	_, _ = w.Write(bytes.Repeat([]byte{'a'}, size))
+	content := bytes.Repeat([]byte{'a'}, size)
+	if every := t.breakOffEvery.Load(); every > 0 && t.answered.Add(1)%every == 0 {
+		t.node.w.logf("target %s breaks off the answer to %s", t.instance, id)
+		_, _ = w.Write(content[:size/2])
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = w.Write(content)
 }
 
 func (w *world) recordRun(r run) {
