--- a/review/testdata/harness/client.go
+++ b/review/testdata/harness/client.go
@@ -14,7 +14,9 @@
 	status    int
 	id, stamp string
 	bodyBytes int
-	err       error
+	// closes says that the connection ends with this answer.
+	closes bool
+	err    error
 }
 
 func (a answer) String() string {
@@ -48,7 +50,7 @@
 	}
 	n, err := io.Copy(io.Discard, response.Body)
 	_ = response.Body.Close()
-	return answer{response.StatusCode, response.Header.Get(headerID), response.Header.Get(headerStamp), int(n), err}
+	return answer{response.StatusCode, response.Header.Get(headerID), response.Header.Get(headerStamp), int(n), response.Close, err}
 }
 
 // call sends one request on a connection of its own.
--- a/review/testdata/harness/main.go
+++ b/review/testdata/harness/main.go
@@ -15,7 +15,7 @@
 
 var cases = map[string]func(w *world, trouble bool) (broken bool, err error){
 	"smuggled": playSmuggled, "late-beat": playLateBeat, "write-deadline": playWriteDeadline,
-	"broken-off": playBrokenOff,
+	"broken-off": playBrokenOff, "swallowed": playSwallowed,
 }
 
 func main() {
