review: the harness records each request and its result, and reserves its addresses

Cause: two scripts that started together drew the same loopback addresses, and one could not run (exit 2). The records lacked some requests.

--- a/review/testdata/harness/brokenoff.go
+++ b/review/testdata/harness/brokenoff.go
@@ -113,20 +113,22 @@
 			return nil
 		}
 		sent.Add(requestsPerBatch)
-		if broken := readBatch(conn, reader, ids); broken >= 0 {
+		w.logf("sent %s on one connection by a caller on %s", strings.Join(ids, " "), n.name)
+		if broken := w.readBatch(conn, reader, ids); broken >= 0 {
 			w.logf("caller on %s: the connection ended at %s; sent behind it: %s", n.name, ids[broken], strings.Join(ids[broken+1:], " "))
 			return ids[broken+1:]
 		}
-		w.logf("caller on %s: all of %s-%d-0 to -%d are answered", n.name, name, k, requestsPerBatch-1)
 		time.Sleep(50 * time.Millisecond)
 	}
 	return nil
 }
 
 // readBatch reads the answers to a batch. It returns the position of the request at which the connection ended, or -1.
-func readBatch(conn net.Conn, reader *bufio.Reader, ids []string) int {
+func (w *world) readBatch(conn net.Conn, reader *bufio.Reader, ids []string) int {
 	for j := range ids {
-		if got := readAnswer(conn, reader, 5*time.Second); got.err != nil {
+		got := readAnswer(conn, reader, 5*time.Second)
+		w.logf("result of %s: %v", ids[j], got)
+		if got.err != nil {
 			return j
 		}
 	}
--- a/review/testdata/harness/client.go
+++ b/review/testdata/harness/client.go
@@ -55,6 +55,13 @@
 
 // call sends one request on a connection of its own.
 func (n *node) call(method, path, id string, deadline time.Duration) answer {
+	n.w.logf("sent %s by a caller on %s: %s %s", id, n.name, method, path)
+	got := n.exchange(method, path, id, deadline)
+	n.w.logf("result of %s: %v", id, got)
+	return got
+}
+
+func (n *node) exchange(method, path, id string, deadline time.Duration) answer {
 	conn, err := n.dial()
 	if err != nil {
 		return answer{err: err}
--- a/review/testdata/harness/latebeat.go
+++ b/review/testdata/harness/latebeat.go
@@ -96,7 +96,7 @@
 func (w *world) sendSteadily(n *node) {
 	for i := 0; w.ctx.Err() == nil; i++ {
 		id := fmt.Sprintf("%s-%d", strings.ReplaceAll(n.name, "node", "c"), i)
-		go func() { w.logf("caller on %s, %s: %v", n.name, id, n.call("POST", "/rec1/a", id, 2*time.Second)) }()
+		go n.call("POST", "/rec1/a", id, 2*time.Second)
 		time.Sleep(50 * time.Millisecond)
 	}
 }
--- a/review/testdata/harness/main.go
+++ b/review/testdata/harness/main.go
@@ -20,14 +20,14 @@
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		_, _ = fmt.Fprintln(os.Stderr, "usage: harness CASE FOLDER")
+		_, _ = fmt.Fprintln(os.Stderr, "usage: harness CASE RECORD")
 		os.Exit(exitCouldNot)
 	}
 	os.Exit(play(os.Args[1], os.Args[2], os.Getenv(troubleSwitch) != "0"))
 }
 
-func play(name, dir string, trouble bool) int {
-	w, err := newWorld(dir)
+func play(name, recordPath string, trouble bool) int {
+	w, err := newWorld(recordPath)
 	if err != nil {
 		_, _ = fmt.Fprintln(os.Stderr, err)
 		return exitCouldNot
--- a/review/testdata/harness/smuggled.go
+++ b/review/testdata/harness/smuggled.go
@@ -78,23 +78,23 @@
 		return err
 	}
 	defer func() { _ = conn.Close() }()
-	w.logf("caller sends upload-%s: POST /up9/x with %d body bytes", name, len(body))
+	w.logf("sent upload-%s: POST /up9/x with %d body bytes", name, len(body))
 	written := make(chan error, 1)
 	go func() {
 		_, err := io.WriteString(conn, head("POST", "/up9/x", "upload-"+name, 4*time.Second, len(body))+body)
 		written <- err
 	}()
 	reader := bufio.NewReader(conn)
-	w.logf("caller got for upload-%s: %v", name, readAnswer(conn, reader, 6*time.Second))
+	w.logf("result of upload-%s: %v", name, readAnswer(conn, reader, 6*time.Second))
 	if err := <-written; err != nil {
 		w.logf("upload-%s could not be written to its end: %v", name, err)
 		return nil
 	}
-	w.logf("caller sends next-%s on the same connection: POST /rec1/next", name)
+	w.logf("sent next-%s on the same connection: POST /rec1/next", name)
 	if _, err := io.WriteString(conn, head("POST", "/rec1/next", "next-"+name, 2*time.Second, 0)); err != nil {
 		w.logf("next-%s could not be written: %v", name, err)
 		return nil
 	}
-	w.logf("caller got for next-%s: %v", name, readAnswer(conn, reader, 4*time.Second))
+	w.logf("result of next-%s: %v", name, readAnswer(conn, reader, 4*time.Second))
 	return nil
 }
--- a/review/testdata/harness/swallowed.go
+++ b/review/testdata/harness/swallowed.go
@@ -39,7 +39,6 @@
 			return false, err
 		}
 	}
-	// The readers' requests are counted and not written to the record one by one.
 	services := []string{"files", "lookups", "records"}
 	lookups := route("lookups", "/look2/", "idempotent", "lookups", int(lookupTimeout.Milliseconds()), 500)
 	w.writeConfiguration(1, services, lookups, route("files", "/up9/", "non_idempotent", "files", usualTimeout, 900))
@@ -112,26 +111,27 @@
 	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
 	id := fmt.Sprintf("upload-%d", i)
-	w.logf("caller on %s sends %s: %d body bytes in %d pieces", n.name, id, pieces*pieceBytes, pieces)
+	w.logf("sent %s by a caller on %s: POST /up9/a, %d body bytes in %d pieces", id, n.name, pieces*pieceBytes, pieces)
 	if err := sendPieces(conn, head("POST", "/up9/a", id, 8*time.Second, pieces*pieceBytes)); err != nil {
 		w.logf("caller on %s, %s: %v", n.name, id, err)
 		return 0, false
 	}
 	got := readAnswer(conn, reader, 8*time.Second)
-	w.logf("caller on %s, %s: %v", n.name, id, got)
+	w.logf("result of %s: %v", id, got)
 	if got.err != nil || got.closes {
 		return 0, false
 	}
 	time.Sleep(500 * time.Millisecond)
 	id = fmt.Sprintf("lookup-%d", i)
 	sent := time.Now()
+	w.logf("sent %s on the same connection: GET /look2/a", id)
 	if _, err := io.WriteString(conn, head("GET", "/look2/a", id, 8*time.Second, 0)); err != nil {
 		w.logf("caller on %s, %s: %v", n.name, id, err)
 		return 0, false
 	}
 	got = readAnswer(conn, reader, 4*time.Second)
 	took := time.Since(sent)
-	w.logf("caller on %s, %s on the same connection: %v after %v", n.name, id, got, took.Round(time.Millisecond))
+	w.logf("result of %s: %v after %v", id, got, took.Round(time.Millisecond))
 	return took, true
 }
 
--- a/review/testdata/harness/target.go
+++ b/review/testdata/harness/target.go
@@ -126,9 +126,6 @@
 	w.mu.Lock()
 	w.runs = append(w.runs, r)
 	w.mu.Unlock()
-	if strings.HasPrefix(r.id, "reader-") {
-		return // the traffic beside the case is only counted
-	}
 	w.logf("run id=%s %s %s at %s (%s), %d body bytes, caller %s", r.id, r.method, r.path, r.target, r.instance, r.bodyBytes, r.caller)
 }
 
--- a/review/testdata/harness/world.go
+++ b/review/testdata/harness/world.go
@@ -36,15 +36,17 @@
 
 // world is one small deployment.
 type world struct {
-	root   string
-	temp   string
-	block  int
-	start  time.Time
-	store  *standin.Store
-	nodes  []*node
-	stopWG sync.WaitGroup
-	ctx    context.Context
-	cancel context.CancelFunc
+	root  string
+	temp  string
+	block int
+	start time.Time
+	// reserved is open for the whole run, so that no other run uses the same block of addresses.
+	reserved net.Listener
+	store    *standin.Store
+	nodes    []*node
+	stopWG   sync.WaitGroup
+	ctx      context.Context
+	cancel   context.CancelFunc
 
 	mu     sync.Mutex
 	record io.WriteCloser
@@ -67,12 +69,13 @@
 	_, _ = fmt.Fprintf(w.record, "%8.3f "+format+"\n", append([]any{time.Since(w.start).Seconds()}, args...)...)
 }
 
-func newWorld(dir string) (*world, error) {
+// newWorld prepares a deployment. What is sent, answered and run is written to the file at recordPath.
+func newWorld(recordPath string) (*world, error) {
 	root, err := os.Getwd()
 	if err != nil {
 		return nil, err
 	}
-	record, err := os.Create(filepath.Join(dir, "record.txt"))
+	record, err := os.Create(recordPath)
 	if err != nil {
 		return nil, err
 	}
@@ -84,11 +87,13 @@
 	w.ctx, w.cancel = context.WithCancel(context.Background())
 	for range 50 {
 		w.block = 10 + rand.IntN(200)
-		if w.isFree() {
+		if w.reserve() {
 			return w, nil
 		}
 	}
-	return nil, errors.New("no free block of loopback addresses")
+	err = errors.New("no free block of loopback addresses")
+	w.logf("could not run: %v", err)
+	return nil, err
 }
 
 // Ports of each machine, which are the same on all.
@@ -107,10 +112,24 @@
 
 func (w *world) address(host, port int) string { return fmt.Sprintf("%s:%d", w.ip(host), port) }
 
+// reserve takes the block of addresses for this run. It returns false if another run has it, or if anything listens in it.
+func (w *world) reserve() bool {
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.1.250:%d", w.block, portStore))
+	if err != nil {
+		return false
+	}
+	if !w.isFree() {
+		_ = l.Close()
+		return false
+	}
+	w.reserved = l
+	return true
+}
+
 // isFree reports whether nothing listens in the block of addresses.
 func (w *world) isFree() bool {
 	for host := range 10 {
-		for _, port := range []int{portInbound, portTarget, portReady, portOutbound, portControl, portPeer, portMetrics} {
+		for _, port := range []int{portInbound, portTarget, portReady, portOutbound, portControl, portPeer, portMetrics, portStore} {
 			l, err := net.Listen("tcp", w.address(host, port))
 			if err != nil {
 				return false
@@ -133,6 +152,7 @@
 	}
 	w.stopWG.Wait()
 	w.store.Close()
+	_ = w.reserved.Close()
 	_ = os.RemoveAll(w.temp)
 	_ = w.record.Close()
 }
--- a/review/testdata/harness/writedeadline.go
+++ b/review/testdata/harness/writedeadline.go
@@ -107,7 +107,7 @@
 	if _, err := io.WriteString(conn, heads); err != nil {
 		return [3]answer{{err: err}, {err: err}, {err: err}}
 	}
-	w.logf("caller on %s sends %s, %s, %s on one connection", n.name, ids[0], ids[1], ids[2])
+	w.logf("sent %s, %s, %s on one connection by a caller on %s", ids[0], ids[1], ids[2], n.name)
 	reader := bufio.NewReader(conn)
 	for j := range answers {
 		if answers[j] = readAnswer(conn, reader, 7*time.Second); answers[j].err != nil {
@@ -115,7 +115,7 @@
 				answers[k].err = answers[j].err
 			}
 		}
-		w.logf("caller on %s, %s: %v", n.name, ids[j], answers[j])
+		w.logf("result of %s: %v", ids[j], answers[j])
 		if answers[j].err != nil {
 			break
 		}
