ingress: log a request body that was not read to its end

Three causes could not be told apart in the logs: a body that its handler reads beyond its end, a header that is parsed in two ways, and the rest of a body that nobody read. Change: the event request-body-unread with the length, what the handler read, what was discarded and whether the connection serves further requests; the bytes are counted by the body itself.

--- a/internal/traffic/pipeline_conn.go
+++ b/internal/traffic/pipeline_conn.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 )
 
 // pipelineConn is one connection. One goroutine reads its requests, one writes its responses, and each request runs on its
@@ -145,6 +146,8 @@
 	if request.Header.Get("Expect") == "100-continue" && request.ContentLength != 0 {
 		r.request.Body = &continueBody{ReadCloser: request.Body, response: r}
 	}
+	body := &pipelinedBody{ReadCloser: r.request.Body}
+	r.request.Body = body
 	bodyBuffered, err := c.bufferBody(r.request)
 	if err != nil {
 		cancel()
@@ -163,8 +166,15 @@
 	// The handler reads the body from the connection, so the next request can be read only after the handler has returned.
 	r.run()
 	cancel()
-	_, err = io.Copy(io.Discard, io.LimitReader(request.Body, maxReplayBody))
-	return err == nil && !request.Close
+	read, ended := body.progress()
+	discarded, err := io.Copy(io.Discard, io.LimitReader(request.Body, maxReplayBody))
+	reused := err == nil && !request.Close
+	if !ended {
+		c.server.options.Logger.Info("request-body-unread", zap.String("path", request.URL.Path),
+			zap.Int64("length", request.ContentLength), zap.Int64("read", read), zap.Int64("discarded", discarded),
+			zap.Bool("reused", reused))
+	}
+	return reused
 }
 
 // bufferBody reads a short body, so that the next request can be read while this one runs. It reports whether the whole
@@ -173,7 +183,7 @@
 	if r.ContentLength == 0 {
 		return true, nil
 	}
-	if _, needsContinue := r.Body.(*continueBody); needsContinue || r.ContentLength > maxReplayBody {
+	if r.Header.Get("Expect") == "100-continue" || r.ContentLength > maxReplayBody {
 		return false, nil
 	}
 	_ = c.conn.SetReadDeadline(time.Now().Add(bodyTimeout))
