ingress: the rest of an unread body is never taken for requests

After a handler that had not read a long body, the connection discarded at most 64 KiB with a copy that ends without an error at its limit too, and then parsed the rest as requests. Evidence: request-body-unread on the code before says "read=0 discarded=65536 reused=true", and the first request without a sender is the block of the upload that begins at byte 65,536. Any refusal before the body is read took this path. The same missing decision, whether the body has ended, showed in three more ways: an upload with Expect: 100-continue that was refused, a handler that had returned while http.Transport still read the body, and a long response whose head had been written before the body was abandoned. Change: a body that is read from the connection knows whether it has ended, and its reads end with its handler. The connection serves another request only after the whole body was read: a short rest of known length is discarded, otherwise the response closes the connection and nothing more is read as a request. So no byte of a body is ever at the place where a request begins.

--- a/internal/traffic/chain_test.go
+++ b/internal/traffic/chain_test.go
@@ -204,6 +204,9 @@
 	return c
 }
 
+// address is the address of the callers' listener.
+func (c *chain) address() string { return strings.TrimPrefix(c.url, "http://") }
+
 // scrape returns the metrics as text.
 func (c *chain) scrape(t *testing.T) string {
 	t.Helper()
--- a/internal/traffic/pipeline_conn.go
+++ b/internal/traffic/pipeline_conn.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"go.uber.org/zap"
 )
 
 // pipelineConn is one connection. One goroutine reads its requests, one writes its responses, and each request runs on its
@@ -143,11 +142,6 @@
 	ctx, cancel := context.WithCancel(ctx)
 	r.request = request.WithContext(context.WithValue(ctx, arrivalTimeKey{}, time.Now()))
 	r.request.RemoteAddr = c.conn.RemoteAddr().String()
-	if request.Header.Get("Expect") == "100-continue" && request.ContentLength != 0 {
-		r.request.Body = &continueBody{ReadCloser: request.Body, response: r}
-	}
-	body := &pipelinedBody{ReadCloser: r.request.Body}
-	r.request.Body = body
 	bodyBuffered, err := c.bufferBody(r.request)
 	if err != nil {
 		cancel()
@@ -164,17 +158,11 @@
 		return !request.Close
 	}
 	// The handler reads the body from the connection, so the next request can be read only after the handler has returned.
+	r.body = newPipelinedBody(r, r.request)
+	r.request.Body = r.body
 	r.run()
 	cancel()
-	read, ended := body.progress()
-	discarded, err := io.Copy(io.Discard, io.LimitReader(request.Body, maxReplayBody))
-	reused := err == nil && !request.Close
-	if !ended {
-		c.server.options.Logger.Info("request-body-unread", zap.String("path", request.URL.Path),
-			zap.Int64("length", request.ContentLength), zap.Int64("read", read), zap.Int64("discarded", discarded),
-			zap.Bool("reused", reused))
-	}
-	return reused
+	return r.body.discard() && !request.Close
 }
 
 // bufferBody reads a short body, so that the next request can be read while this one runs. It reports whether the whole
@@ -183,7 +171,7 @@
 	if r.ContentLength == 0 {
 		return true, nil
 	}
-	if r.Header.Get("Expect") == "100-continue" || r.ContentLength > maxReplayBody {
+	if expectsContinue(r) || r.ContentLength > maxReplayBody {
 		return false, nil
 	}
 	_ = c.conn.SetReadDeadline(time.Now().Add(bodyTimeout))
@@ -216,12 +204,15 @@
 	return true
 }
 
-// clearReadDeadline removes the deadline of a request header that has been read.
-func (c *pipelineConn) clearReadDeadline() {
+// clearReadDeadline removes the deadline of a request header or body that has been read.
+func (c *pipelineConn) clearReadDeadline() { c.setReadDeadline(time.Time{}) }
+
+// setReadDeadline sets the read deadline, unless the connection closes, which has a deadline of its own.
+func (c *pipelineConn) setReadDeadline(t time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.closing {
-		_ = c.conn.SetReadDeadline(time.Time{})
+		_ = c.conn.SetReadDeadline(t)
 	}
 }
 
@@ -297,6 +288,9 @@
 // closeAfterLast closes the sending side after the last response, because bytes that arrive after a full close would reset
 // the connection and the response could be lost. After a broken response it closes the connection at once.
 func (c *pipelineConn) closeAfterLast(state connState) {
+	c.mu.Lock()
+	c.closing = true
+	c.mu.Unlock()
 	c.cancel()
 	half, ok := c.conn.(interface{ CloseWrite() error })
 	if state == stateBroken || !ok || half.CloseWrite() != nil {
--- a/internal/traffic/pipelined_response.go
+++ b/internal/traffic/pipelined_response.go
@@ -18,6 +18,8 @@
 	conn    *pipelineConn
 	request *http.Request
 	header  http.Header
+	// body is the request body if the handler reads it from the connection, nil if it is buffered.
+	body *pipelinedBody
 
 	mu      sync.Mutex
 	changed *sync.Cond
@@ -27,8 +29,8 @@
 	length   int64
 	// finished means that the handler has returned, aborted that the response is incomplete and the caller must be able to
 	// tell, discarded that the response will not be written (any further), wantsContinue that "100 Continue" must be sent
-	// before the caller sends its body.
-	finished, aborted, discarded, wantsContinue bool
+	// before the caller sends its body, bodyLeft that the rest of the request body stays on the connection.
+	finished, aborted, discarded, wantsContinue, bodyLeft bool
 }
 
 // maxBufferedResponse is the number of buffered bytes from which Write blocks.
@@ -95,7 +97,9 @@
 // run calls the handler and ends the response.
 func (r *pipelinedResponse) run() {
 	defer func() {
-		if fault := recover(); fault != nil {
+		fault := recover()
+		r.releaseBody()
+		if fault != nil {
 			r.abort()
 			if fault != http.ErrAbortHandler {
 				panic(fault)
@@ -107,6 +111,18 @@
 	r.conn.server.options.Handler.ServeHTTP(r, r.request)
 }
 
+// releaseBody ends the reads of the request body. It must come before the end of the response, whose head says whether the
+// connection closes.
+func (r *pipelinedResponse) releaseBody() {
+	if r.body == nil {
+		return
+	}
+	r.body.release()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.bodyLeft = !r.body.allowsNext()
+}
+
 func (r *pipelinedResponse) finish() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -157,12 +173,20 @@
 	switch {
 	case !r.writeBody(w) || w.Flush() != nil:
 		return stateBroken
-	case closes:
+	case closes || r.leavesBody():
 		return stateLast
 	}
 	return stateOpen
 }
 
+// leavesBody reports whether the rest of the request body stays on the connection. The head of a long response may have been
+// written before that was known.
+func (r *pipelinedResponse) leavesBody() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.bodyLeft
+}
+
 // waitFor waits until a condition holds, and meanwhile sends "100 Continue" if the handler reads a body that the caller
 // sends only then. The lock must be held.
 func (r *pipelinedResponse) waitFor(met func() bool) {
@@ -179,7 +203,7 @@
 
 // mustClose reports whether the connection has to close after this response.
 func (r *pipelinedResponse) mustClose() bool {
-	return r.header.Get("Connection") == "close" || r.request == nil || r.request.Close
+	return r.header.Get("Connection") == "close" || r.request == nil || r.request.Close || r.bodyLeft
 }
 
 func (r *pipelinedResponse) hasNoBody() bool {
@@ -257,21 +281,6 @@
 	return part, r.finished, r.aborted
 }
 
-// continueBody requests "100 Continue" at the first read of the body.
-type continueBody struct {
-	io.ReadCloser
-	response *pipelinedResponse
-	asked    bool
-}
-
-func (b *continueBody) Read(p []byte) (int, error) {
-	if !b.asked {
-		b.asked = true
-		b.response.requestContinue()
-	}
-	return b.ReadCloser.Read(p)
-}
-
 func (r *pipelinedResponse) requestContinue() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
