traffic: a connection that a response has kept open is not dropped after an unread body

Between daemons and in sniperaild, a handler that streams a long body runs in full duplex of http.Server. When it refused the request, the server read the rest of the body after the response, began to watch the connection at its end, and panicked at its own read of the next request ("invalid concurrent Body.Read call"); with over 256 KB left it closed without a word. The response had kept the connection open, so a request sent on it just then was in doubt although nobody had seen it. The handlers no longer choose full duplex themselves.

--- a/internal/traffic/body.go
+++ b/internal/traffic/body.go
@@ -46,10 +46,6 @@
 	// A caller that sends its body too slowly is cut off at the deadline of the call.
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(deadline.Add(bodyGrace))
-	if r.ContentLength < 0 || r.ContentLength > maxReplayBody {
-		// Without full duplex the server discards the rest of the body when the response begins.
-		_ = control.EnableFullDuplex()
-	}
 	if r.ContentLength > maxReplayBody {
 		return &requestBody{rest: r.Body, length: r.ContentLength}, nil
 	}
--- a/internal/traffic/chain_test.go
+++ b/internal/traffic/chain_test.go
@@ -181,12 +181,11 @@
 			Address: target.listener.Addr().String(), Headers: headerNames, Metrics: m, Limits: traffic.DefaultLimits(), Log: log,
 			Observe: func([]model.KeyedSum, int, time.Time) bool { return true },
 		})
-		server := httptest.NewServer(in)
-		t.Cleanup(server.Close)
+		address := serveStandard(t, in)
 		t.Cleanup(in.Close)
 		described := model.Target{
 			Daemon: model.DaemonID(fmt.Sprint("d", i)), Service: "s", Version: "v1", DataCentre: "d", State: model.TargetReady,
-			Instance: model.InstanceID(fmt.Sprint("i", i)), Slots: 4, Address: server.Listener.Addr().String(),
+			Instance: model.InstanceID(fmt.Sprint("i", i)), Slots: 4, Address: address,
 		}
 		in.SetTarget(described, false)
 		view.Targets = append(view.Targets, described)
--- a/internal/traffic/mesh_test.go
+++ b/internal/traffic/mesh_test.go
@@ -103,11 +103,7 @@
 }
 
 func (m *mesh) startServer(h http.Handler) string {
-	server := httptest.NewUnstartedServer(nil)
-	server.Config = traffic.NewServer(h, traffic.DefaultLimits())
-	server.Start()
-	m.t.Cleanup(server.Close)
-	return server.Listener.Addr().String()
+	return serveStandard(m.t, h)
 }
 
 // runIngress runs the ingress until the test ends.
--- a/internal/traffic/pipelined_response.go
+++ b/internal/traffic/pipelined_response.go
@@ -90,10 +90,6 @@
 	return r.conn.conn.SetWriteDeadline(t)
 }
 
-// EnableFullDuplex is called by http.ResponseController to allow reading the body after the response has begun, which is
-// always possible here.
-func (r *pipelinedResponse) EnableFullDuplex() error { return nil }
-
 // run calls the handler and ends the response.
 func (r *pipelinedResponse) run() {
 	defer func() {
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -156,19 +156,6 @@
 	maxUnsizedTotal = 32 << 20
 )
 
-// NewServer returns a server for a handler of this package with the limits that a handler cannot enforce.
-func NewServer(handler http.Handler, limits Limits) *http.Server {
-	return &http.Server{
-		Handler:           handler,
-		MaxHeaderBytes:    limits.HeaderBytes,
-		ReadHeaderTimeout: 5 * time.Second,
-		// A caller that does not read its response must not block a drain forever.
-		WriteTimeout: maxDeadline + time.Minute,
-		// Longer than the idle timeout of the connection pools, so that the client side closes an idle connection first.
-		IdleTimeout: idleTimeout + 30*time.Second,
-	}
-}
-
 // random is the shared random source; it is safe for concurrent use and takes no lock.
 type random struct{}
 
--- a/internal/traffic/unread_body_test.go
+++ b/internal/traffic/unread_body_test.go
@@ -109,6 +109,7 @@
 			_, address := servePipelined(t, h, func(conn net.Conn) net.Conn { return conn })
 			return address
 		},
+		"standard": serveStandard,
 	}
 	reads := map[string]int64{"unread": 0, "read in part": 70_000}
 	for serverName, serve := range servers {
@@ -126,8 +127,6 @@
 						served[r.URL.Path]++
 						mu.Unlock()
 						if r.URL.Path == "/upload" {
-							// Streamed requests are handled so.
-							_ = http.NewResponseController(w).EnableFullDuplex()
 							_, _ = io.CopyN(io.Discard, r.Body, read)
 							w.WriteHeader(http.StatusNotFound)
 							return
@@ -211,6 +210,8 @@
 	sidecar, limited, unready := startChain(t, target), startChain(t, target), startChain(t, target)
 	limited.table.View.Configuration.Limits = &model.CallerLimits{BodyBytes: 1000}
 	unready.table.View.Ready = false
+	starting := startChain(t, target)
+	starting.inbounds[0].SetTarget(model.Target{State: model.TargetStarting}, false)
 	m := newMesh(t, nil, func(w http.ResponseWriter, r *http.Request) {
 		if r.Header.Get("X-Note") != "" {
 			embedded.Add(1)
@@ -228,6 +229,7 @@
 		{"sidecar, upgrade", sidecar.address(), "/once/x", proper + "Upgrade: x\r\n", http.StatusNotImplemented},
 		{"sidecar, too large", limited.address(), "/once/x", proper, http.StatusRequestEntityTooLarge},
 		{"sidecar, not ready", unready.address(), "/once/x", proper, http.StatusServiceUnavailable},
+		{"sidecar, refused by the target's daemon", starting.address(), "/once/x", proper, http.StatusServiceUnavailable},
 		{"sidecar, beside the target", serveStandard(t, sidecar.inbounds[0]), "/once/x", proper, http.StatusBadRequest},
 		{"sniperaild, bad deadline", sniperaild, "/embedded", deadline + ": -\r\n", http.StatusBadRequest},
 		{"sniperaild, ambiguous path", sniperaild, "//embedded", "", http.StatusBadRequest},
@@ -253,6 +255,9 @@
 				}()
 				reader := bufio.NewReader(conn)
 				response, _ := readResponse(t, reader)
+				if response.StatusCode == http.StatusContinue {
+					response, _ = readResponse(t, reader) // the body was requested for the next daemon, which refused it
+				}
 				is.Equal(response.StatusCode, c.status)
 				<-sent
 				_ = conn.CloseWrite()              // fails if the daemon has closed the connection
