catalog: a late report does not undo what an earlier process has acknowledged

Its daemon had acknowledged that and was killed; a heartbeat from before arrived 2 s later, and the new process took it for the present state. A report was compared only with the last one that the same process had accepted, and the removal of the announcement deleted the only trace of the run. Evidence: the log of the daemon beside it has no target-asked, so the health check did not restore the target; "target-changed state=ready sequence=1" comes in the millisecond in which the heartbeat arrives, and no peer-changed before it. A run that was draining, one that had said in a response that it is leaving, and a late report of a run that had crashed were judged without the past in the same way. Change: the announcement is a record that outlives the process: it says which report it follows from and whether the run is leaving, and that of a run that is gone stays until its lease ends. A daemon that starts compares reports with that record. It holds reports of a ready target until it has read it, 5 s at most, and takes back what proves late afterwards. Log events report-late and report-taken-back. So the new process knows what the old one had acknowledged before it sends the target anything.

--- a/internal/command/catalog/announcement.go
+++ b/internal/command/catalog/announcement.go
@@ -35,8 +35,14 @@
 	leaving     model.InstanceID
 	leavingBorn int64
 	stopping    bool
+	// past is what an earlier process of this daemon has recorded; nil if that is nothing or not known.
+	past *model.TargetRecord
+	// held is the newest report of a ready target that arrived before past was known, nil if there is none. It is applied at
+	// applyHeldAt even if past is not known until then.
+	held        *model.TargetReport
+	applyHeldAt time.Time
 	// previous is the target that an earlier process of this daemon announced; nil if there is none or it has been checked.
-	previous *model.Target
+	previous *model.TargetRecord
 	// restarted says that an earlier process of this daemon has announced a target.
 	restarted bool
 	// healthChecked says that the previous target was asked for its health, which happens at most once per process.
@@ -66,6 +72,9 @@
 	for _, ack := range l.pendingAcks {
 		next = earliest(next, ack.deadline)
 	}
+	if l.held != nil {
+		next = earliest(next, l.applyHeldAt)
+	}
 	if l.callPending {
 		return next
 	}
@@ -86,6 +95,11 @@
 	return l.report != nil && l.target.State != model.TargetGone
 }
 
+// hasUnstoredReport reports whether the platform does not hold what the latest report says.
+func (l *localTarget) hasUnstoredReport() bool {
+	return l.report != nil && l.storedSequence != l.target.Sequence
+}
+
 // handleTargetReport processes a status report of the local target. The answer to a target that leaves service is delayed
 // until the platform has stored that state; otherwise a daemon that restarts would still consider the target ready.
 func (c *Core) handleTargetReport(now time.Time, ev effect.TargetReported) {
@@ -136,17 +150,22 @@
 
 // applyReport updates the local target from a report, and reports whether it changed.
 func (c *Core) applyReport(now time.Time, r *model.TargetReport) bool {
-	local := &c.local
-	last := local.report
 	switch {
 	case r.State == model.TargetGone:
 		return c.applyShutdownReport(now, r)
-	case last != nil && last.State == model.TargetGone && last.Instance == r.Instance && r.Born <= last.Born:
-		// A delayed report of a run that has ended.
+	case r.State == model.TargetReady && !c.knowsPast(now):
+		c.holdReport(now, r)
 		return false
-	case last != nil && !r.Newer(last):
+	case c.local.isLate(r):
+		c.logLateReport(r)
 		return false
 	}
+	return c.acceptReport(now, r)
+}
+
+// acceptReport updates the local target from a report that is not late.
+func (c *Core) acceptReport(now time.Time, r *model.TargetReport) bool {
+	local := &c.local
 	local.report = r
 	next := local.target
 	next.Instance, next.Born, next.Version = local.report.Instance, local.report.Born, local.report.Version
@@ -165,20 +184,27 @@
 	return c.setLocalTarget(now, next)
 }
 
-// applyShutdownReport marks the target as gone, and reports whether it changed. A daemon that has just started may not know
-// the run that reports its shutdown. If the report has no start time, the run is assumed to have started before now.
+// applyShutdownReport marks the target as gone, and reports whether it changed. The run that reports its shutdown may be unknown
+// here: a daemon that has just started knows none, and its first report may be delayed. If the report has no start time, the run
+// is assumed to have started before now.
 func (c *Core) applyShutdownReport(now time.Time, r *model.TargetReport) bool {
 	local := &c.local
-	last := local.report
-	if last != nil && (last.Instance != r.Instance || r.Born != 0 && r.Born != last.Born || last.State == model.TargetGone) {
-		return false
-	}
+	last := local.lastReport()
 	gone := *r
-	if last != nil {
+	switch {
+	case last == nil:
+		if gone.Born == 0 {
+			gone.Born = now.UnixMilli()
+		}
+	case r.Instance == last.Instance && (r.Born == 0 || r.Born == last.Born):
+		if last.State == model.TargetGone {
+			return false
+		}
 		gone = *last
 		gone.State = model.TargetGone
-	} else if gone.Born == 0 {
-		gone.Born = now.UnixMilli()
+	default:
+		// Another run is known.
+		return false
 	}
 	local.report = &gone
 	next := local.target
@@ -221,9 +247,9 @@
 		return
 	}
 	switch {
-	case local.isAnnounceable() && local.lease == 0:
+	case local.lease == 0 && (local.isAnnounceable() || local.hasUnstoredReport()):
 		c.grantLease()
-	case local.storedSequence != local.target.Sequence && local.report != nil:
+	case local.hasUnstoredReport():
 		c.writeTarget(now)
 	case local.isAnnounceable() && !now.Before(local.renewAt):
 		c.renewLease()
@@ -244,63 +270,6 @@
 	local.pendingAcks = remaining
 }
 
-// compareStoredTarget compares the announcement that the platform holds for the local target, nil if there is none, with the
-// one that this daemon wrote last. They differ after a restart of this daemon, a delayed write, or the end of the lease; the
-// announcement is then written again.
-func (c *Core) compareStoredTarget(stored *model.Target) {
-	local := &c.local
-	if stored != nil && stored.Incarnation == local.target.Incarnation && stored.Sequence == local.storedSequence {
-		return
-	}
-	if stored != nil && stored.Incarnation != local.target.Incarnation {
-		local.restarted = true
-		if local.report == nil && !local.healthChecked {
-			local.previous = stored
-		}
-	}
-	if local.report != nil && (stored != nil || local.isAnnounceable()) {
-		local.storedSequence = 0
-	}
-}
-
-// checkPreviousTarget asks the target that an earlier process of this daemon announced for its health. Without this, its
-// slots would be idle until its next report, which takes a second or two.
-func (c *Core) checkPreviousTarget() {
-	local := &c.local
-	if local.previous == nil || c.configuration == nil || local.healthChecked {
-		return
-	}
-	previous := local.previous
-	service := c.configuration.Service(c.cfg.Target.Service)
-	served := previous.State == model.TargetReady || previous.DaemonEnds
-	if local.report != nil || local.stopping || !served || service == nil || service.HealthPath == "" {
-		local.previous = nil
-		return
-	}
-	local.healthChecked = true
-	c.emit(effect.CheckHealth{Path: service.HealthPath})
-}
-
-// handleHealthChecked restores the target that the earlier process announced if the same run of it answered that it is
-// healthy; a target that leaves service does not. A report of the target takes precedence over the response.
-func (c *Core) handleHealthChecked(now time.Time, ev effect.HealthChecked) {
-	local := &c.local
-	previous := local.previous
-	local.previous = nil
-	if previous == nil || local.report != nil || local.stopping {
-		return
-	}
-	sameRun := ev.Instance != "" && ev.Instance == previous.Instance
-	c.log("target-asked", "instance", string(previous.Instance), "answered", string(ev.Instance),
-		"taken", strconv.FormatBool(sameRun))
-	if sameRun {
-		c.applyReport(now, &model.TargetReport{
-			Instance: previous.Instance, Born: previous.Born, Service: previous.Service, Version: previous.Version,
-			Slots: previous.Slots, State: model.TargetReady, WarmupLeft: max(previous.WarmAt.Sub(now), 0),
-		})
-	}
-}
-
 func (c *Core) grantLease() {
 	local := &c.local
 	local.callPending = true
@@ -337,26 +306,23 @@
 		})
 }
 
-// writeTarget writes or removes the announcement. The compare on the key's revision rejects a delayed write.
+// writeTarget writes the announcement. That of a target that is gone stays on the platform until its lease ends, so that a daemon
+// that restarts recognises late reports of the run. The compare on the key's revision rejects a delayed write.
 func (c *Core) writeTarget(now time.Time) {
 	local := &c.local
 	key := store.PrefixTargets + string(local.target.Daemon)
 	sequence := local.target.Sequence
-	txn := store.Txn{Compares: []store.Compare{{Key: key, ModRevision: c.meshKeys.entries[key].ModRevision}}}
-	if local.target.State == model.TargetGone {
-		if c.meshKeys.entries[key].ModRevision == 0 {
-			local.storedSequence = sequence
-			return
-		}
-		txn.Deletes = []string{key}
-	} else {
-		value, err := c.cfg.Records.EncodeTarget(&local.target)
-		if err != nil {
-			c.log("announce-failed", "step", "encode", "detail", err.Error())
-			local.retryAt = now.Add(announceBackoffBase)
-			return
-		}
-		txn.Puts = []store.Put{{Key: key, Value: value, Lease: local.lease}}
+	record := model.TargetRecord{Target: local.target, ReportSeq: local.report.Seq, Leaving: local.isLeaving(local.report)}
+	record.Slots = max(record.Slots, 1) // unknown if only the shutdown was reported; a record without slots is refused
+	value, err := c.cfg.Records.EncodeTarget(&record)
+	if err != nil {
+		c.log("announce-failed", "step", "encode", "detail", err.Error())
+		local.retryAt = now.Add(announceBackoffBase)
+		return
+	}
+	txn := store.Txn{
+		Compares: []store.Compare{{Key: key, ModRevision: c.meshKeys.entries[key].ModRevision}},
+		Puts:     []store.Put{{Key: key, Value: value, Lease: local.lease}},
 	}
 	local.callPending = true
 	c.callStore(store.Call{Kind: store.KindTxn, Priority: store.PriorityLease, Reason: "announce", Txn: txn},
@@ -369,12 +335,8 @@
 	switch r.Outcome {
 	case store.Applied:
 		local.storedSequence, local.failures = sequence, 0
-		if len(txn.Puts) > 0 {
-			c.mergeEntry(now, &c.meshKeys,
-				store.Entry{Key: key, Value: txn.Puts[0].Value, ModRevision: r.Revision, Lease: local.lease}, true)
-		} else {
-			c.mergeRemoval(now, &c.meshKeys, key, r.Revision, true)
-		}
+		c.mergeEntry(now, &c.meshKeys,
+			store.Entry{Key: key, Value: txn.Puts[0].Value, ModRevision: r.Revision, Lease: local.lease}, true)
 		local.retryAt = time.Time{}
 	case store.Conflict:
 		// The key was changed by an earlier process of this daemon, or by a write whose response was lost.
--- a/internal/command/catalog/catalog.go
+++ b/internal/command/catalog/catalog.go
@@ -33,8 +33,8 @@
 
 // RecordCodec encodes and decodes the records that the daemons share through the platform's store.
 type RecordCodec interface {
-	EncodeTarget(t *model.Target) ([]byte, error)
-	DecodeTarget(data []byte) (*model.Target, error)
+	EncodeTarget(r *model.TargetRecord) ([]byte, error)
+	DecodeTarget(data []byte) (*model.TargetRecord, error)
 	EncodeMove(m *model.Rollout) ([]byte, error)
 	DecodeMove(data []byte) (*model.Rollout, error)
 }
@@ -193,6 +193,7 @@
 	c.updateSettled(now)
 	c.updateOperatorWatch()
 	c.startDueCheck(now)
+	c.judgeHeldReport(now)
 	c.checkPreviousTarget()
 	c.maintainAnnouncement(now)
 	c.probeUnlistedMembers(now)
--- a/internal/command/catalog/fleet_test.go
+++ b/internal/command/catalog/fleet_test.go
@@ -113,10 +113,10 @@
 		spread(message.Change{Entry: store.Entry{Key: key(i), ModRevision: int64(1000 + i)}, Removed: true})
 	}
 	for i := removed - 200; i < removed; i++ {
-		target, err := document.JSON{}.EncodeTarget(&model.Target{
+		target, err := document.JSON{}.EncodeTarget(&model.TargetRecord{Target: model.Target{
 			Daemon: model.DaemonID(fmt.Sprint("gone", i)), Incarnation: 1, Service: "profiles", Version: "v1", State: model.TargetReady,
 			Address: "gone:2", PeerAddress: "gone:1",
-		})
+		}})
 		is.NoErr(err)
 		spread(message.Change{Entry: store.Entry{Key: key(i), ModRevision: int64(900 + i), Value: target}})
 	}
--- /dev/null
+++ b/internal/command/catalog/past.go
@@ -0,0 +1,163 @@
+package catalog
+
+import (
+	"strconv"
+	"time"
+
+	"sniperail.example/sniperail/internal/effect"
+	"sniperail.example/sniperail/internal/model"
+)
+
+// pastTimeout bounds the time for which a report of a ready target is held while neither the platform nor a peer can say what
+// earlier processes of this daemon have recorded. Without it, the target would get no calls until the platform is back.
+const pastTimeout = 5 * time.Second
+
+// lastReport returns the latest report that this process or, before its first report, an earlier one has accepted; nil if
+// there is none.
+func (l *localTarget) lastReport() *model.TargetReport {
+	if l.report == nil && l.past != nil {
+		return l.past.LastReport()
+	}
+	return l.report
+}
+
+// isLate reports whether a report was sent before one that this process has accepted, or contradicts what an earlier one has
+// recorded.
+func (l *localTarget) isLate(r *model.TargetReport) bool {
+	return l.report != nil && r.LateAfter(l.report) || l.past != nil && contradicts(r, l.past)
+}
+
+// contradicts reports whether a report was sent before the record was written and says something else: it comes from an earlier
+// run, or from the recorded run before that was draining or gone.
+func contradicts(r *model.TargetReport, past *model.TargetRecord) bool {
+	last := past.LastReport()
+	if r.Instance == last.Instance && r.Born == last.Born && last.State == model.TargetReady {
+		return false
+	}
+	return r.LateAfter(last)
+}
+
+// knowsPast reports whether this daemon knows what its earlier processes have recorded, or no longer waits for it. When all daemons
+// start for the first time, there is nothing.
+func (c *Core) knowsPast(now time.Time) bool {
+	local := &c.local
+	return c.meshKeys.loaded || c.cfg.FirstStart || local.held != nil && !now.Before(local.applyHeldAt)
+}
+
+// holdReport keeps a report until this daemon knows what its earlier processes have recorded. They may have acknowledged that the
+// run is leaving.
+func (c *Core) holdReport(now time.Time, r *model.TargetReport) {
+	local := &c.local
+	if local.held == nil {
+		local.applyHeldAt = now.Add(pastTimeout)
+	}
+	if local.held == nil || r.Newer(local.held) {
+		local.held = r
+	}
+}
+
+// judgeHeldReport applies the held report once this daemon knows what its earlier processes have recorded.
+func (c *Core) judgeHeldReport(now time.Time) {
+	local := &c.local
+	if local.held == nil || !c.knowsPast(now) {
+		return
+	}
+	r := local.held
+	local.held = nil
+	if local.isLate(r) {
+		c.logLateReport(r)
+		return
+	}
+	c.acceptReport(now, r)
+}
+
+func (c *Core) logLateReport(r *model.TargetReport) {
+	last := c.local.lastReport()
+	c.log("report-late", "instance", string(r.Instance), "state", string(r.State), "seq", strconv.FormatUint(r.Seq, 10),
+		"last_instance", string(last.Instance), "last_state", string(last.State), "last_seq", strconv.FormatUint(last.Seq, 10))
+}
+
+// recordPast records what an earlier process of this daemon has recorded. A report that was accepted before that was known, and
+// proves to be late, is taken back.
+func (c *Core) recordPast(now time.Time, past *model.TargetRecord) {
+	local := &c.local
+	local.past = past
+	if past.Leaving && past.Born >= local.leavingBorn {
+		local.leaving, local.leavingBorn = past.Instance, past.Born
+	}
+	r := local.report
+	if r == nil || r.State != model.TargetReady || local.target.State == model.TargetGone {
+		return
+	}
+	next := local.target
+	last := past.LastReport()
+	switch {
+	case r.Instance == past.Instance && r.Born == past.Born && past.Leaving:
+		next.State = model.TargetDraining
+	case !contradicts(r, past) || last.State == model.TargetReady:
+		return
+	default:
+		local.report = last
+		next.State = last.State
+	}
+	next.DaemonEnds = false
+	c.log("report-taken-back", "instance", string(r.Instance), "state", string(next.State))
+	c.setLocalTarget(now, next)
+}
+
+// compareStoredTarget compares the announcement that the platform holds for the local target, nil if there is none, with the
+// one that this daemon wrote last. They differ after a restart of this daemon, a delayed write, or the end of the lease; the
+// announcement is then written again.
+func (c *Core) compareStoredTarget(now time.Time, stored *model.TargetRecord) {
+	local := &c.local
+	if stored != nil && stored.Incarnation == local.target.Incarnation && stored.Sequence == local.storedSequence {
+		return
+	}
+	if stored != nil && stored.Incarnation != local.target.Incarnation {
+		local.restarted = true
+		if local.report == nil && !local.healthChecked {
+			local.previous = stored
+		}
+		c.recordPast(now, stored)
+	}
+	if local.report != nil && (stored != nil || local.isAnnounceable()) {
+		local.storedSequence = 0
+	}
+}
+
+// checkPreviousTarget asks the target that an earlier process of this daemon announced for its health. Without this, its
+// slots would be idle until its next report, which takes a second or two.
+func (c *Core) checkPreviousTarget() {
+	local := &c.local
+	if local.previous == nil || c.configuration == nil || local.healthChecked {
+		return
+	}
+	previous := local.previous
+	service := c.configuration.Service(c.cfg.Target.Service)
+	served := previous.State == model.TargetReady || previous.DaemonEnds
+	if local.report != nil || local.stopping || !served || service == nil || service.HealthPath == "" {
+		local.previous = nil
+		return
+	}
+	local.healthChecked = true
+	c.emit(effect.CheckHealth{Path: service.HealthPath})
+}
+
+// handleHealthChecked restores the target that the earlier process announced if the same run of it answered that it is
+// healthy; a target that leaves service does not. A report of the target takes precedence over the response.
+func (c *Core) handleHealthChecked(now time.Time, ev effect.HealthChecked) {
+	local := &c.local
+	previous := local.previous
+	local.previous = nil
+	if previous == nil || local.report != nil || local.stopping {
+		return
+	}
+	sameRun := ev.Instance != "" && ev.Instance == previous.Instance && previous == local.past
+	c.log("target-asked", "instance", string(previous.Instance), "answered", string(ev.Instance),
+		"taken", strconv.FormatBool(sameRun))
+	if sameRun {
+		report := previous.LastReport()
+		report.WarmupLeft = max(previous.WarmAt.Sub(now), 0)
+		c.acceptReport(now, report)
+	}
+}
--- /dev/null
+++ b/internal/command/catalog/past_test.go
@@ -0,0 +1,197 @@
+package catalog_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sniperail.example/sniperail/internal/effect"
+	"sniperail.example/sniperail/internal/model"
+	"sniperail.example/sniperail/internal/store"
+)
+
+// reportOf returns a report of the target of d02 in a simulation.
+func reportOf(instance model.InstanceID, born int64, seq uint64, state model.TargetState) model.TargetReport {
+	return model.TargetReport{Instance: instance, Born: born, Seq: seq, Version: "v1", State: state}
+}
+
+// pastCase is what a target says to a daemon before the daemon is killed, and a delayed report that arrives after its restart.
+type pastCase struct {
+	name string
+	// before are the reports before the kill; leaving says that the target says in a response that it is leaving.
+	before  []model.TargetReport
+	leaving bool
+	late    model.TargetReport
+}
+
+func pastCases() []pastCase {
+	ready := reportOf("i2", 1, 9, model.TargetReady)
+	return []pastCase{
+		{"deregistered", []model.TargetReport{ready, reportOf("i2", 1, 0, model.TargetGone)}, false, ready},
+		{"deregistered without a start time", []model.TargetReport{ready, reportOf("i2", 0, 0, model.TargetGone)}, false, ready},
+		{"draining", []model.TargetReport{reportOf("i2", 1, 10, model.TargetDraining)}, false, ready},
+		{"draining, then deregistered", []model.TargetReport{
+			reportOf("i2", 1, 10, model.TargetDraining), reportOf("i2", 1, 0, model.TargetGone),
+		}, false, ready},
+		{"leaving by its own response", []model.TargetReport{ready}, true, reportOf("i2", 1, 20, model.TargetReady)},
+		{"another run has started", []model.TargetReport{reportOf("i3", 5, 1, model.TargetReady)}, false, ready},
+	}
+}
+
+// Guards against a target that has been acknowledged as draining or gone and gets calls again, because its daemon was killed and
+// takes a delayed report for the present state.
+func TestLateReportAfterRestartChangesNothing(t *testing.T) {
+	starts := map[string]struct {
+		// delay is the time from the start to the late report, restarts the number of starts before it.
+		delay    time.Duration
+		restarts int
+		// platformAway says that the platform cannot be reached after the restart, so that only peers know the past.
+		platformAway bool
+	}{
+		"before the keys are listed":      {0, 1, false},
+		"later":                           {2 * time.Second, 1, false},
+		"after two restarts":              {2 * time.Second, 2, false},
+		"while the platform is away":      {2 * time.Second, 1, true},
+		"at once, while platform is away": {0, 1, true},
+	}
+	for startName, start := range starts {
+		for _, c := range pastCases() {
+			t.Run(c.name+"/"+startName, func(t *testing.T) {
+				is := is.New(t)
+				sim := newSimulation(t, 4)
+				sim.startTargets("v1")
+				n := sim.nodes[2]
+				for _, r := range c.before {
+					token := sim.report(n, r)
+					is.Equal(n.answers[token].Code, model.OutcomeApplied)
+				}
+				if c.leaving {
+					sim.handle(n, effect.TargetLeaving{Instance: "i2", Born: 1})
+				}
+				sim.run(time.Second)
+				for range start.restarts {
+					n = sim.start("d02", []string{"d00:1"})
+					n.platformUnreachable = start.platformAway
+					sim.run(start.delay)
+				}
+				sim.report(n, c.late)
+				for range 100 {
+					sim.run(100 * time.Millisecond)
+					local := n.view.Local
+					is.True(local.State != model.TargetReady || local.Instance != c.late.Instance)
+					for _, other := range []*node{sim.nodes[0], sim.nodes[1], sim.nodes[3]} {
+						is.True(!listsReady(other, "d02", c.late.Instance))
+					}
+				}
+			})
+		}
+	}
+}
+
+// listsReady reports whether a node sends calls to a run of a daemon's target.
+func listsReady(n *node, daemon model.DaemonID, instance model.InstanceID) bool {
+	for _, target := range n.view.Targets {
+		if target.Daemon == daemon && target.Instance == instance && target.State == model.TargetReady {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against a target that stays out of service after a restart of its daemon although it is ready: its reports, or those of
+// a later run, must be taken at once, and during an outage in which nobody knows the past after a few seconds.
+func TestReadyTargetIsInServiceAfterRestart(t *testing.T) {
+	gone := []model.TargetReport{reportOf("i2", 1, 2, model.TargetReady), reportOf("i2", 1, 0, model.TargetGone)}
+	cases := []struct {
+		name    string
+		before  []model.TargetReport
+		report  model.TargetReport
+		nobody  bool
+		within  time.Duration
+		answers model.InstanceID
+	}{
+		{"the same run", nil, reportOf("i2", 1, 7, model.TargetReady), false, 100 * time.Millisecond, ""},
+		{"the same run, a repeated report", nil, reportOf("i2", 1, 1, model.TargetReady), false, 100 * time.Millisecond, ""},
+		{"a new run after one that left", gone, reportOf("i3", 9, 1, model.TargetReady), false, 100 * time.Millisecond, ""},
+		{"a new run under the same name", gone, reportOf("i2", 9, 1, model.TargetReady), false, 100 * time.Millisecond, ""},
+		{"a new run after a crash", nil, reportOf("i3", 9, 1, model.TargetReady), false, 100 * time.Millisecond, ""},
+		{"a run that no longer drains", []model.TargetReport{reportOf("i2", 1, 2, model.TargetDraining)},
+			reportOf("i2", 1, 3, model.TargetReady), false, 100 * time.Millisecond, ""},
+		{"nobody knows the past", nil, reportOf("i2", 1, 7, model.TargetReady), true, 5100 * time.Millisecond, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			sim := newSimulation(t, 3)
+			sim.startTargets("v1")
+			for _, r := range c.before {
+				sim.report(sim.nodes[2], r)
+			}
+			sim.run(time.Second)
+			n := sim.start("d02", nil)
+			n.platformUnreachable, n.peersUnreachable = c.nobody, c.nobody
+			sim.report(n, c.report)
+			sim.run(c.within)
+			is.Equal(n.view.Local.State, model.TargetReady)
+			is.Equal(n.view.Local.Instance, c.report.Instance)
+			n.platformUnreachable, n.peersUnreachable = false, false
+			sim.run(6 * time.Second)
+			is.True(listsReady(sim.nodes[0], "d02", c.report.Instance))
+		})
+	}
+}
+
+// Guards against a report that was taken during an outage, although an earlier process had acknowledged that the run is leaving,
+// and stays in force once the platform is back.
+func TestReportIsTakenBackOnceThePastIsKnown(t *testing.T) {
+	for _, c := range pastCases() {
+		if c.name == "another run has started" {
+			continue // the present run reports within seconds and takes the place of the earlier one
+		}
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			sim := newSimulation(t, 3)
+			sim.startTargets("v1")
+			for _, r := range c.before {
+				sim.report(sim.nodes[2], r)
+			}
+			if c.leaving {
+				sim.handle(sim.nodes[2], effect.TargetLeaving{Instance: "i2", Born: 1})
+			}
+			n := sim.start("d02", nil)
+			n.platformUnreachable, n.peersUnreachable = true, true
+			sim.report(n, c.late)
+			sim.run(6 * time.Second)
+			is.Equal(n.view.Local.State, model.TargetReady) // nobody could tell
+			n.platformUnreachable, n.peersUnreachable = false, false
+			sim.run(2 * time.Second)
+			is.True(n.view.Local.State != model.TargetReady)
+			sim.run(6 * time.Second)
+			is.True(!listsReady(sim.nodes[0], "d02", c.late.Instance))
+		})
+	}
+}
+
+// Guards against records of targets that have left and stay on the platform, or in the rosters of other daemons.
+func TestRecordOfGoneTargetExpires(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t, 3)
+	sim.startTargets("v1")
+	token := sim.report(sim.nodes[2], reportOf("i2", 1, 0, model.TargetGone))
+	is.Equal(sim.nodes[2].answers[token].Code, model.OutcomeApplied)
+	key := store.PrefixTargets + "d02"
+	stored := sim.store.Do(store.Call{Kind: store.KindGet, Key: key}).Entries
+	is.Equal(len(stored), 1)
+	is.True(stored[0].Lease != 0)
+	sim.run(time.Second)
+	for _, n := range sim.nodes[:2] {
+		is.Equal(len(n.view.Targets), 2)
+	}
+	renewals := sim.nodes[2].storeCalls["announce"]
+	sim.run(time.Minute)
+	is.Equal(sim.nodes[2].storeCalls["announce"], renewals)
+	sim.store.Expire(key)
+	sim.run(time.Minute)
+	is.Equal(len(sim.store.Do(store.Call{Kind: store.KindGet, Key: key}).Entries), 0)
+}
--- a/internal/command/catalog/roster.go
+++ b/internal/command/catalog/roster.go
@@ -45,23 +45,29 @@
 		c.handleUnlistedTarget(now, daemon)
 		return
 	}
-	target, err := c.cfg.Records.DecodeTarget(e.Value)
-	if err != nil || target.Daemon != daemon {
+	record, err := c.cfg.Records.DecodeTarget(e.Value)
+	if err != nil || record.Daemon != daemon {
 		c.log("entry-refused", c.countRefusedEntry(e, "target", err)...)
 		return
 	}
 	if daemon == c.cfg.Target.Daemon {
-		c.compareStoredTarget(target)
+		c.compareStoredTarget(now, record)
 		return
 	}
 	m := c.roster[daemon]
-	if m == nil {
-		m = c.addMember(now, daemon)
-	} else if m.target.Newer(target) {
+	switch {
+	case m != nil && m.target.Newer(&record.Target):
 		return
+	case record.State == model.TargetGone:
+		if m != nil {
+			c.removeMember(daemon, "its target has left")
+		}
+		return
+	case m == nil:
+		m = c.addMember(now, daemon)
 	}
 	m.probeAt, m.misses = time.Time{}, 0
-	c.updateMember(m, *target, "platform")
+	c.updateMember(m, record.Target, "platform")
 }
 
 // countRefusedEntry counts an entry of the store that is skipped and returns the fields of its log line: it cannot be decoded,
@@ -99,7 +105,7 @@
 // also expire during an outage of the platform, and the platform may remove keys of a healthy daemon.
 func (c *Core) handleUnlistedTarget(now time.Time, daemon model.DaemonID) {
 	if daemon == c.cfg.Target.Daemon {
-		c.compareStoredTarget(nil)
+		c.compareStoredTarget(now, nil)
 		return
 	}
 	if m := c.roster[daemon]; m != nil {
--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -50,7 +50,7 @@
 }
 
 // EncodeTarget encodes the record of a target.
-func (JSON) EncodeTarget(t *model.Target) ([]byte, error) { return json.Marshal(t) }
+func (JSON) EncodeTarget(r *model.TargetRecord) ([]byte, error) { return json.Marshal(r) }
 
 const (
 	// maxRecordBytes bounds a record of a target or a move, which has some hundred bytes.
@@ -61,8 +61,8 @@
 )
 
 // DecodeTarget decodes the record of a target. It refuses one that names no target which could be called.
-func (JSON) DecodeTarget(data []byte) (*model.Target, error) {
-	t, err := decodeRecord[model.Target](data, "target record")
+func (JSON) DecodeTarget(data []byte) (*model.TargetRecord, error) {
+	t, err := decodeRecord[model.TargetRecord](data, "target record")
 	if err != nil {
 		return nil, err
 	}
--- a/internal/model/target.go
+++ b/internal/model/target.go
@@ -62,6 +62,27 @@
 	return t.Sequence > o.Sequence
 }
 
+// TargetRecord is the announcement of a target as the platform stores it. Besides the target it holds what the next process of
+// the daemon needs to recognise late reports.
+type TargetRecord struct {
+	Target
+	// ReportSeq is the Seq of the latest report that was accepted when the record was written.
+	ReportSeq uint64 `json:"reportSeq,omitempty"`
+	// Leaving says that the run has said in a response that it is leaving. No report of that run undoes it.
+	Leaving bool `json:"leaving,omitempty"`
+}
+
+// LastReport returns the latest report that the record is known to follow from.
+func (r *TargetRecord) LastReport() *TargetReport {
+	state := r.State
+	if r.DaemonEnds {
+		state = TargetReady
+	}
+	return &TargetReport{
+		Instance: r.Instance, Born: r.Born, Seq: r.ReportSeq, Service: r.Service, Version: r.Version, Slots: r.Slots, State: state,
+	}
+}
+
 // TargetReport is a status report that a target sends to the daemon beside it.
 type TargetReport struct {
 	Instance InstanceID
@@ -89,6 +110,15 @@
 	return r.Seq > o.Seq
 }
 
+// LateAfter reports whether r was sent before o, or by a run that has ended with o or before it. Delayed reports arrive seconds
+// after later ones.
+func (r *TargetReport) LateAfter(o *TargetReport) bool {
+	if o.State == TargetGone && r.Instance == o.Instance && r.Born <= o.Born {
+		return true
+	}
+	return !r.Newer(o)
+}
+
 // Ref returns the version that the target runs.
 func (t *Target) Ref() VersionRef { return VersionRef{Service: t.Service, Version: t.Version} }
 
