catalog: a run that deregisters before its first report stays out of service

A shutdown report of a run that its daemon did not know was acknowledged and dropped while another run was known; the late first heartbeat of that run then put it into service, without any restart. Change: the shutdown report of a run that started later than the known one is recorded. One of an earlier run is still ignored. Measured: TestShutdownReportBeforeTheFirstReport fails before, and six cases of the tests of late reports; none after. A shutdown report without a start time still says nothing about another run than the one that it names.

--- a/internal/command/catalog/announcement.go
+++ b/internal/command/catalog/announcement.go
@@ -202,8 +202,8 @@
 		}
 		gone = *last
 		gone.State = model.TargetGone
-	default:
-		// Another run is known.
+	case r.Born <= last.Born:
+		// A late report of an earlier run.
 		return false
 	}
 	local.report = &gone
--- a/internal/command/catalog/past_test.go
+++ b/internal/command/catalog/past_test.go
@@ -35,6 +35,8 @@
 			reportOf("i2", 1, 10, model.TargetDraining), reportOf("i2", 1, 0, model.TargetGone),
 		}, false, ready},
 		{"leaving by its own response", []model.TargetReport{ready}, true, reportOf("i2", 1, 20, model.TargetReady)},
+		{"deregistered before its first report", []model.TargetReport{reportOf("i3", 5, 0, model.TargetGone)}, false,
+			reportOf("i3", 5, 1, model.TargetReady)},
 		{"another run has started", []model.TargetReport{reportOf("i3", 5, 1, model.TargetReady)}, false, ready},
 	}
 }
@@ -173,6 +175,23 @@
 	}
 }
 
+// Guards against a run that deregisters before its first report arrives, and gets calls once that does. The daemon still knows the
+// run before it.
+func TestShutdownReportBeforeTheFirstReport(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t, 2)
+	sim.startTargets("v1")
+	n := sim.nodes[0]
+	token := sim.report(n, reportOf("i7", 5, 0, model.TargetGone))
+	is.Equal(n.answers[token].Code, model.OutcomeApplied)
+	sim.report(n, reportOf("i7", 5, 1, model.TargetReady))
+	is.True(n.view.Local.State != model.TargetReady)
+	sim.report(n, reportOf("i8", 6, 1, model.TargetReady))
+	is.Equal(n.view.Local.State, model.TargetReady) // a later run
+	sim.report(n, reportOf("i7", 5, 0, model.TargetGone))
+	is.Equal(n.view.Local.State, model.TargetReady) // a repeated report of the earlier run
+}
+
 // Guards against records of targets that have left and stay on the platform, or in the rosters of other daemons.
 func TestRecordOfGoneTargetExpires(t *testing.T) {
 	is := is.New(t)
