traffic: a response without end is not held several times

Cause: report of a similar system: a faulty target sent bytes that were no answer, without end, and the machine that had called it ran out of memory. Played here with ten kinds of endless heads and bodies on 16 slots: nothing is kept without bound, but a body without a length was read into a buffer that grows, which held up to 86 MB for the 32 MB that such bodies may take together; the smallest VM has 184 MB. Change: such a body is read in blocks, which are joined only once it has ended. Measured: TestEndlessResponsesKeepMemorySmall, heap at the peak, sidecar: chunks 86.0 MB before, 51.9 after; body without a length 82.0, 49.8; the other eight kinds, and all of sniperaild with a caller that keeps nothing, under 23 MB (KB of the log divided by 1,000). The test passes before too, with 92 MB allowed.

--- a/internal/traffic/body.go
+++ b/internal/traffic/body.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -111,8 +112,7 @@
 	return method != http.MethodHead && (response.ContentLength < 0 || response.ContentLength > maxBufferedBody)
 }
 
-// readResponseBody reads a body of at most limit bytes. Complete is false if the body is longer or could not be read; body
-// then holds the part that was read, if any.
+// readResponseBody reads a body of at most limit bytes. Complete is false if the body is longer or could not be read.
 func readResponseBody(method string, response *http.Response, limit int) (body []byte, complete bool, err error) {
 	if method == http.MethodHead || response.ContentLength == 0 {
 		return nil, true, nil
@@ -125,8 +125,39 @@
 	if response.ContentLength > int64(limit) {
 		return nil, false, nil
 	}
-	body, err = io.ReadAll(io.LimitReader(response.Body, int64(limit)+1))
-	return body, err == nil && len(body) <= limit, err
+	return readUnsized(response.Body, limit)
+}
+
+const (
+	// firstBlock and largestBlock are the sizes of the first and of the largest block in which a body without a length is read.
+	firstBlock   = 4 << 10
+	largestBlock = 64 << 10
+)
+
+// readUnsized reads a body of at most limit bytes. It keeps blocks until the body has ended: a buffer that grows would hold several
+// times the bytes of a body without end.
+func readUnsized(r io.Reader, limit int) (body []byte, complete bool, err error) {
+	var blocks [][]byte
+	block := make([]byte, 0, firstBlock)
+	for total := 0; total <= limit; {
+		if len(block) == cap(block) {
+			blocks = append(blocks, block)
+			block = make([]byte, 0, min(2*cap(block), largestBlock))
+		}
+		n, err := r.Read(block[len(block):cap(block)])
+		block = block[:len(block)+n]
+		total += n
+		switch {
+		case err == nil || err == io.EOF && total > limit:
+		case err != io.EOF:
+			return nil, false, err
+		case len(blocks) == 0:
+			return block, true, nil
+		default:
+			return slices.Concat(append(blocks, block)...), true, nil
+		}
+	}
+	return nil, false, nil
 }
 
 // byteBudget bounds the bytes that several readers buffer together.
--- a/internal/traffic/endless_test.go
+++ b/internal/traffic/endless_test.go
@@ -3,11 +3,18 @@
 import (
 	"io"
 	"net/http"
+	"runtime/debug"
+	"runtime/metrics"
+	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"sniperail.example/sniperail/internal/command/admission"
+	"sniperail.example/sniperail/internal/traffic"
 )
 
 // endlessResponses begin responses that continue with filler until the connection is closed.
@@ -90,3 +97,95 @@
 		is.Equal(len(body), size)
 	}
 }
+
+// endlessMemory bounds the heap of a process whose targets send without end. It is half of the memory of the smallest VM, which
+// has 184 MB.
+const endlessMemory = 92 << 20
+
+// Guards against responses without end on all slots of a target, whose bytes are kept until the process exceeds its memory.
+func TestEndlessResponsesKeepMemorySmall(t *testing.T) {
+	defer debug.SetGCPercent(debug.SetGCPercent(25)) // as in the sidecar
+	const slots = 16
+	for _, c := range endlessResponses {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			bad := startScriptedTarget(t, func(int, *http.Request) string { return c.start })
+			bad.filler = strings.Repeat(c.filler, 1000)
+
+			ch := startChain(t, bad)
+			described := ch.table.View.Targets[0]
+			described.Slots = slots
+			ch.inbounds[0].SetTarget(described, false)
+			ch.deadline = time.Minute // the test would time out if only the deadline ended the calls
+			peak := peakHeap(t, func() {
+				var calls sync.WaitGroup
+				for range 2 * slots {
+					calls.Go(func() {
+						status, _, _, err := ch.call(t.Context(), "POST", "/once/x")
+						is.True(err != nil || status >= http.StatusInternalServerError)
+					})
+				}
+				calls.Wait()
+			})
+			is.True(peak < endlessMemory)
+
+			m := newMesh(t, nil)
+			m.addTarget(bad.listener.Addr().String(), admission.Settings{Slots: slots, Connections: 4 * slots, Queue: slots})
+			peak = peakHeap(t, func() {
+				var calls sync.WaitGroup
+				for range 2 * slots {
+					calls.Go(func() {
+						is.True(!m.discard("/a", 300*time.Millisecond))
+					})
+				}
+				calls.Wait()
+			})
+			is.True(peak < endlessMemory)
+		})
+	}
+}
+
+// discard makes a call, discards its response, and reports whether the response was a complete success.
+func (m *mesh) discard(path string, deadline time.Duration) bool {
+	r, err := http.NewRequestWithContext(m.t.Context(), http.MethodPost, m.url+path, nil)
+	if err != nil {
+		m.t.Error(err)
+		return false
+	}
+	r.Header.Set(traffic.HeaderDeadline, strconv.FormatInt(deadline.Milliseconds(), 10))
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = response.Body.Close() }()
+	_, err = io.Copy(io.Discard, response.Body)
+	return err == nil && response.StatusCode == http.StatusOK
+}
+
+// peakHeap returns the largest number of bytes in the heap while a function runs.
+func peakHeap(t *testing.T, run func()) uint64 {
+	t.Helper()
+	done := make(chan struct{})
+	peaks := make(chan uint64)
+	go func() {
+		sample := []metrics.Sample{{Name: "/memory/classes/heap/objects:bytes"}}
+		ticker := time.NewTicker(time.Millisecond)
+		defer ticker.Stop()
+		peak := uint64(0)
+		for {
+			select {
+			case <-ticker.C:
+				metrics.Read(sample)
+				peak = max(peak, sample[0].Value.Uint64())
+			case <-done:
+				peaks <- peak
+				return
+			}
+		}
+	}()
+	run()
+	close(done)
+	peak := <-peaks
+	t.Logf("%d KB at the peak", peak>>10)
+	return peak
+}
