traffic: tests of rate limits allow what the limit allows in the time that passed

Cause: TestCallsBeyondARateLimitAreServedElsewhere failed once in a run of the package and once in four runs beside each other. The target got what its limit allows, so the test was wrong and not the code. Change: the bound is what the limit allows in the time that passed, and the one call that its bucket holds: 1 for a run under 2 s, where it was 2. The same in TestTargetThatNamesARateLimitGetsNoMore.

--- a/internal/traffic/rate_limit_test.go
+++ b/internal/traffic/rate_limit_test.go
@@ -61,10 +61,11 @@
 			c := startChain(t, target)
 			c.deadline = time.Second
 			is.Equal(countServed(t, c, 1), 1)
+			start := time.Now()
 			served := countServed(t, c, 20)
 			is.Equal(int(target.received.Load()), served+1) // a refused call has not been executed
 			if test.limited {
-				is.True(served <= 2)
+				is.True(served <= callsWithin(0.5, time.Since(start)))
 			} else {
 				is.Equal(served, 20)
 			}
@@ -72,6 +73,10 @@
 	}
 }
 
+// callsWithin returns the calls that a target with a rate limit may get within a time: what the limit allows, and the one call that
+// its bucket holds.
+func callsWithin(perSecond float64, d time.Duration) int { return 1 + int(perSecond*d.Seconds()) }
+
 // Guards against calls that are refused at a target with a rate limit, although another target could serve them.
 func TestCallsBeyondARateLimitAreServedElsewhere(t *testing.T) {
 	is := is.New(t)
@@ -79,11 +84,11 @@
 	other := startScriptedTarget(t, func(int, *http.Request) string { return okResponse })
 	c := startChain(t, limited, other)
 	is.Equal(countServed(t, c, 20), 20)
-	before := limited.received.Load()
+	before, start := limited.received.Load(), time.Now()
 	for range 10 {
 		is.Equal(countServed(t, c, 2), 2)
 	}
-	is.True(limited.received.Load()-before <= 2)
+	is.True(int(limited.received.Load()-before) <= callsWithin(0.5, time.Since(start)))
 }
 
 // Guards against a rate limit that stays in force although the target no longer names it.
