admission: a lingering connection does not read an endless response

It read and discarded whatever the target sent: a target that sends without end kept a goroutine for each slot reading at full speed for 5 s. Change: at most 1 MB is read. A target that sends that much executes nothing any more, it sends a response. Measured: TestLingeringEndsForAnEndlessResponse fails before (5.0 s of reading), passes after (0.01 s).

--- a/internal/traffic/transport.go
+++ b/internal/traffic/transport.go
@@ -22,6 +22,9 @@
 	// maxLinger bounds the wait for a target that goes on with a request after its caller has disconnected. It is the
 	// default deadline of a call.
 	maxLinger = 5 * time.Second
+	// maxLingerBytes bounds the bytes that are read meanwhile. A target that sends more is not executing the request, but
+	// sending a response that may have no end.
+	maxLingerBytes = 1 << 20
 	// maxStaleConns bounds the pooled connections that are tried for one request and turn out to be closed before a byte
 	// was written.
 	maxStaleConns = 3
@@ -187,8 +190,8 @@
 	if e.complete.Load() {
 		_ = c.SetDeadline(time.Unix(1, 0))
 	}
-	_, _ = io.Copy(io.Discard, c.Conn)
-	_ = c.closeNow() // the other end has closed the connection, or the deadline has passed
+	_, _ = io.CopyN(io.Discard, c.Conn, maxLingerBytes)
+	_ = c.closeNow() // the other end has closed the connection or does not stop sending, or the deadline has passed
 }
 
 func (c *trackedConn) closeNow() error {
--- a/internal/traffic/transport_test.go
+++ b/internal/traffic/transport_test.go
@@ -196,6 +196,22 @@
 	}
 }
 
+// Guards against a target that sends without end on an abandoned connection, which is read at full speed until maxLinger has passed.
+func TestLingeringEndsForAnEndlessResponse(t *testing.T) {
+	is := is.New(t)
+	near, far := net.Pipe()
+	conn, ended := traffic.TrackConn(&halfCloseConn{near, make(chan struct{})}, &limitStub{}, true, false)
+	is.NoErr(conn.Close())
+	sent := 0
+	for chunk := make([]byte, 64<<10); ; sent += len(chunk) {
+		if _, err := far.Write(chunk); err != nil {
+			break
+		}
+	}
+	<-ended
+	is.True(sent <= 1<<20)
+}
+
 // Guards against an unsolicited response that is taken for the response to the next request: http.Transport offers a
 // connection for reuse before its reader has checked for left-over bytes, so it must not be used until then.
 func TestReusedConnectionWaitsForReader(t *testing.T) {
