--- a/internal/sidecar/health.go
+++ b/internal/sidecar/health.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"sniperail.example/sniperail/internal/model"
+	"sniperail.example/sniperail/internal/traffic"
 )
 
 const (
@@ -19,6 +20,9 @@
 	maxHealthBytes = 4 << 10
 )
 
+// healthTransport sends the health checks. The default transport keeps up to 10 MB of the head of a response.
+var healthTransport = &http.Transport{MaxResponseHeaderBytes: int64(traffic.DefaultLimits().HeaderBytes), DisableKeepAlives: true}
+
 // checkTargetHealth sends a health check to the local target, and returns the instance that answered that it is healthy, or
 // "".
 func (d *Sidecar) checkTargetHealth(ctx context.Context, path string) model.InstanceID {
@@ -29,9 +33,7 @@
 		d.logger.Warn("target-unasked", zap.Error(err))
 		return ""
 	}
-	// A connection that is kept open would count against the target's limit.
-	request.Close = true
-	response, err := http.DefaultTransport.RoundTrip(request)
+	response, err := healthTransport.RoundTrip(request)
 	if err != nil {
 		d.logger.Info("target-unasked", zap.Error(err))
 		return ""
--- a/internal/traffic/probe.go
+++ b/internal/traffic/probe.go
@@ -43,7 +43,11 @@
 		options.Dial = (&net.Dialer{}).DialContext
 	}
 	return &Probe{options: options, client: &http.Client{
-		Timeout: probeTimeout, Transport: &http.Transport{DisableKeepAlives: true, DialContext: options.Dial},
+		Timeout: probeTimeout, Transport: &http.Transport{
+			DisableKeepAlives: true, DialContext: options.Dial,
+			// By default, up to 10 MB of the head of a response are kept.
+			MaxResponseHeaderBytes: int64(DefaultLimits().HeaderBytes),
+		},
 	}}
 }
 
