catalog: reports are held once, not again with each report

Cause: seen when the change was read again. A daemon that had waited 5 s in vain for what earlier processes have recorded held the next report for 5 s too, and so on until the platform was back. Change: from the end of the first wait on, reports are applied at once. Measured: TestReportsAreHeldOnlyOnce fails before, passes after.

--- a/internal/command/catalog/announcement.go
+++ b/internal/command/catalog/announcement.go
@@ -37,8 +37,8 @@
 	stopping    bool
 	// past is what an earlier process of this daemon has recorded; nil if that is nothing or not known.
 	past *model.TargetRecord
-	// held is the newest report of a ready target that arrived before past was known, nil if there is none. It is applied at
-	// applyHeldAt even if past is not known until then.
+	// held is the newest report of a ready target that arrived before past was known, nil if there is none. From applyHeldAt on,
+	// reports are applied even if past is not known; zero before the first is held.
 	held        *model.TargetReport
 	applyHeldAt time.Time
 	// previous is the target that an earlier process of this daemon announced; nil if there is none or it has been checked.
--- a/internal/command/catalog/past.go
+++ b/internal/command/catalog/past.go
@@ -40,15 +40,15 @@
 // knowsPast reports whether this daemon knows what its earlier processes have recorded, or no longer waits for it. When all daemons
 // start for the first time, there is nothing.
 func (c *Core) knowsPast(now time.Time) bool {
-	local := &c.local
-	return c.meshKeys.loaded || c.cfg.FirstStart || local.held != nil && !now.Before(local.applyHeldAt)
+	applyHeldAt := c.local.applyHeldAt
+	return c.meshKeys.loaded || c.cfg.FirstStart || !applyHeldAt.IsZero() && !now.Before(applyHeldAt)
 }
 
 // holdReport keeps a report until this daemon knows what its earlier processes have recorded. They may have acknowledged that the
 // run is leaving.
 func (c *Core) holdReport(now time.Time, r *model.TargetReport) {
 	local := &c.local
-	if local.held == nil {
+	if local.applyHeldAt.IsZero() {
 		local.applyHeldAt = now.Add(pastTimeout)
 	}
 	if local.held == nil || r.Newer(local.held) {
--- a/internal/command/catalog/past_test.go
+++ b/internal/command/catalog/past_test.go
@@ -144,6 +144,20 @@
 	}
 }
 
+// Guards against a daemon that waits for the past again with each report, after it has waited in vain once.
+func TestReportsAreHeldOnlyOnce(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t, 2)
+	sim.startTargets("v1")
+	n := sim.start("d01", nil)
+	n.platformUnreachable, n.peersUnreachable = true, true
+	sim.report(n, reportOf("i1", 1, 7, model.TargetReady))
+	sim.run(5100 * time.Millisecond)
+	is.Equal(n.view.Local.State, model.TargetReady)
+	sim.report(n, reportOf("i3", 9, 1, model.TargetReady))
+	is.Equal(n.view.Local.Instance, model.InstanceID("i3"))
+}
+
 // Guards against a report that was taken during an outage, although an earlier process had acknowledged that the run is leaving,
 // and stays in force once the platform is back.
 func TestReportIsTakenBackOnceThePastIsKnown(t *testing.T) {
