ingress: the deadlines of an unread body neither replace the idle timeout nor wait for the caller

When the rest of a body had been discarded behind its response, the idle timeout that had begun meanwhile was removed, so that the connection could stay open for ever. And when the head of a long response had already said that the connection closes, a pending read of the body could not be ended, so that the response waited for the caller. Change: the read deadline is free until the last response has been written, and removing it starts the idle timeout again if no request is pending.

--- a/internal/traffic/pipeline_conn.go
+++ b/internal/traffic/pipeline_conn.go
@@ -35,6 +35,8 @@
 	// closing means that the connection closes after the response being written. Its head tells the caller that later requests
 	// were not read, so none may be read after that.
 	closing bool
+	// lingering means that the last response has been written and the read deadline is that of closeLinger.
+	lingering bool
 }
 
 // headerLimitReader returns errHeaderTooLong once left bytes have been read.
@@ -204,18 +206,27 @@
 	return true
 }
 
-// clearReadDeadline removes the deadline of a request header or body that has been read.
-func (c *pipelineConn) clearReadDeadline() { c.setReadDeadline(time.Time{}) }
-
-// setReadDeadline sets the read deadline, unless the connection closes, which has a deadline of its own.
+// setReadDeadline sets the deadline of a request header or body, unless the connection lingers, which has a deadline of its own.
 func (c *pipelineConn) setReadDeadline(t time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.closing {
+	if !c.lingering {
 		_ = c.conn.SetReadDeadline(t)
 	}
 }
 
+// clearReadDeadline removes the deadline of a request header or body that has been read. The response may have been written
+// meanwhile, and the idle timeout begun.
+func (c *pipelineConn) clearReadDeadline() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.lingering {
+		return
+	}
+	_ = c.conn.SetReadDeadline(time.Time{})
+	c.startIdleTimeout()
+}
+
 // abandonRequest ends a request that its caller never completed.
 func (c *pipelineConn) abandonRequest() {
 	c.mu.Lock()
@@ -230,6 +241,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.pending--
+	c.startIdleTimeout()
+}
+
+// startIdleTimeout bounds the time until the next request if none is pending. The lock must be held.
+func (c *pipelineConn) startIdleTimeout() {
 	if c.pending > 0 || c.closing {
 		return
 	}
@@ -288,15 +304,16 @@
 // closeAfterLast closes the sending side after the last response, because bytes that arrive after a full close would reset
 // the connection and the response could be lost. After a broken response it closes the connection at once.
 func (c *pipelineConn) closeAfterLast(state connState) {
-	c.mu.Lock()
-	c.closing = true
-	c.mu.Unlock()
 	c.cancel()
 	half, ok := c.conn.(interface{ CloseWrite() error })
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closing = true
 	if state == stateBroken || !ok || half.CloseWrite() != nil {
 		_ = c.conn.Close()
 		return
 	}
+	c.lingering = true
 	_ = c.conn.SetReadDeadline(time.Now().Add(closeLinger))
 }
 
--- a/internal/traffic/pipeline_server_test.go
+++ b/internal/traffic/pipeline_server_test.go
@@ -28,14 +28,22 @@
 // servePipelined serves a handler on the server that the callers of a sidecar are connected to, and returns it and its address.
 // Each accepted connection is wrapped.
 func servePipelined(t *testing.T, handler http.Handler, wrap func(net.Conn) net.Conn) (*traffic.PipelineServer, string) {
+	t.Helper()
+	return serveWithIdleTimeout(t, time.Minute, handler, wrap)
+}
+
+// serveWithIdleTimeout serves like servePipelined, with another idle timeout.
+func serveWithIdleTimeout(
+	t *testing.T, idle time.Duration, handler http.Handler, wrap func(net.Conn) net.Conn,
+) (*traffic.PipelineServer, string) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	minute := func() time.Duration { return time.Minute }
 	server := traffic.NewPipelineServer(traffic.PipelineOptions{
-		Handler: handler, HeaderBytes: 2 << 10, Logger: zap.NewNop(), HeaderTimeout: minute, IdleTimeout: minute,
+		Handler: handler, HeaderBytes: 2 << 10, Logger: zap.NewNop(),
+		HeaderTimeout: func() time.Duration { return time.Minute }, IdleTimeout: func() time.Duration { return idle },
 	})
 	served := make(chan struct{})
 	go func() {
--- a/internal/traffic/unread_body_test.go
+++ b/internal/traffic/unread_body_test.go
@@ -12,6 +12,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -197,6 +198,53 @@
 	is.Equal(err, io.EOF)
 }
 
+// Guards against a connection without an idle timeout, after the rest of a body has been discarded behind its response.
+func TestIdleTimeoutHoldsAfterADiscardedBody(t *testing.T) {
+	is := is.New(t)
+	const length, read = 100_000, 50_000
+	_, address := serveWithIdleTimeout(t, 300*time.Millisecond, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.CopyN(io.Discard, r.Body, read)
+		_, _ = io.WriteString(w, "x")
+	}), func(conn net.Conn) net.Conn { return conn })
+	conn := dialPipeline(t, address)
+	_, err := fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", length, strings.Repeat("x", read))
+	is.NoErr(err)
+	reader := bufio.NewReader(conn)
+	response, _ := readResponse(t, reader)
+	is.True(!response.Close)
+	_, err = io.WriteString(conn, strings.Repeat("x", length-read))
+	is.NoErr(err)
+	_, err = reader.ReadByte()
+	is.Equal(err, io.EOF)
+}
+
+// Guards against a response that waits for the rest of the request body, because its head has already said that the connection
+// closes.
+func TestLongClosingResponseDoesNotWaitForTheBody(t *testing.T) {
+	is := is.New(t)
+	const length, sentFirst = 300_000, 100_000
+	server, conn := startPipeline(t, func(w http.ResponseWriter, r *http.Request) {
+		begun := make(chan struct{})
+		go func() {
+			_, _ = io.CopyN(io.Discard, r.Body, sentFirst)
+			close(begun)
+			_, _ = io.Copy(io.Discard, r.Body)
+		}()
+		<-begun
+		w.Header().Set("Content-Length", strconv.Itoa(length))
+		for range 3 { // the last part waits until the head has been written
+			_, _ = io.WriteString(w, strings.Repeat("r", length/3))
+		}
+	})
+	server.Drain()
+	_, err := fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", length, strings.Repeat("x", sentFirst))
+	is.NoErr(err)
+	response, body := readResponse(t, bufio.NewReader(conn))
+	is.True(response.Close)
+	is.Equal(len(body), length)
+	is.NoErr(server.Wait(t.Context()))
+}
+
 // Guards against the rest of a long body being run by a target, for refusals that come before the body is read: at the callers'
 // side and beside the target, of both daemons.
 func TestRestOfRefusedUploadIsNotExecuted(t *testing.T) {
