catalog: the record of an earlier process is named so

Cause: past, knowsPast and recordPast are no terms of the field. Change: names, comments and the names of two files; no behaviour. Measured: the tests of the package pass.

--- a/internal/command/catalog/announcement.go
+++ b/internal/command/catalog/announcement.go
@@ -35,10 +35,10 @@
 	leaving     model.InstanceID
 	leavingBorn int64
 	stopping    bool
-	// past is what an earlier process of this daemon has recorded; nil if that is nothing or not known.
-	past *model.TargetRecord
-	// held is the newest report of a ready target that arrived before past was known, nil if there is none. From applyHeldAt on,
-	// reports are applied even if past is not known; zero before the first is held.
+	// earlier is the record that an earlier process of this daemon has written; nil if there is none or it is not known.
+	earlier *model.TargetRecord
+	// held is the newest report of a ready target that arrived before earlier was known, nil if there is none. From applyHeldAt on,
+	// reports are applied even if earlier is not known; zero before the first is held.
 	held        *model.TargetReport
 	applyHeldAt time.Time
 	// previous is the target that an earlier process of this daemon announced; nil if there is none or it has been checked.
@@ -153,7 +153,7 @@
 	switch {
 	case r.State == model.TargetGone:
 		return c.applyShutdownReport(now, r)
-	case r.State == model.TargetReady && !c.knowsPast(now):
+	case r.State == model.TargetReady && !c.knowsEarlierRecord(now):
 		c.holdReport(now, r)
 		return false
 	case c.local.isLate(r):
--- a/internal/command/catalog/catalog.go
+++ b/internal/command/catalog/catalog.go
@@ -193,7 +193,7 @@
 	c.updateSettled(now)
 	c.updateOperatorWatch()
 	c.startDueCheck(now)
-	c.judgeHeldReport(now)
+	c.applyHeldReport(now)
 	c.checkPreviousTarget()
 	c.maintainAnnouncement(now)
 	c.probeUnlistedMembers(now)
--- a/internal/command/catalog/past.go
+++ b/internal/command/catalog/earlier_record.go
@@ -8,15 +8,15 @@
 	"sniperail.example/sniperail/internal/model"
 )
 
-// pastTimeout bounds the time for which a report of a ready target is held while neither the platform nor a peer can say what
-// earlier processes of this daemon have recorded. Without it, the target would get no calls until the platform is back.
-const pastTimeout = 5 * time.Second
+// earlierRecordTimeout bounds the time for which a report of a ready target is held while neither the platform nor a peer can
+// say what earlier processes of this daemon have recorded. Without it, the target would get no calls until the platform is back.
+const earlierRecordTimeout = 5 * time.Second
 
 // lastReport returns the latest report that this process or, before its first report, an earlier one has accepted; nil if
 // there is none.
 func (l *localTarget) lastReport() *model.TargetReport {
-	if l.report == nil && l.past != nil {
-		return l.past.LastReport()
+	if l.report == nil && l.earlier != nil {
+		return l.earlier.LastReport()
 	}
 	return l.report
 }
@@ -24,22 +24,22 @@
 // isLate reports whether a report was sent before one that this process has accepted, or contradicts what an earlier one has
 // recorded.
 func (l *localTarget) isLate(r *model.TargetReport) bool {
-	return l.report != nil && r.LateAfter(l.report) || l.past != nil && contradicts(r, l.past)
+	return l.report != nil && r.LateAfter(l.report) || l.earlier != nil && contradicts(r, l.earlier)
 }
 
 // contradicts reports whether a report was sent before the record was written and says something else: it comes from an earlier
 // run, or from the recorded run before that was draining or gone.
-func contradicts(r *model.TargetReport, past *model.TargetRecord) bool {
-	last := past.LastReport()
+func contradicts(r *model.TargetReport, earlier *model.TargetRecord) bool {
+	last := earlier.LastReport()
 	if r.Instance == last.Instance && r.Born == last.Born && last.State == model.TargetReady {
 		return false
 	}
 	return r.LateAfter(last)
 }
 
-// knowsPast reports whether this daemon knows what its earlier processes have recorded, or no longer waits for it. When all daemons
-// start for the first time, there is nothing.
-func (c *Core) knowsPast(now time.Time) bool {
+// knowsEarlierRecord reports whether this daemon knows what its earlier processes have recorded, or no longer waits for it. When
+// all daemons start for the first time, there is nothing.
+func (c *Core) knowsEarlierRecord(now time.Time) bool {
 	applyHeldAt := c.local.applyHeldAt
 	return c.meshKeys.loaded || c.cfg.FirstStart || !applyHeldAt.IsZero() && !now.Before(applyHeldAt)
 }
@@ -49,17 +49,17 @@
 func (c *Core) holdReport(now time.Time, r *model.TargetReport) {
 	local := &c.local
 	if local.applyHeldAt.IsZero() {
-		local.applyHeldAt = now.Add(pastTimeout)
+		local.applyHeldAt = now.Add(earlierRecordTimeout)
 	}
 	if local.held == nil || r.Newer(local.held) {
 		local.held = r
 	}
 }
 
-// judgeHeldReport applies the held report once this daemon knows what its earlier processes have recorded.
-func (c *Core) judgeHeldReport(now time.Time) {
+// applyHeldReport applies the held report once this daemon knows what its earlier processes have recorded.
+func (c *Core) applyHeldReport(now time.Time) {
 	local := &c.local
-	if local.held == nil || !c.knowsPast(now) {
+	if local.held == nil || !c.knowsEarlierRecord(now) {
 		return
 	}
 	r := local.held
@@ -77,24 +77,24 @@
 		"last_instance", string(last.Instance), "last_state", string(last.State), "last_seq", strconv.FormatUint(last.Seq, 10))
 }
 
-// recordPast records what an earlier process of this daemon has recorded. A report that was accepted before that was known, and
-// proves to be late, is taken back.
-func (c *Core) recordPast(now time.Time, past *model.TargetRecord) {
+// handleEarlierRecord keeps the record of an earlier process of this daemon. A report that was accepted before the record was
+// known, and proves to be late, is taken back.
+func (c *Core) handleEarlierRecord(now time.Time, earlier *model.TargetRecord) {
 	local := &c.local
-	local.past = past
-	if past.Leaving && past.Born >= local.leavingBorn {
-		local.leaving, local.leavingBorn = past.Instance, past.Born
+	local.earlier = earlier
+	if earlier.Leaving && earlier.Born >= local.leavingBorn {
+		local.leaving, local.leavingBorn = earlier.Instance, earlier.Born
 	}
 	r := local.report
 	if r == nil || r.State != model.TargetReady || local.target.State == model.TargetGone {
 		return
 	}
 	next := local.target
-	last := past.LastReport()
+	last := earlier.LastReport()
 	switch {
-	case r.Instance == past.Instance && r.Born == past.Born && past.Leaving:
+	case r.Instance == earlier.Instance && r.Born == earlier.Born && earlier.Leaving:
 		next.State = model.TargetDraining
-	case !contradicts(r, past) || last.State == model.TargetReady:
+	case !contradicts(r, earlier) || last.State == model.TargetReady:
 		return
 	default:
 		local.report = last
@@ -118,7 +118,7 @@
 		if local.report == nil && !local.healthChecked {
 			local.previous = stored
 		}
-		c.recordPast(now, stored)
+		c.handleEarlierRecord(now, stored)
 	}
 	if local.report != nil && (stored != nil || local.isAnnounceable()) {
 		local.storedSequence = 0
@@ -152,7 +152,7 @@
 	if previous == nil || local.report != nil || local.stopping {
 		return
 	}
-	sameRun := ev.Instance != "" && ev.Instance == previous.Instance && previous == local.past
+	sameRun := ev.Instance != "" && ev.Instance == previous.Instance && previous == local.earlier
 	c.log("target-asked", "instance", string(previous.Instance), "answered", string(ev.Instance),
 		"taken", strconv.FormatBool(sameRun))
 	if sameRun {
--- a/internal/command/catalog/past_test.go
+++ b/internal/command/catalog/earlier_record_test.go
@@ -16,8 +16,8 @@
 	return model.TargetReport{Instance: instance, Born: born, Seq: seq, Version: "v1", State: state}
 }
 
-// pastCase is what a target says to a daemon before the daemon is killed, and a delayed report that arrives after its restart.
-type pastCase struct {
+// departure is what a target says to a daemon before the daemon is killed, and a delayed report that arrives after its restart.
+type departure struct {
 	name string
 	// before are the reports before the kill; leaving says that the target says in a response that it is leaving.
 	before  []model.TargetReport
@@ -26,7 +26,7 @@
 }
 
 // play hands what the target says before the kill to its daemon, which must acknowledge it.
-func (c *pastCase) play(sim *simulation) {
+func (c *departure) play(sim *simulation) {
 	n := sim.nodes[2]
 	for _, r := range c.before {
 		token := sim.report(n, r)
@@ -39,9 +39,9 @@
 	}
 }
 
-func pastCases() []pastCase {
+func departureCases() []departure {
 	ready := reportOf("i2", 1, 9, model.TargetReady)
-	return []pastCase{
+	return []departure{
 		{"deregistered", []model.TargetReport{ready, reportOf("i2", 1, 0, model.TargetGone)}, false, ready},
 		{"deregistered without a start time", []model.TargetReport{ready, reportOf("i2", 0, 0, model.TargetGone)}, false, ready},
 		{"draining", []model.TargetReport{reportOf("i2", 1, 10, model.TargetDraining)}, false, ready},
@@ -62,7 +62,7 @@
 		// delay is the time from the start to the late report, restarts the number of starts before it.
 		delay    time.Duration
 		restarts int
-		// platformAway says that the platform cannot be reached after the restart, so that only peers know the past.
+		// platformAway says that the platform cannot be reached after the restart, so that only peers know the record.
 		platformAway bool
 	}{
 		"before the keys are listed":      {0, 1, false},
@@ -72,7 +72,7 @@
 		"at once, while platform is away": {0, 1, true},
 	}
 	for startName, start := range starts {
-		for _, c := range pastCases() {
+		for _, c := range departureCases() {
 			t.Run(c.name+"/"+startName, func(t *testing.T) {
 				is := is.New(t)
 				sim := newSimulation(t, 4)
@@ -110,7 +110,7 @@
 }
 
 // Guards against a target that stays out of service after a restart of its daemon although it is ready: its reports, or those of
-// a later run, must be taken at once, and during an outage in which nobody knows the past after a few seconds.
+// a later run, must be taken at once, and during an outage in which nobody knows the record after a few seconds.
 func TestReadyTargetIsInServiceAfterRestart(t *testing.T) {
 	gone := []model.TargetReport{reportOf("i2", 1, 2, model.TargetReady), reportOf("i2", 1, 0, model.TargetGone)}
 	cases := []struct {
@@ -128,7 +128,7 @@
 		{"a new run after a crash", nil, reportOf("i3", 9, 1, model.TargetReady), false, 100 * time.Millisecond},
 		{"a run that no longer drains", []model.TargetReport{reportOf("i2", 1, 2, model.TargetDraining)},
 			reportOf("i2", 1, 3, model.TargetReady), false, 100 * time.Millisecond},
-		{"nobody knows the past", nil, reportOf("i2", 1, 7, model.TargetReady), true, 5100 * time.Millisecond},
+		{"nobody knows the record", nil, reportOf("i2", 1, 7, model.TargetReady), true, 5100 * time.Millisecond},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -152,7 +152,7 @@
 	}
 }
 
-// Guards against a daemon that waits for the past again with each report, after it has waited in vain once.
+// Guards against a daemon that waits for the record again with each report, after it has waited in vain once.
 func TestReportsAreHeldOnlyOnce(t *testing.T) {
 	is := is.New(t)
 	sim := newSimulation(t, 2)
@@ -168,8 +168,8 @@
 
 // Guards against a report that was taken during an outage, although an earlier process had acknowledged that the run is leaving,
 // and stays in force once the platform is back.
-func TestReportIsTakenBackOnceThePastIsKnown(t *testing.T) {
-	for _, c := range pastCases() {
+func TestReportIsTakenBackOnceTheRecordIsKnown(t *testing.T) {
+	for _, c := range departureCases() {
 		if c.name == "another run has started" {
 			continue // the present run reports within seconds and takes the place of the earlier one
 		}
