catalog: a held report is applied like any other

A comment in a test stood above a constant instead of the function that it describes. Change: applyHeldReport calls applyReport; the comment is moved. Measured: the tests of the package pass; no behaviour changed.

--- a/internal/command/catalog/earlier_record.go
+++ b/internal/command/catalog/earlier_record.go
@@ -64,11 +64,7 @@
 	}
 	r := local.held
 	local.held = nil
-	if local.isLate(r) {
-		c.logLateReport(r)
-		return
-	}
-	c.acceptReport(now, r)
+	c.applyReport(now, r)
 }
 
 func (c *Core) logLateReport(r *model.TargetReport) {
--- a/internal/traffic/unread_body_test.go
+++ b/internal/traffic/unread_body_test.go
@@ -20,9 +20,9 @@
 	"sniperail.example/sniperail/internal/traffic"
 )
 
-// embeddedRequest is one of the requests that the content of an upload consists of, 256 bytes long.
 const embeddedRequestLength = 256
 
+// embeddedRequest returns one of the requests that the content of an upload consists of, embeddedRequestLength bytes long.
 func embeddedRequest(method, path string) string {
 	start := method + " " + path + " HTTP/1.1\r\nHost: h\r\nX-Deadline: 2000\r\nX-Id: embedded\r\nX-Note: "
 	return start + strings.Repeat("n", embeddedRequestLength-len(start)-4) + "\r\n\r\n"
