process: signals are logged, and what ends a drain

Change: each SIGTERM and interrupt is a line with its count; stopping-cuts says how long after the stop and whether a signal asked for it, in both daemons. Behaviour is as before: the second signal ends the process. Measured: on loopback, a request running at a target and two SIGTERM: signal stops=1, stopping, signal stops=2, stopping-cuts requests=1 calls=1 after_ms=0 aborted=true; the caller's connection closes.

--- a/cmd/sniperail-sidecar/main.go
+++ b/cmd/sniperail-sidecar/main.go
@@ -62,6 +62,7 @@
 }
 
 func main() {
+	signals := process.NotifySignals()
 	path := platform.SettingsPath()
 	out := telemetry.NewBoundedWriter(os.Stdout)
 	c, err := parse(os.Args[1:], path, settings.Exit)
@@ -73,16 +74,15 @@
 	if err != nil {
 		settings.Exit(settings.ExitUsage)
 	}
+	go signals.Handle(logger)
 	d, err := sidecar.New(c.Sidecar, platform.NewAdapter(), logger)
 	if err != nil {
 		logger.Error("start-failed", zap.Error(err))
 		out.Close()
 		os.Exit(1)
 	}
-	first, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	go watchSettings(first, d, logger, path)
-	d.Run(first, process.SecondSignalContext(first))
+	go watchSettings(signals.Stop(), d, logger, path)
+	d.Run(signals.Stop(), signals.Abort())
 	out.Close()
 }
 
--- a/cmd/sniperaild/main.go
+++ b/cmd/sniperaild/main.go
@@ -2,10 +2,7 @@
 package main
 
 import (
-	"context"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/alecthomas/kong"
 	"go.uber.org/zap"
@@ -32,6 +29,7 @@
 }
 
 func main() {
+	signals := process.NotifySignals()
 	var c cli
 	kong.Parse(&c, kong.Name("sniperaild"), kong.Description(description),
 		kong.DefaultEnvars("SNIPERAIL"), kong.UsageOnError(), kong.Exit(settings.Exit))
@@ -39,12 +37,11 @@
 	if err != nil {
 		os.Exit(2)
 	}
+	go signals.Handle(logger)
 	d, err := daemon.New(c.Daemon, logger)
 	if err != nil {
 		logger.Error("start failed", zap.Error(err))
 		os.Exit(1)
 	}
-	first, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	d.Run(first, process.SecondSignalContext(first))
+	d.Run(signals.Stop(), signals.Abort())
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -278,6 +278,7 @@
 
 // drain takes the daemon out of service without interrupting calls.
 func (d *Daemon) drain(abort context.Context) {
+	started := time.Now()
 	d.logger.Info("draining")
 	d.admission.Drain()
 	d.loop.NotifyTargetChanged(abort, model.TargetDraining)
@@ -290,9 +291,14 @@
 	limited, cancel := context.WithTimeout(abort, shutdownTimeout)
 	defer cancel()
 	var group sync.WaitGroup
-	for _, server := range []*http.Server{d.servers.ingress, d.servers.admission, d.servers.api} {
+	for name, server := range map[string]*http.Server{
+		"ingress": d.servers.ingress, "admission": d.servers.admission, "api": d.servers.api,
+	} {
 		group.Go(func() {
 			if err := server.Shutdown(limited); err != nil {
+				d.logger.Warn("stopping-cuts", zap.String("server", name), zap.Int("requests", d.ingress.InFlight()),
+					zap.Int("calls", d.admission.InFlight()), zap.Int64("after_ms", time.Since(started).Milliseconds()),
+					zap.Bool("aborted", abort.Err() != nil))
 				_ = server.Close()
 			}
 		})
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -5,26 +5,11 @@
 	"context"
 	"encoding/binary"
 	"math/rand/v2"
-	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	crand "crypto/rand"
 )
 
-// SecondSignalContext returns a context that ends with the first SIGTERM or interrupt after ctx has ended.
-func SecondSignalContext(ctx context.Context) context.Context {
-	abort, cancel := context.WithCancel(context.Background())
-	context.AfterFunc(ctx, func() {
-		signals := make(chan os.Signal, 1)
-		signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
-		<-signals
-		cancel()
-	})
-	return abort
-}
-
 // Wait waits for d, or until ctx ends, and reports whether ctx has not ended.
 func Wait(ctx context.Context, d time.Duration) bool {
 	if d <= 0 {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -370,7 +370,8 @@
 	limited, cancel := context.WithDeadline(abort, drained)
 	defer cancel()
 	if d.ingress.Wait(limited) != nil || d.inbound.Wait(limited) != nil {
-		d.logger.Warn("stopping-cuts", zap.Int("requests", d.outbound.InFlight()), zap.Int("calls", d.inbound.InFlight()))
+		d.logger.Warn("stopping-cuts", zap.Int("requests", d.outbound.InFlight()), zap.Int("calls", d.inbound.InFlight()),
+			zap.Int64("after_ms", time.Since(started).Milliseconds()), zap.Bool("aborted", abort.Err() != nil))
 	}
 	// The last responses may not have been written to their callers yet.
 	process.Wait(abort, responseFlushTime)
