process: a SIGHUP never ends a daemon

Cause: sniperaild did not handle SIGHUP, whose default ends the process with all requests that run. sniperail-sidecar began to handle it on a goroutine of its own after its listeners were open, so that one right after a start ended it too (class: signal handled too late). Change: both programs receive their signals before anything else. sniperaild logs SIGHUP; the sidecar reads its settings again, as before. A SIGHUP before the program's first statement still ends the process; it does not listen then.

--- a/cmd/sniperail-sidecar/main.go
+++ b/cmd/sniperail-sidecar/main.go
@@ -3,10 +3,7 @@
 
 import (
 	"bytes"
-	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/alecthomas/kong"
@@ -81,16 +78,15 @@
 		out.Close()
 		os.Exit(1)
 	}
-	go watchSettings(signals.Stop(), d, logger, path)
+	go watchSettings(signals, d, logger, path)
 	d.Run(signals.Stop(), signals.Abort())
 	out.Close()
 }
 
 // watchSettings compares the settings file with its last content on SIGHUP and at each poll, and reloads the settings if it
-// has changed. It returns when ctx ends.
-func watchSettings(ctx context.Context, d *sidecar.Sidecar, logger *zap.Logger, path string) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
+// has changed. It returns when the daemon stops.
+func watchSettings(signals *process.Signals, d *sidecar.Sidecar, logger *zap.Logger, path string) {
+	ctx := signals.Stop()
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
 	known, _ := os.ReadFile(path) // a file that cannot be read yet counts as changed once it can be read
@@ -98,7 +94,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-hup:
+		case <-signals.Reload():
 			logger.Info("reload-asked", zap.String("by", "SIGHUP"))
 		case <-ticker.C:
 		}
--- /dev/null
+++ b/cmd/sniperail-sidecar/signals_test.go
@@ -0,0 +1,139 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"sniperail.example/sniperail/internal/process/processtest"
+	"sniperail.example/sniperail/platform/standin"
+)
+
+func TestMain(m *testing.M) { processtest.Main(m, main) }
+
+const (
+	configuration = `{"version":"r1","resources":[
+ {"resource_type":"routes","metadata":{"name":"a"},"spec":{"host":"h.example","prefix":"/a/","kind":"non_idempotent","timeout_ms":20000,"target_latency_ms":500,"service":"s","max_attempts":1}},
+ {"resource_type":"services","metadata":{"name":"s"},"spec":{"max_connections":10}}]}`
+	// pollInterval and pollTimeout are for conditions that other processes bring about.
+	pollInterval = 20 * time.Millisecond
+	pollTimeout  = 30 * time.Second
+)
+
+// daemonProcess is a process of this program with the stand-ins around it.
+type daemonProcess struct {
+	*processtest.Process
+	t       *testing.T
+	ingress string
+	control string
+	target  *heldTarget
+}
+
+// heldTarget is a target that holds requests to /a/held until answer is called.
+type heldTarget struct {
+	address string
+	arrived chan struct{}
+	answer  func()
+}
+
+func startTarget(t *testing.T) *heldTarget {
+	release := make(chan struct{})
+	target := &heldTarget{arrived: make(chan struct{}, 1), answer: sync.OnceFunc(func() { close(release) })}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Sniperail-Request-Id", r.Header.Get("X-Sniperail-Request-Id"))
+		if r.URL.Path == "/a/held" {
+			target.arrived <- struct{}{}
+			<-release
+		}
+		_, _ = fmt.Fprint(w, "answer to "+r.URL.Path) // fails only if the caller has disconnected
+	}))
+	t.Cleanup(func() {
+		target.answer()
+		server.Close()
+	})
+	target.address = server.Listener.Addr().String()
+	return target
+}
+
+func startDaemon(t *testing.T, environment ...string) *daemonProcess {
+	t.Helper()
+	store := standin.New()
+	t.Cleanup(store.Close)
+	store.Put("op/config", configuration)
+	server := httptest.NewServer(store.Handler("d"))
+	t.Cleanup(server.Close)
+	d := &daemonProcess{t: t, ingress: processtest.Address(), control: processtest.Address(), target: startTarget(t)}
+	d.Process = processtest.StartWithEnvironment(t, environment, "--id=d", "--data-centre=dc", "--region=r", "--service=s", "--target="+d.target.address,
+		"--ingress="+d.ingress, "--admission="+processtest.Address(), "--control="+d.control, "--ready="+processtest.Address(),
+		"--peer="+processtest.Address(), "--platform="+server.URL, "--grace=20s", "--min-lease=1s")
+	return d
+}
+
+// serve reports the target as ready and waits until a request succeeds.
+func (d *daemonProcess) serve() {
+	d.t.Helper()
+	report := fmt.Sprintf(`{"service":"s","address":%q,"zone":"dc","version":"v1","slots":4,"state":"ready","warmup_left_ms":0,"seq":1,"born":1}`,
+		d.target.address)
+	for end := time.Now().Add(pollTimeout); ; {
+		if d.send(http.MethodPut, "http://"+d.control+"/api/instances/i-d", report) == http.StatusOK &&
+			d.send(http.MethodPost, "http://"+d.ingress+"/a/x", "") == http.StatusOK {
+			return
+		}
+		if time.Now().After(end) {
+			d.t.Fatal("the daemon does not serve")
+		}
+		<-time.After(pollInterval)
+	}
+}
+
+// send returns the status of the response, or 0 if there is none.
+func (d *daemonProcess) send(method, url, body string) int {
+	r, err := http.NewRequestWithContext(d.t.Context(), method, url, strings.NewReader(body))
+	if err != nil {
+		panic(err)
+	}
+	r.Host = "h.example"
+	r.Header.Set("X-Sniperail-Request-Id", "q")
+	r.Header.Set("X-Sniperail-Deadline-Ms", "20000")
+	response, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+// hangupStarts is the number of starts that get a SIGHUP. The moment in which one can end the process is short.
+const hangupStarts = 30
+
+// Guards against a SIGHUP that ends the process because it comes when the process listens and does not handle signals yet.
+func TestHangupRightAfterTheStartDoesNotEndTheProcess(t *testing.T) {
+	for range hangupStarts {
+		// With one thread, the goroutines that a start leaves for later start late.
+		d := startDaemon(t, "GOMAXPROCS=1")
+		d.awaitListener()
+		d.Signal(syscall.SIGHUP)
+		d.AwaitLine("event=signal", "signal=hangup")
+		d.Kill()
+	}
+}
+
+// awaitListener waits until the ingress accepts connections.
+func (d *daemonProcess) awaitListener() {
+	d.t.Helper()
+	for end := time.Now().Add(pollTimeout); ; <-time.After(time.Millisecond) {
+		if conn, err := net.Dial("tcp", d.ingress); err == nil {
+			_ = conn.Close()
+			return
+		}
+		if time.Now().After(end) {
+			d.t.Fatal("the process does not listen")
+		}
+	}
+}
--- a/internal/process/signals.go
+++ b/internal/process/signals.go
@@ -15,19 +15,20 @@
 // Signals receives the signals of a daemon.
 type Signals struct {
 	received chan os.Signal
+	reload   chan struct{}
 	stop     context.Context
 	stopNow  context.CancelFunc
 	abort    context.Context
 	abortNow context.CancelFunc
 }
 
-// NotifySignals starts to receive SIGTERM and interrupts. A program calls it before anything else, because a signal that
+// NotifySignals starts to receive SIGTERM, SIGHUP and interrupts. A program calls it before anything else, because a signal that
 // it does not receive ends the process at once.
 func NotifySignals() *Signals {
-	s := &Signals{received: make(chan os.Signal, signalQueue)}
+	s := &Signals{received: make(chan os.Signal, signalQueue), reload: make(chan struct{}, 1)}
 	s.stop, s.stopNow = context.WithCancel(context.Background())
 	s.abort, s.abortNow = context.WithCancel(context.Background())
-	signal.Notify(s.received, syscall.SIGTERM, os.Interrupt)
+	signal.Notify(s.received, syscall.SIGTERM, syscall.SIGHUP, os.Interrupt)
 	return s
 }
 
@@ -37,14 +38,24 @@
 // Abort returns a context that ends with the second SIGTERM or interrupt.
 func (s *Signals) Abort() context.Context { return s.abort }
 
+// Reload returns a channel that receives after a SIGHUP. Several signals may be received as one.
+func (s *Signals) Reload() <-chan struct{} { return s.reload }
+
 // Handle handles the signals, including those received before, and logs each. It does not return.
 func (s *Signals) Handle(logger *zap.Logger) {
 	stops := 0
 	for received := range s.received {
-		stops++
-		s.stopNow()
-		if stops > 1 {
-			s.abortNow()
+		if received == syscall.SIGHUP {
+			select {
+			case s.reload <- struct{}{}:
+			default:
+			}
+		} else {
+			stops++
+			s.stopNow()
+			if stops > 1 {
+				s.abortNow()
+			}
 		}
 		logger.Info("signal", zap.Stringer("signal", received), zap.Int("stops", stops))
 	}
