process: a repeated SIGTERM does not cut running requests

Cause: the second SIGTERM or interrupt was an order to end at once. A supervisor that repeats the signal, sends it to the process and to its group, or stops processes in overlapping series so cut each drain (class: a repeated message that is not idempotent). Change: a repeated signal is logged and changes nothing, in sniperail-sidecar and sniperaild. Both drains are bounded, so that nothing is left for an order to end at once; SIGQUIT and SIGKILL remain. The context for it is gone from Run and drain. Measured: TestRepeatedSignalsCutNoRequest, real processes, in both commands: failed before, passes now.

--- a/cmd/sniperail-sidecar/main.go
+++ b/cmd/sniperail-sidecar/main.go
@@ -21,7 +21,8 @@
 and is the only way to its own target.
 
 Every flag can also be set by SNIPERAIL_ and its name in upper snake case, in the environment or in the settings file that
-the platform names. SIGTERM drains and ends, SIGHUP reads the settings file again.`
+the platform names. SIGTERM drains and ends; repeating it changes nothing. SIGQUIT ends at once. SIGHUP reads the settings file
+again.`
 
 // settingsPollInterval is the interval at which the settings file is checked for changes, which may come without a signal.
 const settingsPollInterval = 2 * time.Second
@@ -79,7 +80,7 @@
 		os.Exit(1)
 	}
 	go watchSettings(signals, d, logger, path)
-	d.Run(signals.Stop(), signals.Abort())
+	d.Run(signals.Stop())
 	out.Close()
 }
 
--- a/cmd/sniperail-sidecar/signals_test.go
+++ b/cmd/sniperail-sidecar/signals_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"sniperail.example/sniperail/internal/process/processtest"
 	"sniperail.example/sniperail/platform/standin"
 )
@@ -21,6 +23,8 @@
 	configuration = `{"version":"r1","resources":[
  {"resource_type":"routes","metadata":{"name":"a"},"spec":{"host":"h.example","prefix":"/a/","kind":"non_idempotent","timeout_ms":20000,"target_latency_ms":500,"service":"s","max_attempts":1}},
  {"resource_type":"services","metadata":{"name":"s"},"spec":{"max_connections":10}}]}`
+	// holdTime is the time for which a request must survive repeated signals before its target answers.
+	holdTime = 400 * time.Millisecond
 	// pollInterval and pollTimeout are for conditions that other processes bring about.
 	pollInterval = 20 * time.Millisecond
 	pollTimeout  = 30 * time.Second
@@ -109,6 +113,32 @@
 	return response.StatusCode
 }
 
+// Guards against a drain that repeated signals cut short: callers lost the answers of requests that a target was executing.
+func TestRepeatedSignalsCutNoRequest(t *testing.T) {
+	is := is.New(t)
+	d := startDaemon(t)
+	d.serve()
+	status := make(chan int, 1)
+	go func() { status <- d.send(http.MethodPost, "http://"+d.ingress+"/a/held", "") }()
+	<-d.target.arrived
+
+	d.Signal(syscall.SIGTERM)
+	d.AwaitLine("event=stopping")
+	for _, s := range []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGINT, syscall.SIGTERM} {
+		d.Signal(s)
+	}
+	select {
+	case <-status:
+		t.Fatal("the request ended before its target answered")
+	case <-time.After(holdTime):
+	}
+	d.target.answer()
+	is.Equal(<-status, http.StatusOK)
+	is.Equal(d.AwaitExit(), 0)
+	is.True(d.HasLine("event=stopped"))
+	is.True(!d.HasLine("event=stopping-cuts"))
+}
+
 // hangupStarts is the number of starts that get a SIGHUP. The moment in which one can end the process is short.
 const hangupStarts = 30
 
--- a/cmd/sniperaild/main.go
+++ b/cmd/sniperaild/main.go
@@ -22,7 +22,7 @@
     --platform http://10.0.1.1:2379
 
 Every flag can also be set by SNIPERAIL_ and its name in upper snake case, such as SNIPERAIL_DATA_CENTRE.
-SIGTERM drains and ends; a second SIGTERM ends at once.`
+SIGTERM drains and ends; repeating it changes nothing. SIGQUIT ends at once.`
 
 type cli struct {
 	settings.Daemon `embed:""`
@@ -43,5 +43,5 @@
 		logger.Error("start failed", zap.Error(err))
 		os.Exit(1)
 	}
-	d.Run(signals.Stop(), signals.Abort())
+	d.Run(signals.Stop())
 }
--- a/cmd/sniperaild/signals_test.go
+++ b/cmd/sniperaild/signals_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"sniperail.example/sniperail/internal/client"
 	"sniperail.example/sniperail/internal/command/configuration"
 	"sniperail.example/sniperail/internal/configfile"
@@ -18,6 +22,8 @@
 func TestMain(m *testing.M) { processtest.Main(m, main) }
 
 const (
+	// holdTime is the time for which a request must survive repeated signals before its target answers.
+	holdTime = 400 * time.Millisecond
 	// pollInterval and pollTimeout are for conditions that other processes bring about.
 	pollInterval = 20 * time.Millisecond
 	pollTimeout  = 30 * time.Second
@@ -78,6 +84,20 @@
 	})
 }
 
+// post returns the status of the response, or 0 if there is none.
+func post(t *testing.T, url string) int {
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url, http.NoBody)
+	if err != nil {
+		panic(err)
+	}
+	response, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
 // Guards against a SIGHUP that ends the process: callers lost the answers of requests that a target was executing.
 func TestHangupDoesNotEndTheProcess(t *testing.T) {
 	p, _, api := startDaemon(t, http.NotFoundHandler())
@@ -87,3 +107,40 @@
 	p.Signal(syscall.SIGTERM)
 	p.AwaitLine("event=draining")
 }
+
+// Guards against a drain that repeated signals cut short: callers lost the answers of requests that a target was executing.
+func TestRepeatedSignalsCutNoRequest(t *testing.T) {
+	is := is.New(t)
+	arrived, release := make(chan struct{}, 1), make(chan struct{})
+	p, ingress, api := startDaemon(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/a/held" {
+			arrived <- struct{}{}
+			<-release
+		}
+		_, _ = fmt.Fprint(w, "answer") // fails only if the caller has disconnected
+	}))
+	answer := sync.OnceFunc(func() { close(release) })
+	t.Cleanup(answer)
+	confirmMesh(t, api)
+	poll(t, "the daemon does not serve", func() bool { return post(t, "http://"+ingress+"/a/x") == http.StatusOK })
+	status := make(chan int, 1)
+	go func() { status <- post(t, "http://"+ingress+"/a/held") }()
+	<-arrived
+
+	p.Signal(syscall.SIGHUP)
+	p.Signal(syscall.SIGTERM)
+	p.AwaitLine("event=draining")
+	for _, s := range []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGINT, syscall.SIGTERM} {
+		p.Signal(s)
+	}
+	select {
+	case <-status:
+		t.Fatal("the request ended before its target answered")
+	case <-time.After(holdTime):
+	}
+	answer()
+	is.Equal(<-status, http.StatusOK)
+	is.Equal(p.AwaitExit(), 0)
+	is.True(p.HasLine("event=drained"))
+	is.True(!p.HasLine("event=stopping-cuts"))
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -231,8 +231,8 @@
 }
 
 // Run serves until ctx ends, then drains: it announces the draining at once, refuses new calls as not executed, and waits
-// for calls in flight. If abort ends, it stops without waiting.
-func (d *Daemon) Run(ctx, abort context.Context) {
+// for calls in flight.
+func (d *Daemon) Run(ctx context.Context) {
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var group sync.WaitGroup
 	group.Go(func() { d.loop.Run(work) })
@@ -247,7 +247,7 @@
 
 	<-ctx.Done()
 	stopProbe()
-	d.drain(abort)
+	d.drain(work)
 	stop()
 	d.peerServer.Close()
 	d.peerClient.Close()
@@ -277,18 +277,15 @@
 }
 
 // drain takes the daemon out of service without interrupting calls.
-func (d *Daemon) drain(abort context.Context) {
+func (d *Daemon) drain(ctx context.Context) {
 	started := time.Now()
 	d.logger.Info("draining")
 	d.admission.Drain()
-	d.loop.NotifyTargetChanged(abort, model.TargetDraining)
+	d.loop.NotifyTargetChanged(ctx, model.TargetDraining)
 	// Close callers' connections after their next response, so that none is open when the listener closes.
 	d.servers.ingress.SetKeepAlivesEnabled(false)
-	select {
-	case <-time.After(drainNotice):
-	case <-abort.Done():
-	}
-	limited, cancel := context.WithTimeout(abort, shutdownTimeout)
+	process.Wait(ctx, drainNotice)
+	limited, cancel := context.WithTimeout(ctx, shutdownTimeout)
 	defer cancel()
 	var group sync.WaitGroup
 	for name, server := range map[string]*http.Server{
@@ -297,8 +294,7 @@
 		group.Go(func() {
 			if err := server.Shutdown(limited); err != nil {
 				d.logger.Warn("stopping-cuts", zap.String("server", name), zap.Int("requests", d.ingress.InFlight()),
-					zap.Int("calls", d.admission.InFlight()), zap.Int64("after_ms", time.Since(started).Milliseconds()),
-					zap.Bool("aborted", abort.Err() != nil))
+					zap.Int("calls", d.admission.InFlight()), zap.Int64("after_ms", time.Since(started).Milliseconds()))
 				_ = server.Close()
 			}
 		})
--- a/internal/process/signals.go
+++ b/internal/process/signals.go
@@ -18,8 +18,6 @@
 	reload   chan struct{}
 	stop     context.Context
 	stopNow  context.CancelFunc
-	abort    context.Context
-	abortNow context.CancelFunc
 }
 
 // NotifySignals starts to receive SIGTERM, SIGHUP and interrupts. A program calls it before anything else, because a signal that
@@ -27,17 +25,15 @@
 func NotifySignals() *Signals {
 	s := &Signals{received: make(chan os.Signal, signalQueue), reload: make(chan struct{}, 1)}
 	s.stop, s.stopNow = context.WithCancel(context.Background())
-	s.abort, s.abortNow = context.WithCancel(context.Background())
 	signal.Notify(s.received, syscall.SIGTERM, syscall.SIGHUP, os.Interrupt)
 	return s
 }
 
-// Stop returns a context that ends with the first SIGTERM or interrupt.
+// Stop returns a context that ends with the first SIGTERM or interrupt. Later ones change nothing: supervisors repeat the signal or
+// send it to the process and to its group, and requests in flight must not pay for that. A drain ends by itself; SIGQUIT or SIGKILL
+// ends the process at once.
 func (s *Signals) Stop() context.Context { return s.stop }
 
-// Abort returns a context that ends with the second SIGTERM or interrupt.
-func (s *Signals) Abort() context.Context { return s.abort }
-
 // Reload returns a channel that receives after a SIGHUP. Several signals may be received as one.
 func (s *Signals) Reload() <-chan struct{} { return s.reload }
 
@@ -53,9 +49,6 @@
 		} else {
 			stops++
 			s.stopNow()
-			if stops > 1 {
-				s.abortNow()
-			}
 		}
 		logger.Info("signal", zap.Stringer("signal", received), zap.Int("stops", stops))
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -320,9 +320,8 @@
 }
 
 // Run serves until ctx is done. It then drains the daemon, within the grace period: the daemon is no longer ready, callers'
-// connections close after their last response, and calls in flight finish. If abort is done, it returns without waiting for
-// them.
-func (d *Sidecar) Run(ctx, abort context.Context) {
+// connections close after their last response, and calls in flight finish.
+func (d *Sidecar) Run(ctx context.Context) {
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var group sync.WaitGroup
 	group.Go(func() { d.loop.Run(work) })
@@ -340,7 +339,7 @@
 		zap.Strings("seeds", d.settings.Seeds))
 
 	<-ctx.Done()
-	d.drain(abort)
+	d.drain(work)
 	stop()
 	d.peerServer.Close()
 	d.peerClient.Close()
@@ -350,31 +349,31 @@
 }
 
 // drain takes the daemon out of service. Calls in flight may finish until exitMargin before the end of the grace period.
-func (d *Sidecar) drain(abort context.Context) {
+func (d *Sidecar) drain(ctx context.Context) {
 	started := time.Now()
 	d.logger.Info("stopping", zap.Int("requests", d.outbound.InFlight()), zap.Int("calls", d.inbound.InFlight()))
 	d.draining.Store(true)
 	drained := started.Add(d.settings.Grace - exitMargin)
 	d.outbound.StopAt(drained.Add(-lastAnswerMargin))
 	d.ingress.Drain()
-	process.Wait(abort, targetDrainNotice)
-	d.loop.NotifyStopping(abort)
-	process.Wait(abort, drainNotice-targetDrainNotice)
+	process.Wait(ctx, targetDrainNotice)
+	d.loop.NotifyStopping(ctx)
+	process.Wait(ctx, drainNotice-targetDrainNotice)
 	for _, s := range d.servers {
 		if s.http == d.ingress {
 			_ = s.listener.Close()
 		}
 	}
 	d.ingress.StopReading()
-	process.Wait(abort, traffic.StopLinger)
-	limited, cancel := context.WithDeadline(abort, drained)
+	process.Wait(ctx, traffic.StopLinger)
+	limited, cancel := context.WithDeadline(ctx, drained)
 	defer cancel()
 	if d.ingress.Wait(limited) != nil || d.inbound.Wait(limited) != nil {
 		d.logger.Warn("stopping-cuts", zap.Int("requests", d.outbound.InFlight()), zap.Int("calls", d.inbound.InFlight()),
-			zap.Int64("after_ms", time.Since(started).Milliseconds()), zap.Bool("aborted", abort.Err() != nil))
+			zap.Int64("after_ms", time.Since(started).Milliseconds()))
 	}
 	// The last responses may not have been written to their callers yet.
-	process.Wait(abort, responseFlushTime)
+	process.Wait(ctx, responseFlushTime)
 	for _, s := range d.servers {
 		_ = s.http.Close()
 	}
