traffic: a long answer that breaks off unseen is replaced by a refusal

Cause: an answer of more than 64 KiB is forwarded while it is received, and the handler aborted when it broke off. Change: until the writer of the connection has begun a response, the handler can withdraw it and write another; the outbound side writes the 502 or 504 that a short answer gets. Only an answer that was begun closes the connection. The refusals of an outbound request move to a file of their own. Measured: go test -race ./internal/traffic -run 'TestFaultyShortAnswer|TestBrokenLong|TestBegunAnswer'. Before: 6 of 12 cases of a broken long answer fail; of 288 cases of a faulty answer of at most 30,000 bytes the 144 with a fault of a target pass and 12 with chunks that a daemon breaks off fail, which ours never sends for a short answer.

--- a/internal/traffic/body.go
+++ b/internal/traffic/body.go
@@ -193,8 +193,14 @@
 	receiverFailed
 )
 
-// stream copies a body and returns 0 if it was copied completely. After any other result the handler must panic with
-// http.ErrAbortHandler, which resets the connection, so that a truncated response never looks complete.
+// withdraw takes back a response, so that the handler can write another one. It returns false if the server may have sent bytes of it.
+func withdraw(w http.ResponseWriter) bool {
+	unsent, ok := w.(interface{ Withdraw() bool })
+	return ok && unsent.Withdraw()
+}
+
+// stream copies a body and returns 0 if it was copied completely. After any other result the handler must either withdraw the
+// response, or panic with http.ErrAbortHandler, which closes the connection, so that a truncated response never looks complete.
 func stream(w http.ResponseWriter, body io.Reader, flush bool, deadline time.Time) streamFailure {
 	control := http.NewResponseController(w)
 	// A caller that reads too slowly is cut off soon after the deadline of the call.
--- a/internal/traffic/chain_test.go
+++ b/internal/traffic/chain_test.go
@@ -203,6 +203,21 @@
 	return c
 }
 
+// separateServices makes the first target the only one of a service of its own, to which the route below /safe/ goes. It must be called
+// before the first request.
+func (c *chain) separateServices() {
+	view := c.table.View
+	first := view.Configuration.Services[0]
+	first.Name = "first"
+	view.Configuration.Services = append(view.Configuration.Services, first)
+	view.Configuration.Routes[0].Service = first.Name
+	view.Targets[0].Service = first.Name
+	if len(c.inbounds) == len(view.Targets) {
+		c.inbounds[0].SetTarget(view.Targets[0], false)
+	}
+	c.table = routing.NewTable(view)
+}
+
 // address is the address of the callers' listener.
 func (c *chain) address() string { return strings.TrimPrefix(c.url, "http://") }
 
--- a/internal/traffic/outbound_request.go
+++ b/internal/traffic/outbound_request.go
@@ -6,8 +6,6 @@
 	"strconv"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"sniperail.example/sniperail/internal/command/admission"
 	"sniperail.example/sniperail/internal/command/retry"
 	"sniperail.example/sniperail/internal/model"
@@ -97,23 +95,6 @@
 	}
 }
 
-// writeRefusalOrLastResponse responds with the response of an earlier target if there is one, which is more useful to the
-// caller, and with the refusal otherwise.
-func (r *outboundRequest) writeRefusalOrLastResponse(w http.ResponseWriter, refused *refusal) {
-	if r.lastResponse != nil {
-		r.writeResponse(w, r.lastResponse)
-		return
-	}
-	if r.maybeExecuted && refused.executed == retry.ExecutedNo {
-		refused = inDoubt(http.StatusBadGateway, refused.reason, refused.detail)
-	}
-	if refused.executed == retry.ExecutedNo && refused.status == http.StatusServiceUnavailable && refused.retryAfter == 0 {
-		refused.withRetryAfter(shortRetryAfter)
-	}
-	r.outbound.options.Log.Refused(r, refused)
-	refused.write(w, r.request, r.outbound.options.Metrics)
-}
-
 // selectTarget selects a target, and on the first send the version.
 func (r *outboundRequest) selectTarget() (routing.Choice, *refusal) {
 	// A newer table may have other targets, but the request stays with the route and version that were selected.
@@ -335,32 +316,6 @@
 	}
 }
 
-// failureRefusal returns the refusal for a failed exchange with a target's daemon. MaybeSent means that the daemon may have
-// received the request.
-func (r *outboundRequest) failureRefusal(a *attempt, err error, maybeSent bool) *refusal {
-	if r.request.Context().Err() != nil {
-		return inDoubt(http.StatusBadGateway, reasonCallerGone, "the caller is gone")
-	}
-	if r.body.readFailed.Load() {
-		return inDoubt(http.StatusBadRequest, reasonBodyUnreadable, "the request body broke off or is over the limit")
-	}
-	deadlinePassed := isTimeout(err) && !time.Now().Before(r.deadline)
-	daemon := string(a.target.Daemon)
-	switch {
-	case errors.Is(err, errTargetLost) && maybeSent:
-		return inDoubt(http.StatusBadGateway, reasonTargetLost, "the daemon "+daemon+" is gone or its target replaced")
-	case errors.Is(err, errTargetLost):
-		return notExecuted(http.StatusServiceUnavailable, reasonTargetLost, "the daemon "+daemon+" is gone or its target replaced")
-	case deadlinePassed && maybeSent:
-		return inDoubt(http.StatusGatewayTimeout, reasonDeadline, "the deadline passed before the response")
-	case deadlinePassed:
-		return notExecuted(http.StatusServiceUnavailable, reasonDeadline, "the deadline passed before the request was sent")
-	case maybeSent:
-		return inDoubt(http.StatusBadGateway, reasonConnectionLost, "the connection to "+daemon+" broke")
-	}
-	return notExecuted(http.StatusServiceUnavailable, reasonTargetUnreachable, "the daemon "+daemon+" could not be reached")
-}
-
 // writeResponse forwards a target's response to the caller.
 func (r *outboundRequest) writeResponse(w http.ResponseWriter, a *attempt) {
 	copyHeader(w.Header(), a.response.Header, internalResponseHeaders)
@@ -374,7 +329,11 @@
 	w.WriteHeader(a.response.StatusCode)
 	failure := stream(w, a.response.Body, a.response.ContentLength < 0, r.deadline)
 	a.exchange.finish(failure == 0)
-	if failure != 0 {
+	if failure == 0 {
+		return
+	}
+	if r.request.Context().Err() != nil || !withdraw(w) {
 		panic(http.ErrAbortHandler)
 	}
+	r.refuse(w, r.incompleteResponseRefusal(a))
 }
--- a/internal/traffic/pipelined_response.go
+++ b/internal/traffic/pipelined_response.go
@@ -13,7 +13,8 @@
 
 // pipelinedResponse is the response to one request of a PipelineServer. The handler writes into its buffer, and the writer
 // of the connection takes the buffered bytes once all earlier responses are written. The handler blocks only while
-// maxBufferedResponse bytes or more are buffered.
+// maxBufferedResponse bytes or more are buffered. Until the writer has begun the response, the handler can withdraw it and write
+// another one.
 type pipelinedResponse struct {
 	conn    *pipelineConn
 	request *http.Request
@@ -27,10 +28,11 @@
 	// buffered is the part of the body that the writer has not taken yet, length the declared length or -1.
 	buffered []byte
 	length   int64
-	// finished means that the handler has returned, aborted that the response is incomplete and the caller must be able to
-	// tell, discarded that the response will not be written (any further), wantsContinue that "100 Continue" must be sent
-	// before the caller sends its body, bodyLeft that the rest of the request body stays on the connection.
-	finished, aborted, discarded, wantsContinue, bodyLeft bool
+	// begun means that the writer may have sent bytes of the response, finished that the handler has returned, aborted that the
+	// response is incomplete and the caller must be able to tell, discarded that the response will not be written (any further),
+	// wantsContinue that "100 Continue" must be sent before the caller sends its body, bodyLeft that the rest of the request body
+	// stays on the connection.
+	begun, finished, aborted, discarded, wantsContinue, bodyLeft bool
 }
 
 // maxBufferedResponse is the number of buffered bytes from which Write blocks.
@@ -152,10 +154,24 @@
 	r.status, r.length, r.finished = status, 0, true
 }
 
+// Withdraw discards what the handler has written, so that it can write another response. It returns false if bytes of the response
+// may have been sent: the handler must then abort it.
+func (r *pipelinedResponse) Withdraw() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.begun || r.discarded {
+		return false
+	}
+	clear(r.header)
+	r.status, r.buffered, r.length = 0, nil, -1
+	return true
+}
+
 // writeTo writes the response. It starts once the response is complete or maxBufferedResponse bytes are buffered.
 func (r *pipelinedResponse) writeTo(w *bufio.Writer) connState {
 	r.mu.Lock()
 	r.waitFor(func() bool { return r.finished || len(r.buffered) >= maxBufferedResponse })
+	r.begun = true
 	if r.aborted {
 		r.mu.Unlock()
 		return stateBroken
