traffic: a write deadline belongs to the response being written

Cause: the handler of a long answer set the write deadline of the caller's connection to a second after the deadline of its request, also while earlier answers were to be written. A handler that waited for its turn did not notice its deadline either: its answer was begun, broke off, and closed the connection. Change: only the writer of a connection sets the write deadline, to that of the response being written. A response that waits for its turn expires with its request: Write fails, the writer does not begin it, and a 504 takes its place. Of an aborted response the writer sends nothing more, so that a caller that does not read cannot hold it up without a deadline. Measured: go test -race ./internal/traffic -run 'LongAnswer|BegunAnswer|ReadsNothing'.

--- a/internal/traffic/body.go
+++ b/internal/traffic/body.go
@@ -193,10 +193,16 @@
 	receiverFailed
 )
 
+// queuedResponse is a response that its server sends only after others, and that can be replaced until then.
+type queuedResponse interface {
+	Withdraw() bool
+	ExpireAt(t time.Time)
+}
+
 // withdraw takes back a response, so that the handler can write another one. It returns false if the server may have sent bytes of it.
 func withdraw(w http.ResponseWriter) bool {
-	unsent, ok := w.(interface{ Withdraw() bool })
-	return ok && unsent.Withdraw()
+	queued, ok := w.(queuedResponse)
+	return ok && queued.Withdraw()
 }
 
 // stream copies a body and returns 0 if it was copied completely. After any other result the handler must either withdraw the
@@ -206,6 +212,9 @@
 	// A caller that reads too slowly is cut off soon after the deadline of the call.
 	_ = control.SetWriteDeadline(deadline.Add(time.Second))
 	defer func() { _ = control.SetWriteDeadline(time.Time{}) }()
+	if queued, ok := w.(queuedResponse); ok {
+		queued.ExpireAt(deadline)
+	}
 	buffer := copyBuffers.Get().(*[]byte)
 	defer copyBuffers.Put(buffer)
 	start, writing := time.Now(), time.Duration(0)
--- a/internal/traffic/pipeline_conn.go
+++ b/internal/traffic/pipeline_conn.go
@@ -26,6 +26,8 @@
 	semaphore chan struct{}
 	// cancel cancels all running requests.
 	cancel context.CancelFunc
+	// writeDeadline is the write deadline of the connection. It belongs to the writer.
+	writeDeadline time.Time
 
 	mu sync.Mutex
 	// pending counts the requests of which a byte has been read and that have not been answered.
@@ -290,6 +292,15 @@
 	}
 }
 
+// limitWriting sets the write deadline of the connection to that of the response being written. Only the writer may call it: a deadline
+// that the handler of a later response sets would end the writing of earlier ones.
+func (c *pipelineConn) limitWriting(t time.Time) {
+	if !t.Equal(c.writeDeadline) {
+		c.writeDeadline = t
+		_ = c.conn.SetWriteDeadline(t)
+	}
+}
+
 // connState is the state of a connection after a response.
 type connState uint8
 
--- a/internal/traffic/pipelined_answer_test.go
+++ b/internal/traffic/pipelined_answer_test.go
@@ -225,3 +225,61 @@
 	is.Equal(err, io.ErrUnexpectedEOF)
 	is.True(!strings.Contains(string(body), "{"))
 }
+
+// Guards against the time in which a long answer waits for earlier ones using up its write deadline, which then ends the connection, and
+// against a long answer that is begun when its deadline has passed and breaks off. Requests before and behind it are answered.
+func TestLongAnswerThatWaitsCostsNoOtherRequest(t *testing.T) {
+	for _, length := range []int{withheldLength, begunLength} {
+		t.Run(strconv.Itoa(length), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			release := make(chan struct{})
+			long := startScriptedTarget(t, func(int, *http.Request) string { return longAnswer(length, length) })
+			others := startScriptedTarget(t, func(_ int, r *http.Request) string {
+				if r.Header.Get("X-Id") == "slow" {
+					<-release
+				}
+				return okResponse
+			})
+			ch := startChain(t, long, others)
+			ch.separateServices()
+			conn := dialPipeline(t, ch.address())
+			const deadline = 200 * time.Millisecond
+			sendCalls(t, conn, pipelinedCall{"slow", "GET", "/once/x", time.Minute}, pipelinedCall{"long", "GET", "/safe/x", deadline},
+				pipelinedCall{"behind", "POST", "/once/x", time.Minute})
+			// Nothing tells from outside that the deadline for writing the long answer has passed, a second after that of its request.
+			time.Sleep(deadline + 1200*time.Millisecond)
+			close(release)
+			answers := receiveAnswers(bufio.NewReader(conn), 3)
+			is.Equal(len(answers), 3)
+			is.Equal(answers[0].body, "whole")
+			is.Equal(answers[2].body, "whole")
+			if length < begunLength { // it was received whole before its deadline
+				is.Equal(answers[1].status, http.StatusOK)
+				is.Equal(len(answers[1].body), length)
+				return
+			}
+			checkIncompleteRefusal(t, answers[1], map[int]string{http.StatusGatewayTimeout: "deadline-exceeded"})
+		})
+	}
+}
+
+// Guards against a caller that does not read a long answer occupying a slot of a target and the connection for good.
+func TestCallerThatReadsNothingIsCutOff(t *testing.T) {
+	is := is.New(t)
+	const endless = 1 << 30
+	ended := make(chan error, 1)
+	_, conn := startPipeline(t, func(w http.ResponseWriter, _ *http.Request) {
+		is.NoErr(http.NewResponseController(w).SetWriteDeadline(time.Now().Add(100 * time.Millisecond)))
+		w.Header().Set("Content-Length", strconv.Itoa(endless))
+		part := make([]byte, 1<<20)
+		for range endless / len(part) {
+			if _, err := w.Write(part); err != nil {
+				ended <- err
+				panic(http.ErrAbortHandler)
+			}
+		}
+	})
+	sendCalls(t, conn, pipelinedCall{"x", "GET", "/", time.Minute})
+	is.Equal(<-ended, http.ErrAbortHandler)
+}
--- a/internal/traffic/pipelined_response.go
+++ b/internal/traffic/pipelined_response.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httputil"
+	"os"
 	"strconv"
 	"sync"
 	"time"
@@ -28,6 +29,10 @@
 	// buffered is the part of the body that the writer has not taken yet, length the declared length or -1.
 	buffered []byte
 	length   int64
+	// writeDeadline is the write deadline of the connection while this response is written, zero for none. From expires on the
+	// handler cannot complete a response that is not begun yet; zero means never, and expiry wakes those who wait then.
+	writeDeadline, expires time.Time
+	expiry                 *time.Timer
 	// begun means that the writer may have sent bytes of the response, finished that the handler has returned, aborted that the
 	// response is incomplete and the caller must be able to tell, discarded that the response will not be written (any further),
 	// wantsContinue that "100 Continue" must be sent before the caller sends its body, bodyLeft that the rest of the request body
@@ -65,16 +70,20 @@
 	r.changed.Broadcast()
 }
 
-// Write appends to the body. It blocks while maxBufferedResponse bytes or more are buffered.
+// Write appends to the body. It blocks while maxBufferedResponse bytes or more are buffered, and fails if the response expires before
+// its turn has come.
 func (r *pipelinedResponse) Write(p []byte) (int, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.setStatus(http.StatusOK)
-	for len(r.buffered) >= maxBufferedResponse && !r.discarded {
+	for len(r.buffered) >= maxBufferedResponse && !r.discarded && !r.expired() {
 		r.changed.Wait()
 	}
-	if r.discarded {
+	switch {
+	case r.discarded:
 		return 0, http.ErrAbortHandler
+	case len(r.buffered) >= maxBufferedResponse:
+		return 0, os.ErrDeadlineExceeded
 	}
 	r.buffered = append(r.buffered, p...)
 	r.changed.Broadcast()
@@ -87,9 +96,40 @@
 // SetReadDeadline sets the deadline for reading the request body.
 func (r *pipelinedResponse) SetReadDeadline(t time.Time) error { return r.conn.conn.SetReadDeadline(t) }
 
-// SetWriteDeadline sets the deadline for writing responses on the connection.
+// SetWriteDeadline sets the deadline for writing this response. The writer applies it while it writes the response, so that the time in
+// which others are written does not count.
 func (r *pipelinedResponse) SetWriteDeadline(t time.Time) error {
-	return r.conn.conn.SetWriteDeadline(t)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.writeDeadline = t
+	return nil
+}
+
+// ExpireAt sets the time from which the handler cannot complete the response. If the writer has not begun it by then, it waits until
+// the handler has completed it or written another one.
+func (r *pipelinedResponse) ExpireAt(t time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.clearExpiry()
+	r.expires = t
+	r.expiry = time.AfterFunc(time.Until(t), func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.changed.Broadcast()
+	})
+}
+
+// expired reports whether the response cannot be completed any more and has not been begun. The lock must be held.
+func (r *pipelinedResponse) expired() bool {
+	return !r.begun && !r.expires.IsZero() && !time.Now().Before(r.expires)
+}
+
+// clearExpiry makes the response one that does not expire. The lock must be held.
+func (r *pipelinedResponse) clearExpiry() {
+	if r.expiry != nil {
+		r.expiry.Stop()
+	}
+	r.expires = time.Time{}
 }
 
 // run calls the handler and ends the response.
@@ -127,6 +167,7 @@
 	if r.status == 0 {
 		r.setStatus(http.StatusOK)
 	}
+	r.clearExpiry()
 	r.finished = true
 	r.changed.Broadcast()
 }
@@ -135,6 +176,7 @@
 func (r *pipelinedResponse) abort() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.clearExpiry()
 	r.aborted, r.finished = true, true
 	r.changed.Broadcast()
 }
@@ -164,14 +206,18 @@
 	}
 	clear(r.header)
 	r.status, r.buffered, r.length = 0, nil, -1
+	r.clearExpiry()
 	return true
 }
 
-// writeTo writes the response. It starts once the response is complete or maxBufferedResponse bytes are buffered.
+// writeTo writes the response. It begins once the response is complete, or maxBufferedResponse bytes are buffered and the rest can
+// still follow.
 func (r *pipelinedResponse) writeTo(w *bufio.Writer) connState {
 	r.mu.Lock()
-	r.waitFor(func() bool { return r.finished || len(r.buffered) >= maxBufferedResponse })
+	r.waitFor(func() bool { return r.finished || len(r.buffered) >= maxBufferedResponse && !r.expired() })
 	r.begun = true
+	defer r.conn.limitWriting(time.Time{})
+	r.conn.limitWriting(r.writeDeadline)
 	if r.aborted {
 		r.mu.Unlock()
 		return stateBroken
@@ -260,13 +306,16 @@
 	var sent int64
 	for {
 		part, finished, aborted := r.takeBody()
+		if aborted {
+			return false
+		}
 		if !r.hasNoBody() {
 			sent += int64(len(part))
 			if _, err := body.Write(part); err != nil {
 				return false
 			}
 		}
-		if aborted || !finished && w.Flush() != nil {
+		if !finished && w.Flush() != nil {
 			return false
 		}
 		if finished {
@@ -288,6 +337,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.waitFor(func() bool { return r.finished || len(r.buffered) > 0 })
+	r.conn.limitWriting(r.writeDeadline)
 	part, r.buffered = r.buffered, nil
 	r.changed.Broadcast()
 	return part, r.finished, r.aborted
