traffic: the idle timeout holds before the first request too

A connection had no read deadline before its first request: one that never sends was kept for ever, and one that was accepted just before the server stopped reading was read until the process ended. Change: a new connection starts with the idle timeout, or with the short one of a server that has stopped reading. Measured: go test -race ./internal/traffic -run 'TestIdleTimeout|TestStop'.

--- a/internal/traffic/pipeline_conn.go
+++ b/internal/traffic/pipeline_conn.go
@@ -67,6 +67,7 @@
 	c.reader = bufio.NewReaderSize(&c.limit, requestBuffer)
 	c.responses = make(chan *pipelinedResponse, maxPipelined)
 	c.semaphore = make(chan struct{}, maxRunning)
+	c.limitFirstRequest()
 	written := make(chan struct{})
 	go func() {
 		defer close(written)
@@ -237,6 +238,14 @@
 	c.endRequest()
 }
 
+// limitFirstRequest bounds the time until the first request. The connection may have been accepted when the server stopped reading, before
+// it was known to StopReading.
+func (c *pipelineConn) limitFirstRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.startIdleTimeout()
+}
+
 // endRequest counts a request as answered, and starts the idle timeout if no other is pending.
 func (c *pipelineConn) endRequest() {
 	c.server.pending.end()
--- a/internal/traffic/pipeline_stop_test.go
+++ b/internal/traffic/pipeline_stop_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -144,3 +145,29 @@
 	_, body := readResponse(t, bufio.NewReader(conn))
 	is.Equal(body, "x")
 }
+
+// Guards against connections that never send a request being kept for ever.
+func TestIdleTimeoutHoldsBeforeTheFirstRequest(t *testing.T) {
+	is := is.New(t)
+	_, address := serveWithIdleTimeout(t, 50*time.Millisecond, http.NotFoundHandler(), func(conn net.Conn) net.Conn { return conn })
+	conn := dialPipeline(t, address)
+	_, err := conn.Read(make([]byte, 1))
+	is.Equal(err, io.EOF)
+}
+
+// Guards against a connection being read until the process ends because it is accepted just before the server stops reading.
+func TestStopEndsConnectionsThatWereJustAccepted(t *testing.T) {
+	is := is.New(t)
+	accepted, proceed := make(chan struct{}), make(chan struct{})
+	server, address := servePipelined(t, http.NotFoundHandler(), func(conn net.Conn) net.Conn {
+		close(accepted)
+		<-proceed
+		return conn
+	})
+	conn := dialPipeline(t, address)
+	<-accepted
+	server.StopReading()
+	close(proceed)
+	_, err := conn.Read(make([]byte, 1))
+	is.Equal(err, io.EOF)
+}
