traffic: no request begins after the last one has been waited for

Between the end of Wait and the closing of the connections, nothing kept a request from being read and passed on; it was cut soon after. So was a call of another daemon at the target's side. Change: once Wait has returned, also with an error, the server begins no request and leaves it unread, and the target's side refuses calls as not executed, so that their daemons go to other targets. Measured: go test -race ./internal/traffic -run AfterTheWait.

--- a/internal/traffic/in_flight.go
+++ b/internal/traffic/in_flight.go
@@ -61,6 +61,16 @@
 	}
 }
 
+// waitAndDrain blocks until no call is in flight, or returns the error of ctx. No call begins once it has returned.
+func (c *inFlightCalls) waitAndDrain(ctx context.Context) error {
+	err := c.wait(ctx)
+	c.drain()
+	if err != nil {
+		return err
+	}
+	return c.wait(ctx) // for calls that began between the two lines above
+}
+
 func (c *inFlightCalls) count() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/traffic/inbound.go
+++ b/internal/traffic/inbound.go
@@ -109,8 +109,8 @@
 	}
 }
 
-// Wait blocks until no call is in flight, or returns the error of ctx.
-func (in *Inbound) Wait(ctx context.Context) error { return in.inFlight.wait(ctx) }
+// Wait blocks until no call is in flight, or returns the error of ctx. Later calls are refused as not executed: the daemon ends.
+func (in *Inbound) Wait(ctx context.Context) error { return in.inFlight.waitAndDrain(ctx) }
 
 // InFlight returns the number of calls in flight, including those that wait for a slot.
 func (in *Inbound) InFlight() int { return in.inFlight.count() }
@@ -129,8 +129,6 @@
 
 // ServeHTTP handles one call from another daemon.
 func (in *Inbound) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	in.inFlight.begin()
-	defer in.inFlight.end()
 	now := time.Now()
 	d, ok := parseDispatchHeader(r.Header)
 	if !ok {
@@ -139,6 +137,11 @@
 		return
 	}
 	w.Header()[HeaderCall] = []string{d.call}
+	if !in.inFlight.begin() {
+		notExecuted(http.StatusServiceUnavailable, reasonDraining, "this daemon is shutting down").write(w, r, in.options.Metrics)
+		return
+	}
+	defer in.inFlight.end()
 	c := &inboundCall{inbound: in, request: r, dispatch: &d, started: now}
 	if refused := c.accept(w, now); refused != nil {
 		c.writeRefusal(w, refused)
--- a/internal/traffic/pipeline_conn.go
+++ b/internal/traffic/pipeline_conn.go
@@ -195,16 +195,15 @@
 
 // beginRequest counts a request as pending once its first byte has been read, and bounds the time until its header is read. It
 // returns false for a request that must not be read, because a response before it closes the connection or, once the server
-// reads no more, will close it.
+// reads no more, will close it, or because the server has ended.
 func (c *pipelineConn) beginRequest() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closing || c.undecided > 0 && c.server.stoppedReading.Load() {
+	if c.closing || c.undecided > 0 && c.server.stoppedReading.Load() || !c.server.pending.begin() {
 		return false
 	}
 	c.pending++
 	c.undecided++
-	c.server.pending.begin()
 	_ = c.conn.SetReadDeadline(time.Now().Add(c.server.options.HeaderTimeout()))
 	return true
 }
--- a/internal/traffic/pipeline_server.go
+++ b/internal/traffic/pipeline_server.go
@@ -115,8 +115,9 @@
 	}
 }
 
-// Wait blocks until every request that was read has been answered, or returns the error of ctx.
-func (s *PipelineServer) Wait(ctx context.Context) error { return s.pending.wait(ctx) }
+// Wait blocks until every request that was read has been answered, or returns the error of ctx. A request that arrives later is not
+// read: Close, which follows, would cut it.
+func (s *PipelineServer) Wait(ctx context.Context) error { return s.pending.waitAndDrain(ctx) }
 
 // Close closes all connections at once.
 func (s *PipelineServer) Close() error {
--- a/internal/traffic/pipeline_stop_test.go
+++ b/internal/traffic/pipeline_stop_test.go
@@ -171,3 +171,39 @@
 	_, err := conn.Read(make([]byte, 1))
 	is.Equal(err, io.EOF)
 }
+
+// Guards against a request that is executed although the server has waited for the last one and is about to cut all connections. Its
+// first byte has arrived before the wait, and is noticed after it.
+func TestNoRequestBeginsAfterTheWait(t *testing.T) {
+	is := is.New(t)
+	read, waited := make(chan struct{}, 1), make(chan struct{})
+	server, conn := startGatedPipeline(t, gatedConn{afterRead: func([]byte) {
+		read <- struct{}{}
+		<-waited
+	}}, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "served") })
+	_, err := io.WriteString(conn, getRequest("/"))
+	is.NoErr(err)
+	<-read
+	server.StopReading()
+	is.NoErr(server.Wait(t.Context()))
+	close(waited)
+	_, err = conn.Read(make([]byte, 1))
+	is.Equal(err, io.EOF)
+}
+
+// Guards against a call of another daemon that is sent to the target although the daemon is about to cut its connections. The caller's
+// daemon must learn that the call was not executed, so that it goes to another target.
+func TestNoCallBeginsAfterTheWait(t *testing.T) {
+	is := is.New(t)
+	ending := startScriptedTarget(t, func(int, *http.Request) string { return okResponse })
+	other := startScriptedTarget(t, func(int, *http.Request) string { return okResponse })
+	ch := startChain(t, ending, other)
+	is.NoErr(ch.inbounds[0].Wait(t.Context()))
+	for range 10 {
+		status, _, body, err := ch.call(t.Context(), "POST", "/once/x")
+		is.NoErr(err)
+		is.Equal(status, http.StatusOK)
+		is.Equal(body, "whole")
+	}
+	is.Equal(ending.received.Load(), int64(0))
+}
