traffic: the read deadline of a handler with a buffered body is not that of its connection

Cause: a handler sets a read deadline for the body of its request. A body of at most 64 KiB is buffered before, and the connection is being read for the next request: with a deadline that has passed, that request was discarded and never answered, or found the connection closed. When it was removed again, so was the deadline of a header that was being read. Change: the response sets the read deadline only if the handler reads the body from the connection. Measured: go test -race ./internal/traffic -run ReadDeadlineOfBuffered. Before: fails, the connection closes under the next request.

--- a/internal/traffic/pipeline_server_test.go
+++ b/internal/traffic/pipeline_server_test.go
@@ -243,3 +243,29 @@
 		})
 	}
 }
+
+// Guards against the read deadline of a handler whose body is buffered ending the wait for the next request, which is then discarded,
+// never answered, or finds the connection closed.
+func TestReadDeadlineOfBufferedBodyEndsNoOtherRequest(t *testing.T) {
+	is := is.New(t)
+	_, conn := startPipeline(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/late" {
+			control := http.NewResponseController(w)
+			is.NoErr(control.SetReadDeadline(time.Unix(1, 0)))
+			time.Sleep(50 * time.Millisecond) // time for the server to begin to wait for the next request
+			is.NoErr(control.SetReadDeadline(time.Time{}))
+		}
+		_, _ = io.WriteString(w, r.URL.Path)
+	})
+	r := bufio.NewReader(conn)
+	for range 3 {
+		_, err := io.WriteString(conn, "POST /late HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nabcde")
+		is.NoErr(err)
+		_, body := readResponse(t, r)
+		is.Equal(body, "/late")
+		_, err = io.WriteString(conn, getRequest("/next"))
+		is.NoErr(err)
+		_, body = readResponse(t, r)
+		is.Equal(body, "/next")
+	}
+}
--- a/internal/traffic/pipelined_response.go
+++ b/internal/traffic/pipelined_response.go
@@ -93,8 +93,14 @@
 // Flush does nothing: the writer sends buffered bytes without delay once the earlier responses are written.
 func (r *pipelinedResponse) Flush() {}
 
-// SetReadDeadline sets the deadline for reading the request body.
-func (r *pipelinedResponse) SetReadDeadline(t time.Time) error { return r.conn.conn.SetReadDeadline(t) }
+// SetReadDeadline sets the deadline for reading the request body from the connection. For a body that is buffered it does nothing: the
+// connection is then read for the next request, which the deadline would end.
+func (r *pipelinedResponse) SetReadDeadline(t time.Time) error {
+	if r.body != nil {
+		r.conn.setReadDeadline(t)
+	}
+	return nil
+}
 
 // SetWriteDeadline sets the deadline for writing this response. The writer applies it while it writes the response, so that the time in
 // which others are written does not count.
