traffic: a connection is not reset after an answer that broke off

Cause: after an answer that broke off the connection was closed at once. If requests were left unread, that reset it, and a caller that read late lost the end of earlier answers, which were complete and written. Change: such a connection ends like one after its last answer: the sending side is closed, and the rest is read for half a second. Its caller can tell an incomplete answer from its framing. The two ends are one, so that the states of a connection after a response go. The deadline of a short body leaves that of a lingering connection alone.

--- a/internal/traffic/pipeline_conn.go
+++ b/internal/traffic/pipeline_conn.go
@@ -188,8 +188,8 @@
 	if expectsContinue(r) || r.ContentLength > maxReplayBody {
 		return false, nil
 	}
-	_ = c.conn.SetReadDeadline(time.Now().Add(bodyTimeout))
-	defer func() { _ = c.conn.SetReadDeadline(time.Time{}) }()
+	c.setReadDeadline(time.Now().Add(bodyTimeout))
+	defer c.clearReadDeadline()
 	start, err := io.ReadAll(io.LimitReader(r.Body, maxReplayBody+1))
 	if err != nil {
 		return false, err
@@ -297,11 +297,11 @@
 // write writes the responses in order. The responses after one that closes the connection are discarded.
 func (c *pipelineConn) write() {
 	writer := bufio.NewWriterSize(c.conn, responseBuffer)
-	state := stateOpen
+	open := true
 	for r := range c.responses {
-		if state == stateOpen {
-			if state = r.writeTo(writer); state != stateOpen {
-				c.closeAfterLast(state)
+		if open {
+			if open = r.writeTo(writer); !open {
+				c.closeAfterLast()
 			}
 		}
 		r.discard()
@@ -318,26 +318,15 @@
 	}
 }
 
-// connState is the state of a connection after a response.
-type connState uint8
-
-const (
-	stateOpen connState = iota
-	// stateLast means that the response is complete and the last one, stateBroken that it is incomplete and the caller
-	// must be able to tell.
-	stateLast
-	stateBroken
-)
-
-// closeAfterLast closes the sending side after the last response, because bytes that arrive after a full close would reset
-// the connection and the response could be lost. After a broken response it closes the connection at once.
-func (c *pipelineConn) closeAfterLast(state connState) {
+// closeAfterLast closes the sending side after the last response, which may be incomplete: its caller can tell from its framing. Bytes
+// that arrive after a full close would reset the connection, and this and earlier responses could be lost.
+func (c *pipelineConn) closeAfterLast() {
 	c.cancel()
 	half, ok := c.conn.(interface{ CloseWrite() error })
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closing = true
-	if state == stateBroken || !ok || half.CloseWrite() != nil {
+	if !ok || half.CloseWrite() != nil {
 		_ = c.conn.Close()
 		return
 	}
--- a/internal/traffic/pipelined_caller_test.go
+++ b/internal/traffic/pipelined_caller_test.go
@@ -67,3 +67,28 @@
 		is.Equal(body, want)
 	}
 }
+
+// Guards against an answer that breaks off costing a caller that reads late the end of earlier answers: a connection that is closed while
+// requests are left unread is reset, and what it has not delivered is lost.
+func TestBrokenAnswerCostsNoEarlierAnswer(t *testing.T) {
+	is := is.New(t)
+	const earlier, behind, length = 16, 20_000, 1 << 20
+	_, conn := startPipeline(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Length", strconv.Itoa(length))
+		if r.URL.Path == "/broken" {
+			_, _ = w.Write(make([]byte, length/2))
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = w.Write(make([]byte, length))
+	})
+	go func() {
+		_, _ = io.WriteString(conn, strings.Repeat(getRequest("/"), earlier)+getRequest("/broken")+strings.Repeat(getRequest("/"), behind))
+	}()
+	r := bufio.NewReader(conn)
+	for range earlier {
+		time.Sleep(50 * time.Millisecond) // the server is done before the caller has read all answers
+		_, body := readResponse(t, r)
+		is.Equal(len(body), length)
+	}
+	is.Equal(len(receiveAnswers(r, 1)), 0)
+}
--- a/internal/traffic/pipelined_response.go
+++ b/internal/traffic/pipelined_response.go
@@ -228,9 +228,9 @@
 	return true
 }
 
-// writeTo writes the response. It begins once the response is complete, or maxBufferedResponse bytes are buffered and the rest can
-// still follow.
-func (r *pipelinedResponse) writeTo(w *bufio.Writer) connState {
+// writeTo writes the response, and reports whether another may follow on the connection. It begins once the response is complete, or
+// maxBufferedResponse bytes are buffered and the rest can still follow.
+func (r *pipelinedResponse) writeTo(w *bufio.Writer) (open bool) {
 	r.mu.Lock()
 	r.waitFor(func() bool { return r.finished || len(r.buffered) >= maxBufferedResponse && !r.expired() })
 	r.begun = true
@@ -238,7 +238,7 @@
 	r.conn.limitWriting(r.writeDeadline)
 	if r.aborted {
 		r.mu.Unlock()
-		return stateBroken
+		return false
 	}
 	if r.finished && r.length < 0 {
 		r.length = int64(len(r.buffered))
@@ -246,13 +246,7 @@
 	closes := r.conn.decideClosing(r.mustClose())
 	r.writeHead(w, closes)
 	r.mu.Unlock()
-	switch {
-	case !r.writeBody(w) || w.Flush() != nil:
-		return stateBroken
-	case closes || r.leavesBody():
-		return stateLast
-	}
-	return stateOpen
+	return r.writeBody(w) && w.Flush() == nil && !closes && !r.leavesBody()
 }
 
 // leavesBody reports whether the rest of the request body stays on the connection. The head of a long response may have been
