traffic: a request that is noticed after the read deadline is answered

Cause: the read deadline of an idle connection passes while the process gets no processor time. A read then fails without looking for bytes, so a request that has been in the socket all the while is reset, for example at StopReading. Change: after a read deadline the server looks whether bytes have arrived, and reads on if so. Conclusion: the connection of an idle caller is closed only if no request has arrived.

--- a/internal/traffic/pipeline_conn.go
+++ b/internal/traffic/pipeline_conn.go
@@ -84,7 +84,7 @@
 // read reads one request and starts its handler. It reports whether another request may follow.
 func (c *pipelineConn) read(ctx context.Context) bool {
 	c.limit.left = noReadLimit
-	if _, err := c.reader.Peek(1); err != nil || ctx.Err() != nil || !c.beginRequest() {
+	if !c.awaitRequest() || ctx.Err() != nil || !c.beginRequest() {
 		return false
 	}
 	c.limit.left = c.server.options.HeaderBytes + requestBuffer
@@ -105,6 +105,27 @@
 	return c.start(ctx, r)
 }
 
+// awaitRequest waits for the first byte of a request. It returns false if there is none until the read deadline.
+func (c *pipelineConn) awaitRequest() bool {
+	_, err := c.reader.Peek(1)
+	if isTimeout(err) && c.extendIfArrived() {
+		_, err = c.reader.Peek(1)
+	}
+	return err == nil
+}
+
+// extendIfArrived extends the read deadline if a request has arrived. A process that got no processor time for a while finds the
+// deadline passed, and a read then fails without looking for bytes.
+func (c *pipelineConn) extendIfArrived() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing || !hasInput(c.conn) {
+		return false
+	}
+	_ = c.conn.SetReadDeadline(time.Now().Add(c.server.options.HeaderTimeout()))
+	return true
+}
+
 // awaitClose reads until the caller closes the connection or the read deadline passes. If the caller has closed it, the
 // running requests are cancelled.
 func (c *pipelineConn) awaitClose() {
--- /dev/null
+++ b/internal/traffic/pipeline_late_test.go
@@ -0,0 +1,57 @@
+package traffic_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sniperail.example/sniperail/internal/traffic"
+)
+
+// lateConn makes reads wait until proceed is closed, as those of a process that gets no processor time.
+type lateConn struct {
+	*net.TCPConn
+	proceed chan struct{}
+}
+
+func (c *lateConn) Read(p []byte) (int, error) {
+	<-c.proceed
+	return c.TCPConn.Read(p)
+}
+
+// startLatePipeline starts a server that reads no bytes before proceed is closed, and sends it a request.
+func startLatePipeline(t *testing.T, proceed chan struct{}) (*traffic.PipelineServer, net.Conn) {
+	t.Helper()
+	accepted := make(chan struct{})
+	server, address := servePipelined(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "served")
+	}), func(conn net.Conn) net.Conn {
+		close(accepted)
+		return &lateConn{conn.(*net.TCPConn), proceed}
+	})
+	conn := dialPipeline(t, address)
+	if _, err := io.WriteString(conn, getRequest("/")); err != nil {
+		t.Fatal(err)
+	}
+	<-accepted
+	return server, conn
+}
+
+// Guards against a request that is cut off without a response because the process notices it only after the read deadline.
+func TestStopAnswersRequestsThatAreNoticedLate(t *testing.T) {
+	is := is.New(t)
+	proceed := make(chan struct{})
+	server, conn := startLatePipeline(t, proceed)
+	server.StopReading()
+	time.Sleep(2 * traffic.StopLinger)
+	close(proceed)
+	response, body := readResponse(t, bufio.NewReader(conn))
+	is.Equal(response.StatusCode, http.StatusOK)
+	is.Equal(body, "served")
+}
+
