traffic: the wait for the last requests covers connections that still read

Cause: Wait counts the requests that have been read. A connection that has not looked at its socket since StopReading reads its request after Wait has returned, the request is executed, and Close cuts it. Change: connections on which a request may follow are counted too, and after StopReading Wait waits until there are none. Conclusion: Close finds no connection on which a request can still begin.

--- a/internal/traffic/pipeline_conn.go
+++ b/internal/traffic/pipeline_conn.go
@@ -37,6 +37,8 @@
 	// closing means that the connection closes after the response being written. Its head tells the caller that later requests
 	// were not read, so none may be read after that.
 	closing bool
+	// readingEnded means that no request follows on the connection.
+	readingEnded bool
 	// lingering means that the last response has been written and the read deadline is that of closeLinger.
 	lingering bool
 }
@@ -75,6 +77,7 @@
 	}()
 	for c.read(ctx) {
 	}
+	c.stopReading()
 	c.awaitClose()
 	close(c.responses)
 	<-written
@@ -312,9 +315,27 @@
 	defer c.mu.Unlock()
 	c.closing = required || c.server.draining.Load() && c.undecided == 1
 	c.undecided--
+	if c.closing {
+		c.endReading()
+	}
 	return c.closing
 }
 
+// stopReading marks that no request follows on the connection.
+func (c *pipelineConn) stopReading() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.endReading()
+}
+
+// endReading counts the connection, once, as one on which no request follows. The lock must be held.
+func (c *pipelineConn) endReading() {
+	if !c.readingEnded {
+		c.readingEnded = true
+		c.server.reading.end()
+	}
+}
+
 // write writes the responses in order. The responses after one that closes the connection are discarded.
 func (c *pipelineConn) write() {
 	writer := bufio.NewWriterSize(c.conn, responseBuffer)
--- a/internal/traffic/pipeline_late_test.go
+++ b/internal/traffic/pipeline_late_test.go
@@ -55,3 +55,22 @@
 	is.Equal(body, "served")
 }
 
+// Guards against a stop that cuts a request off because it has arrived and is read only after the server counted the last ones.
+func TestWaitCoversRequestsThatAreNoticedLate(t *testing.T) {
+	is := is.New(t)
+	proceed := make(chan struct{})
+	server, conn := startLatePipeline(t, proceed)
+	server.StopReading()
+	waited := make(chan error, 1)
+	go func() { waited <- server.Wait(t.Context()) }()
+	select {
+	case <-waited:
+		t.Fatal("the wait ended before the request was read")
+	case <-time.After(2 * traffic.StopLinger):
+	}
+	close(proceed)
+	is.NoErr(<-waited)
+	is.NoErr(server.Close())
+	_, body := readResponse(t, bufio.NewReader(conn))
+	is.Equal(body, "served")
+}
--- a/internal/traffic/pipeline_server.go
+++ b/internal/traffic/pipeline_server.go
@@ -53,6 +53,8 @@
 	stoppedReading atomic.Bool
 	// pending counts the requests of all connections that have been read and not answered.
 	pending inFlightCalls
+	// reading counts the connections on which a request may follow.
+	reading inFlightCalls
 
 	mu     sync.Mutex
 	conns  map[*pipelineConn]struct{}
@@ -88,10 +90,12 @@
 func (s *PipelineServer) add(c *pipelineConn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.closed {
-		s.conns[c] = struct{}{}
+	if s.closed {
+		return false
 	}
-	return !s.closed
+	s.conns[c] = struct{}{}
+	s.reading.begin()
+	return true
 }
 
 func (s *PipelineServer) remove(c *pipelineConn) {
@@ -115,9 +119,18 @@
 	}
 }
 
-// Wait blocks until every request that was read has been answered, or returns the error of ctx. A request that arrives later is not
-// read: Close, which follows, would cut it.
-func (s *PipelineServer) Wait(ctx context.Context) error { return s.pending.waitAndDrain(ctx) }
+// Wait blocks until every request that was read has been answered, or returns the error of ctx. After StopReading, it also waits
+// for connections on which a request may have arrived that is not read yet. Once it has returned, no request begins: Close, which
+// follows, would cut it.
+func (s *PipelineServer) Wait(ctx context.Context) error {
+	if s.stoppedReading.Load() {
+		if err := s.reading.wait(ctx); err != nil {
+			s.pending.drain()
+			return err
+		}
+	}
+	return s.pending.waitAndDrain(ctx)
+}
 
 // Close closes all connections at once.
 func (s *PipelineServer) Close() error {
