traffic: connections in the accept queue are served before the listener closes

Cause: closing a listener resets the connections in its queue, with the requests that their callers have sent. A process that gets little processor time, or is out of file descriptors, has not accepted them. It follows StopReading, which frees the descriptors of idle connections. Measured: go test ./internal/traffic -run TestStopAcceptingAnswersConnectionsInTheQueue: before (the listener closed at once) "connection reset by peer", after passed.

--- a/internal/traffic/pipeline_late_test.go
+++ b/internal/traffic/pipeline_late_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -9,6 +10,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"go.uber.org/zap"
 
 	"sniperail.example/sniperail/internal/traffic"
 )
@@ -74,3 +76,48 @@
 	_, body := readResponse(t, bufio.NewReader(conn))
 	is.Equal(body, "served")
 }
+
+// lateListener accepts no connection before proceed is closed.
+type lateListener struct {
+	*net.TCPListener
+	proceed chan struct{}
+}
+
+func (l *lateListener) Accept() (net.Conn, error) {
+	<-l.proceed
+	return l.TCPListener.Accept()
+}
+
+// Guards against connections that are reset, with the requests that their callers have sent, because they have not been accepted
+// when the server stops.
+func TestStopAcceptingAnswersConnectionsInTheQueue(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	late := &lateListener{listener.(*net.TCPListener), make(chan struct{})}
+	minute := func() time.Duration { return time.Minute }
+	server := traffic.NewPipelineServer(traffic.PipelineOptions{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "served") }),
+		Logger:  zap.NewNop(), HeaderBytes: 2 << 10, HeaderTimeout: minute, IdleTimeout: minute,
+	})
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(late) }()
+	var conns []net.Conn
+	for range 10 {
+		conn := dialPipeline(t, listener.Addr().String())
+		_, err := io.WriteString(conn, getRequest("/"))
+		is.NoErr(err)
+		conns = append(conns, conn)
+	}
+	time.AfterFunc(traffic.StopLinger, func() { close(late.proceed) })
+	server.StopReading()
+	server.StopAccepting()
+	is.True(errors.Is(<-served, http.ErrServerClosed))
+	for _, conn := range conns {
+		_, body := readResponse(t, bufio.NewReader(conn))
+		is.Equal(body, "served")
+	}
+	_, err = net.Dial("tcp", listener.Addr().String())
+	is.True(err != nil) // the listener is closed
+	is.NoErr(server.Wait(t.Context()))
+}
--- a/internal/traffic/pipeline_server.go
+++ b/internal/traffic/pipeline_server.go
@@ -32,6 +32,9 @@
 	bodyTimeout = 30 * time.Second
 	// acceptPause is the pause after a failed accept, for example when the process is out of file descriptors.
 	acceptPause = 20 * time.Millisecond
+	// acceptDrainTimeout bounds the time in which StopAccepting accepts the connections in the queue. A process that is out of file
+	// descriptors accepts them as connections end, which takes up to closeLinger after each last response.
+	acceptDrainTimeout = 3 * closeLinger
 )
 
 // PipelineOptions configures a PipelineServer.
@@ -59,20 +62,32 @@
 	mu     sync.Mutex
 	conns  map[*pipelineConn]struct{}
 	closed bool
+	// listener is that of Serve, nil before. acceptUntil is when StopAccepting leaves the connections in its queue.
+	listener    net.Listener
+	acceptUntil time.Time
+	// serveEnded is closed when Serve returns.
+	serveEnded chan struct{}
 }
 
 // NewPipelineServer returns a server that accepts connections once Serve is called.
 func NewPipelineServer(options PipelineOptions) *PipelineServer {
-	return &PipelineServer{options: options, conns: map[*pipelineConn]struct{}{}}
+	return &PipelineServer{options: options, conns: map[*pipelineConn]struct{}{}, serveEnded: make(chan struct{})}
 }
 
 // Serve accepts connections until the listener or the server is closed, and then returns http.ErrServerClosed.
 func (s *PipelineServer) Serve(listener net.Listener) error {
+	defer close(s.serveEnded)
+	if !s.setListener(listener) {
+		return http.ErrServerClosed
+	}
 	for {
 		conn, err := listener.Accept()
-		if errors.Is(err, net.ErrClosed) {
+		if errors.Is(err, net.ErrClosed) || isTimeout(err) && !s.extendAccepting() {
 			return http.ErrServerClosed
 		}
+		if isTimeout(err) {
+			continue
+		}
 		if err != nil {
 			s.options.Logger.Warn("accept-failed", zap.Error(err))
 			time.Sleep(acceptPause)
@@ -87,6 +102,40 @@
 	}
 }
 
+// setListener sets the listener of Serve, and returns false if it is not to accept.
+func (s *PipelineServer) setListener(listener net.Listener) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listener = listener
+	return !s.closed
+}
+
+// StopAccepting closes the listener. Before, it accepts the connections that wait in its queue: closing it resets them, with the
+// requests that their callers have sent. It should follow StopReading, which frees the file descriptors of idle connections.
+func (s *PipelineServer) StopAccepting() {
+	s.mu.Lock()
+	listener := s.listener
+	s.acceptUntil = time.Now().Add(acceptDrainTimeout)
+	s.mu.Unlock()
+	if d, ok := listener.(interface{ SetDeadline(time.Time) error }); ok && d.SetDeadline(time.Unix(1, 0)) == nil {
+		<-s.serveEnded
+	}
+	if listener != nil {
+		_ = listener.Close()
+	}
+}
+
+// extendAccepting extends the deadline of the listener while connections wait in its queue, until acceptUntil.
+func (s *PipelineServer) extendAccepting() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	d, ok := s.listener.(interface{ SetDeadline(time.Time) error })
+	if !ok || !hasInput(s.listener) || time.Now().After(s.acceptUntil) {
+		return false
+	}
+	return d.SetDeadline(time.Now().Add(acceptPause)) == nil
+}
+
 func (s *PipelineServer) add(c *pipelineConn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -108,7 +157,7 @@
 func (s *PipelineServer) Drain() { s.draining.Store(true) }
 
 // StopReading closes each connection after its last pending response. A connection without a pending request is closed after
-// StopLinger, or after the response to a request that arrives until then. The listener must be closed before.
+// StopLinger, or after the response to a request that arrives until then. That holds for connections accepted later, too.
 func (s *PipelineServer) StopReading() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
