sidecar: a stop serves the connections that wait to be accepted

Cause: the drain closed the listener of the ingress while connections waited in its queue, which resets them with the requests that they carry; it slept for the time in which idle connections end instead of waiting for them; and after a cut at the ingress it did not wait for the calls at the target's side, so that one could begin in the last 0.1 s. Change: the drain stops reading, accepts what waits, and then waits for both sides.

--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -359,16 +359,12 @@
 	process.Wait(ctx, targetDrainNotice)
 	d.loop.NotifyStopping(ctx)
 	process.Wait(ctx, drainNotice-targetDrainNotice)
-	for _, s := range d.servers {
-		if s.http == d.ingress {
-			_ = s.listener.Close()
-		}
-	}
 	d.ingress.StopReading()
-	process.Wait(ctx, traffic.StopLinger)
+	d.ingress.StopAccepting()
 	limited, cancel := context.WithDeadline(ctx, drained)
 	defer cancel()
-	if d.ingress.Wait(limited) != nil || d.inbound.Wait(limited) != nil {
+	requestsCut, callsCut := d.ingress.Wait(limited) != nil, d.inbound.Wait(limited) != nil
+	if requestsCut || callsCut {
 		d.logger.Warn("stopping-cuts", zap.Int("requests", d.outbound.InFlight()), zap.Int("calls", d.inbound.InFlight()),
 			zap.Int64("after_ms", time.Since(started).Milliseconds()))
 	}
