traffic: a connection is closed only after its caller has read its last response

Cause: the connection was closed 0.5 s after its last response was handed to the socket, or 0.1 s after the last one when the process ended, and at once after the idle timeout. If the caller had sent another request meanwhile, that reset the connection, and what the socket still held of the response was discarded. Change: every connection ends in one way. Its sending side is closed, and the rest is read until the caller closes it, 5 s at most. A stop waits, within the grace period, for callers that were told to close their connection; stopping-unread says if one did not. Measured: TestSlowCallerReceivesItsLastResponse and TestWaitClosedCoversCallersThatStillRead: with the former 0.5 s both fail in 3 of 3 runs, now pass in 3 of 3 with the race detector. A caller that gets no Connection: close and reads more than 2.4 s late still loses the end of a long response at a stop.

--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -368,6 +368,9 @@
 		d.logger.Warn("stopping-cuts", zap.Int("requests", d.outbound.InFlight()), zap.Int("calls", d.inbound.InFlight()),
 			zap.Int64("after_ms", time.Since(started).Milliseconds()))
 	}
+	if d.ingress.WaitClosed(limited) != nil {
+		d.logger.Info("stopping-unread", zap.Int64("after_ms", time.Since(started).Milliseconds()))
+	}
 	// The last responses may not have been written to their callers yet.
 	process.Wait(ctx, responseFlushTime)
 	for _, s := range d.servers {
--- a/internal/traffic/pipeline_conn.go
+++ b/internal/traffic/pipeline_conn.go
@@ -39,8 +39,10 @@
 	closing bool
 	// readingEnded means that no request follows on the connection.
 	readingEnded bool
-	// lingering means that the last response has been written and the read deadline is that of closeLinger.
+	// lingering means that the sending side is closed and the read deadline is that of closeLinger.
 	lingering bool
+	// awaited means that the server waits for the end of the connection, because the caller was told to close it.
+	awaited bool
 }
 
 // headerLimitReader returns errHeaderTooLong once left bytes have been read.
@@ -81,7 +83,7 @@
 	c.awaitClose()
 	close(c.responses)
 	<-written
-	_ = c.conn.Close()
+	c.linger()
 }
 
 // read reads one request and starts its handler. It reports whether another request may follow.
@@ -360,20 +362,46 @@
 	}
 }
 
-// closeAfterLast closes the sending side after the last response, which may be incomplete: its caller can tell from its framing. Bytes
-// that arrive after a full close would reset the connection, and this and earlier responses could be lost.
+// closeAfterLast closes the sending side after the last response, which may be incomplete: its caller can tell from its framing.
 func (c *pipelineConn) closeAfterLast() {
 	c.cancel()
-	half, ok := c.conn.(interface{ CloseWrite() error })
+	if c.closeSending() {
+		c.server.lingering.begin()
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.awaited = true
+	}
+}
+
+// closeSending closes the sending side, if the writer has not done so, and bounds the time in which the rest is read. It returns false
+// if the connection is closed.
+func (c *pipelineConn) closeSending() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closing = true
+	if c.lingering {
+		return true
+	}
+	half, ok := c.conn.(interface{ CloseWrite() error })
 	if !ok || half.CloseWrite() != nil {
 		_ = c.conn.Close()
-		return
+		return false
 	}
 	c.lingering = true
 	_ = c.conn.SetReadDeadline(time.Now().Add(closeLinger))
+	return true
+}
+
+// linger reads until the caller closes the connection, or closeLinger has passed since the sending side was closed. Bytes that arrive
+// after a full close reset the connection, and what the caller has not received of its responses by then is lost.
+func (c *pipelineConn) linger() {
+	if c.closeSending() {
+		_, _ = io.Copy(io.Discard, c.conn) // ends with the caller or the deadline
+	}
+	_ = c.conn.Close()
+	if c.awaited {
+		c.server.lingering.end()
+	}
 }
 
 // arrivalTimeKey is the context key of the time at which a request was read.
--- /dev/null
+++ b/internal/traffic/pipeline_linger_test.go
@@ -0,0 +1,72 @@
+package traffic_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sniperail.example/sniperail/internal/traffic"
+)
+
+const (
+	// longResponse is more than the sockets of a caller with smallReadBuffer hold, and less than those of the server do.
+	longResponse    = 300_000
+	smallReadBuffer = 64 << 10
+	// readPause is a pause of a caller that is longer than servers commonly keep a connection after its last response.
+	readPause = 700 * time.Millisecond
+)
+
+// startLongResponse starts a draining server and sends it a request for a long response, which it writes to its socket.
+func startLongResponse(t *testing.T) (*traffic.PipelineServer, net.Conn) {
+	t.Helper()
+	server, address := servePipelined(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write(bytes.Repeat([]byte("a"), longResponse)) // fails only if the caller has disconnected
+	}), func(conn net.Conn) net.Conn { return conn })
+	conn := dialPipeline(t, address)
+	if err := conn.SetReadBuffer(smallReadBuffer); err != nil {
+		t.Fatal(err)
+	}
+	server.Drain()
+	if _, err := io.WriteString(conn, getRequest("/")); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := conn.Read(make([]byte, len("HTTP/1.1 200 OK\r\n"))); err != nil {
+		t.Fatal(err)
+	}
+	return server, conn
+}
+
+// Guards against a long response whose end a slow caller loses to a reset, because it sends another request before it has read that the
+// connection closes.
+func TestSlowCallerReceivesItsLastResponse(t *testing.T) {
+	is := is.New(t)
+	_, conn := startLongResponse(t)
+	<-time.After(readPause)
+	_, err := io.WriteString(conn, getRequest("/next"))
+	is.NoErr(err)
+	received, err := io.ReadAll(bufio.NewReader(conn))
+	is.NoErr(err)
+	is.True(len(received) > longResponse)
+}
+
+// Guards against a process that ends, and resets the connection, while a slow caller still reads its last response.
+func TestWaitClosedCoversCallersThatStillRead(t *testing.T) {
+	is := is.New(t)
+	server, conn := startLongResponse(t)
+	server.StopReading()
+	is.NoErr(server.Wait(t.Context()))
+	limited, cancel := context.WithTimeout(t.Context(), readPause)
+	defer cancel()
+	is.Equal(server.WaitClosed(limited), context.DeadlineExceeded)
+	_, err := io.ReadAll(conn)
+	is.NoErr(err)
+	is.NoErr(conn.Close())
+	is.NoErr(server.WaitClosed(t.Context()))
+}
--- a/internal/traffic/pipeline_server.go
+++ b/internal/traffic/pipeline_server.go
@@ -22,9 +22,9 @@
 	// requestBuffer and responseBuffer are the sizes of a connection's read and write buffers in bytes.
 	requestBuffer  = 4 << 10
 	responseBuffer = 4 << 10
-	// closeLinger is how long a connection is still read after its last response. Closing it while the caller sends would
-	// reset the connection, and the caller could lose the response.
-	closeLinger = 500 * time.Millisecond
+	// closeLinger is how long a connection is still read after its last response, unless the caller closes it before: the default
+	// deadline of a call, in which a slow caller has read its responses.
+	closeLinger = 5 * time.Second
 	// StopLinger is how long a connection without a pending request is still read after StopReading, so that a request that has
 	// already arrived at the socket is answered.
 	StopLinger = 100 * time.Millisecond
@@ -34,7 +34,7 @@
 	acceptPause = 20 * time.Millisecond
 	// acceptDrainTimeout bounds the time in which StopAccepting accepts the connections in the queue. A process that is out of file
 	// descriptors accepts them as connections end, which takes up to closeLinger after each last response.
-	acceptDrainTimeout = 3 * closeLinger
+	acceptDrainTimeout = 1500 * time.Millisecond
 )
 
 // PipelineOptions configures a PipelineServer.
@@ -56,8 +56,8 @@
 	stoppedReading atomic.Bool
 	// pending counts the requests of all connections that have been read and not answered.
 	pending inFlightCalls
-	// reading counts the connections on which a request may follow.
-	reading inFlightCalls
+	// reading counts the connections on which a request may follow, lingering those whose callers were told to close them.
+	reading, lingering inFlightCalls
 
 	mu     sync.Mutex
 	conns  map[*pipelineConn]struct{}
@@ -181,6 +181,10 @@
 	return s.pending.waitAndDrain(ctx)
 }
 
+// WaitClosed blocks until the callers that were told to close their connections have done so, or returns the error of ctx. Until then
+// they may not have received their responses, which Close could discard.
+func (s *PipelineServer) WaitClosed(ctx context.Context) error { return s.lingering.wait(ctx) }
+
 // Close closes all connections at once.
 func (s *PipelineServer) Close() error {
 	s.mu.Lock()
--- a/internal/traffic/standard_server.go
+++ b/internal/traffic/standard_server.go
@@ -6,6 +6,9 @@
 	"time"
 )
 
+// unreadBodyLinger is how long the rest of a request body is still read after the response.
+const unreadBodyLinger = 500 * time.Millisecond
+
 // NewServer returns a server for a handler of this package with the limits that a handler cannot enforce.
 func NewServer(handler http.Handler, limits Limits) *http.Server {
 	return &http.Server{
@@ -38,7 +41,7 @@
 	}
 	// The caller may send the whole body before it reads the response, which would be lost if the connection were reset.
 	_ = control.Flush()
-	_ = control.SetReadDeadline(time.Now().Add(closeLinger))
+	_ = control.SetReadDeadline(time.Now().Add(unreadBodyLinger))
 	_, _ = io.Copy(io.Discard, body)
 }
 
