catalog: peers keep the record of a leaving target that the store could not store

Cause: a target that leaves while the store is away is answered after 0.6 s without a record. If its daemon is killed before the store is back, its next process takes a heartbeat that the target had sent before for the present state, and the target gets calls more than 2 s after the acknowledgement (rule DRAIN). Change: a leaving that the store has not stored within 0.2 s is gossiped as a record that all daemons keep for 30 s and pass on with their catalog. It also goes to the seeds, which the next process asks first. That process judges reports by it, and the store's older record does not replace it; peers stop their calls. Messages have a new field, so that the pinned layout changes. Nothing is sent while the store answers. Measured: TestLateReportAfterOutageAndRestartChangesNothing: 42 of 42 cases fail before, pass after. TestPeersLearnOfLeavingDuringOutage fails before, passes after. TestSeedsKnowSharedRecord fails with gossip alone, passes. TestReadyTargetIsInServiceAfterUnstoredLeaving passes before and after (nothing may get slower); TestLaterRunIsKnownAfterClockStep fails if records of two processes are compared by incarnation. Open: all daemons are killed before the store is back; machines have no disk, so that nothing can hold the record.

--- a/internal/command/catalog/announcement.go
+++ b/internal/command/catalog/announcement.go
@@ -59,6 +59,9 @@
 	failures int
 	// pendingAcks are the reports to be answered once the platform has stored their sequence, or at their deadline.
 	pendingAcks []pendingAck
+	// shareAt is when the record of a target that is leaving is shared with peers if the platform has not stored it; zero if it is
+	// not.
+	shareAt time.Time
 }
 
 type pendingAck struct {
@@ -68,7 +71,7 @@
 }
 
 func (l *localTarget) nextWake() time.Time {
-	var next time.Time
+	next := l.shareAt
 	for _, ack := range l.pendingAcks {
 		next = earliest(next, ack.deadline)
 	}
@@ -225,6 +228,7 @@
 	}
 	next.Sequence++
 	local.target = next
+	local.scheduleRecordShare(now)
 	c.dirty = true
 	return true
 }
@@ -306,14 +310,20 @@
 		})
 }
 
+// record returns the announcement of the target, which has reported.
+func (l *localTarget) record() model.TargetRecord {
+	record := model.TargetRecord{Target: l.target, ReportSeq: l.report.Seq, Leaving: l.isLeaving(l.report)}
+	record.Slots = max(record.Slots, 1) // unknown if only the shutdown was reported; a record without slots is refused
+	return record
+}
+
 // writeTarget writes the announcement. That of a target that is gone stays on the platform until its lease ends, so that a daemon
 // that restarts recognises late reports of the run. The compare on the key's revision rejects a delayed write.
 func (c *Core) writeTarget(now time.Time) {
 	local := &c.local
 	key := store.PrefixTargets + string(local.target.Daemon)
 	sequence := local.target.Sequence
-	record := model.TargetRecord{Target: local.target, ReportSeq: local.report.Seq, Leaving: local.isLeaving(local.report)}
-	record.Slots = max(record.Slots, 1) // unknown if only the shutdown was reported; a record without slots is refused
+	record := local.record()
 	value, err := c.cfg.Records.EncodeTarget(&record)
 	if err != nil {
 		c.log("announce-failed", "step", "encode", "detail", err.Error())
--- a/internal/command/catalog/catalog.go
+++ b/internal/command/catalog/catalog.go
@@ -89,6 +89,11 @@
 	members []model.DaemonID
 	marks   []model.Mark
 
+	// sharedRecords are the records that daemons have shared because the platform had not stored them, this daemon included.
+	// pendingRecords names those first seen during this event, which are gossiped at its end.
+	sharedRecords  map[model.DaemonID]sharedRecord
+	pendingRecords []model.DaemonID
+
 	local       localTarget
 	driver      moveDriver
 	antiEntropy antiEntropy
@@ -120,6 +125,7 @@
 		roster:            map[model.DaemonID]*member{},
 		local:             localTarget{target: cfg.Target},
 		outcomes:          localOutcomes{sums: map[model.OutcomeKey]*model.OutcomeSum{}},
+		sharedRecords:     map[model.DaemonID]sharedRecord{},
 		dirty:             true,
 	}
 	c.operatorKeys = newKeyReplica(cfg.Operator.PrefixOperator(), c.applyOperatorEntry)
@@ -196,6 +202,7 @@
 	c.applyHeldReport(now)
 	c.checkPreviousTarget()
 	c.maintainAnnouncement(now)
+	c.shareDueRecord(now)
 	c.probeUnlistedMembers(now)
 	c.runAntiEntropy(now)
 	c.runMoveDriver(now)
@@ -217,7 +224,7 @@
 		next = earliest(next, c.freshness.nextWake())
 	}
 	next = earliest(next, c.lag.askAt)
-	if len(c.pendingChanges) > 0 {
+	if c.hasPendingTargets() {
 		next = earliest(next, c.gossipAt)
 	}
 	for _, m := range c.roster {
@@ -240,7 +247,7 @@
 	var reply message.Reply
 	switch body := ev.Body.(type) {
 	case *message.CatalogQuery:
-		reply = c.buildCatalogReply(body)
+		reply = c.buildCatalogReply(now, body)
 	case *message.TargetQuery:
 		reply = &message.TargetReply{Target: c.local.target}
 	case *message.EvidenceQuery:
--- a/internal/command/catalog/earlier_record.go
+++ b/internal/command/catalog/earlier_record.go
@@ -77,6 +77,9 @@
 // known, and proves to be late, is taken back.
 func (c *Core) handleEarlierRecord(now time.Time, earlier *model.TargetRecord) {
 	local := &c.local
+	if isSuperseded(earlier, local.earlier) {
+		return
+	}
 	local.earlier = earlier
 	if earlier.Leaving && earlier.Born >= local.leavingBorn {
 		local.leaving, local.leavingBorn = earlier.Instance, earlier.Born
--- a/internal/command/catalog/gossip.go
+++ b/internal/command/catalog/gossip.go
@@ -49,20 +49,22 @@
 // alone are collected for gossipInterval.
 func (c *Core) gossipChanges(now time.Time) {
 	urgent := c.configurationPending || c.freshness.announcePending
-	if !urgent && (len(c.pendingChanges) == 0 || now.Before(c.gossipAt)) {
+	if !urgent && (!c.hasPendingTargets() || now.Before(c.gossipAt)) {
 		return
 	}
-	if len(c.pendingChanges) > 0 {
+	if c.hasPendingTargets() {
 		c.gossipAt = now.Add(gossipInterval)
 	}
 	spread := &message.Spread{
 		From: c.cfg.Target.PeerAddress, Changes: c.pendingChanges,
 		Number: c.configurationNumber(), Revision: c.configurationRevision, Delta: c.pendingDelta,
+		Shared: c.sharedRecordMessages(now, c.pendingRecords),
 	}
 	if c.freshness.announcePending {
 		spread.Check = c.freshness.lastCheck
 	}
 	c.pendingChanges, c.pendingDelta, c.configurationPending, c.freshness.announcePending = nil, nil, false, false
+	c.pendingRecords = nil
 	for _, address := range c.gossipPeers() {
 		c.send(address, spread, func(time.Time, message.Reply) {
 			// A peer that missed the message catches up by anti-entropy.
@@ -70,6 +72,9 @@
 	}
 }
 
+// hasPendingTargets reports whether there are changes or records of targets to be gossiped.
+func (c *Core) hasPendingTargets() bool { return len(c.pendingChanges)+len(c.pendingRecords) > 0 }
+
 // gossipPeers returns the addresses of the peers to gossip to: the next daemon in the order of names, and random ones.
 func (c *Core) gossipPeers() []string {
 	if len(c.members) == 0 {
@@ -110,6 +115,7 @@
 
 // handleSpread merges the changes that a peer gossiped.
 func (c *Core) handleSpread(now time.Time, m *message.Spread) {
+	c.mergeSharedRecords(now, m.Shared)
 	c.mergeChanges(now, m.Changes)
 	if m.Delta != nil {
 		c.applyDelta(now, m.Delta, m.Revision, "peer")
@@ -200,6 +206,8 @@
 // mergeCatalog merges the reply to an anti-entropy query. The first reply of a peer that has loaded all keys counts as
 // the initial lists of the platform's keys.
 func (c *Core) mergeCatalog(now time.Time, from string, reply *message.CatalogReply) {
+	// Before the changes: the platform may still hold the record before the one that was shared.
+	c.mergeSharedRecords(now, reply.Shared)
 	changed := c.mergeChanges(now, reply.Changes)
 	// A restarted daemon has lost its marks, and during an outage of the platform the withdrawal may not be on record yet.
 	c.addMarks(reply.Marks)
@@ -222,9 +230,10 @@
 }
 
 // buildCatalogReply returns what the sender of a query lacks.
-func (c *Core) buildCatalogReply(query *message.CatalogQuery) *message.CatalogReply {
+func (c *Core) buildCatalogReply(now time.Time, query *message.CatalogQuery) *message.CatalogReply {
 	reply := &message.CatalogReply{
 		Loaded: c.operatorKeys.loaded && c.meshKeys.loaded, Revision: c.configurationRevision, Marks: c.activeMarks(),
+		Shared: c.allSharedRecords(now),
 	}
 	reply.Changes = c.missingChanges(reply.Changes, &c.operatorKeys, query.Operator)
 	reply.Changes = c.missingChanges(reply.Changes, &c.meshKeys, query.Mesh)
--- a/internal/command/catalog/roster.go
+++ b/internal/command/catalog/roster.go
@@ -54,6 +54,9 @@
 		c.compareStoredTarget(now, record)
 		return
 	}
+	if shared, ok := c.sharedRecords[daemon]; ok && isSuperseded(record, &shared.record) {
+		record = &shared.record
+	}
 	m := c.roster[daemon]
 	switch {
 	case m != nil && m.target.Newer(&record.Target):
--- a/internal/command/catalog/simulation_test.go
+++ b/internal/command/catalog/simulation_test.go
@@ -63,6 +63,8 @@
 	catalogQueries, spreadsSent int
 	// changesReceived counts the changes in the catalog replies that the node received.
 	changesReceived int
+	// recordsReceived counts the announcements that the platform had not stored and the node received from peers.
+	recordsReceived int
 	// healthyInstance is the instance with which the target answers health checks.
 	healthyInstance model.InstanceID
 	unanswered      []unansweredRequest
@@ -211,6 +213,9 @@
 		if to.address == e.Address && !to.stopped && !to.peersUnreachable && !from.peersUnreachable {
 			to.lastToken++
 			token := to.lastToken
+			if spread, ok := e.Body.(*message.Spread); ok {
+				to.recordsReceived += len(spread.Shared)
+			}
 			sim.handle(to, effect.RequestReceived{Token: token, Body: e.Body})
 			return to.replies[token], true
 		}
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -49,6 +49,16 @@
 	// Check is the number of a freshness check if the message announces one, 0 otherwise: a daemon has compared its operator's
 	// keys with the platform's, and Number was the latest configuration.
 	Check uint64
+	// Shared are records that the platform had not stored when they were shared.
+	Shared []SharedRecord
+}
+
+// SharedRecord is the record of a target that is leaving, which its daemon shares with its peers because the platform has not
+// stored it.
+type SharedRecord struct {
+	Record model.TargetRecord
+	// Age is the time since the record was shared. Daemons drop it once it is old.
+	Age time.Duration
 }
 
 // SpreadReply acknowledges a Spread.
@@ -79,6 +89,8 @@
 	// them. Configuration is set instead if that number is 0.
 	Deltas        []*Delta
 	Configuration *model.Configuration
+	// Shared are the records that the answering daemon keeps for others; see Spread.
+	Shared []SharedRecord
 }
 
 // TargetQuery asks a daemon for a description of its local target.
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -142,6 +142,13 @@
 	spread := &message.Spread{
 		Changes: []message.Change{{Entry: store.Entry{Key: "k", Value: []byte{0, 255}, ModRevision: 1 << 60}, Removed: true}},
 		Delta:   &message.Delta{Number: 5, Base: 4},
+		Shared: []message.SharedRecord{{
+			Record: model.TargetRecord{
+				Target:    model.Target{Daemon: "d", Instance: "i", Since: at, State: model.TargetGone, Sequence: 3},
+				ReportSeq: 7, Leaving: true,
+			},
+			Age: time.Second,
+		}},
 	}
 	var buffer bytes.Buffer
 	e, d := peer.NewEncoder(&buffer), msgpack.NewDecoder(&buffer)
