catalog: a query does not remove expired records

Cause: found in the reading of the merge. The answer to a catalog query removed the records that had expired; queries only read. Change: they are removed with the due tasks, and the answer leaves them out. Measured: the tests of the package pass.

--- a/internal/command/catalog/catalog.go
+++ b/internal/command/catalog/catalog.go
@@ -202,6 +202,7 @@
 	c.applyHeldReport(now)
 	c.checkPreviousTarget()
 	c.maintainAnnouncement(now)
+	c.removeExpiredRecords(now)
 	c.shareDueRecord(now)
 	c.probeUnlistedMembers(now)
 	c.runAntiEntropy(now)
--- a/internal/command/catalog/unstored_record.go
+++ b/internal/command/catalog/unstored_record.go
@@ -107,10 +107,21 @@
 	return messages
 }
 
-// allSharedRecords removes the records that have expired and returns the others as they are sent to peers.
+// allSharedRecords returns the records that have not expired as they are sent to peers.
 func (c *Core) allSharedRecords(now time.Time) []message.SharedRecord {
+	var daemons []model.DaemonID
+	for daemon := range c.sharedRecords {
+		if now.Before(c.sharedRecords[daemon].expiresAt) {
+			daemons = append(daemons, daemon)
+		}
+	}
+	slices.Sort(daemons)
+	return c.sharedRecordMessages(now, daemons)
+}
+
+// removeExpiredRecords removes the records that have expired.
+func (c *Core) removeExpiredRecords(now time.Time) {
 	maps.DeleteFunc(c.sharedRecords, func(_ model.DaemonID, s sharedRecord) bool { return !now.Before(s.expiresAt) })
-	return c.sharedRecordMessages(now, slices.Sorted(maps.Keys(c.sharedRecords)))
 }
 
 // isSuperseded reports whether another record of the same daemon follows from a later report. The platform may still hold the record
