--- a/internal/traffic/pipeline_late_test.go
+++ b/internal/traffic/pipeline_late_test.go
@@ -66,8 +66,8 @@
 	waited := make(chan error, 1)
 	go func() { waited <- server.Wait(t.Context()) }()
 	select {
-	case <-waited:
-		t.Fatal("the wait ended before the request was read")
+	case err := <-waited:
+		t.Fatalf("the wait ended before the request was read: %v", err)
 	case <-time.After(2 * traffic.StopLinger):
 	}
 	close(proceed)
