sidecar: the check of documented events covers the signals

Cause: the line of a signal is written by internal/process, which the check did not read, so that it failed since the line is documented. Change: the check reads that package too.

--- a/internal/sidecar/names_test.go
+++ b/internal/sidecar/names_test.go
@@ -14,7 +14,7 @@
 // eventSources are the files whose log events are documented in docs/OPERATIONS.md.
 var eventSources = []string{
 	"../command/catalog/*.go", "../sidecar/*.go", "../traffic/request_log.go", "../traffic/pipeline*.go",
-	"../telemetry/bounded.go", "../../cmd/sniperail-sidecar/*.go",
+	"../telemetry/bounded.go", "../process/*.go", "../../cmd/sniperail-sidecar/*.go",
 }
 
 // metricSources are the files that create instruments of sniperail-sidecar.
