traffic: a connection that ends with unwritten responses is logged

Change: responses-discarded, once a connection, with the number and whether the caller left. Measured: the tests of the package pass with the race detector.

--- a/internal/traffic/pipeline_conn.go
+++ b/internal/traffic/pipeline_conn.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 )
 
 // pipelineConn is one connection. One goroutine reads its requests, one writes its responses, and each request runs on its
@@ -41,6 +42,8 @@
 	readingEnded bool
 	// lingering means that the sending side is closed and the read deadline is that of closeLinger.
 	lingering bool
+	// callerLeft means that the caller has closed the connection. The reader sets it before it closes responses.
+	callerLeft bool
 	// awaited means that the server waits for the end of the connection, because the caller was told to close it.
 	awaited bool
 }
@@ -136,6 +139,7 @@
 func (c *pipelineConn) awaitClose() {
 	_, err := io.Copy(io.Discard, c.conn)
 	if !isTimeout(err) {
+		c.callerLeft = true
 		c.cancel()
 	}
 }
@@ -341,16 +345,19 @@
 // write writes the responses in order. The responses after one that closes the connection are discarded.
 func (c *pipelineConn) write() {
 	writer := bufio.NewWriterSize(c.conn, responseBuffer)
-	open := true
+	open, discarded := true, 0
 	for r := range c.responses {
-		if open {
-			if open = r.writeTo(writer); !open {
-				c.closeAfterLast()
-			}
+		if !open {
+			discarded++
+		} else if open = r.writeTo(writer); !open {
+			c.closeAfterLast()
 		}
 		r.discard()
 		c.endRequest()
 	}
+	if discarded > 0 {
+		c.server.options.Logger.Info("responses-discarded", zap.Int("responses", discarded), zap.Bool("caller_left", c.callerLeft))
+	}
 }
 
 // limitWriting sets the write deadline of the connection to that of the response being written. Only the writer may call it: a deadline
