traffic: the end of the process waits for callers that read an earlier response

Cause: WaitClosed covered callers that were told to close. A response written before the drain does not say so. Change: a connection whose socket holds unacknowledged bytes when its reading ends counts as lingering too. Idle connections do not. Measured: TestWaitClosedCoversCallersThatReadEarlierResponses fails before in 1 of 1 and passes now, with the race detector too. Conclusion: a caller that reads slowly holds a drain for closeLinger at most, whether or not its response came before the drain.

--- a/internal/traffic/pipeline_conn.go
+++ b/internal/traffic/pipeline_conn.go
@@ -44,7 +44,8 @@
 	lingering bool
 	// callerLeft means that the caller has closed the connection. The reader sets it before it closes responses.
 	callerLeft bool
-	// awaited means that the server waits for the end of the connection, because the caller was told to close it.
+	// awaited means that the server waits for the end of the connection, because the caller was told to close it or has not received
+	// all of an earlier response.
 	awaited bool
 }
 
@@ -82,6 +83,9 @@
 	}()
 	for c.read(ctx) {
 	}
+	if hasUnsent(c.conn) {
+		c.awaitCaller() // before the connection counts as one that is not read, so that the server never misses it
+	}
 	c.stopReading()
 	c.awaitClose()
 	close(c.responses)
@@ -373,10 +377,17 @@
 func (c *pipelineConn) closeAfterLast() {
 	c.cancel()
 	if c.closeSending() {
-		c.server.lingering.begin()
-		c.mu.Lock()
-		defer c.mu.Unlock()
+		c.awaitCaller()
+	}
+}
+
+// awaitCaller counts the connection, once, as one whose caller may not have received its responses.
+func (c *pipelineConn) awaitCaller() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.awaited {
 		c.awaited = true
+		c.server.lingering.begin()
 	}
 }
 
--- a/internal/traffic/pipeline_linger_test.go
+++ b/internal/traffic/pipeline_linger_test.go
@@ -70,3 +70,28 @@
 	is.NoErr(conn.Close())
 	is.NoErr(server.WaitClosed(t.Context()))
 }
+
+// Guards against a process that ends, and resets the connection, while a slow caller still reads a response that was written before the
+// drain, so that it does not say that the connection closes.
+func TestWaitClosedCoversCallersThatReadEarlierResponses(t *testing.T) {
+	is := is.New(t)
+	server, address := servePipelined(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write(bytes.Repeat([]byte("a"), longResponse)) // fails only if the caller has disconnected
+	}), func(conn net.Conn) net.Conn { return conn })
+	conn := dialPipeline(t, address)
+	is.NoErr(conn.SetReadBuffer(smallReadBuffer))
+	_, err := io.WriteString(conn, getRequest("/"))
+	is.NoErr(err)
+	_, err = conn.Read(make([]byte, len("HTTP/1.1 200 OK\r\n")))
+	is.NoErr(err)
+	<-time.After(readPause) // the server writes the rest to its socket
+	server.Drain()
+	server.StopReading()
+	is.NoErr(server.Wait(t.Context()))
+	limited, cancel := context.WithTimeout(t.Context(), readPause)
+	defer cancel()
+	is.Equal(server.WaitClosed(limited), context.DeadlineExceeded)
+	_, err = io.ReadAll(conn)
+	is.NoErr(err)
+	is.NoErr(server.WaitClosed(t.Context()))
+}
--- a/internal/traffic/pipeline_server.go
+++ b/internal/traffic/pipeline_server.go
@@ -56,7 +56,8 @@
 	stoppedReading atomic.Bool
 	// pending counts the requests of all connections that have been read and not answered.
 	pending inFlightCalls
-	// reading counts the connections on which a request may follow, lingering those whose callers were told to close them.
+	// reading counts the connections on which a request may follow, lingering those whose callers were told to close them or have not
+	// received all of their responses.
 	reading, lingering inFlightCalls
 
 	mu     sync.Mutex
@@ -181,8 +182,8 @@
 	return s.pending.waitAndDrain(ctx)
 }
 
-// WaitClosed blocks until the callers that were told to close their connections have done so, or returns the error of ctx. Until then
-// they may not have received their responses, which Close could discard.
+// WaitClosed blocks until the callers that were told to close their connections, or had not received all of their responses when the
+// reading of their connections ended, have closed them, or returns the error of ctx. Until then Close could discard responses.
 func (s *PipelineServer) WaitClosed(ctx context.Context) error { return s.lingering.wait(ctx) }
 
 // Close closes all connections at once.
--- a/internal/traffic/socket_input.go
+++ b/internal/traffic/socket_input.go
@@ -8,17 +8,28 @@
 
 // hasInput reports whether a read or accept on a socket would return at once. It is false for anything but a socket.
 func hasInput(socket any) bool {
+	ready := 0
+	ok := controlSocket(socket, func(fd int) {
+		ready, _ = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0) // an error counts as no input
+	})
+	return ok && ready > 0
+}
+
+// hasUnsent reports whether a socket holds bytes that the other side has not acknowledged. It is false for anything but a socket.
+func hasUnsent(socket any) bool {
+	unsent := 0
+	ok := controlSocket(socket, func(fd int) {
+		unsent, _ = unix.IoctlGetInt(fd, unix.SIOCOUTQ) // an error counts as none
+	})
+	return ok && unsent > 0
+}
+
+// controlSocket calls f with the file descriptor of a socket, and returns false if there is none.
+func controlSocket(socket any, f func(fd int)) bool {
 	conn, ok := socket.(syscall.Conn)
 	if !ok {
 		return false
 	}
 	raw, err := conn.SyscallConn()
-	if err != nil {
-		return false
-	}
-	ready := 0
-	err = raw.Control(func(fd uintptr) {
-		ready, _ = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0) // an error counts as no input
-	})
-	return err == nil && ready > 0
+	return err == nil && raw.Control(func(fd uintptr) { f(int(fd)) }) == nil
 }
