telemetry: a line that is logged while the log is closed does not end the process

Cause: Write sent on a channel that Close had closed. Signals are logged until the end of the process, and requests that were cut may log too. With a slow reader of the log, such a line ended the process with a panic, and its last lines were lost. Change: Close no longer closes the channel. Lines that come after it are dropped. One write takes at most as many lines as are queued. Conclusion: any goroutine may log until the process has ended.

--- a/internal/telemetry/bounded.go
+++ b/internal/telemetry/bounded.go
@@ -27,6 +27,8 @@
 	droppedTotal      atomic.Int64
 	closing, done     chan struct{}
 	closeOnce         sync.Once
+	// reported is when dropped lines were last logged. It belongs to the goroutine that writes.
+	reported time.Time
 }
 
 // NewBoundedWriter returns a writer and starts its goroutine, which Close ends.
@@ -36,7 +38,7 @@
 	return b
 }
 
-// Write queues one line.
+// Write queues one line. A line that comes after Close, or while it waits, may be lost without being counted.
 func (b *BoundedWriter) Write(p []byte) (int, error) {
 	line := append([]byte(nil), p...)
 	select {
@@ -51,29 +53,40 @@
 // Dropped returns the number of lines dropped since the start.
 func (b *BoundedWriter) Dropped() int64 { return b.droppedTotal.Load() }
 
-// Close writes the queued lines and stops the goroutine. Write must not be called after it.
+// Close writes the queued lines and stops the goroutine. Other goroutines may log until the process ends.
 func (b *BoundedWriter) Close() {
-	b.closeOnce.Do(func() {
-		close(b.closing)
-		close(b.lines)
-	})
+	b.closeOnce.Do(func() { close(b.closing) })
 	<-b.done
 }
 
 func (b *BoundedWriter) run() {
 	defer close(b.done)
-	var reported time.Time
-	for line := range b.lines {
-		// A failure to write the log cannot be reported anywhere.
-		_, _ = b.w.Write(b.collect(line))
-		if n := b.droppedUnreported.Load(); n > 0 && time.Since(reported) >= dropReportInterval {
-			reported = time.Now()
-			b.droppedUnreported.Add(-n)
-			_, _ = fmt.Fprintf(b.w, "ts=%s level=warn event=log-lines-dropped count=%d\n", reported.UTC().Format(time.RFC3339Nano), n)
+	for {
+		select {
+		case line := <-b.lines:
+			b.writeFrom(line)
+		case <-b.closing:
+			select {
+			case line := <-b.lines:
+				b.writeFrom(line)
+			default:
+			}
+			return
 		}
 	}
 }
 
+// writeFrom writes a line with those that follow it, and the number of dropped lines if it is due.
+func (b *BoundedWriter) writeFrom(line []byte) {
+	// A failure to write the log cannot be reported anywhere.
+	_, _ = b.w.Write(b.collect(line))
+	if n := b.droppedUnreported.Load(); n > 0 && time.Since(b.reported) >= dropReportInterval {
+		b.reported = time.Now()
+		b.droppedUnreported.Add(-n)
+		_, _ = fmt.Fprintf(b.w, "ts=%s level=warn event=log-lines-dropped count=%d\n", b.reported.UTC().Format(time.RFC3339Nano), n)
+	}
+}
+
 // collect returns a line followed by those that are queued until collectTime has passed or the writer is closed.
 func (b *BoundedWriter) collect(line []byte) []byte {
 	timer := time.NewTimer(collectTime)
@@ -82,15 +95,13 @@
 	case <-timer.C:
 	case <-b.closing:
 	}
-	for {
+	for range maxQueuedLines { // others may log on, so that the queue need not become empty
 		select {
-		case next, ok := <-b.lines:
-			if !ok {
-				return line
-			}
+		case next := <-b.lines:
 			line = append(line, next...)
 		default:
 			return line
 		}
 	}
+	return line
 }
--- a/internal/telemetry/bounded_test.go
+++ b/internal/telemetry/bounded_test.go
@@ -4,6 +4,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -70,3 +71,27 @@
 	is.Equal(out.text.String(), want.String())
 	is.True(out.writes <= 10)
 }
+
+// Guards against a process that panics instead of writing its last lines, because another goroutine logs while the writer is closed.
+func TestBoundedWriterDropsLinesAfterClose(t *testing.T) {
+	is := is.New(t)
+	slow := &slowWriter{release: make(chan struct{})}
+	b := telemetry.NewBoundedWriter(slow)
+	_, err := b.Write([]byte("last\n"))
+	is.NoErr(err)
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		b.Close()
+	}()
+	for end := time.Now().Add(200 * time.Millisecond); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		_, err := b.Write([]byte("late\n"))
+		is.NoErr(err)
+	}
+	close(slow.release)
+	<-closed
+	_, err = b.Write([]byte("after\n"))
+	is.NoErr(err)
+	is.True(strings.Contains(slow.text.String(), "last\n"))
+	is.True(!strings.Contains(slow.text.String(), "after\n"))
+}
