traffic: a handler that panics does not end the process

Cause: a response whose handler panicked for another reason than to abort it passed the panic on, in a goroutine of its own. That ended the process, and cut the requests of all its connections. The server between daemons recovers from such panics. Change: the panic is logged with its stack. The response is replaced by a 502, or aborted if a part of it may have been sent. Conclusion: of the ways in which one request could end the others of the process, this one is closed. No panic of a handler is known.

--- a/internal/traffic/pipeline_server_test.go
+++ b/internal/traffic/pipeline_server_test.go
@@ -309,3 +309,32 @@
 		})
 	}
 }
+
+// Guards against a handler that panics and ends the process, with the requests of all connections.
+func TestPanicCostsOnlyItsRequest(t *testing.T) {
+	is := is.New(t)
+	released := make(chan struct{})
+	server, conn := startPipeline(t, func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/panic":
+			_, _ = io.WriteString(w, "part")
+			panic("fault of a handler")
+		case "/held":
+			<-released
+		}
+		_, _ = io.WriteString(w, "served")
+	})
+	_, err := io.WriteString(conn, getRequest("/held")+getRequest("/panic")+getRequest("/after"))
+	is.NoErr(err)
+	time.AfterFunc(50*time.Millisecond, func() { close(released) })
+	reader := bufio.NewReader(conn)
+	for _, want := range []struct {
+		status int
+		body   string
+	}{{http.StatusOK, "served"}, {http.StatusBadGateway, ""}, {http.StatusOK, "served"}} {
+		response, body := readResponse(t, reader)
+		is.Equal(response.StatusCode, want.status)
+		is.Equal(body, want.body)
+	}
+	is.NoErr(server.Wait(t.Context()))
+}
--- a/internal/traffic/pipelined_response.go
+++ b/internal/traffic/pipelined_response.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"go.uber.org/zap"
 )
 
 // pipelinedResponse is the response to one request of a PipelineServer. The handler writes into its buffer, and the writer
@@ -143,18 +145,29 @@
 	defer func() {
 		fault := recover()
 		r.releaseBody()
-		if fault != nil {
+		switch {
+		case fault == nil:
+			r.finish()
+		case fault == http.ErrAbortHandler || !r.replaceFaulty(fault):
 			r.abort()
-			if fault != http.ErrAbortHandler {
-				panic(fault)
-			}
-			return
 		}
-		r.finish()
 	}()
 	r.conn.server.options.Handler.ServeHTTP(r, r.request)
 }
 
+// replaceFaulty logs the panic of a handler, and replaces its response unless bytes of it may have been sent. Like http.Server, the
+// server goes on: the end of the process would cut the requests of all connections. A target may have executed the request.
+func (r *pipelinedResponse) replaceFaulty(fault any) bool {
+	r.conn.server.options.Logger.Error("handler-panicked", zap.String("path", r.request.URL.Path), zap.Any("fault", fault),
+		zap.StackSkip("stack", 1))
+	if !r.Withdraw() {
+		return false
+	}
+	r.WriteHeader(http.StatusBadGateway)
+	r.finish()
+	return true
+}
+
 // releaseBody ends the reads of the request body. It must come before the end of the response, whose head says whether the
 // connection closes.
 func (r *pipelinedResponse) releaseBody() {
