daemon: a stop of sniperaild answers the requests that have arrived

Cause: http.Server closes idle connections and its listener at once when it stops. Requests that had arrived on them, or waited in the accept queue, ended without an answer. A slow caller that sent another request lost the rest of its earlier response. Change: the ingress is served by PipelineServer, as that of sniperail-sidecar is. Pipelined requests of one connection now run concurrently. The operators' API and the calls between daemons stay with http.Server.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -37,6 +37,9 @@
 	drainNotice = 3 * time.Second
 	// shutdownTimeout bounds the wait for calls in flight. It exceeds the default deadline of a call.
 	shutdownTimeout = 30 * time.Second
+	// headerTimeout bounds the time in which a caller must send a request header, and idleTimeout the time between its requests.
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 90 * time.Second
 	// storeTimeout bounds one call to the platform's store, which normally answers within milliseconds.
 	storeTimeout     = 2 * time.Second
 	storeDialTimeout = 500 * time.Millisecond
@@ -64,7 +67,10 @@
 
 type listeners struct{ ingress, admission, peer, api net.Listener }
 
-type servers struct{ ingress, admission, api *http.Server }
+type servers struct {
+	ingress        *traffic.PipelineServer
+	admission, api *http.Server
+}
 
 // memoryLimit is the limit in bytes that docs/design.md sets for control in a daemon. The garbage collector runs more often
 // when memory use approaches it.
@@ -191,7 +197,11 @@
 	if err := metrics.RegisterAdmissionGauges(d.admission); err != nil {
 		return err
 	}
-	d.servers.ingress = d.withErrorLog(traffic.NewServer(d.ingress, limits))
+	// Unlike http.Server, it answers requests that have arrived when it stops, also those of connections that were not accepted yet.
+	d.servers.ingress = traffic.NewPipelineServer(traffic.PipelineOptions{
+		Handler: d.ingress, HeaderBytes: limits.HeaderBytes, Logger: d.logger,
+		HeaderTimeout: func() time.Duration { return headerTimeout }, IdleTimeout: func() time.Duration { return idleTimeout },
+	})
 	d.servers.admission = d.withErrorLog(traffic.NewServer(d.admission, limits))
 	return nil
 }
@@ -270,7 +280,7 @@
 		zap.Stringer("peer", d.listeners.peer.Addr()), zap.Stringer("api", d.listeners.api.Addr()))
 }
 
-func (d *Daemon) serve(name string, server *http.Server, listener net.Listener) {
+func (d *Daemon) serve(name string, server interface{ Serve(net.Listener) error }, listener net.Listener) {
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 		d.logger.Error("server stopped", zap.String("server", name), zap.Error(err))
 	}
@@ -282,19 +292,17 @@
 	d.logger.Info("draining")
 	d.admission.Drain()
 	d.loop.NotifyTargetChanged(ctx, model.TargetDraining)
-	// Close callers' connections after their next response, so that none is open when the listener closes.
-	d.servers.ingress.SetKeepAlivesEnabled(false)
+	// Close callers' connections after their next response, so that few are open when the listener closes.
+	d.servers.ingress.Drain()
 	process.Wait(ctx, drainNotice)
 	limited, cancel := context.WithTimeout(ctx, shutdownTimeout)
 	defer cancel()
 	var group sync.WaitGroup
-	for name, server := range map[string]*http.Server{
-		"ingress": d.servers.ingress, "admission": d.servers.admission, "api": d.servers.api,
-	} {
+	group.Go(func() { d.stopIngress(limited, started) })
+	for name, server := range map[string]*http.Server{"admission": d.servers.admission, "api": d.servers.api} {
 		group.Go(func() {
 			if err := server.Shutdown(limited); err != nil {
-				d.logger.Warn("stopping-cuts", zap.String("server", name), zap.Int("requests", d.ingress.InFlight()),
-					zap.Int("calls", d.admission.InFlight()), zap.Int64("after_ms", time.Since(started).Milliseconds()))
+				d.logCuts(name, started)
 				_ = server.Close()
 			}
 		})
@@ -304,3 +312,20 @@
 	d.guard.Close(limited)
 	d.logger.Info("drained")
 }
+
+// stopIngress stops the ingress after the requests that have arrived, and waits for callers that still read their responses.
+func (d *Daemon) stopIngress(ctx context.Context, started time.Time) {
+	server := d.servers.ingress
+	server.StopReading()
+	server.StopAccepting()
+	if server.Wait(ctx) != nil {
+		d.logCuts("ingress", started)
+	}
+	_ = server.WaitClosed(ctx) // a caller that has not read its response until then loses it
+	_ = server.Close()
+}
+
+func (d *Daemon) logCuts(server string, started time.Time) {
+	d.logger.Warn("stopping-cuts", zap.String("server", server), zap.Int("requests", d.ingress.InFlight()),
+		zap.Int("calls", d.admission.InFlight()), zap.Int64("after_ms", time.Since(started).Milliseconds()))
+}
