traffic: flushed parts of a response reach the caller before its end

Cause: PipelineServer begins a response once it is complete or 128 KB are buffered, and its Flush did nothing. As the server of sniperaild's callers it would have held back streams, such as events, that http.Server passed on at once. Change: a flush makes the writer begin the response. The sidecar does not flush: until a part was sent, a failure can take the place of the response. Measured: TestFlushedPartsArriveBeforeTheEnd waits for ever without the change, and passes with it; the tests of the package pass with the race detector.

--- a/internal/traffic/outbound_request.go
+++ b/internal/traffic/outbound_request.go
@@ -327,7 +327,8 @@
 		return
 	}
 	w.WriteHeader(a.response.StatusCode)
-	failure := stream(w, a.response.Body, a.response.ContentLength < 0, r.deadline)
+	// Not flushed: as long as no part of the response was sent, a failure can take its place.
+	failure := stream(w, a.response.Body, false, r.deadline)
 	a.exchange.finish(failure == 0)
 	if failure == 0 {
 		return
--- a/internal/traffic/pipeline_server_test.go
+++ b/internal/traffic/pipeline_server_test.go
@@ -338,3 +338,27 @@
 	}
 	is.NoErr(server.Wait(t.Context()))
 }
+
+// Guards against a response whose parts reach the caller only when it is complete, although the handler flushes them.
+func TestFlushedPartsArriveBeforeTheEnd(t *testing.T) {
+	is := is.New(t)
+	received := make(chan struct{})
+	_, address := servePipelined(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "first ") // fails only if the caller has disconnected
+		is.NoErr(http.NewResponseController(w).Flush())
+		<-received
+		_, _ = io.WriteString(w, "second")
+	}), func(conn net.Conn) net.Conn { return conn })
+	conn := dialPipeline(t, address)
+	_, err := io.WriteString(conn, getRequest("/"))
+	is.NoErr(err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	is.NoErr(err)
+	part := make([]byte, len("first "))
+	_, err = io.ReadFull(response.Body, part)
+	is.NoErr(err)
+	close(received)
+	rest, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	is.Equal(string(part)+string(rest), "first second")
+}
--- a/internal/traffic/pipelined_response.go
+++ b/internal/traffic/pipelined_response.go
@@ -38,8 +38,8 @@
 	// begun means that the writer may have sent bytes of the response, finished that the handler has returned, aborted that the
 	// response is incomplete and the caller must be able to tell, discarded that the response will not be written (any further),
 	// wantsContinue that "100 Continue" must be sent before the caller sends its body, bodyLeft that the rest of the request body
-	// stays on the connection.
-	begun, finished, aborted, discarded, wantsContinue, bodyLeft bool
+	// stays on the connection. flushed means that the handler wants the caller to receive what it has written.
+	begun, finished, aborted, discarded, wantsContinue, bodyLeft, flushed bool
 }
 
 // maxBufferedResponse is the number of buffered bytes from which Write blocks.
@@ -92,8 +92,13 @@
 	return len(p), nil
 }
 
-// Flush does nothing: the writer sends buffered bytes without delay once the earlier responses are written.
-func (r *pipelinedResponse) Flush() {}
+// Flush makes the writer begin the response, if it has a body by then, without waiting for more of it.
+func (r *pipelinedResponse) Flush() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.flushed = r.flushed || len(r.buffered) > 0
+	r.changed.Broadcast()
+}
 
 // SetReadDeadline sets the deadline for reading the request body from the connection. For a body that is buffered it does nothing: the
 // connection is then read for the next request, which the deadline would end.
@@ -127,6 +132,11 @@
 	})
 }
 
+// mayBegin reports whether the writer may begin a response that is not complete. The lock must be held.
+func (r *pipelinedResponse) mayBegin() bool {
+	return r.flushed || len(r.buffered) >= maxBufferedResponse
+}
+
 // expired reports whether the response cannot be completed any more and has not been begun. The lock must be held.
 func (r *pipelinedResponse) expired() bool {
 	return !r.begun && !r.expires.IsZero() && !time.Now().Before(r.expires)
@@ -236,16 +246,16 @@
 		return false
 	}
 	clear(r.header)
-	r.status, r.buffered, r.length = 0, nil, -1
+	r.status, r.buffered, r.length, r.flushed = 0, nil, -1, false
 	r.clearExpiry()
 	return true
 }
 
 // writeTo writes the response, and reports whether another may follow on the connection. It begins once the response is complete, or
-// maxBufferedResponse bytes are buffered and the rest can still follow.
+// it was flushed or maxBufferedResponse bytes are buffered, and the rest can still follow.
 func (r *pipelinedResponse) writeTo(w *bufio.Writer) (open bool) {
 	r.mu.Lock()
-	r.waitFor(func() bool { return r.finished || len(r.buffered) >= maxBufferedResponse && !r.expired() })
+	r.waitFor(func() bool { return r.finished || r.mayBegin() && !r.expired() })
 	r.begun = true
 	defer r.conn.limitWriting(time.Time{})
 	r.conn.limitWriting(r.writeDeadline)
