sidecar: tests of a stop with slow callers and with a full accept queue

Cause: without its wait for slow callers, or with a listener that is closed at once, the daemon passed the tests of its packages; only the soak saw it. Change: tests of both stops with a process, and of a begun response. Conclusion: what the server does at a stop is now tested at the daemon that uses it.

--- a/cmd/sniperail-sidecar/signals_test.go
+++ b/cmd/sniperail-sidecar/signals_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"fmt"
 	"net"
 	"net/http"
@@ -55,6 +56,10 @@
 			target.arrived <- struct{}{}
 			<-release
 		}
+		if r.URL.Path == "/a/long" {
+			_, _ = w.Write(bytes.Repeat([]byte("a"), longResponse)) // fails only if the caller has disconnected
+			return
+		}
 		_, _ = fmt.Fprint(w, "answer to "+r.URL.Path) // fails only if the caller has disconnected
 	}))
 	t.Cleanup(func() {
