traffic: a caller that reads no responses does not keep its connection for ever

Cause: a response whose handler sets no deadline was written without one. Change: PipelineServer takes the same limit, which holds for each response from its start unless the handler sets a deadline. They still hold a stop up to its own limit.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -199,7 +199,7 @@
 	}
 	// Unlike http.Server, it answers requests that have arrived when it stops, also those of connections that were not accepted yet.
 	d.servers.ingress = traffic.NewPipelineServer(traffic.PipelineOptions{
-		Handler: d.ingress, HeaderBytes: limits.HeaderBytes, Logger: d.logger,
+		Handler: d.ingress, HeaderBytes: limits.HeaderBytes, Logger: d.logger, WriteTimeout: traffic.ResponseWriteTimeout,
 		HeaderTimeout: func() time.Duration { return headerTimeout }, IdleTimeout: func() time.Duration { return idleTimeout },
 	})
 	d.servers.admission = d.withErrorLog(traffic.NewServer(d.admission, limits))
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -230,7 +230,7 @@
 		return err
 	}
 	d.ingress = traffic.NewPipelineServer(traffic.PipelineOptions{
-		Handler: d.outbound, HeaderBytes: limits.HeaderBytes, Logger: d.logger,
+		Handler: d.outbound, HeaderBytes: limits.HeaderBytes, Logger: d.logger, WriteTimeout: traffic.ResponseWriteTimeout,
 		HeaderTimeout: d.callerLimit(headerTimeout, func(l *model.CallerLimits) int { return l.HeaderTimeoutMS }),
 		IdleTimeout:   d.callerLimit(idleTimeout, func(l *model.CallerLimits) int { return l.IdleTimeoutMS }),
 	})
--- a/internal/traffic/pipeline_late_test.go
+++ b/internal/traffic/pipeline_late_test.go
@@ -99,6 +99,7 @@
 	server := traffic.NewPipelineServer(traffic.PipelineOptions{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "served") }),
 		Logger:  zap.NewNop(), HeaderBytes: 2 << 10, HeaderTimeout: minute, IdleTimeout: minute,
+		WriteTimeout: traffic.ResponseWriteTimeout,
 	})
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(late) }()
--- a/internal/traffic/pipeline_linger_test.go
+++ b/internal/traffic/pipeline_linger_test.go
@@ -7,10 +7,12 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"go.uber.org/zap"
 
 	"sniperail.example/sniperail/internal/traffic"
 )
@@ -95,3 +97,28 @@
 	is.NoErr(err)
 	is.NoErr(server.WaitClosed(t.Context()))
 }
+
+// Guards against connections that are kept for ever because their callers read no responses.
+func TestUnreadResponsesEndTheConnection(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	minute := func() time.Duration { return time.Minute }
+	server := traffic.NewPipelineServer(traffic.PipelineOptions{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write(bytes.Repeat([]byte("a"), smallReadBuffer)) // fails only if the caller has disconnected
+		}),
+		Logger: zap.NewNop(), HeaderBytes: 2 << 10, HeaderTimeout: minute, IdleTimeout: minute, WriteTimeout: readPause,
+	})
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	conn := dialPipeline(t, listener.Addr().String())
+	is.NoErr(conn.SetReadBuffer(smallReadBuffer))
+	_, err = io.WriteString(conn, strings.Repeat(getRequest("/"), 200)) // for more than the sockets hold
+	is.NoErr(err)
+	<-time.After(readPause)
+	limited, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	server.StopAccepting()
+	is.NoErr(server.Wait(limited))
+}
--- a/internal/traffic/pipeline_server.go
+++ b/internal/traffic/pipeline_server.go
@@ -44,7 +44,9 @@
 	HeaderBytes int
 	// HeaderTimeout bounds the time in which a caller must send a request header, IdleTimeout the time between requests.
 	HeaderTimeout, IdleTimeout func() time.Duration
-	Logger                     *zap.Logger
+	// WriteTimeout bounds the time for writing a response whose handler sets no deadline for that.
+	WriteTimeout time.Duration
+	Logger       *zap.Logger
 }
 
 // PipelineServer serves HTTP/1.1 like http.Server, except that the requests of one connection run concurrently; their
--- a/internal/traffic/pipeline_server_test.go
+++ b/internal/traffic/pipeline_server_test.go
@@ -44,6 +44,7 @@
 	server := traffic.NewPipelineServer(traffic.PipelineOptions{
 		Handler: handler, HeaderBytes: 2 << 10, Logger: zap.NewNop(),
 		HeaderTimeout: func() time.Duration { return time.Minute }, IdleTimeout: func() time.Duration { return idle },
+		WriteTimeout: traffic.ResponseWriteTimeout,
 	})
 	served := make(chan struct{})
 	go func() {
--- a/internal/traffic/pipelined_response.go
+++ b/internal/traffic/pipelined_response.go
@@ -31,10 +31,11 @@
 	// buffered is the part of the body that the writer has not taken yet, length the declared length or -1.
 	buffered []byte
 	length   int64
-	// writeDeadline is the write deadline of the connection while this response is written, zero for none. From expires on the
+	// writeDeadline is the write deadline of the connection while this response is written; while it is zero, latestWrite is, which
+	// the writer sets when it begins the response. From expires on the
 	// handler cannot complete a response that is not begun yet; zero means never, and expiry wakes those who wait then.
-	writeDeadline, expires time.Time
-	expiry                 *time.Timer
+	writeDeadline, latestWrite, expires time.Time
+	expiry                              *time.Timer
 	// begun means that the writer may have sent bytes of the response, finished that the handler has returned, aborted that the
 	// response is incomplete and the caller must be able to tell, discarded that the response will not be written (any further),
 	// wantsContinue that "100 Continue" must be sent before the caller sends its body, bodyLeft that the rest of the request body
@@ -257,8 +258,9 @@
 	r.mu.Lock()
 	r.waitFor(func() bool { return r.finished || r.mayBegin() && !r.expired() })
 	r.begun = true
+	r.latestWrite = time.Now().Add(r.conn.server.options.WriteTimeout)
 	defer r.conn.limitWriting(time.Time{})
-	r.conn.limitWriting(r.writeDeadline)
+	r.limitWriting()
 	if r.aborted {
 		r.mu.Unlock()
 		return false
@@ -272,6 +274,15 @@
 	return r.writeBody(w) && w.Flush() == nil && !closes && !r.leavesBody()
 }
 
+// limitWriting sets the write deadline of the connection for this response. The lock must be held.
+func (r *pipelinedResponse) limitWriting() {
+	if r.writeDeadline.IsZero() {
+		r.conn.limitWriting(r.latestWrite)
+		return
+	}
+	r.conn.limitWriting(r.writeDeadline)
+}
+
 // leavesBody reports whether the rest of the request body stays on the connection. The head of a long response may have been
 // written before that was known.
 func (r *pipelinedResponse) leavesBody() bool {
@@ -372,7 +383,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.waitFor(func() bool { return r.finished || len(r.buffered) > 0 })
-	r.conn.limitWriting(r.writeDeadline)
+	r.limitWriting()
 	part, r.buffered = r.buffered, nil
 	r.changed.Broadcast()
 	return part, r.finished, r.aborted
--- a/internal/traffic/standard_server.go
+++ b/internal/traffic/standard_server.go
@@ -9,14 +9,17 @@
 // unreadBodyLinger is how long the rest of a request body is still read after the response.
 const unreadBodyLinger = 500 * time.Millisecond
 
+// ResponseWriteTimeout bounds the time for writing a response. A caller that does not read its response must not keep its connection, or
+// block a drain, forever.
+const ResponseWriteTimeout = maxDeadline + time.Minute
+
 // NewServer returns a server for a handler of this package with the limits that a handler cannot enforce.
 func NewServer(handler http.Handler, limits Limits) *http.Server {
 	return &http.Server{
 		Handler:           longBodyHandler{handler},
 		MaxHeaderBytes:    limits.HeaderBytes,
 		ReadHeaderTimeout: 5 * time.Second,
-		// A caller that does not read its response must not block a drain forever.
-		WriteTimeout: maxDeadline + time.Minute,
+		WriteTimeout:      ResponseWriteTimeout,
 		// Longer than the idle timeout of the connection pools, so that the client side closes an idle connection first.
 		IdleTimeout: idleTimeout + 30*time.Second,
 	}
