sidecar: a short grace period shortens the notices of a drain

The notices of a drain took 2.3 s whatever the grace period, which may be 1 s: the process was killed with its requests (LOST). Change: the notices take at most half of the time that the drain has. TestNoticesFitIntoTheGracePeriod fails with the former times for 1 to 4 s. From 6 s on nothing changes.

--- a/internal/sidecar/export_test.go
+++ b/internal/sidecar/export_test.go
@@ -17,3 +17,6 @@
 	d := &Sidecar{settings: settings.Sidecar{Target: target}, logger: zap.NewNop()}
 	return d.checkTargetHealth(ctx, "/health")
 }
+
+// DrainNotices exports drainNotices for tests.
+var DrainNotices = drainNotices
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -356,9 +356,10 @@
 	drained := started.Add(d.settings.Grace - exitMargin)
 	d.outbound.StopAt(drained.Add(-lastAnswerMargin))
 	d.ingress.Drain()
-	process.Wait(ctx, targetDrainNotice)
+	targetNotice, notice := drainNotices(d.settings.Grace)
+	process.Wait(ctx, targetNotice)
 	d.loop.NotifyStopping(ctx)
-	process.Wait(ctx, drainNotice-targetDrainNotice)
+	process.Wait(ctx, notice-targetNotice)
 	d.ingress.StopReading()
 	d.ingress.StopAccepting()
 	limited, cancel := context.WithDeadline(ctx, drained)
@@ -378,6 +379,13 @@
 	}
 }
 
+// drainNotices returns targetDrainNotice and drainNotice, or shorter times that leave half of a short grace period for the requests
+// that still run.
+func drainNotices(grace time.Duration) (target, all time.Duration) {
+	all = min(drainNotice, (grace-exitMargin)/2)
+	return all * targetDrainNotice / drainNotice, all
+}
+
 // Reload applies the settings that may change while the process runs, which are the seeds. All others take effect at the next
 // start.
 func (d *Sidecar) Reload(ctx context.Context, next settings.Sidecar) {
