--- a/internal/traffic/pipelined_response.go
+++ b/internal/traffic/pipelined_response.go
@@ -31,15 +31,15 @@
 	// buffered is the part of the body that the writer has not taken yet, length the declared length or -1.
 	buffered []byte
 	length   int64
-	// writeDeadline is the write deadline of the connection while this response is written; while it is zero, latestWrite is, which
-	// the writer sets when it begins the response. From expires on the
-	// handler cannot complete a response that is not begun yet; zero means never, and expiry wakes those who wait then.
+	// writeDeadline is the write deadline of the connection while this response is written. If it is zero, latestWrite is, which the
+	// writer sets when it begins the response. From expires on the handler cannot complete a response that is not begun yet; zero
+	// means never, and expiry wakes those who wait then.
 	writeDeadline, latestWrite, expires time.Time
 	expiry                              *time.Timer
 	// begun means that the writer may have sent bytes of the response, finished that the handler has returned, aborted that the
 	// response is incomplete and the caller must be able to tell, discarded that the response will not be written (any further),
 	// wantsContinue that "100 Continue" must be sent before the caller sends its body, bodyLeft that the rest of the request body
-	// stays on the connection. flushed means that the handler wants the caller to receive what it has written.
+	// stays on the connection, flushed that the handler wants the caller to receive what it has written.
 	begun, finished, aborted, discarded, wantsContinue, bodyLeft, flushed bool
 }
 
