traffic: a caller that speaks HTTP/1.0 gets no chunks

Change: for such a caller the body ends with the connection, which is reset if the response breaks off, so that it never looks complete. What writes a response moves to a file of its own.

--- a/internal/traffic/pipeline_close.go
+++ b/internal/traffic/pipeline_close.go
@@ -68,3 +68,11 @@
 		c.server.lingering.end()
 	}
 }
+
+// reset closes the connection with a reset, so that a body that ends with it does not look complete.
+func (c *pipelineConn) reset() {
+	if tcp, ok := c.conn.(interface{ SetLinger(sec int) error }); ok {
+		_ = tcp.SetLinger(0) // fails only if the connection is closed
+	}
+	_ = c.conn.Close()
+}
--- a/internal/traffic/pipelined_response.go
+++ b/internal/traffic/pipelined_response.go
@@ -2,10 +2,8 @@
 
 import (
 	"bufio"
-	"fmt"
 	"io"
 	"net/http"
-	"net/http/httputil"
 	"os"
 	"strconv"
 	"sync"
@@ -307,75 +305,7 @@
 
 // mustClose reports whether the connection has to close after this response.
 func (r *pipelinedResponse) mustClose() bool {
-	return r.header.Get("Connection") == "close" || r.request == nil || r.request.Close || r.bodyLeft
-}
-
-func (r *pipelinedResponse) hasNoBody() bool {
-	return r.request != nil && r.request.Method == http.MethodHead || r.status == http.StatusNoContent ||
-		r.status == http.StatusNotModified
-}
-
-func (r *pipelinedResponse) writeHead(w *bufio.Writer, closes bool) {
-	text := http.StatusText(r.status)
-	if text == "" {
-		text = "Status"
-	}
-	_, _ = fmt.Fprintf(w, "HTTP/1.1 %03d %s\r\n", r.status, text) // bufio keeps the first error for Flush
-	if closes {
-		r.header.Set("Connection", "close")
-	} else {
-		r.header.Del("Connection")
-	}
-	switch {
-	case r.status == http.StatusNoContent:
-		r.header.Del("Content-Length")
-	case r.length >= 0:
-		r.header.Set("Content-Length", strconv.FormatInt(r.length, 10))
-	default:
-		r.header.Set("Transfer-Encoding", "chunked")
-	}
-	if r.header.Get("Date") == "" {
-		r.header.Set("Date", time.Now().UTC().Format(http.TimeFormat))
-	}
-	_ = r.header.Write(w)
-	_, _ = w.WriteString("\r\n")
-}
-
-// writeBody writes the body while the handler produces it. It returns false if the body is incomplete.
-func (r *pipelinedResponse) writeBody(w *bufio.Writer) bool {
-	var body io.Writer = w
-	var chunks io.WriteCloser
-	if r.length < 0 && !r.hasNoBody() {
-		chunks = httputil.NewChunkedWriter(w)
-		body = chunks
-	}
-	var sent int64
-	for {
-		part, finished, aborted := r.takeBody()
-		if aborted {
-			return false
-		}
-		if !r.hasNoBody() {
-			sent += int64(len(part))
-			if _, err := body.Write(part); err != nil {
-				return false
-			}
-		}
-		if !finished && w.Flush() != nil {
-			return false
-		}
-		if finished {
-			break
-		}
-	}
-	if chunks == nil {
-		return r.hasNoBody() || sent == r.length
-	}
-	if chunks.Close() != nil {
-		return false
-	}
-	_, err := w.WriteString("\r\n")
-	return err == nil
+	return r.header.Get("Connection") == "close" || r.request == nil || r.request.Close || r.bodyLeft || r.endsWithConnection()
 }
 
 // takeBody waits for buffered bytes or the end of the response and takes the buffered bytes.
