--- a/internal/traffic/pipeline_server.go
+++ b/internal/traffic/pipeline_server.go
@@ -33,7 +33,7 @@
 	// acceptPause is the pause after a failed accept, for example when the process is out of file descriptors.
 	acceptPause = 20 * time.Millisecond
 	// acceptDrainTimeout bounds the time in which StopAccepting accepts the connections in the queue. A process that is out of file
-	// descriptors accepts them as connections end, which takes up to closeLinger after each last response.
+	// descriptors accepts them only as other connections end.
 	acceptDrainTimeout = 1500 * time.Millisecond
 )
 
