sidecar: a stop takes the calls of requests that its target still works on

Cause: callers saw a confirmation fail with a 500 of its target in a planned stop. The daemon beside the target closed its ingress 2.3 s after SIGTERM, while calls of other daemons ran at the target for seconds more. The target makes its own calls through that ingress, and nobody took them. A safe request was repeated elsewhere, one that may not be repeated failed. Change: after the notice the ingress stays open until no call of another daemon runs at the target. What arrives then and may last longer than the drain is refused as not executed, so that the end cuts nothing. Measured: TestStopTakesCallsOfARunningRequest fails before (no connection) and passes after.

--- a/cmd/sniperail-sidecar/signals_test.go
+++ b/cmd/sniperail-sidecar/signals_test.go
@@ -45,17 +45,23 @@
 	address string
 	arrived chan struct{}
 	answer  func()
+	// call is what a held request to /a/calls calls before its answer, and called the status that it got, 0 for none.
+	call   func() int
+	called chan int
 }
 
 func startTarget(t *testing.T) *heldTarget {
 	release := make(chan struct{})
-	target := &heldTarget{arrived: make(chan struct{}, 1), answer: sync.OnceFunc(func() { close(release) })}
+	target := &heldTarget{arrived: make(chan struct{}, 1), answer: sync.OnceFunc(func() { close(release) }), called: make(chan int, 1)}
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("X-Sniperail-Request-Id", r.Header.Get("X-Sniperail-Request-Id"))
-		if r.URL.Path == "/a/held" {
+		if r.URL.Path == "/a/held" || r.URL.Path == "/a/calls" {
 			target.arrived <- struct{}{}
 			<-release
 		}
+		if r.URL.Path == "/a/calls" {
+			target.called <- target.call()
+		}
 		if r.URL.Path == "/a/long" {
 			_, _ = w.Write(bytes.Repeat([]byte("a"), longResponse)) // fails only if the caller has disconnected
 			return
--- a/cmd/sniperail-sidecar/stop_test.go
+++ b/cmd/sniperail-sidecar/stop_test.go
@@ -106,3 +106,21 @@
 		is.NoErr(response.Body.Close())
 	}
 }
+
+// Guards against a request that fails in a planned stop, because the daemon takes no calls of its target while that works on it.
+func TestStopTakesCallsOfARunningRequest(t *testing.T) {
+	is := is.New(t)
+	d := startDaemon(t)
+	d.target.call = func() int { return d.send(http.MethodPost, "http://"+d.ingress+"/a/x", "") }
+	d.serve()
+	status := make(chan int, 1)
+	go func() { status <- d.send(http.MethodPost, "http://"+d.ingress+"/a/calls", "") }()
+	<-d.target.arrived
+	d.Signal(syscall.SIGTERM)
+	d.AwaitLine("event=stopping")
+	<-time.After(stopTime)
+	d.target.answer()
+	is.True(<-d.target.called != 0)
+	is.Equal(<-status, http.StatusOK)
+	is.Equal(d.AwaitExit(), 0)
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -53,6 +53,8 @@
 	// lastAnswerMargin is the time between the deadline of the last requests and the end of the drain. In it, the requests that
 	// are still running then are answered.
 	lastAnswerMargin = 100 * time.Millisecond
+	// ingressStopTime is the time reserved for the stop of the ingress, which begins when no call of another daemon runs at the target.
+	ingressStopTime = time.Second
 	// responseFlushTime is the time allowed for writing the last responses.
 	responseFlushTime = 100 * time.Millisecond
 	// gcPercent keeps the heap small, because the VM's memory is meant for the target. The cost of more frequent collections
@@ -360,6 +362,7 @@
 	process.Wait(ctx, targetNotice)
 	d.loop.NotifyStopping(ctx)
 	process.Wait(ctx, notice-targetNotice)
+	d.takeTargetCalls(ctx, drained.Add(-ingressStopTime))
 	d.ingress.StopReading()
 	d.ingress.StopAccepting()
 	limited, cancel := context.WithDeadline(ctx, drained)
@@ -379,6 +382,15 @@
 	}
 }
 
+// takeTargetCalls keeps the ingress open while the target works on calls of other daemons: it may need calls of its own for them. Other
+// callers have been told to leave; of what they still send, only requests that end before the drain are taken.
+func (d *Sidecar) takeTargetCalls(ctx context.Context, until time.Time) {
+	d.outbound.RefuseLong()
+	ctx, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
+	_ = d.inbound.WaitIdle(ctx) // a call that runs longer is waited for, but its target cannot make calls any more
+}
+
 // drainNotices returns targetDrainNotice and drainNotice, or shorter times that leave half of a short grace period for the requests
 // that still run.
 func drainNotices(grace time.Duration) (target, all time.Duration) {
--- a/internal/traffic/inbound.go
+++ b/internal/traffic/inbound.go
@@ -109,6 +109,9 @@
 	}
 }
 
+// WaitIdle blocks until no call is in flight, or returns the error of ctx.
+func (in *Inbound) WaitIdle(ctx context.Context) error { return in.inFlight.wait(ctx) }
+
 // Wait blocks until no call is in flight, or returns the error of ctx. Later calls are refused as not executed: the daemon ends.
 func (in *Inbound) Wait(ctx context.Context) error { return in.inFlight.waitAndDrain(ctx) }
 
--- a/internal/traffic/outbound.go
+++ b/internal/traffic/outbound.go
@@ -40,9 +40,7 @@
 	budgets          lazyMap[model.ServiceName, sharedBudget]
 	longestDeadlines longestDeadlines
 	leaving          leavingRuns
-	// stopAt is the time by which every request must be answered because the daemon stops, in Unix nanoseconds; 0 while it
-	// does not stop.
-	stopAt atomic.Int64
+	stop             stopLimit
 }
 
 // NewOutbound returns a handler. A call is not cancelled because its target leaves the table or has not answered for long:
@@ -71,7 +69,11 @@
 
 // StopAt makes requests that arrive from now on end by the given time, at which the daemon stops. One that cannot finish until
 // then is refused as not executed, and one that is still running gets an answer instead of a closed connection.
-func (o *Outbound) StopAt(t time.Time) { o.stopAt.Store(t.UnixNano()) }
+func (o *Outbound) StopAt(t time.Time) { o.stop.set(t) }
+
+// RefuseLong makes requests that arrive from now on be refused as not executed if they may last longer than until the time that was
+// given to StopAt.
+func (o *Outbound) RefuseLong() { o.stop.refusesLong.Store(true) }
 
 // ServeHTTP handles one request of a caller.
 func (o *Outbound) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -114,9 +116,9 @@
 	}
 	callerDeadline, _ := remainingTimeFrom(r.Header, o.options.Headers.Deadline, maxDeadline)
 	objective := now.Add(route.TargetLatency - o.longestDeadlines.elapsed(route.Name, callerDeadline))
-	deadline := now.Add(left)
-	if stopAt := o.stopAt.Load(); stopAt != 0 && deadline.UnixNano() > stopAt {
-		deadline = time.Unix(0, stopAt)
+	deadline, refused := o.stop.apply(now.Add(left))
+	if refused != nil {
+		return nil, refused
 	}
 	body, refused := readRequestBody(w, r, limit, deadline)
 	if refused != nil {
--- a/internal/traffic/outbound_stop_test.go
+++ b/internal/traffic/outbound_stop_test.go
@@ -41,3 +41,20 @@
 	}
 	is.Equal(target.received.Load(), int64(0))
 }
+
+// Guards against a call of the local target, at which a request waits, that is refused in a stop although it ends before it, and
+// against a request that is taken then and may not end before it.
+func TestOnlyRequestsThatEndBeforeAStopAreTakenAtItsEnd(t *testing.T) {
+	is := is.New(t)
+	target := startScriptedTarget(t, func(int, *http.Request) string { return okResponse })
+	c := startChain(t, target)
+	c.outbound.StopAt(time.Now().Add(2 * time.Second))
+	c.outbound.RefuseLong()
+	for deadline, want := range map[time.Duration]int{time.Second: http.StatusOK, time.Hour: http.StatusServiceUnavailable} {
+		c.deadline = deadline
+		status, _, _, err := c.call(t.Context(), "POST", "/once/x")
+		is.NoErr(err)
+		is.Equal(status, want)
+	}
+	is.Equal(target.received.Load(), int64(1))
+}
