daemon: a stop takes the calls of requests that the target still works on

Cause: sniperaild stopped its ingress 3 s after SIGTERM, beside the calls that still ran at its target, like the sidecar: the target's own calls were not taken, and the running request failed. Change: the ingress stops once no call runs at the target; calls that may last longer than the drain are refused as not executed. Measured: TestStopTakesCallsOfARunningRequest of sniperaild fails before and passes after.

--- a/cmd/sniperaild/stop_test.go
+++ b/cmd/sniperaild/stop_test.go
@@ -135,3 +135,30 @@
 	d.Signal(syscall.SIGCONT)
 	is.Equal(countUnanswered(conns), 0)
 }
+
+// Guards against a request that fails in a planned stop, because the daemon takes no calls of its target while that works on it.
+func TestStopTakesCallsOfARunningRequest(t *testing.T) {
+	is := is.New(t)
+	arrived, release, called := make(chan struct{}), make(chan struct{}), make(chan int, 1)
+	var d daemonProcess
+	d.Process, d.ingress, d.api = startDaemon(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/a/calls" {
+			close(arrived)
+			<-release
+			called <- post(t, "http://"+d.ingress+"/a/x")
+		}
+		_, _ = io.WriteString(w, "x") // fails only if the caller has disconnected
+	}))
+	confirmMesh(t, d.api)
+	poll(t, "the daemon does not serve", func() bool { return post(t, "http://"+d.ingress+"/a/x") == http.StatusOK })
+	status := make(chan int, 1)
+	go func() { status <- post(t, "http://"+d.ingress+"/a/calls") }()
+	<-arrived
+	d.Signal(syscall.SIGTERM)
+	d.AwaitLine("event=draining")
+	<-time.After(noticeTime)
+	close(release)
+	is.True(<-called != 0)
+	is.Equal(<-status, http.StatusOK)
+	is.Equal(d.AwaitExit(), 0)
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -37,6 +37,8 @@
 	drainNotice = 3 * time.Second
 	// shutdownTimeout bounds the wait for calls in flight. It exceeds the default deadline of a call.
 	shutdownTimeout = 30 * time.Second
+	// ingressStopTime is the part of shutdownTimeout that is reserved for the stop of the ingress.
+	ingressStopTime = 2 * time.Second
 	// headerTimeout bounds the time in which a caller must send a request header, and idleTimeout the time between its requests.
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 90 * time.Second
@@ -295,10 +297,15 @@
 	// Close callers' connections after their next response, so that few are open when the listener closes.
 	d.servers.ingress.Drain()
 	process.Wait(ctx, drainNotice)
-	limited, cancel := context.WithTimeout(ctx, shutdownTimeout)
+	end := time.Now().Add(shutdownTimeout)
+	limited, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
+	d.ingress.RefuseLong(end.Add(-ingressStopTime))
 	var group sync.WaitGroup
-	group.Go(func() { d.stopIngress(limited, started) })
+	group.Go(func() {
+		d.takeTargetCalls(limited, end.Add(-ingressStopTime))
+		d.stopIngress(limited, started)
+	})
 	for name, server := range map[string]*http.Server{"admission": d.servers.admission, "api": d.servers.api} {
 		group.Go(func() {
 			if err := server.Shutdown(limited); err != nil {
@@ -313,6 +320,13 @@
 	d.logger.Info("drained")
 }
 
+// takeTargetCalls keeps the ingress open while the target works on calls: it may need calls of its own for them.
+func (d *Daemon) takeTargetCalls(ctx context.Context, until time.Time) {
+	ctx, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
+	_ = d.admission.Wait(ctx) // a call that runs longer is waited for, but its target cannot make calls any more
+}
+
 // stopIngress stops the ingress after the requests that have arrived, and waits for callers that still read their responses.
 func (d *Daemon) stopIngress(ctx context.Context, started time.Time) {
 	server := d.servers.ingress
--- a/internal/traffic/ingress.go
+++ b/internal/traffic/ingress.go
@@ -32,6 +32,7 @@
 	peers     *peers
 	recorder  *recorder
 	inFlight  inFlightCalls
+	stop      stopLimit
 	calls     atomic.Uint64
 	rotations rotationCounters
 	budgets   lazyMap[model.ServiceName, lockedBudget]
@@ -76,6 +77,12 @@
 // Drain makes the ingress refuse all new calls as not executed.
 func (i *Ingress) Drain() { i.inFlight.drain() }
 
+// RefuseLong makes calls that arrive from now on be refused as not executed if they may last longer than until t.
+func (i *Ingress) RefuseLong(t time.Time) {
+	i.stop.refusesLong.Store(true)
+	i.stop.set(t)
+}
+
 // Wait blocks until no call is in flight, or returns the error of ctx.
 func (i *Ingress) Wait(ctx context.Context) error { return i.inFlight.wait(ctx) }
 
@@ -125,7 +132,10 @@
 	if !ok {
 		return nil, notExecuted(http.StatusBadRequest, reasonBadDeadline, HeaderDeadline+" must be one whole number of milliseconds")
 	}
-	deadline := now.Add(left)
+	deadline, refused := i.stop.apply(now.Add(left))
+	if refused != nil {
+		return nil, refused
+	}
 	body, refused := readRequestBody(w, r, i.options.Limits.BodyBytes, deadline)
 	if refused != nil {
 		return nil, refused
