--- a/internal/sidecar/export_test.go
+++ b/internal/sidecar/export_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net"
+	"net/http"
 
 	"go.uber.org/zap"
 
@@ -20,3 +22,11 @@
 
 // DrainNotices exports drainNotices for tests.
 var DrainNotices = drainNotices
+
+// ServeUntilClosed serves on a listener until close is called, which closes the server as the end of a drain does.
+func ServeUntilClosed(listener net.Listener, h http.Handler) (closeServer func(context.Context)) {
+	auxiliary := newAuxiliaryServer(h)
+	d := &Sidecar{servers: []*server{{"test", listener, auxiliary}}}
+	go func() { _ = auxiliary.Serve(listener) }() // ends with closeServer
+	return d.closeServers
+}
