telemetry: the end of a process does not wait for a log that nobody reads

Cause: at its end a process waited without a bound for its log to be written. When the reader of its output had stopped, it stayed until it was killed at the end of the grace time, and its successor started up to 7.5 s later. Change: Close gives up after 1 s. Measured: TestBoundedWriterClosesWhenTheLogIsNotRead fails before (30 s) and passes after. It explains no lost request: these processes had closed their connections.

--- a/internal/telemetry/bounded.go
+++ b/internal/telemetry/bounded.go
@@ -16,6 +16,9 @@
 	// collectTime is how long lines are collected for one write. A write for each line wakes a goroutine and makes a system call
 	// for each call of the mesh.
 	collectTime = 100 * time.Millisecond
+	// closeTimeout bounds the wait of Close for a reader of the log that has stopped reading. The process would not end before it is
+	// killed, and its successor starts later.
+	closeTimeout = time.Second
 )
 
 // BoundedWriter writes complete lines to a slow writer without ever blocking its callers: one goroutine writes, and lines
@@ -53,10 +56,16 @@
 // Dropped returns the number of lines dropped since the start.
 func (b *BoundedWriter) Dropped() int64 { return b.droppedTotal.Load() }
 
-// Close writes the queued lines and stops the goroutine. Other goroutines may log until the process ends.
+// Close writes the queued lines and stops the goroutine. It gives up after closeTimeout; what is not written by then is lost. Other
+// goroutines may log until the process ends.
 func (b *BoundedWriter) Close() {
 	b.closeOnce.Do(func() { close(b.closing) })
-	<-b.done
+	timer := time.NewTimer(closeTimeout)
+	defer timer.Stop()
+	select {
+	case <-b.done:
+	case <-timer.C:
+	}
 }
 
 func (b *BoundedWriter) run() {
--- a/internal/telemetry/bounded_test.go
+++ b/internal/telemetry/bounded_test.go
@@ -95,3 +95,23 @@
 	is.True(strings.Contains(slow.text.String(), "last\n"))
 	is.True(!strings.Contains(slow.text.String(), "after\n"))
 }
+
+// Guards against a process that does not end because nobody reads its log, until it is killed at the end of its grace time.
+func TestBoundedWriterClosesWhenTheLogIsNotRead(t *testing.T) {
+	is := is.New(t)
+	slow := &slowWriter{release: make(chan struct{})}
+	b := telemetry.NewBoundedWriter(slow)
+	_, err := b.Write([]byte("line\n"))
+	is.NoErr(err)
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		b.Close()
+	}()
+	select {
+	case <-closed:
+	case <-time.After(30 * time.Second):
+		t.Fatal("Close waits for the reader of the log")
+	}
+	close(slow.release)
+}
