sidecar, daemon: tests of bodies that come late in a stop

Nothing but the soak guarded against that. Change: a test of whole processes for both daemons: the head comes in the last part of the notice, the body after it.

--- a/cmd/sniperail-sidecar/stop_test.go
+++ b/cmd/sniperail-sidecar/stop_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -138,3 +139,25 @@
 		is.True(d.HasLine("event=request-cut", "request=q", "hop="+hop, "method=POST"))
 	}
 }
+
+// Guards against a request that a stop cuts because its body comes after the drain would have ended without it.
+func TestStopAnswersRequestsWhoseBodyComesLate(t *testing.T) {
+	is := is.New(t)
+	d := startDaemon(t)
+	d.serve()
+	d.Signal(syscall.SIGTERM)
+	d.AwaitLine("event=stopping")
+	<-time.After(lastNotice)
+	conn, err := net.Dial("tcp", d.ingress)
+	is.NoErr(err)
+	t.Cleanup(func() { _ = conn.Close() })
+	const body = "late"
+	_, err = io.WriteString(conn, strings.Replace(postRequest("/a/x"), "Content-Length: 0", fmt.Sprintf("Content-Length: %d", len(body)), 1))
+	is.NoErr(err)
+	<-time.After(stopTime - lastNotice)
+	_, err = io.WriteString(conn, body)
+	is.NoErr(err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	is.NoErr(err)
+	is.NoErr(response.Body.Close())
+}
--- a/cmd/sniperaild/stop_test.go
+++ b/cmd/sniperaild/stop_test.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"bytes"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -22,6 +24,8 @@
 	smallReadBuffer = 64 << 10
 	// noticeTime is more than the time for which a draining daemon keeps its listeners open.
 	noticeTime = 3200 * time.Millisecond
+	// lastNotice is a time shortly before its end.
+	lastNotice = 2700 * time.Millisecond
 	// connections is the number of callers' connections in a test.
 	connections = 30
 )
@@ -162,3 +166,22 @@
 	is.Equal(<-status, http.StatusOK)
 	is.Equal(d.AwaitExit(), 0)
 }
+
+// Guards against a request that a stop cuts because its body comes after the drain would have ended without it.
+func TestStopAnswersRequestsWhoseBodyComesLate(t *testing.T) {
+	is := is.New(t)
+	d := startServing(t, []byte("x"))
+	d.Signal(syscall.SIGTERM)
+	d.AwaitLine("event=draining")
+	<-time.After(lastNotice)
+	conn, err := net.Dial("tcp", d.ingress)
+	is.NoErr(err)
+	t.Cleanup(func() { _ = conn.Close() })
+	const body = "late"
+	_, err = io.WriteString(conn, strings.Replace(postRequest, "Content-Length: 0", fmt.Sprintf("Content-Length: %d", len(body)), 1))
+	is.NoErr(err)
+	<-time.After(noticeTime - lastNotice + holdTime)
+	_, err = io.WriteString(conn, body)
+	is.NoErr(err)
+	is.Equal(countUnanswered([]net.Conn{conn}), 0)
+}
