--- a/internal/store/storetest/memory.go
+++ b/internal/store/storetest/memory.go
@@ -3,6 +3,7 @@
 package storetest
 
 import (
+	"maps"
 	"slices"
 	"strings"
 
@@ -19,6 +20,11 @@
 // NewMemory returns an empty store.
 func NewMemory() *Memory { return &Memory{entries: map[string]store.Entry{}} }
 
+// Clone returns a copy, which later changes do not affect.
+func (m *Memory) Clone() *Memory {
+	return &Memory{entries: maps.Clone(m.entries), revision: m.revision, lease: m.lease}
+}
+
 // Do performs one call. It always succeeds, except for transactions whose compares fail.
 func (m *Memory) Do(call store.Call) store.Result {
 	switch call.Kind {
