platform: results and watch events name the era of the store

Cause: the store of the users' platform may come back from an older copy. It then gives revisions and leases out again and names a higher era in the header Store-Era of all its answers; no adapter read the header. Decode gets the whole response, since the era is in its header.

--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -130,6 +130,9 @@
 		if page = c.doOnce(ctx, call); page.Outcome != store.Applied {
 			return page
 		}
+		if page.Era != result.Era {
+			return store.Result{Outcome: store.Unavailable, Era: page.Era, Detail: "the service changed its era between two pages of the list"}
+		}
 		result.Entries = append(result.Entries, page.Entries...)
 		result.Skipped = append(result.Skipped, page.Skipped...)
 	}
@@ -181,7 +184,7 @@
 	if err != nil {
 		return ClassifyFailure(call, true, err), !call.Kind.IsWrite()
 	}
-	result := c.protocol.Decode(call, response.StatusCode, body)
+	result := c.protocol.Decode(call, Response{Status: response.StatusCode, Header: response.Header, Body: body})
 	return result, result.Outcome == store.Unavailable && response.StatusCode >= http.StatusInternalServerError
 }
 
--- a/internal/platform/codec.go
+++ b/internal/platform/codec.go
@@ -75,12 +75,13 @@
 	return request
 }
 
-// Decode returns the result of a call. The outcome of a write whose response body cannot be decoded is unknown.
-func (EtcdProtocol) Decode(call store.Call, status int, body []byte) store.Result {
-	if status != http.StatusOK {
-		return decodeError(call, status, body)
+// Decode returns the result of a call. The outcome of a write whose response body cannot be decoded is unknown. The service names no
+// eras.
+func (EtcdProtocol) Decode(call store.Call, r Response) store.Result {
+	if r.Status != http.StatusOK {
+		return decodeError(call, r.Status, r.Body)
 	}
-	return decodeSuccess(call, body)
+	return decodeSuccess(call, r.Body)
 }
 
 // decodeSuccess decodes the body of a response with status 200.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -23,6 +23,11 @@
 	PrefixDrivers = PrefixMesh + "drivers/"
 )
 
+// EraName is how the service names its present era in a response; empty if the response names none. An era ends when the service
+// comes back from an older copy of its data. Revisions, leases and watches of one era mean nothing in another one: the service
+// gives them out again.
+type EraName string
+
 // LeaseID identifies a lease; 0 means no lease.
 type LeaseID int64
 
@@ -135,6 +140,8 @@
 	Truncated bool
 	// Skipped are the entries of a list that could not be read.
 	Skipped []Skipped
+	// Era is the era in which the service answered.
+	Era EraName
 	// Detail explains an outcome other than Applied in logs.
 	Detail string
 }
@@ -148,6 +155,8 @@
 	Deleted bool
 	// Skipped is set instead of Entry for a change that could not be read.
 	Skipped *Skipped
+	// Era is the era in which the service sent the event. An event with nothing else tells that the era has changed.
+	Era EraName
 	// Lost means that the watch has ended and events may be missing: read again before the next watch.
 	Lost bool
 	// Detail explains in logs why the watch was lost.
