catalog: a restored store takes nothing back that is in force

Cause: the store may come back from an older copy, and revisions, leases and watches of the time since mean something else then. The core compared entries by revision whatever store had given them: later configurations and reports counted as old, an order stayed running, and leases of others could be renewed. Change: a replica belongs to one era of the store. A daemon that sees a new era drops leases and revisions, lists the store or takes from a peer what differs, and merges by content: the later state of a move, an order that is written again, and targets that have left stay. Results of calls that crossed the restore are dropped. Each owner writes again what it wrote, over a second; the driver's key has the era in its name. Digests cover values. The layout of the messages between daemons changes; two releases talk through the store only.

--- a/internal/command/catalog/announcement.go
+++ b/internal/command/catalog/announcement.go
@@ -250,6 +250,11 @@
 	if local.callPending || now.Before(local.retryAt) {
 		return
 	}
+	if !c.isCurrent(&c.meshKeys) {
+		// The revision of the announcement in the present era is not known yet.
+		local.retryAt = now.Add(c.jitter(announceBackoffBase))
+		return
+	}
 	switch {
 	case local.lease == 0 && (local.isAnnounceable() || local.hasUnstoredReport()):
 		c.grantLease()
--- a/internal/command/catalog/catalog.go
+++ b/internal/command/catalog/catalog.go
@@ -64,9 +64,16 @@
 	// effects are those of the event that is being processed.
 	effects           []effect.Effect
 	lastRequest       effect.RequestID
-	pendingStoreCalls map[effect.RequestID]func(now time.Time, r store.Result)
+	pendingStoreCalls map[effect.RequestID]pendingStoreCall
 	pendingSends      map[effect.RequestID]func(now time.Time, r message.Reply)
 
+	// era is the present era of the store as far as this daemon knows. eraPending says that peers must be told at the end of this
+	// event that this daemon holds its keys.
+	era        store.Era
+	eraPending bool
+	// renewQueryPending says that a peer was asked for the keys of the present era and has not answered.
+	renewQueryPending bool
+
 	operatorKeys keyReplica
 	meshKeys     keyReplica
 	// configuration is the operator's configuration without versions and moves; nil until it is known. configurationRevision
@@ -87,7 +94,9 @@
 	// roster holds the targets of the other daemons, and members their names in order.
 	roster  map[model.DaemonID]*member
 	members []model.DaemonID
-	marks   []model.Mark
+	// departed holds the daemons that were removed from the roster lately.
+	departed map[model.DaemonID]departedMember
+	marks    []model.Mark
 
 	// sharedRecords are the records that daemons have shared because the platform had not stored them, this daemon included.
 	// pendingRecords names those first seen during this event, which are gossiped at its end.
@@ -118,11 +127,12 @@
 func New(cfg Config) *Core {
 	c := &Core{
 		cfg:               cfg,
-		pendingStoreCalls: map[effect.RequestID]func(time.Time, store.Result){},
+		pendingStoreCalls: map[effect.RequestID]pendingStoreCall{},
 		pendingSends:      map[effect.RequestID]func(time.Time, message.Reply){},
 		intents:           map[model.ServiceName]*intent{},
 		moves:             map[model.ServiceName]*moveRecord{},
 		roster:            map[model.DaemonID]*member{},
+		departed:          map[model.DaemonID]departedMember{},
 		local:             localTarget{target: cfg.Target},
 		outcomes:          localOutcomes{sums: map[model.OutcomeKey]*model.OutcomeSum{}},
 		sharedRecords:     map[model.DaemonID]sharedRecord{},
@@ -141,10 +151,7 @@
 	switch ev := ev.(type) {
 	case effect.Wake:
 	case effect.StoreDone:
-		if done := c.pendingStoreCalls[ev.Request]; done != nil {
-			delete(c.pendingStoreCalls, ev.Request)
-			done(now, ev.Result)
-		}
+		c.handleStoreDone(now, ev)
 	case effect.SendDone:
 		if done := c.pendingSends[ev.Request]; done != nil {
 			delete(c.pendingSends, ev.Request)
@@ -221,7 +228,7 @@
 	if !c.settled {
 		next = earliest(next, c.settledAt)
 	}
-	if c.settled {
+	if c.settled && c.isCurrent(&c.operatorKeys) {
 		next = earliest(next, c.freshness.nextWake())
 	}
 	next = earliest(next, c.lag.askAt)
@@ -272,7 +279,7 @@
 // callStore sends a call to the platform's store and runs done with its result.
 func (c *Core) callStore(call store.Call, done func(now time.Time, r store.Result)) {
 	c.lastRequest++
-	c.pendingStoreCalls[c.lastRequest] = done
+	c.pendingStoreCalls[c.lastRequest] = pendingStoreCall{call.Kind, c.era.Number, done}
 	c.emit(effect.StoreCall{Request: c.lastRequest, Call: call})
 }
 
--- a/internal/command/catalog/driver.go
+++ b/internal/command/catalog/driver.go
@@ -133,7 +133,7 @@
 		return false
 	}
 	m := c.moves[service]
-	return m == nil || !c.isCurrent(m) || m.Phase.Active()
+	return m == nil || !c.isInForce(m) || m.Phase.Active() || !m.stored
 }
 
 // resign revokes the lease, so that another daemon can take over at once, and drops the evidence.
@@ -169,6 +169,10 @@
 		return
 	}
 	d.campaignAt = now.Add(c.jitter(campaignBackoffBase))
+	if !c.isCurrent(&c.meshKeys) || !c.knowsPeers() {
+		// The store may hold an earlier state of the move than the peers of a daemon that has just started.
+		return
+	}
 	d.callPending = true
 	started := now
 	ttl := max(driverLeaseTTL, c.cfg.MinLease)
@@ -183,9 +187,19 @@
 		})
 }
 
+// driverKey returns the key that the driver of a service holds. Each era of the store has its own, so that a driver that has not noticed
+// a restore cannot write: its revision might have been given out again.
+func (c *Core) driverKey(service model.ServiceName) string {
+	key := store.PrefixDrivers + string(service)
+	if c.era.Number > firstEra {
+		key += "@" + strconv.FormatUint(c.era.Number, 10)
+	}
+	return key
+}
+
 // acquireDriverKey writes the driver's key under the granted lease, unless another daemon holds the key.
 func (c *Core) acquireDriverKey(service model.ServiceName, d *moveDriver, lease store.LeaseID, heldUntil time.Time) {
-	key := store.PrefixDrivers + string(service)
+	key := c.driverKey(service)
 	c.callStore(store.Call{Kind: store.KindTxn, Priority: store.PriorityLease, Reason: "drive", Txn: store.Txn{
 		Compares: []store.Compare{{Key: key}},
 		Puts:     []store.Put{{Key: key, Value: []byte(c.cfg.Target.Daemon), Lease: lease}},
@@ -250,7 +264,7 @@
 	d.nextRoundAt = now.Add(roundInterval)
 	m := c.moves[service]
 	switch {
-	case m == nil || !c.isCurrent(m):
+	case m == nil || !c.isInForce(m):
 		if d.lease != 0 && !d.callPending {
 			c.createMove(service, d)
 		}
@@ -268,6 +282,9 @@
 			decision = rollout.Withdraw(now, &m.Rollout, mark.Reason)
 		}
 		c.applyDecision(service, d, m, decision)
+		if !m.stored && d.lease != 0 && !d.callPending {
+			c.writeMove(service, d, &m.Rollout, m.revision)
+		}
 	}
 	c.queryEvidence(now, service, d)
 }
@@ -313,70 +330,3 @@
 		}
 	}
 }
-
-// createMove writes the operator's intent as a confirmed move that has not begun. Its deadline is that of the intent.
-func (c *Core) createMove(service model.ServiceName, d *moveDriver) {
-	in := c.intents[service]
-	m := &model.Rollout{Move: model.Move{
-		ID: moveID(in), Service: service, From: c.oldVersion(c.targets(), service, in.To), To: in.To, Deadline: in.By,
-		Phase: model.PhaseRunning, Step: -1, ConfirmedBy: "operator",
-	}}
-	var revision int64
-	if previous := c.moves[service]; previous != nil {
-		revision = previous.revision
-	}
-	c.writeMove(service, d, m, revision)
-}
-
-// writeMove writes the record of a move, and its report if the reported phase changes. The compares on the keys of the move
-// and the driver reject the write of a driver that was paused or replaced.
-func (c *Core) writeMove(service model.ServiceName, d *moveDriver, m *model.Rollout, revision int64) {
-	moveValue, err := c.cfg.Records.EncodeMove(m)
-	if err == nil {
-		var report []byte
-		if report, err = c.cfg.Operator.EncodeReport(&m.Move); err == nil {
-			c.commitMove(service, d, m, moveValue, report, revision)
-			return
-		}
-	}
-	c.log("move-failed", "service", string(service), "step", "encode", "detail", err.Error())
-}
-
-func (c *Core) commitMove(service model.ServiceName, d *moveDriver, m *model.Rollout, moveValue, report []byte, revision int64) {
-	key := store.PrefixMoves + string(service)
-	txn := store.Txn{
-		Compares: []store.Compare{
-			{Key: key, ModRevision: revision}, {Key: store.PrefixDrivers + string(service), ModRevision: d.revision},
-		},
-		Puts: []store.Put{{Key: key, Value: moveValue}},
-	}
-	if previous := c.moves[service]; previous == nil || previous.ID != m.ID ||
-		reportedPhase(previous.Phase) != reportedPhase(m.Phase) {
-		txn.Puts = append(txn.Puts, store.Put{Key: c.cfg.Operator.KeyReport(service), Value: report})
-	}
-	d.callPending = true
-	c.callStore(store.Call{Kind: store.KindTxn, Priority: store.PriorityWithdraw, Reason: "drive", Txn: txn},
-		func(now time.Time, r store.Result) {
-			d.callPending = false
-			switch r.Outcome {
-			case store.Applied:
-				c.mergeEntry(now, &c.meshKeys, store.Entry{Key: key, Value: moveValue, ModRevision: r.Revision}, true)
-			case store.Conflict:
-				c.log("move-conflict", "service", string(service), "move", string(m.ID))
-				d.lease, d.judging, d.campaignAt = 0, false, now.Add(campaignBackoffBase)
-				for _, e := range r.Entries {
-					c.mergeEntry(now, &c.meshKeys, e, true)
-				}
-			default:
-				c.log("move-failed", "service", string(service), "outcome", string(r.Outcome), "detail", r.Detail)
-			}
-		})
-}
-
-// reportedPhase returns the phase that reports to the operator show: done, withdrawn, or running for all others.
-func reportedPhase(p model.Phase) model.Phase {
-	if p == model.PhaseDone || p == model.PhaseWithdrawn {
-		return p
-	}
-	return model.PhaseRunning
-}
--- a/internal/command/catalog/earlier_record.go
+++ b/internal/command/catalog/earlier_record.go
@@ -38,10 +38,13 @@
 }
 
 // knowsEarlierRecord reports whether this daemon knows what its earlier processes have recorded, or no longer waits for it. When
-// all daemons start for the first time, there is nothing.
+// all daemons start for the first time, there is nothing. A store that was restored may hold an earlier record than peers do.
 func (c *Core) knowsEarlierRecord(now time.Time) bool {
 	applyHeldAt := c.local.applyHeldAt
-	return c.meshKeys.loaded || c.cfg.FirstStart || !applyHeldAt.IsZero() && !now.Before(applyHeldAt)
+	if c.cfg.FirstStart || !applyHeldAt.IsZero() && !now.Before(applyHeldAt) {
+		return true
+	}
+	return c.meshKeys.loaded && (c.era.Number <= firstEra || c.knowsPeers())
 }
 
 // holdReport keeps a report until this daemon knows what its earlier processes have recorded. They may have acknowledged that the
--- a/internal/command/catalog/freshness.go
+++ b/internal/command/catalog/freshness.go
@@ -74,7 +74,7 @@
 // startDueCheck begins a check if one is due, and repeats one that got no answer.
 func (c *Core) startDueCheck(now time.Time) {
 	f := &c.freshness
-	if !c.settled {
+	if !c.settled || !c.isCurrent(&c.operatorKeys) {
 		return
 	}
 	if f.checkAt.IsZero() {
@@ -137,7 +137,7 @@
 // handleAnnouncedCheck processes a check that a peer has announced, with the number of the configuration at that time. A
 // daemon that does not have this configuration yet ignores the check: it must not pass the check on with an older number.
 func (c *Core) handleAnnouncedCheck(now time.Time, check uint64, number model.Number) {
-	if check > c.freshness.lastCheck && c.configurationNumber() >= number {
+	if check > c.freshness.lastCheck && c.configurationNumber() >= number && c.isCurrent(&c.operatorKeys) {
 		c.recordCheck(now, check)
 	}
 }
--- a/internal/command/catalog/gossip.go
+++ b/internal/command/catalog/gossip.go
@@ -1,18 +1,14 @@
 package catalog
 
 import (
-	"maps"
 	"slices"
 	"strconv"
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"sniperail.example/sniperail/internal/command/distribution"
 	"sniperail.example/sniperail/internal/message"
 	"sniperail.example/sniperail/internal/model"
-	"sniperail.example/sniperail/internal/store"
 )
 
 const (
@@ -28,27 +24,14 @@
 	gossipInterval = 100 * time.Millisecond
 	// peerDraws is the number of random draws before the members are scanned for a peer in the wanted data centres.
 	peerDraws = 16
-	// antiEntropyInterval is the longest time between anti-entropy queries, each of which asks a random peer for the changes
-	// that this daemon lacks.
-	antiEntropyInterval = 2 * time.Second
 	// maxDeltas is the number of configuration changes kept for peers that are behind.
 	maxDeltas = 32
-	// digestPartitions is the number of partitions that keys are hashed into; each partition has a digest. Only the entries
-	// of differing partitions are sent: while targets come and go, daemons differ by some entries most of the time, and
-	// sending all announcements would be too much.
-	digestPartitions = 32
 )
 
-// antiEntropy schedules the anti-entropy queries to random peers.
-type antiEntropy struct {
-	nextAt  time.Time
-	pending bool
-}
-
 // gossipChanges sends the changes first seen during this event, and a new freshness check, to a few peers. Changes of targets
 // alone are collected for gossipInterval.
 func (c *Core) gossipChanges(now time.Time) {
-	urgent := c.configurationPending || c.freshness.announcePending
+	urgent := c.configurationPending || c.freshness.announcePending || c.eraPending
 	if !urgent && (!c.hasPendingTargets() || now.Before(c.gossipAt)) {
 		return
 	}
@@ -56,7 +39,7 @@
 		c.gossipAt = now.Add(gossipInterval)
 	}
 	spread := &message.Spread{
-		From: c.cfg.Target.PeerAddress, Changes: c.pendingChanges,
+		From: c.cfg.Target.PeerAddress, Era: c.eraOfKeys(), Changes: c.pendingChanges,
 		Number: c.configurationNumber(), Revision: c.configurationRevision, Delta: c.pendingDelta,
 		Shared: c.sharedRecordMessages(now, c.pendingRecords),
 	}
@@ -64,7 +47,7 @@
 		spread.Check = c.freshness.lastCheck
 	}
 	c.pendingChanges, c.pendingDelta, c.configurationPending, c.freshness.announcePending = nil, nil, false, false
-	c.pendingRecords = nil
+	c.pendingRecords, c.eraPending = nil, false
 	for _, address := range c.gossipPeers() {
 		c.send(address, spread, func(time.Time, message.Reply) {
 			// A peer that missed the message catches up by anti-entropy.
@@ -116,21 +99,27 @@
 // handleSpread merges the changes that a peer gossiped.
 func (c *Core) handleSpread(now time.Time, m *message.Spread) {
 	c.mergeSharedRecords(now, m.Shared)
-	c.mergeChanges(now, m.Changes)
+	c.observePeerEra(now, m.Era, m.From)
+	revision := int64(0)
+	if m.Era.Number == c.era.Number {
+		revision = m.Revision
+		c.mergeChanges(now, m.Changes)
+	}
 	if m.Delta != nil {
-		c.applyDelta(now, m.Delta, m.Revision, "peer")
+		c.applyDelta(now, m.Delta, revision, "peer")
 	}
 	c.recordAnnouncedNumber(now, m.Number, m.From)
 	c.handleAnnouncedCheck(now, m.Check, m.Number)
 }
 
-// mergeChanges merges changes received from a peer, and reports whether any of them changed a replica.
+// mergeChanges merges changes of the present era received from a peer, and reports whether any of them changed a replica. A replica of
+// an earlier era is replaced as a whole instead.
 func (c *Core) mergeChanges(now time.Time, changes []message.Change) bool {
 	changed := false
 	for i := range changes {
 		e := &changes[i].Entry
 		k := c.replicaOf(e.Key)
-		if !strings.HasPrefix(e.Key, k.prefix) {
+		if !strings.HasPrefix(e.Key, k.prefix) || !c.isCurrent(k) {
 			continue
 		}
 		if changes[i].Removed {
@@ -156,139 +145,6 @@
 	c.setConfiguration(now, next, d, revision, source)
 }
 
-// runAntiEntropy asks a random peer for the changes that this daemon lacks, if a query is due and none is pending.
-func (c *Core) runAntiEntropy(now time.Time) {
-	a := &c.antiEntropy
-	if a.nextAt.IsZero() {
-		a.nextAt = now.Add(c.jitter(antiEntropyInterval / 4))
-	}
-	if a.pending || now.Before(a.nextAt) {
-		return
-	}
-	a.nextAt = now.Add(c.jitter(antiEntropyInterval))
-	address := c.randomPeerAddress()
-	if address == "" {
-		return
-	}
-	a.pending = true
-	c.queryCatalog(address, c.configurationNumber(), func() { a.pending = false })
-}
-
-// queryCatalog asks a peer for the changes that this daemon lacks, and for the changes of the configuration since a number,
-// or for the whole configuration if it is 0. done is called when the query has ended.
-func (c *Core) queryCatalog(address string, since model.Number, done func()) {
-	query := &message.CatalogQuery{Operator: c.digests(&c.operatorKeys), Mesh: c.digests(&c.meshKeys), Number: since}
-	c.send(address, query, func(now time.Time, r message.Reply) {
-		done()
-		if reply, ok := r.(*message.CatalogReply); ok {
-			c.mergeCatalog(now, address, reply)
-		}
-	})
-}
-
-// randomPeerAddress returns the address of a random known daemon, or "" if there is none. Seeds are included until the
-// catalog is loaded and another daemon is known.
-func (c *Core) randomPeerAddress() string {
-	var addresses []string
-	if !c.operatorKeys.loaded || !c.meshKeys.loaded || len(c.roster) == 0 {
-		addresses = slices.Clone(c.cfg.Seeds)
-	}
-	for _, daemon := range c.members {
-		addresses = append(addresses, c.roster[daemon].target.PeerAddress)
-	}
-	addresses = slices.DeleteFunc(addresses, func(a string) bool { return a == c.cfg.Target.PeerAddress })
-	if len(addresses) == 0 {
-		return ""
-	}
-	return addresses[c.cfg.Rand.IntN(len(addresses))]
-}
-
-// mergeCatalog merges the reply to an anti-entropy query. The first reply of a peer that has loaded all keys counts as
-// the initial lists of the platform's keys.
-func (c *Core) mergeCatalog(now time.Time, from string, reply *message.CatalogReply) {
-	// Before the changes: the platform may still hold the record before the one that was shared.
-	c.mergeSharedRecords(now, reply.Shared)
-	changed := c.mergeChanges(now, reply.Changes)
-	// A restarted daemon has lost its marks, and during an outage of the platform the withdrawal may not be on record yet.
-	c.addMarks(reply.Marks)
-	switch {
-	case reply.Configuration != nil && (c.configuration == nil || c.configuration.Number < reply.Number):
-		c.setConfiguration(now, reply.Configuration, nil, reply.Revision, "peer")
-	case c.configuration != nil:
-		for _, d := range reply.Deltas {
-			c.applyDelta(now, d, reply.Revision, "peer")
-		}
-	}
-	c.recordAnnouncedNumber(now, reply.Number, from)
-	if changed {
-		c.log("peer-catalog", "from", from, "changes", strconv.Itoa(len(reply.Changes)))
-	}
-	if reply.Loaded && (!c.operatorKeys.loaded || !c.meshKeys.loaded) {
-		c.operatorKeys.loaded, c.meshKeys.loaded = true, true
-		c.dirty = true
-	}
-}
-
-// buildCatalogReply returns what the sender of a query lacks.
-func (c *Core) buildCatalogReply(now time.Time, query *message.CatalogQuery) *message.CatalogReply {
-	reply := &message.CatalogReply{
-		Loaded: c.operatorKeys.loaded && c.meshKeys.loaded, Revision: c.configurationRevision, Marks: c.activeMarks(),
-		Shared: c.allSharedRecords(now),
-	}
-	reply.Changes = c.missingChanges(reply.Changes, &c.operatorKeys, query.Operator)
-	reply.Changes = c.missingChanges(reply.Changes, &c.meshKeys, query.Mesh)
-	if c.configuration == nil {
-		return reply
-	}
-	reply.Number = c.configuration.Number
-	if query.Number == 0 {
-		reply.Configuration = c.configuration
-	} else if query.Number < reply.Number {
-		reply.Deltas = c.deltasSince(query.Number)
-	}
-	return reply
-}
-
-// missingChanges appends the entries and tombstones in the partitions where the peer's digests differ. The configuration is
-// left out, since it is sent as deltas.
-func (c *Core) missingChanges(to []message.Change, k *keyReplica, peerDigests []uint32) []message.Change {
-	own := c.digests(k)
-	if slices.Equal(own, peerDigests) {
-		return to
-	}
-	inDifferingPartition := func(key string) bool {
-		partition := digestPartition(key)
-		return partition >= len(peerDigests) || own[partition] != peerDigests[partition]
-	}
-	for _, key := range slices.Sorted(maps.Keys(k.entries)) {
-		if key != c.cfg.Operator.KeyConfiguration() && inDifferingPartition(key) {
-			to = append(to, message.Change{Entry: k.entries[key]})
-		}
-	}
-	for _, key := range slices.Sorted(maps.Keys(k.tombstones)) {
-		if inDifferingPartition(key) {
-			to = append(to, message.Change{Entry: store.Entry{Key: key, ModRevision: k.tombstones[key]}, Removed: true})
-		}
-	}
-	return to
-}
-
-func digestPartition(key string) int { return int(xxhash.Sum64String(key) % digestPartitions) }
-
-// digests returns a digest of the keys and revisions in each partition. The digests do not depend on the order of the entries.
-func (c *Core) digests(k *keyReplica) []uint32 {
-	sums := make([]uint32, digestPartitions)
-	var text []byte
-	for key, e := range k.entries {
-		if key != c.cfg.Operator.KeyConfiguration() {
-			text = append(append(text[:0], key...), '@')
-			text = strconv.AppendInt(text, e.ModRevision, 10)
-			sums[digestPartition(key)] ^= uint32(xxhash.Sum64(text))
-		}
-	}
-	return sums
-}
-
 // deltasSince returns the deltas that lead from a configuration number to the current one, or nil if they are no longer kept.
 func (c *Core) deltasSince(base model.Number) []*message.Delta {
 	for i, d := range c.deltas {
--- a/internal/command/catalog/replica.go
+++ b/internal/command/catalog/replica.go
@@ -36,6 +36,10 @@
 	tombstones map[string]int64
 	// revision is the highest store revision seen below the prefix.
 	revision int64
+	// era is the number of the era of the store to which the entries, tombstones and revisions belong. renewing is set while they are
+	// replaced by those of a new one.
+	era      uint64
+	renewing bool
 	// loaded says that all keys have been read once, from the platform or from a peer that had loaded them.
 	loaded bool
 	// listed says that the last list succeeded and no other one has been scheduled since.
@@ -52,6 +56,9 @@
 	return keyReplica{prefix: prefix, applyEntry: apply, entries: map[string]store.Entry{}, tombstones: map[string]int64{}}
 }
 
+// isEmpty reports whether nothing is known of the keys.
+func (k *keyReplica) isEmpty() bool { return !k.loaded && len(k.entries)+len(k.tombstones) == 0 }
+
 // nextWake returns when startDueList must run next; zero means never.
 func (k *keyReplica) nextWake() time.Time {
 	switch {
@@ -84,7 +91,7 @@
 	if r.Outcome != store.Applied {
 		c.recordUnavailable(now, k, r)
 		wait := min(listBackoffBase<<min(k.listFailures, 8), listBackoffMax)
-		if k.loaded && !k.watching {
+		if k.loaded && !k.watching && c.isCurrent(k) {
 			wait = loadedListBackoff
 		}
 		k.scheduleList(now.Add(c.jitter(wait)))
@@ -142,6 +149,10 @@
 // applyList merges a complete list of the prefix: it adds newer entries and removes those that the list lacks. If gossip is
 // set, the differences are gossiped. It reports whether anything changed.
 func (c *Core) applyList(now time.Time, k *keyReplica, r store.Result, gossip bool) bool {
+	if !c.isCurrent(k) {
+		c.renewFromList(now, k, r)
+		return true
+	}
 	changed := false
 	present := make(map[string]bool, len(r.Entries))
 	for i := range r.Entries {
@@ -162,6 +173,17 @@
 	return changed
 }
 
+// renewFromList replaces a replica of an earlier era by a complete list of the present one.
+func (c *Core) renewFromList(now time.Time, k *keyReplica, r store.Result) {
+	skipped := make(map[string]bool, len(r.Skipped))
+	for i := range r.Skipped {
+		skipped[r.Skipped[i].Key] = true
+		c.logUnreadable(&r.Skipped[i])
+	}
+	c.renew(now, k, r.Entries, func(key string) bool { return skipped[key] })
+	k.revision = max(k.revision, r.Revision)
+}
+
 // logUnreadable logs and counts an entry that could not be read.
 func (c *Core) logUnreadable(s *store.Skipped) {
 	c.log("entry-unreadable", "key", truncate(s.Key), "detail", truncate(s.Detail))
@@ -221,13 +243,17 @@
 // handleKeyChanged processes a change seen by a watch, or the loss of the watch.
 func (c *Core) handleKeyChanged(now time.Time, ev effect.KeyChanged) {
 	k := c.replicaOf(ev.Key)
+	// A watch that has just been replaced may still deliver events of an earlier era.
+	c.observeEra(now, ev.Event.Era, eraUnknown)
 	switch e := &ev.Event; {
-	case !k.watching:
+	case !k.watching, e.Era != "" && e.Era != c.era.Name:
 	case e.Lost:
 		c.log("watch-lost", "prefix", k.prefix, "revision", fmt.Sprint(k.revision), "detail", e.Detail)
 		k.scheduleList(now)
 	case e.Skipped != nil:
 		c.logUnreadable(e.Skipped)
+	case e.Entry.Key == "":
+		// The event only names the era.
 	case e.Deleted:
 		c.mergeRemoval(now, k, e.Entry.Key, e.Entry.ModRevision, true)
 	default:
--- a/internal/command/catalog/roster.go
+++ b/internal/command/catalog/roster.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -18,6 +19,12 @@
 	probeInterval = time.Second
 	// maxProbeMisses is the number of unanswered probes after which such a daemon is removed from the roster.
 	maxProbeMisses = 2
+	// rewriteTime is the time after a restore of the store in which daemons write their announcements again. Those that the store has lost
+	// are probed only after it.
+	rewriteTime = 2 * time.Second
+	// departedTTL is the time for which targets that were removed are remembered. A restored store is older than that by no more than
+	// the lifetime of their announcements.
+	departedTTL = 2 * leaseTTL
 )
 
 // member is the target of another daemon in the roster.
@@ -27,6 +34,15 @@
 	probeAt      time.Time
 	probePending bool
 	misses       int
+	// unconfirmed says that a restored store holds the announcement of a target that had left the roster before. The target gets no
+	// calls until its daemon has answered a probe or written the announcement again.
+	unconfirmed bool
+}
+
+// departedMember is the last known target of a daemon that was removed from the roster, and the time of the removal.
+type departedMember struct {
+	target model.Target
+	at     time.Time
 }
 
 // applyMeshEntry applies a change to a record that the daemons share: a target announcement or a move. e is nil if the key
@@ -36,7 +52,7 @@
 	case strings.HasPrefix(key, store.PrefixTargets):
 		c.applyTargetEntry(now, model.DaemonID(strings.TrimPrefix(key, store.PrefixTargets)), e)
 	case strings.HasPrefix(key, store.PrefixMoves):
-		c.applyMoveEntry(now, model.ServiceName(strings.TrimPrefix(key, store.PrefixMoves)), e)
+		c.applyMoveEntry(model.ServiceName(strings.TrimPrefix(key, store.PrefixMoves)), e)
 	}
 }
 
@@ -63,16 +79,28 @@
 		return
 	case record.State == model.TargetGone:
 		if m != nil {
-			c.removeMember(daemon, "its target has left")
+			c.removeMember(now, daemon, "its target has left")
 		}
 		return
 	case m == nil:
 		m = c.addMember(now, daemon)
+		m.unconfirmed = c.meshKeys.renewing && c.hasDeparted(now, &record.Target)
+	case m.unconfirmed && !c.meshKeys.renewing:
+		m.unconfirmed, c.dirty = false, true
 	}
 	m.probeAt, m.misses = time.Time{}, 0
+	if m.unconfirmed {
+		m.probeAt = now
+	}
 	c.updateMember(m, record.Target, "platform")
 }
 
+// hasDeparted reports whether a target was removed from the roster, and its announcement is not later than that.
+func (c *Core) hasDeparted(now time.Time, target *model.Target) bool {
+	last, ok := c.departed[target.Daemon]
+	return ok && now.Sub(last.at) < departedTTL && !target.Newer(&last.target)
+}
+
 // countRefusedEntry counts an entry of the store that is skipped and returns the fields of its log line: it cannot be decoded,
 // or, if err is nil, does not match its key.
 func (c *Core) countRefusedEntry(e *store.Entry, kind string, err error) []string {
@@ -113,6 +141,9 @@
 	}
 	if m := c.roster[daemon]; m != nil {
 		m.probeAt = now
+		if c.meshKeys.renewing {
+			m.probeAt = now.Add(rewriteTime)
+		}
 	}
 }
 
@@ -124,27 +155,30 @@
 		}
 		m.probePending = true
 		m.probeAt = now.Add(probeInterval)
-		c.send(m.target.PeerAddress, &message.TargetQuery{}, func(_ time.Time, r message.Reply) {
+		c.send(m.target.PeerAddress, &message.TargetQuery{}, func(now time.Time, r message.Reply) {
 			m.probePending = false
 			if c.roster[daemon] == m {
-				c.handleProbeReply(daemon, m, r)
+				c.handleProbeReply(now, daemon, m, r)
 			}
 		})
 	}
 }
 
-func (c *Core) handleProbeReply(daemon model.DaemonID, m *member, r message.Reply) {
+func (c *Core) handleProbeReply(now time.Time, daemon model.DaemonID, m *member, r message.Reply) {
 	reply, ok := r.(*message.TargetReply)
 	switch {
 	case !ok:
 		m.misses++
 		if m.misses >= maxProbeMisses && !m.probeAt.IsZero() {
-			c.removeMember(daemon, "no answer")
+			c.removeMember(now, daemon, "no answer")
 		}
 	case reply.Target.Daemon != daemon || reply.Target.State == model.TargetGone || reply.Target.State == model.TargetStarting:
-		c.removeMember(daemon, "its daemon has no target")
+		c.removeMember(now, daemon, "its daemon has no target")
 	default:
 		m.misses = 0
+		if m.unconfirmed {
+			m.unconfirmed, m.probeAt, c.dirty = false, time.Time{}, true
+		}
 		if reply.Target.Newer(&m.target) {
 			c.updateMember(m, reply.Target, "peer")
 		}
@@ -161,7 +195,9 @@
 	return m
 }
 
-func (c *Core) removeMember(daemon model.DaemonID, reason string) {
+func (c *Core) removeMember(now time.Time, daemon model.DaemonID, reason string) {
+	maps.DeleteFunc(c.departed, func(_ model.DaemonID, d departedMember) bool { return now.Sub(d.at) >= departedTTL })
+	c.departed[daemon] = departedMember{c.roster[daemon].target, now}
 	delete(c.roster, daemon)
 	if at, found := slices.BinarySearch(c.members, daemon); found {
 		c.members = slices.Delete(c.members, at, at+1)
--- a/internal/command/catalog/simulation_test.go
+++ b/internal/command/catalog/simulation_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"strings"
-	"testing"
 	"time"
 
 	"sniperail.example/sniperail/internal/command/catalog"
@@ -73,11 +72,17 @@
 	// silentStoreCalls calls to the platform get no response.
 	silentPeers      map[string]bool
 	silentStoreCalls int
+	// responseDelay is the time from a call to the platform, which takes effect at once, to its response.
+	responseDelay time.Duration
+	// knownRestores is the number of restores of the store before the latest response that the node has received.
+	knownRestores int
+	// highestNumber is the highest configuration number that was in force.
+	highestNumber model.Number
 }
 
 // simulation runs cores against one store in simulated time. Messages and store calls take no time.
 type simulation struct {
-	t           *testing.T
+	t           failer
 	now         time.Time
 	store       *storetest.Memory
 	byName      map[string]*node
@@ -85,11 +90,21 @@
 	incarnation model.Incarnation
 	// firstStart says that daemons start for the first time.
 	firstStart bool
+	// era is that of the store, which its responses name; 0 if they name none. leases are the leases that the store has granted; nil if
+	// leases do not end.
+	era, restores int
+	leases        map[store.LeaseID]simulatedLease
 }
 
-func newSimulation(t *testing.T, n int) *simulation { return startSimulation(t, n, false) }
+// failer ends a test; both *testing.T and *rapid.T do.
+type failer interface {
+	Fatal(args ...any)
+	Fatalf(format string, args ...any)
+}
+
+func newSimulation(t failer, n int) *simulation { return startSimulation(t, n, false) }
 
-func startSimulation(t *testing.T, n int, firstStart bool) *simulation {
+func startSimulation(t failer, n int, firstStart bool) *simulation {
 	sim := &simulation{
 		t: t, now: time.Unix(50_000, 0), store: storetest.NewMemory(), byName: map[string]*node{}, firstStart: firstStart,
 	}
@@ -129,15 +144,20 @@
 }
 
 func (sim *simulation) handle(n *node, ev effect.Event) {
+	known := n.knownRestores
 	for _, e := range n.core.Handle(sim.now, ev) {
-		sim.performEffect(n, e)
+		sim.performEffect(n, e, known)
 	}
 }
 
-func (sim *simulation) performEffect(n *node, e effect.Effect) {
+func (sim *simulation) performEffect(n *node, e effect.Effect, knownRestores int) {
 	switch e := e.(type) {
 	case effect.Publish:
 		n.view = e.View
+		if number := e.View.Configuration.Number; number < n.highestNumber {
+			sim.t.Fatalf("%s: configuration %d is in force after %d", n.address, number, n.highestNumber)
+		}
+		n.highestNumber = max(n.highestNumber, e.View.Configuration.Number)
 	case effect.Log:
 		n.logs = append(n.logs, e)
 	case effect.Watch:
@@ -164,9 +184,15 @@
 		}
 		result := store.Result{Outcome: store.Unavailable, Detail: "platform unreachable"}
 		if !n.platformUnreachable {
-			result = sim.store.Do(e.Call)
+			result = sim.callStore(n, e.Call, knownRestores)
+			n.knownRestores = sim.restores
+		}
+		done := effect.StoreDone{Request: e.Request, Result: result}
+		if n.responseDelay > 0 {
+			n.unanswered = append(n.unanswered, unansweredRequest{sim.now.Add(n.responseDelay), done})
+			return
 		}
-		sim.handle(n, effect.StoreDone{Request: e.Request, Result: result})
+		sim.handle(n, done)
 	case effect.Send:
 		if _, ok := e.Body.(*message.EvidenceQuery); ok {
 			n.evidenceQueries++
@@ -240,6 +266,7 @@
 func (sim *simulation) run(d time.Duration) {
 	const step = 20 * time.Millisecond
 	for end := sim.now.Add(d); sim.now.Before(end); sim.now = sim.now.Add(step) {
+		sim.expireLeases()
 		for _, n := range sim.nodes {
 			if n.stopped {
 				continue
@@ -265,7 +292,7 @@
 		for _, e := range sim.store.Do(store.Call{Kind: store.KindList, Key: prefix}).Entries {
 			if e.ModRevision > after {
 				n.watches[prefix] = max(n.watches[prefix], e.ModRevision)
-				sim.handle(n, effect.KeyChanged{Key: prefix, Event: store.WatchEvent{Entry: e}})
+				sim.handle(n, effect.KeyChanged{Key: prefix, Event: store.WatchEvent{Entry: e, Era: sim.eraName()}})
 			}
 		}
 	}
--- a/internal/command/catalog/unstored_record.go
+++ b/internal/command/catalog/unstored_record.go
@@ -27,7 +27,7 @@
 // scheduleRecordShare makes this daemon share the record of a target that is leaving unless the platform stores it soon.
 func (l *localTarget) scheduleRecordShare(now time.Time) {
 	l.shareAt = time.Time{}
-	if leaving := l.target.State == model.TargetDraining && !l.target.DaemonEnds; leaving || l.target.State == model.TargetGone {
+	if record := (model.TargetRecord{Target: l.target}); record.IsLeaving() {
 		l.shareAt = now.Add(shareRecordDelay)
 	}
 }
@@ -50,7 +50,7 @@
 // miss them until the next anti-entropy query.
 func (c *Core) sendRecordToSeeds(now time.Time) {
 	spread := &message.Spread{
-		From: c.cfg.Target.PeerAddress, Number: c.configurationNumber(), Revision: c.configurationRevision,
+		From: c.cfg.Target.PeerAddress, Era: c.eraOfKeys(), Number: c.configurationNumber(), Revision: c.configurationRevision,
 		Shared: c.sharedRecordMessages(now, []model.DaemonID{c.cfg.Target.Daemon}),
 	}
 	for _, seed := range c.cfg.Seeds {
@@ -89,7 +89,7 @@
 			}
 		case m == nil || !record.Newer(&m.target):
 		case record.State == model.TargetGone:
-			c.removeMember(record.Daemon, "its target has left")
+			c.removeMember(now, record.Daemon, "its target has left")
 		default:
 			c.updateMember(m, record.Target, "peer")
 		}
--- a/internal/command/catalog/view.go
+++ b/internal/command/catalog/view.go
@@ -13,18 +13,6 @@
 	"sniperail.example/sniperail/internal/store"
 )
 
-// intent is an intent of the operator, with the revision of its key.
-type intent struct {
-	model.Intent
-	revision int64
-}
-
-// moveRecord is the stored state of a move, with the revision of its key.
-type moveRecord struct {
-	model.Rollout
-	revision int64
-}
-
 // applyOperatorEntry applies a change to one of the operator's keys; e is nil if the key was removed.
 func (c *Core) applyOperatorEntry(now time.Time, key string, e *store.Entry) {
 	if key == c.cfg.Operator.KeyConfiguration() {
@@ -36,18 +24,7 @@
 		return
 	}
 	c.dirty = true
-	if e == nil {
-		delete(c.intents, service)
-		return
-	}
-	in, err := c.cfg.Operator.DecodeIntent(e.Value, now)
-	if err != nil || in.Service != service {
-		c.log("intent-refused", c.countRefusedEntry(e, "intent", err)...)
-		return
-	}
-	c.intents[service] = &intent{in, e.ModRevision}
-	c.log("intent", "service", string(service), "version", string(in.To), "revision", strconv.FormatInt(e.ModRevision, 10),
-		"left_ms", formatMillis(in.By.Sub(now)))
+	c.applyIntentEntry(now, service, e)
 }
 
 // applyConfigurationEntry decodes the operator's configuration and puts it in force. A lower number never replaces a higher
@@ -120,7 +97,7 @@
 func (c *Core) activeMarks() []model.Mark {
 	var marks []model.Mark
 	for i := range c.marks {
-		if in := c.intents[c.marks[i].Service]; in != nil && moveID(in) == c.marks[i].Move {
+		if in := c.intents[c.marks[i].Service]; in != nil && in.move == c.marks[i].Move {
 			marks = append(marks, c.marks[i])
 		}
 	}
@@ -131,7 +108,9 @@
 func (c *Core) targets() []model.Target {
 	targets := make([]model.Target, 0, len(c.roster)+1)
 	for _, m := range c.roster {
-		targets = append(targets, m.target)
+		if !m.unconfirmed {
+			targets = append(targets, m.target)
+		}
 	}
 	if c.local.isAnnounceable() {
 		targets = append(targets, c.local.target)
@@ -150,7 +129,7 @@
 	}
 	for _, service := range slices.Sorted(maps.Keys(c.moves)) {
 		m := c.moves[service]
-		if c.configuration.Service(service) == nil || !c.isCurrent(m) {
+		if c.configuration.Service(service) == nil || !c.isInForce(m) {
 			continue
 		}
 		composed.Moves = append(composed.Moves, m.Move)
@@ -249,7 +228,7 @@
 		return "", 0
 	}
 	m := c.moves[service]
-	if m == nil || !c.isCurrent(m) {
+	if m == nil || !c.isInForce(m) {
 		return in.To, 0
 	}
 	switch {
@@ -265,40 +244,9 @@
 func (c *Core) canaries() map[model.ServiceName][]model.DaemonID {
 	canaries := map[model.ServiceName][]model.DaemonID{}
 	for service, m := range c.moves {
-		if c.isCurrent(m) && m.Phase == model.PhaseRunning && len(m.Canaries) > 0 {
+		if c.isInForce(m) && m.Phase == model.PhaseRunning && len(m.Canaries) > 0 {
 			canaries[service] = m.Canaries
 		}
 	}
 	return canaries
 }
-
-// isCurrent reports whether a move belongs to the operator's latest intent for its service.
-func (c *Core) isCurrent(m *moveRecord) bool {
-	in := c.intents[m.Service]
-	return in != nil && m.ID == moveID(in)
-}
-
-// moveID returns the ID of the move for an intent. It contains the revision, which tells two intents for the same version
-// apart.
-func moveID(in *intent) model.PlanID {
-	return model.PlanID(string(in.Service) + "@" + strconv.FormatInt(in.revision, 10))
-}
-
-func (c *Core) applyMoveEntry(_ time.Time, service model.ServiceName, e *store.Entry) {
-	c.dirty = true
-	if e == nil {
-		delete(c.moves, service)
-		return
-	}
-	m, err := c.cfg.Records.DecodeMove(e.Value)
-	if err != nil || m.Service != service {
-		c.log("entry-refused", c.countRefusedEntry(e, "move", err)...)
-		return
-	}
-	if previous := c.moves[service]; previous == nil || previous.ID != m.ID || previous.Step != m.Step || previous.Phase != m.Phase ||
-		!slices.Equal(previous.Canaries, m.Canaries) {
-		c.log("move", "service", string(service), "move", string(m.ID), "version", string(m.To), "phase", string(m.Phase),
-			"step", strconv.Itoa(m.Step), "canaries", strconv.Itoa(len(m.Canaries)), "reason", m.Reason, "revision", strconv.FormatInt(e.ModRevision, 10))
-	}
-	c.moves[service] = &moveRecord{*m, e.ModRevision}
-}
--- a/internal/command/catalog/watch.go
+++ b/internal/command/catalog/watch.go
@@ -32,7 +32,7 @@
 // watchers. The watchers are spaced evenly over the sorted names, and so over the data centres.
 func (c *Core) updateOperatorWatch() {
 	k := &c.operatorKeys
-	if !c.settled || k.listing {
+	if !c.settled || k.listing || !c.isCurrent(k) {
 		return
 	}
 	rank, daemons := c.rank()
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -41,6 +41,9 @@
 	// From is the peer address of the sender.
 	From    string
 	Changes []Change
+	// Era is the era of the store to which Changes and Revision belong. It is zero while the sender replaces its entries by those of a
+	// new era.
+	Era store.Era
 	// Number is the number of the sender's configuration and Revision the store revision of its entry. Delta is the change
 	// that produced it from the configuration before, or nil.
 	Number   model.Number
@@ -78,8 +81,15 @@
 // whose digests differ.
 type CatalogReply struct {
 	// Loaded is set if the answering daemon has read the whole store at least once. Otherwise Changes may be incomplete.
-	Loaded  bool
+	Loaded bool
+	// Era is the era of the store to which the entries belong. It is zero, and there are no Changes, while the answering daemon replaces
+	// its entries by those of a new era.
+	Era     store.Era
 	Changes []Change
+	// DifferingOperator and DifferingMesh have a bit for each partition whose digests differ.
+	DifferingOperator, DifferingMesh uint32
+	// LostMoves are moves that the store has lost in a restore and that have not been written again.
+	LostMoves []model.Rollout
 	// Number is the number of the answering daemon's configuration and Revision the store revision of its entry.
 	Number   model.Number
 	Revision int64
--- a/internal/model/move.go
+++ b/internal/model/move.go
@@ -76,6 +76,17 @@
 // Active reports whether a move in this phase is unfinished.
 func (p Phase) Active() bool { return p != PhaseDone && p != PhaseWithdrawn }
 
+// order returns the position of the phase among those that a move passes through. A final phase is never left.
+func (p Phase) order() int {
+	switch p {
+	case PhaseDone, PhaseWithdrawn:
+		return 2
+	case PhaseWithdrawing:
+		return 1
+	}
+	return 0
+}
+
 // Move is a confirmed plan and its progress. Moves are part of the configuration, so each change of a move has a
 // configuration number.
 type Move struct {
@@ -105,6 +116,21 @@
 	// Canaries are the daemons whose targets receive nearly all calls of the new version in this step; empty means all
 	// targets of the version.
 	Canaries []DaemonID `json:"canaries,omitempty"`
+	// IntentRevision is the revision of the operator's intent that the move follows, in the era of the store in which the move was
+	// written. It changes if the intent is written again after the store was restored, and is LostIntent until then; 0 if an earlier
+	// release wrote the move.
+	IntentRevision int64 `json:"intentRevision,omitempty"`
+}
+
+// LostIntent is the IntentRevision of a move whose intent the store has lost.
+const LostIntent = -1
+
+// IsAheadOf reports whether r has got further than o, another state of the same move.
+func (r *Rollout) IsAheadOf(o *Rollout) bool {
+	if r.Phase.order() != o.Phase.order() {
+		return r.Phase.order() > o.Phase.order()
+	}
+	return r.Step > o.Step
 }
 
 // Version returns the version that the move rolls out.
--- a/internal/model/target.go
+++ b/internal/model/target.go
@@ -72,6 +72,11 @@
 	Leaving bool `json:"leaving,omitempty"`
 }
 
+// IsLeaving reports whether the record says that the target leaves service, for another reason than the end of its daemon.
+func (r *TargetRecord) IsLeaving() bool {
+	return r.State == TargetDraining && !r.DaemonEnds || r.State == TargetGone
+}
+
 // LastReport returns the latest report that the record is known to follow from.
 func (r *TargetRecord) LastReport() *TargetReport {
 	state := r.State
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -28,6 +28,12 @@
 // gives them out again.
 type EraName string
 
+// Era is an era of the service as daemons order them: a later one has a higher number.
+type Era struct {
+	Number uint64
+	Name   EraName
+}
+
 // LeaseID identifies a lease; 0 means no lease.
 type LeaseID int64
 
