--- a/internal/command/catalog/era_test.go
+++ b/internal/command/catalog/era_test.go
@@ -340,6 +340,36 @@
 	}
 }
 
+// Guards against two drivers of a move: one that was paused during a restore must not write by a key, a lease or a revision that the new
+// era has given out again.
+func TestPausedDriverDoesNotWriteAfterARestore(t *testing.T) {
+	for _, copyAt := range []time.Duration{0, 4 * time.Second} {
+		t.Run(copyAt.String(), func(t *testing.T) {
+			is := is.New(t)
+			sim := newNamedSimulation(t, 8)
+			startMove(sim)
+			runTraffic(sim, copyAt, 0)
+			older := sim.copyStore()
+			runTraffic(sim, 5*time.Second-copyAt, 0)
+			first := currentDriver(sim)
+			is.True(first != nil)
+			first.stopped = true
+			restoreAndRewrite(sim, older)
+			loseRevisions(sim) // the revisions pass those from before
+			runTraffic(sim, 1600*time.Millisecond, 0)
+			second := sim.store.Do(store.Call{Kind: store.KindGet, Key: store.PrefixDrivers + "profiles@2"}).Entries
+			is.True(len(second) == 1 && string(second[0].Value) != string(first.view.Local.Daemon))
+			sim.lastWriter = nil
+			first.stopped = false
+			for range 50 {
+				runTraffic(sim, 200*time.Millisecond, 0)
+				is.True(sim.lastWriter != first)
+			}
+			is.Equal(reportedPhase(sim), string(model.PhaseDone))
+		})
+	}
+}
+
 // restoreModel draws writes, restores and restarts of daemons.
 type restoreModel struct {
 	sim    *simulation
--- a/internal/command/catalog/simulation_test.go
+++ b/internal/command/catalog/simulation_test.go
@@ -94,6 +94,8 @@
 	// leases do not end.
 	era, restores int
 	leases        map[store.LeaseID]simulatedLease
+	// lastWriter is the node that has written the record of a move last.
+	lastWriter *node
 }
 
 // failer ends a test; both *testing.T and *rapid.T do.
--- a/internal/command/catalog/store_restore_test.go
+++ b/internal/command/catalog/store_restore_test.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"strconv"
+	"strings"
 	"time"
 
 	"sniperail.example/sniperail/internal/document"
@@ -45,6 +46,10 @@
 		return result
 	}
 	switch call.Kind {
+	case store.KindTxn:
+		if len(call.Txn.Puts) > 0 && strings.HasPrefix(call.Txn.Puts[0].Key, store.PrefixMoves) {
+			sim.lastWriter = n
+		}
 	case store.KindGrant:
 		sim.leases[result.Lease] = simulatedLease{n, call.TTL, sim.now.Add(call.TTL)}
 	case store.KindKeepAlive:
