catalog: a peer that has no keys yet is not asked for them without a pause

Cause: a daemon that learns of a new era asks the peer that named it. If that peer has just started and holds no keys, its reply led to the next query at once. Change: a reply that names the era that is already known causes no further query. The simulation ends a test when events cause each other without a pause.

--- a/internal/command/catalog/anti_entropy.go
+++ b/internal/command/catalog/anti_entropy.go
@@ -98,7 +98,9 @@
 func (c *Core) mergeCatalog(now time.Time, from string, era uint64, reply *message.CatalogReply) {
 	// Before the changes: the platform may still hold the record before the one that was shared.
 	c.mergeSharedRecords(now, reply.Shared)
-	c.observePeerEra(now, reply.Era, from)
+	if reply.Era.Number > c.era.Number {
+		c.observePeerEra(now, reply.Era, from)
+	}
 	changed := false
 	if reply.Era.Number == c.era.Number {
 		c.antiEntropy.answered = true
--- a/internal/command/catalog/era_test.go
+++ b/internal/command/catalog/era_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"sniperail.example/sniperail/internal/effect"
+	"sniperail.example/sniperail/internal/message"
 	"sniperail.example/sniperail/internal/model"
 	"sniperail.example/sniperail/internal/store"
 )
@@ -340,6 +341,24 @@
 	}
 }
 
+// Guards against a daemon that asks a peer for the keys of a new era without a pause, while that peer has just started and has none.
+func TestPeerWithoutKeysIsNotAskedAgainAtOnce(t *testing.T) {
+	is := is.New(t)
+	sim := newNamedSimulation(t, 3)
+	sim.startTargets("v1")
+	sim.setPlatformOutage(true)
+	started := sim.start("d01", nil)
+	started.platformUnreachable = true
+	spread := func(from string) effect.RequestReceived {
+		return effect.RequestReceived{Token: 99, Body: &message.Spread{From: from, Era: store.Era{Number: 2, Name: "2"}}}
+	}
+	sim.handle(started, spread("d09:1"))
+	n := sim.nodes[0]
+	asked := n.catalogQueries
+	sim.handle(n, spread("d01:1"))
+	is.Equal(n.catalogQueries, asked+1)
+}
+
 // Guards against two drivers of a move: one that was paused during a restore must not write by a key, a lease or a revision that the new
 // era has given out again.
 func TestPausedDriverDoesNotWriteAfterARestore(t *testing.T) {
--- a/internal/command/catalog/simulation_test.go
+++ b/internal/command/catalog/simulation_test.go
@@ -96,8 +96,13 @@
 	leases        map[store.LeaseID]simulatedLease
 	// lastWriter is the node that has written the record of a move last.
 	lastWriter *node
+	// depth is the number of events that are being handled, each caused by the one before.
+	depth int
 }
 
+// maxDepth bounds the chain of events of which each causes the next one at the same time. Gossip among hundreds of daemons is one.
+const maxDepth = 20_000
+
 // failer ends a test; both *testing.T and *rapid.T do.
 type failer interface {
 	Fatal(args ...any)
@@ -146,10 +151,14 @@
 }
 
 func (sim *simulation) handle(n *node, ev effect.Event) {
+	if sim.depth++; sim.depth > maxDepth {
+		sim.t.Fatalf("%s repeats a call or a message without a pause: %+v", n.address, ev)
+	}
 	known := n.knownRestores
 	for _, e := range n.core.Handle(sim.now, ev) {
 		sim.performEffect(n, e, known)
 	}
+	sim.depth--
 }
 
 func (sim *simulation) performEffect(n *node, e effect.Effect, knownRestores int) {
