catalog: an order that is written again at its old revision is the same order

Cause: after two restores in a row, an order that only the first one lost could be written again at the revision that it had before. It was taken for an older order of the copy, and the daemon gave the version no calls. Change: a daemon that read an order of the copy while a later one was lost remembers that over further restores.

--- a/internal/command/catalog/intent.go
+++ b/internal/command/catalog/intent.go
@@ -20,8 +20,8 @@
 	move model.PlanID
 	// previous is the intent before this one, nil if it is not known. A restored store may hold it again.
 	previous *intent
-	// replacedLost says that the store had lost previous in its latest restore when this intent was read: it may be an older one of the
-	// copy, and previous may still be written again.
+	// replacedLost says that the store had lost previous in a restore when this intent was read: it may be an older one of the copy, and
+	// previous may still be written again.
 	replacedLost bool
 }
 
@@ -40,7 +40,6 @@
 		if m := c.moves[service]; m != nil && m.ID == in.move {
 			m.IntentRevision = model.LostIntent
 		}
-		in.replacedLost = false
 		for ; in != nil; in = in.previous {
 			if in.revision != 0 {
 				in.lostRevision, in.revision = in.revision, 0
@@ -67,8 +66,7 @@
 	next := &intent{Intent: decoded, window: decoded.By.Sub(now), revision: e.ModRevision}
 	revision := strconv.FormatInt(e.ModRevision, 10)
 	switch {
-	case known.isLost() && known.previous.isLost() && known.previous.lostRevision == next.revision &&
-		known.previous.isSame(next) && !known.isSame(next):
+	case known.isLost() && isOlderIntent(known, next):
 		c.log("intent-kept", "service", string(service), "version", string(known.To), "stored", string(next.To), "revision", revision)
 	case known.isLost() && known.isSame(next):
 		c.adoptIntent(known, next.revision)
@@ -92,9 +90,15 @@
 	}
 }
 
+// isOlderIntent reports whether a restored store holds the intent before the known one.
+func isOlderIntent(known, stored *intent) bool {
+	older := known.previous
+	return older.isLost() && !known.replacedLost && older.lostRevision == stored.revision && older.isSame(stored) && !known.isSame(stored)
+}
+
 // adoptIntent puts an intent in force that the store holds again under a revision of the present era. Its move goes on.
 func (c *Core) adoptIntent(in *intent, revision int64) {
-	in.revision, in.previous, in.replacedLost = revision, nil, false
+	in.revision = revision
 	c.intents[in.Service] = in
 	m := c.moves[in.Service]
 	if m != nil && m.ID == in.move {
@@ -103,6 +107,7 @@
 	if revision == in.lostRevision {
 		return // the store had not lost it
 	}
+	in.previous, in.replacedLost = nil, false
 	if m != nil && m.ID == in.move {
 		m.stored = false
 	}
