catalog: a late report right after an outage of the store is not taken

Cause: a target that was acknowledged as gone while the store was away was in service again for up to 0.5 s, if its daemon was killed before the store, which was back, held the record, and a late heartbeat came first: the next process took the reports as soon as it had read the store. Change: a report of a ready target is held until a peer has answered as well; the next daemon by name is asked at once. Peers that have not read the keys themselves do not count.

--- a/internal/command/catalog/announcement.go
+++ b/internal/command/catalog/announcement.go
@@ -41,6 +41,8 @@
 	// reports are applied even if earlier is not known; zero before the first is held.
 	held        *model.TargetReport
 	applyHeldAt time.Time
+	// askedPeer says that a peer was asked for the record, which happens at most once per process.
+	askedPeer bool
 	// previous is the target that an earlier process of this daemon announced; nil if there is none or it has been checked.
 	previous *model.TargetRecord
 	// restarted says that an earlier process of this daemon has announced a target.
--- a/internal/command/catalog/anti_entropy.go
+++ b/internal/command/catalog/anti_entropy.go
@@ -103,7 +103,7 @@
 	}
 	changed := false
 	if reply.Era.Number == c.era.Number {
-		c.antiEntropy.answered = true
+		c.antiEntropy.answered = c.antiEntropy.answered || reply.Loaded
 		if era == c.era.Number && reply.Loaded {
 			c.renewFromPeer(now, reply)
 		}
--- a/internal/command/catalog/earlier_record.go
+++ b/internal/command/catalog/earlier_record.go
@@ -38,13 +38,13 @@
 }
 
 // knowsEarlierRecord reports whether this daemon knows what its earlier processes have recorded, or no longer waits for it. When
-// all daemons start for the first time, there is nothing. A store that was restored may hold an earlier record than peers do.
+// all daemons start for the first time, there is nothing. After an outage or a restore, the platform may hold an earlier record than peers.
 func (c *Core) knowsEarlierRecord(now time.Time) bool {
 	applyHeldAt := c.local.applyHeldAt
 	if c.cfg.FirstStart || !applyHeldAt.IsZero() && !now.Before(applyHeldAt) {
 		return true
 	}
-	return c.meshKeys.loaded && (c.era.Number <= firstEra || c.knowsPeers())
+	return c.meshKeys.loaded && c.knowsPeers()
 }
 
 // holdReport keeps a report until this daemon knows what its earlier processes have recorded. They may have acknowledged that the
@@ -59,10 +59,18 @@
 	}
 }
 
-// applyHeldReport applies the held report once this daemon knows what its earlier processes have recorded.
+// applyHeldReport applies the held report once this daemon knows what its earlier processes have recorded. If only the peers are missing,
+// one is asked at once.
 func (c *Core) applyHeldReport(now time.Time) {
 	local := &c.local
-	if local.held == nil || !c.knowsEarlierRecord(now) {
+	if local.held == nil {
+		return
+	}
+	if !c.knowsEarlierRecord(now) {
+		if c.meshKeys.loaded && !local.askedPeer {
+			local.askedPeer = true
+			c.queryCatalog(c.nextPeerAddress(), c.configurationNumber(), func() {})
+		}
 		return
 	}
 	r := local.held
--- a/internal/command/catalog/gossip.go
+++ b/internal/command/catalog/gossip.go
@@ -63,8 +63,7 @@
 	if len(c.members) == 0 {
 		return nil
 	}
-	next, _ := slices.BinarySearch(c.members, c.cfg.Target.Daemon)
-	peers := []int{next % len(c.members)}
+	peers := []int{c.nextPeer()}
 	peers = c.appendRandomPeers(peers, localFanout, true)
 	peers = c.appendRandomPeers(peers, remoteFanout, false)
 	addresses := make([]string, len(peers))
@@ -74,6 +73,15 @@
 	return addresses
 }
 
+// nextPeer returns the position of the member that follows this daemon in the order of names. There must be members.
+func (c *Core) nextPeer() int {
+	next, _ := slices.BinarySearch(c.members, c.cfg.Target.Daemon)
+	return next % len(c.members)
+}
+
+// nextPeerAddress returns the address of that member.
+func (c *Core) nextPeerAddress() string { return c.roster[c.members[c.nextPeer()]].target.PeerAddress }
+
 // appendRandomPeers appends the positions of up to n random members, in this daemon's data centre or in others, that peers does
 // not contain.
 func (c *Core) appendRandomPeers(peers []int, n int, local bool) []int {
--- a/internal/command/catalog/unstored_record_test.go
+++ b/internal/command/catalog/unstored_record_test.go
@@ -183,3 +183,22 @@
 		}
 	}
 }
+
+// Guards against a target that was acknowledged as gone and gets calls again for some tenths of a second, because its daemon was killed
+// when the platform was just back and had not stored that yet.
+func TestLateReportRightAfterAnOutageIsNotTaken(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t, 4)
+	sim.startTargets("v1")
+	sim.setPlatformOutage(true)
+	sim.report(sim.nodes[2], reportOf("i2", 1, 0, model.TargetGone))
+	sim.run(ackBound)
+	sim.setPlatformOutage(false)
+	n := sim.start("d02", []string{"d00:1"})
+	sim.run(100 * time.Millisecond)
+	sim.report(n, reportOf("i2", 1, 4, model.TargetReady))
+	for range 200 {
+		is.True(n.view.Local.State != model.TargetReady)
+		sim.run(20 * time.Millisecond)
+	}
+}
