catalog: a lost order gives way to the stored one after ten seconds

Cause: a store that holds an older order again keeps the later, lost one in force until the operator writes it again. If the operator had meanwhile ordered the same as the older one, and the revision was the same by chance, the daemons waited for ever, and one that started later disagreed. Change: lostIntentTTL.

--- a/internal/command/catalog/catalog.go
+++ b/internal/command/catalog/catalog.go
@@ -213,6 +213,7 @@
 	c.shareDueRecord(now)
 	c.probeUnlistedMembers(now)
 	c.runAntiEntropy(now)
+	c.dropKeptIntents(now)
 	c.runMoveDriver(now)
 	c.gossipChanges(now)
 }
@@ -235,6 +236,9 @@
 	if c.hasPendingTargets() {
 		next = earliest(next, c.gossipAt)
 	}
+	for _, in := range c.intents {
+		next = earliest(next, in.keptUntil)
+	}
 	for _, m := range c.roster {
 		if !m.probePending {
 			next = earliest(next, m.probeAt)
--- a/internal/command/catalog/intent.go
+++ b/internal/command/catalog/intent.go
@@ -8,6 +8,10 @@
 	"sniperail.example/sniperail/internal/store"
 )
 
+// lostIntentTTL is the time after a restore for which an intent that the store has lost takes precedence over an older one that the
+// store holds again. The operator writes the later one again within moments.
+const lostIntentTTL = 10 * time.Second
+
 // intent is an intent of the operator that is in force, or was until the next one for its service.
 type intent struct {
 	model.Intent
@@ -23,6 +27,8 @@
 	// replacedLost says that the store had lost previous in a restore when this intent was read: it may be an older one of the copy, and
 	// previous may still be written again.
 	replacedLost bool
+	// keptUntil is the time until which the intent, which is lost, stays in force beside an older one in the store; zero if there is none.
+	keptUntil time.Time
 }
 
 // isLost reports whether the store lost the entry of an intent in a restore.
@@ -67,6 +73,7 @@
 	revision := strconv.FormatInt(e.ModRevision, 10)
 	switch {
 	case known.isLost() && isOlderIntent(known, next):
+		known.keptUntil = now.Add(lostIntentTTL)
 		c.log("intent-kept", "service", string(service), "version", string(known.To), "stored", string(next.To), "revision", revision)
 	case known.isLost() && known.isSame(next):
 		c.adoptIntent(known, next.revision)
@@ -96,9 +103,23 @@
 	return older.isLost() && !known.replacedLost && older.lostRevision == stored.revision && older.isSame(stored) && !known.isSame(stored)
 }
 
+// dropKeptIntents puts the stored intents in force where the lost ones have not been written again in time.
+func (c *Core) dropKeptIntents(now time.Time) {
+	for service, in := range c.intents {
+		if in.keptUntil.IsZero() || now.Before(in.keptUntil) {
+			continue
+		}
+		in.keptUntil, in.previous = time.Time{}, nil
+		if e, ok := c.operatorKeys.entries[c.cfg.Operator.KeyIntent(service)]; ok && c.isCurrent(&c.operatorKeys) {
+			c.dirty = true
+			c.applyIntentEntry(now, service, &e)
+		}
+	}
+}
+
 // adoptIntent puts an intent in force that the store holds again under a revision of the present era. Its move goes on.
 func (c *Core) adoptIntent(in *intent, revision int64) {
-	in.revision = revision
+	in.revision, in.keptUntil = revision, time.Time{}
 	c.intents[in.Service] = in
 	m := c.moves[in.Service]
 	if m != nil && m.ID == in.move {
