catalog: eras may be counted from zero

Cause: a store whose first era is 0 was taken for one that names none, and each daemon that started in its first era logged an unexpected one and counted a number of its own. Change: the first name that a daemon hears is taken as it is; the driver's key and the IDs of moves name the era of every store that names one above 0, so that a fence holds after the first restore of such a store too. Measured: TestErasMayBeCountedFromZero fails before.

--- a/internal/command/catalog/driver.go
+++ b/internal/command/catalog/driver.go
@@ -191,7 +191,7 @@
 // a restore cannot write: its revision might have been given out again.
 func (c *Core) driverKey(service model.ServiceName) string {
 	key := store.PrefixDrivers + string(service)
-	if c.era.Number > firstEra {
+	if c.era.Number > 0 {
 		key += "@" + strconv.FormatUint(c.era.Number, 10)
 	}
 	return key
--- a/internal/command/catalog/era.go
+++ b/internal/command/catalog/era.go
@@ -30,9 +30,6 @@
 // eraUnknown is the era of an event of which it is not known when it was asked for.
 const eraUnknown = math.MaxUint64
 
-// firstEra is the number of the era of a store that was never restored; 0 is that of a store that names none.
-const firstEra = 1
-
 // A replica holds the entries of one era of the store, and only entries, revisions and leases of the same era are compared. When the
 // store has been restored from an older copy, each daemon enters the new era and replaces its replicas. What daemons know beyond
 // them (the configuration, orders, moves, targets that have left) stays in force where it is later than what the store holds, and is
@@ -44,7 +41,7 @@
 		return
 	}
 	number, err := strconv.ParseUint(string(name), 10, 64)
-	if err != nil || number <= c.era.Number {
+	if err != nil || c.era.Name != "" && number <= c.era.Number {
 		if sentIn != c.era.Number {
 			return // a late response of an earlier era
 		}
--- a/internal/command/catalog/intent.go
+++ b/internal/command/catalog/intent.go
@@ -140,7 +140,7 @@
 // and the era, since a restored store gives revisions out again.
 func (c *Core) newMoveID(in *intent) model.PlanID {
 	id := string(in.Service) + "@"
-	if c.era.Number > firstEra {
+	if c.era.Number > 0 {
 		id += strconv.FormatUint(c.era.Number, 10) + "."
 	}
 	return model.PlanID(id + strconv.FormatInt(in.revision, 10))
--- a/internal/command/catalog/simulation_test.go
+++ b/internal/command/catalog/simulation_test.go
@@ -94,6 +94,8 @@
 	// leases do not end.
 	era, restores int
 	leases        map[store.LeaseID]simulatedLease
+	// zeroBased says that the store names its first era 0.
+	zeroBased bool
 	// lastWriter is the node that has written the record of a move last.
 	lastWriter *node
 	// depth is the number of events that are being handled, each caused by the one before.
