traffic: no "100 Continue" within a response

Cause: the handler of a request with Expect: 100-continue may read a body that its caller sends without waiting. If the response began before its turn came to be sent, the pending "100 Continue" was written between two parts of the body, to both daemons' callers: bytes that are no answer, within an answer. Class: a pending action that outlives the state it belongs to. Change: the beginning of a response withdraws what is pending. A body that is asked for later than that is not waited for: its read fails, and the connection closes.

--- a/internal/traffic/pipelined_body.go
+++ b/internal/traffic/pipelined_body.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 )
 
@@ -58,6 +59,9 @@
 	return request.ContentLength != 0 && request.Header.Get("Expect") == "100-continue"
 }
 
+// errBodyNotRequested is the error of a body that the caller sends only after "100 Continue", which cannot follow the head of a response.
+var errBodyNotRequested = errors.New("the response has begun without the body of the request")
+
 // Read reads from the connection. It requests "100 Continue" before the first read if the caller waits for it.
 func (b *pipelinedBody) Read(p []byte) (int, error) {
 	b.mu.Lock()
@@ -66,8 +70,10 @@
 		return 0, http.ErrBodyReadAfterClose
 	}
 	if b.awaitsContinue {
+		if !b.response.requestContinue() {
+			return 0, errBodyNotRequested
+		}
 		b.awaitsContinue = false
-		b.response.requestContinue()
 	}
 	return b.trackedBody.Read(p)
 }
--- a/internal/traffic/pipelined_response.go
+++ b/internal/traffic/pipelined_response.go
@@ -255,7 +255,7 @@
 func (r *pipelinedResponse) writeTo(w *bufio.Writer) (open bool) {
 	r.mu.Lock()
 	r.waitFor(func() bool { return r.finished || r.mayBegin() && !r.expired() })
-	r.begun = true
+	r.begun, r.wantsContinue = true, false
 	r.latestWrite = time.Now().Add(r.conn.server.options.WriteTimeout)
 	defer r.conn.limitWriting(time.Time{})
 	r.limitWriting()
@@ -319,9 +319,14 @@
 	return part, r.finished, r.aborted
 }
 
-func (r *pipelinedResponse) requestContinue() {
+// requestContinue makes the writer send "100 Continue" before the response. It returns false if the response has begun.
+func (r *pipelinedResponse) requestContinue() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.begun {
+		return false
+	}
 	r.wantsContinue = true
 	r.changed.Broadcast()
+	return true
 }
