--- a/internal/traffic/pipeline_fuzz_test.go
+++ b/internal/traffic/pipeline_fuzz_test.go
@@ -107,10 +107,34 @@
 }
 
 // exchange sends bytes to a server of its own and reads until the server closes the connection. The closed sending side makes the server
-// end the connection once it has read all. A socket in the file system needs no port, of which there are too few for a fuzz test.
+// end the connection once it has read all.
 func exchange(t *testing.T, handler http.Handler, data []byte) {
 	t.Helper()
-	listener, err := net.Listen("unix", filepath.Join(t.TempDir(), "s"))
+	_, conn := serveOnFile(t, t.TempDir(), handler)
+	go func() {
+		_, _ = conn.Write(data) // fails if the server has closed the connection
+		_ = conn.CloseWrite()
+	}()
+	if _, err := io.Copy(io.Discard, conn); isDeadline(err) {
+		t.Fatal("the server does not end the connection")
+	}
+}
+
+// fileTest is a test that needs a server for its own time.
+type fileTest interface {
+	Helper()
+	Fatal(args ...any)
+	Cleanup(func())
+}
+
+// connectionTimeout ends a test whose server neither answers nor closes the connection.
+const connectionTimeout = 20 * time.Second
+
+// serveOnFile starts a server and returns a connection to it. A socket in the file system needs no port, of which there are too few for
+// a fuzz test.
+func serveOnFile(t fileTest, dir string, handler http.Handler) (*traffic.PipelineServer, *net.UnixConn) {
+	t.Helper()
+	listener, err := net.ListenUnix("unix", &net.UnixAddr{Name: filepath.Join(dir, "s"), Net: "unix"})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -121,24 +145,18 @@
 	})
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(listener) }()
-	defer func() {
+	t.Cleanup(func() {
 		_ = listener.Close()
 		<-served
 		_ = server.Close()
-	}()
-	conn, err := net.Dial("unix", listener.Addr().String())
+	})
+	conn, err := net.DialUnix("unix", nil, &net.UnixAddr{Name: listener.Addr().String(), Net: "unix"})
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = conn.Close() }()
-	_ = conn.SetDeadline(time.Now().Add(20 * time.Second))
-	go func() {
-		_, _ = conn.Write(data) // fails if the server has closed the connection
-		_ = conn.(*net.UnixConn).CloseWrite()
-	}()
-	if _, err := io.Copy(io.Discard, conn); isDeadline(err) {
-		t.Fatal("the server does not end the connection")
-	}
+	t.Cleanup(func() { _ = conn.Close() })
+	_ = conn.SetDeadline(time.Now().Add(connectionTimeout))
+	return server, conn
 }
 
 func isDeadline(err error) bool {
