--- a/internal/command/catalog/era.go
+++ b/internal/command/catalog/era.go
@@ -15,26 +15,26 @@
 	"sniperail.example/sniperail/internal/store"
 )
 
+// A replica holds the entries of one era of the store, and only entries, revisions and leases of the same era are compared. When the
+// store has been restored from an older copy, each daemon enters the new era and replaces its replicas. What daemons know beyond
+// them (the configuration, orders, moves, targets that have left) stays in force where it is later than what the store holds, and is
+// written again by its owner.
+
 const (
 	// renewListDelay is the longest delay before a daemon that learned from the store itself that it was restored lists the keys.
 	// Daemons that hear of it from a peer meanwhile get the keys there.
 	renewListDelay = 200 * time.Millisecond
 	// renewPeerTimeout is the longest time for which a daemon that learned of it from a peer waits for the keys of a peer before it
-	// lists them. Half of it covers a query to the peer, and a second one to another.
+	// lists them. It waits for half of that at least, in which a query to the peer and one to another are answered.
 	renewPeerTimeout = 2 * time.Second
 	// announceSpread is the time over which the daemons write their announcements again. They must be back two seconds after the
 	// store.
 	announceSpread = time.Second
 )
 
-// eraUnknown is the era of an event of which it is not known when it was asked for.
+// eraUnknown is the sentIn of a watch event: it is not known whether the watch began in the present era.
 const eraUnknown = math.MaxUint64
 
-// A replica holds the entries of one era of the store, and only entries, revisions and leases of the same era are compared. When the
-// store has been restored from an older copy, each daemon enters the new era and replaces its replicas. What daemons know beyond
-// them (the configuration, orders, moves, targets that have left) stays in force where it is later than what the store holds, and is
-// written again by its owner.
-
 // observeEra processes the era that a response of the store names. sentIn is the era that was known when the call was sent.
 func (c *Core) observeEra(now time.Time, name store.EraName, sentIn uint64) {
 	if name == "" || name == c.era.Name {
--- a/internal/command/catalog/move_record.go
+++ b/internal/command/catalog/move_record.go
@@ -148,8 +148,8 @@
 	c.writeMove(service, d, m, revision)
 }
 
-// writeMove writes the record of a move, and its report if the reported phase changes or the store has lost it. The compares on the keys of the move
-// and the driver reject the write of a driver that was paused or replaced.
+// writeMove writes the record of a move, and its report if the reported phase changes or the store has lost it. The compares on the keys
+// of the move and the driver reject the write of a driver that was paused or replaced.
 func (c *Core) writeMove(service model.ServiceName, d *moveDriver, m *model.Rollout, revision int64) {
 	moveValue, err := c.cfg.Records.EncodeMove(m)
 	if err == nil {
