--- a/internal/traffic/pipeline_fuzz_test.go
+++ b/internal/traffic/pipeline_fuzz_test.go
@@ -143,8 +143,11 @@
 		Handler: handler, HeaderBytes: 2 << 10, Logger: zap.NewNop(), HeaderTimeout: minute, IdleTimeout: minute,
 		WriteTimeout: traffic.ResponseWriteTimeout,
 	})
-	served := make(chan error, 1)
-	go func() { served <- server.Serve(listener) }()
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		_ = server.Serve(listener) // ends with the listener
+	}()
 	t.Cleanup(func() {
 		_ = listener.Close()
 		<-served
