--- a/internal/command/catalog/announcement.go
+++ b/internal/command/catalog/announcement.go
@@ -41,8 +41,10 @@
 	// reports are applied even if earlier is not known; zero before the first is held.
 	held        *model.TargetReport
 	applyHeldAt time.Time
-	// askedPeer says that a peer was asked for the record, which happens at most once per process.
-	askedPeer bool
+	// askedPeers says that the neighbours were asked for the record, which happens at most once per process, and peersPending how many
+	// of them have not answered.
+	askedPeers   bool
+	peersPending int
 	// previous is the target that an earlier process of this daemon announced; nil if there is none or it has been checked.
 	previous *model.TargetRecord
 	// restarted says that an earlier process of this daemon has announced a target.
--- a/internal/command/catalog/earlier_record.go
+++ b/internal/command/catalog/earlier_record.go
@@ -44,7 +44,7 @@
 	if c.cfg.FirstStart || !applyHeldAt.IsZero() && !now.Before(applyHeldAt) {
 		return true
 	}
-	return c.meshKeys.loaded && c.knowsPeers()
+	return c.meshKeys.loaded && (c.knowsPeers() || c.local.askedPeers && c.local.peersPending == 0)
 }
 
 // holdReport keeps a report until this daemon knows what its earlier processes have recorded. They may have acknowledged that the
@@ -59,18 +59,28 @@
 	}
 }
 
-// applyHeldReport applies the held report once this daemon knows what its earlier processes have recorded. If only the peers are missing,
-// one is asked at once.
+// askForEarlierRecord asks the neighbours in the order of names, once this daemon knows them. Their answers end the wait also if they have
+// just started themselves and know nothing, as after a loss of power everywhere.
+func (c *Core) askForEarlierRecord() {
+	local := &c.local
+	if !c.meshKeys.loaded || local.askedPeers {
+		return
+	}
+	local.askedPeers = true
+	for _, address := range c.neighbourAddresses() {
+		local.peersPending++
+		c.queryCatalog(address, c.configurationNumber(), func() { local.peersPending-- })
+	}
+}
+
+// applyHeldReport applies the held report once this daemon knows what its earlier processes have recorded.
 func (c *Core) applyHeldReport(now time.Time) {
 	local := &c.local
 	if local.held == nil {
 		return
 	}
 	if !c.knowsEarlierRecord(now) {
-		if c.meshKeys.loaded && !local.askedPeer {
-			local.askedPeer = true
-			c.queryCatalog(c.nextPeerAddress(), c.configurationNumber(), func() {})
-		}
+		c.askForEarlierRecord()
 		return
 	}
 	r := local.held
--- a/internal/command/catalog/gossip.go
+++ b/internal/command/catalog/gossip.go
@@ -79,8 +79,15 @@
 	return next % len(c.members)
 }
 
-// nextPeerAddress returns the address of that member.
-func (c *Core) nextPeerAddress() string { return c.roster[c.members[c.nextPeer()]].target.PeerAddress }
+// neighbourAddresses returns the addresses of the members that follow and precede this daemon in the order of names.
+func (c *Core) neighbourAddresses() []string {
+	next := c.nextPeer()
+	addresses := []string{c.roster[c.members[next]].target.PeerAddress}
+	if previous := (next + len(c.members) - 1) % len(c.members); previous != next {
+		addresses = append(addresses, c.roster[c.members[previous]].target.PeerAddress)
+	}
+	return addresses
+}
 
 // appendRandomPeers appends the positions of up to n random members, in this daemon's data centre or in others, that peers does
 // not contain.
