--- a/cmd/sniperail-sidecar/main.go
+++ b/cmd/sniperail-sidecar/main.go
@@ -29,7 +29,7 @@
 
 type cli struct {
 	settings.Sidecar `embed:""`
-	Bounds           platform.Bounds `help:"Limits of the platform as name=value, separated by commas."`
+	Bounds           platform.Bounds `help:"Limits of the platform as name=value, separated by commas, or as a JSON object."`
 }
 
 // parse reads and validates the flags, the environment and the settings file at path, if there is one.
--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -33,6 +33,13 @@
 	ExposureFraction float64 `default:"0.1" help:"Requests that a new version may get before it is known to be good, as a part of those of its service from the order to the deadline."`
 	ExposureSlack    float64 `default:"50" help:"Requests that such a version may get beyond that."`
 
+	RevokeStrict bool          `help:"Refuse requests with an API key once the configuration may be older than revoke-within."`
+	RevokeWithin time.Duration `default:"5s" help:"Time from the removal of an API key until no request with it is served."`
+
+	QuotaWindow    time.Duration `default:"5s" help:"Window over which the requests of a tenant are counted."`
+	QuotaTolerance float64       `default:"0.1" help:"Requests of a tenant that may be served beyond its quota, as a part of the quota."`
+	QuotaSlack     float64       `default:"20" help:"Requests of a tenant that may be served beyond that, within the window."`
+
 	LogLevel string `default:"info" help:"Least level of the events that are logged: debug, info, warn or error."`
 }
 
@@ -85,6 +92,10 @@
 	c.Duration("retry-window", s.RetryWindow, time.Second, maxGrace)
 	c.Number("exposure-fraction", s.ExposureFraction, 0, 1)
 	c.Number("exposure-slack", s.ExposureSlack, 0, maxSlack)
+	c.Duration("revoke-within", s.RevokeWithin, time.Second, maxGrace)
+	c.Duration("quota-window", s.QuotaWindow, time.Second, maxGrace)
+	c.Number("quota-tolerance", s.QuotaTolerance, 0, 1)
+	c.Number("quota-slack", s.QuotaSlack, 0, maxSlack)
 	c.OneOf("log-level", s.LogLevel, LogLevels...)
 	return c.Err()
 }
