--- a/internal/command/catalog/catalog.go
+++ b/internal/command/catalog/catalog.go
@@ -26,7 +26,8 @@
 	KeyIntent(service model.ServiceName) string
 	// KeyReport returns the key at which the state of a service's move is reported to the operator.
 	KeyReport(service model.ServiceName) string
-	DecodeConfiguration(data []byte) (*model.Configuration, error)
+	// DecodeConfiguration also returns the entries that could not be taken as written.
+	DecodeConfiguration(data []byte) (*model.Configuration, []model.Problem, error)
 	DecodeIntent(data []byte, now time.Time) (model.Intent, error)
 	EncodeReport(m *model.Move) ([]byte, error)
 }
--- a/internal/command/catalog/view.go
+++ b/internal/command/catalog/view.go
@@ -33,7 +33,7 @@
 	if e == nil {
 		return
 	}
-	next, err := c.cfg.Operator.DecodeConfiguration(e.Value)
+	next, notTaken, err := c.cfg.Operator.DecodeConfiguration(e.Value)
 	// The raw value is by far the largest of all, and is not needed any more.
 	c.operatorKeys.entries[e.Key] = store.Entry{Key: e.Key, ModRevision: e.ModRevision}
 	revision := strconv.FormatInt(e.ModRevision, 10)
@@ -56,6 +56,24 @@
 		return
 	}
 	c.setConfiguration(now, distribution.Strip(next), nil, e.ModRevision, "platform")
+	c.logNotTaken(text, revision, notTaken)
+}
+
+// maxListedProblems bounds the entries that one log line names.
+const maxListedProblems = 20
+
+// logNotTaken logs the entries of a configuration that were not taken as written, in one line a revision.
+func (c *Core) logNotTaken(number, revision string, problems []model.Problem) {
+	if len(problems) == 0 {
+		return
+	}
+	listed := make([]string, 0, min(len(problems), maxListedProblems))
+	for _, p := range problems[:cap(listed)] {
+		listed = append(listed, truncate(p.Field)+": "+truncate(p.Reason))
+	}
+	c.log("configuration-partly-taken", "number", number, "revision", revision,
+		"entries", strconv.Itoa(len(problems)), "detail", strings.Join(listed, "; "))
+	c.count("sniperail_entries_refused", "configuration-entry")
 }
 
 // unresolvedReferences returns a problem for each route that leads to a service missing from the configuration. Versions are
--- a/internal/command/distribution/checksum.go
+++ b/internal/command/distribution/checksum.go
@@ -3,6 +3,7 @@
 package distribution
 
 import (
+	"math"
 	"slices"
 	"strings"
 
@@ -56,17 +57,21 @@
 }
 
 // Checksum returns a checksum of the distributed form of a configuration. It covers the number, services by name, routes by
-// name, active moves by ID, withdrawn versions in order, the dashboard with its labels by name, and the callers' limits.
+// name, tenants by name, active moves by ID, withdrawn versions in order, the dashboard with its labels by name, and the callers' limits.
 func Checksum(c *model.Configuration) uint64 {
 	d := newDigest()
 	d.addNumbers(uint64(c.Number), uint64(len(c.Services)), uint64(len(c.Routes)), uint64(len(c.Withdrawn)))
 	services, routes, moves := sortedBy(c.Services, serviceKey), sortedBy(c.Routes, routeKey), sortedBy(c.Moves, moveKey)
+	tenants := sortedBy(c.Tenants, tenantKey)
 	for i := range services {
 		d.addService(&services[i])
 	}
 	for i := range routes {
 		d.addRoute(&routes[i])
 	}
+	for i := range tenants {
+		d.addTenant(&tenants[i])
+	}
 	for i := range moves {
 		if moves[i].Phase.Active() {
 			d.addMove(&moves[i])
@@ -84,6 +89,7 @@
 func (d *digest) addService(s *model.Service) {
 	d.addStrings(string(s.Name), s.Customer, s.HealthPath)
 	d.addNumbers(uint64(s.Changed), uint64(len(s.Versions)), uint64(len(s.DependsOn)), uint64(s.Connections))
+	d.addNumbers(math.Float64bits(s.WarmupPerSecond), uint64(s.WarmupMS))
 	for _, v := range s.Versions {
 		d.addStrings(string(v.Version))
 		d.addNumbers(uint64(v.Share))
@@ -103,6 +109,7 @@
 	d.addNumbers(uint64(len(r.Methods)))
 	d.addStrings(r.Methods...)
 	d.addBool(r.Idempotent)
+	d.addBool(r.Public)
 	d.addNumbers(uint64(r.TimeoutMS))
 	d.addBool(r.Once != nil)
 	if r.Once != nil {
@@ -112,6 +119,18 @@
 	}
 }
 
+func (d *digest) addTenant(t *model.Tenant) {
+	d.addStrings(string(t.Name))
+	d.addNumbers(uint64(len(t.Keys)), math.Float64bits(t.RatePerSecond), math.Float64bits(t.Burst))
+	for _, key := range t.Keys {
+		d.addStrings(string(key[:]))
+	}
+	d.addBool(t.Priority != nil)
+	if t.Priority != nil {
+		d.addNumbers(uint64(*t.Priority))
+	}
+}
+
 func (d *digest) addMove(m *model.Move) {
 	d.addStrings(string(m.ID), string(m.Service), string(m.From), string(m.To), string(m.Phase), string(m.Resume), m.Reason,
 		m.ConfirmedBy)
--- a/internal/command/distribution/delta.go
+++ b/internal/command/distribution/delta.go
@@ -14,6 +14,7 @@
 		Number:    c.Number,
 		Services:  sortedBy(c.Services, serviceKey),
 		Routes:    sortedBy(c.Routes, routeKey),
+		Tenants:   sortedBy(c.Tenants, tenantKey),
 		Withdrawn: c.Withdrawn,
 		Dashboard: c.Dashboard,
 		Limits:    c.Limits,
@@ -28,6 +29,7 @@
 
 func serviceKey(s *model.Service) string { return string(s.Name) }
 func routeKey(r *model.Route) string     { return string(r.Name) }
+func tenantKey(t *model.Tenant) string   { return string(t.Name) }
 func moveKey(m *model.Move) string       { return string(m.ID) }
 
 // Diff returns the delta that turns base into next. Both must be results of Strip, and so sorted.
@@ -41,6 +43,8 @@
 	d.RemovedServices = convertNames[model.ServiceName](removed)
 	d.Routes, removed = diffLists(base.Routes, next.Routes, routeKey)
 	d.RemovedRoutes = convertNames[model.RouteName](removed)
+	d.Tenants, removed = diffLists(base.Tenants, next.Tenants, tenantKey)
+	d.RemovedTenants = convertNames[model.TenantName](removed)
 	d.Moves, removed = diffLists(base.Moves, next.Moves, moveKey)
 	d.RemovedMoves = convertNames[model.PlanID](removed)
 	return d
@@ -55,6 +59,7 @@
 		Number:    d.Number,
 		Services:  patchList(base.Services, d.Services, convertNames[string](d.RemovedServices), serviceKey),
 		Routes:    patchList(base.Routes, d.Routes, convertNames[string](d.RemovedRoutes), routeKey),
+		Tenants:   patchList(base.Tenants, d.Tenants, convertNames[string](d.RemovedTenants), tenantKey),
 		Moves:     patchList(base.Moves, d.Moves, convertNames[string](d.RemovedMoves), moveKey),
 		Withdrawn: d.Withdrawn,
 		Dashboard: d.Dashboard,
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -218,6 +218,8 @@
 	RemovedServices []model.ServiceName
 	Routes          []model.Route
 	RemovedRoutes   []model.RouteName
+	Tenants         []model.Tenant
+	RemovedTenants  []model.TenantName
 	Moves           []model.Move
 	RemovedMoves    []model.PlanID
 	// Withdrawn, Dashboard and Limits replace the old values as a whole.
--- a/internal/model/clone.go
+++ b/internal/model/clone.go
@@ -11,6 +11,7 @@
 		n.Services[i].Versions = slices.Clone(n.Services[i].Versions)
 	}
 	n.Routes = slices.Clone(c.Routes)
+	n.Tenants = slices.Clone(c.Tenants)
 	n.Moves = slices.Clone(c.Moves)
 	n.Withdrawn = slices.Clone(c.Withdrawn)
 	n.Events = slices.Clone(c.Events)
--- a/internal/model/configuration.go
+++ b/internal/model/configuration.go
@@ -11,9 +11,11 @@
 // Configuration is the single document that operators' commands change. It is immutable once published; use Clone to
 // get a copy that may be changed.
 type Configuration struct {
-	Number    Number       `json:"number"`
-	Services  []Service    `json:"services"`
-	Routes    []Route      `json:"routes"`
+	Number   Number    `json:"number"`
+	Services []Service `json:"services"`
+	Routes   []Route   `json:"routes"`
+	// Tenants are the holders of API keys. If there are any, requests need a key unless their route is public.
+	Tenants   []Tenant     `json:"tenants,omitempty"`
 	Moves     []Move       `json:"moves,omitempty"`
 	Withdrawn []VersionRef `json:"withdrawn,omitempty"`
 	Dashboard *Dashboard   `json:"dashboard,omitempty"`
@@ -55,6 +57,10 @@
 	Connections int `json:"connections,omitempty"`
 	// HealthPath is the path at which a target reports its health and its instance; empty means that there is none.
 	HealthPath string `json:"healthPath,omitempty"`
+	// WarmupPerSecond is the number of requests per second that a target of the service tolerates while it is cold; 0 means
+	// no limit. WarmupMS is how long a target is cold after its start.
+	WarmupPerSecond float64 `json:"warmupPerSecond,omitempty"`
+	WarmupMS        int     `json:"warmupMs,omitempty"`
 }
 
 // VersionShare is the share of a service's calls that one version receives. The shares of a service sum to FullShare.
@@ -87,6 +93,8 @@
 	MaxAttempts int `json:"maxAttempts,omitempty"`
 	// Priority ranks the route; 0 is the most important.
 	Priority int `json:"priority,omitempty"`
+	// Public lets requests without an API key pass.
+	Public bool `json:"public,omitempty"`
 }
 
 // ServiceWeight sets the fraction of a route's requests that a service receives, relative to the other weights.
--- a/internal/model/names.go
+++ b/internal/model/names.go
@@ -20,6 +20,8 @@
 	Region string
 	// DaemonID names a daemon and the upstream beside it. It survives restarts.
 	DaemonID string
+	// TenantName names a tenant, a customer whose callers have API keys and a quota.
+	TenantName string
 	// InstanceID is the name that a target reports for one run of itself. A restarted target may reuse the name.
 	InstanceID string
 	// PlanID names a plan and the move that starts when the plan is confirmed.
