--- a/internal/query/routing/routing.go
+++ b/internal/query/routing/routing.go
@@ -28,6 +28,7 @@
 	// View is the view that the table was compiled from.
 	View     *model.View
 	routes   routeIndex
+	tenants  tenantIndex
 	services map[model.ServiceName]*Service
 	withheld map[model.VersionRef]bool
 }
@@ -84,6 +85,11 @@
 	for i := range c.Services {
 		t.services[c.Services[i].Name] = compileService(view, &c.Services[i], ready, t.withheld)
 	}
+	if previous != nil && previous.routes != nil && sameTenants(previous.View.Configuration, c) {
+		t.tenants = previous.tenants
+	} else {
+		t.tenants = compileTenants(c.Tenants)
+	}
 	if previous != nil && previous.routes != nil && sameRoutes(previous.View.Configuration, c) {
 		t.routes = previous.routes
 		return t
--- a/internal/traffic/dispatch_header.go
+++ b/internal/traffic/dispatch_header.go
@@ -22,6 +22,8 @@
 	NotExecuted string
 	// CallerService holds the service of the daemon that received the request from its caller.
 	CallerService string
+	// TenantID holds the name of the tenant whose API key the caller sent. Targets expect it where the configuration has tenants.
+	TenantID string
 	// InstanceID holds the run of a target in its response to a health check.
 	InstanceID string
 	// TargetLoad holds the running calls, the waiting calls and the slots that a target reports, separated by commas.
--- a/internal/traffic/inbound.go
+++ b/internal/traffic/inbound.go
@@ -344,11 +344,15 @@
 
 func (c *inboundCall) outgoing() *outgoingRequest {
 	names := c.inbound.options.Headers
-	return &outgoingRequest{request: c.request, body: c.body, headers: []string{
+	headers := []string{
 		names.Deadline, strconv.FormatInt(max(time.Until(c.deadline).Milliseconds(), 1), 10),
 		names.ExpectInstance, string(c.dispatch.instance),
 		names.CallerService, string(c.dispatch.caller),
-	}}
+	}
+	if tenant, ok := parseTenantHeader(c.request.Header); ok && names.TenantID != "" {
+		headers = append(headers, names.TenantID, string(tenant.name))
+	}
+	return &outgoingRequest{request: c.request, body: c.body, headers: headers}
 }
 
 // finish frees the slot and records the outcome of the call.
--- a/internal/traffic/outbound.go
+++ b/internal/traffic/outbound.go
@@ -108,6 +108,10 @@
 	if reason != routing.Found {
 		return nil, notExecuted(http.StatusNotFound, string(reason), "no route matches host and path")
 	}
+	tenant, refused := o.authenticate(r, table, route)
+	if refused != nil {
+		return nil, refused
+	}
 	left, ok := remainingTimeFrom(r.Header, o.options.Headers.Deadline, min(route.Timeout, maxDeadline))
 	if !ok {
 		return nil, notExecuted(http.StatusBadRequest, reasonBadDeadline,
@@ -133,7 +137,7 @@
 	o.peers.update(table, now)
 	service, rotation := table.SelectService(route, o.rotations.get(route.Name).Add(1))
 	return &outboundRequest{
-		outbound: o, table: table, request: r, route: route, service: service, rotation: rotation, body: body,
+		outbound: o, table: table, request: r, route: route, tenant: tenant, service: service, rotation: rotation, body: body,
 		started: now, objective: objective, deadline: deadline, id: strconv.FormatUint(o.calls.Add(1), 36),
 	}, nil
 }
--- a/internal/traffic/outbound_request.go
+++ b/internal/traffic/outbound_request.go
@@ -22,6 +22,8 @@
 	table    *routing.Table
 	request  *http.Request
 	route    *routing.Route
+	// tenant is that of the caller's API key; nil if the request has none.
+	tenant   *model.Tenant
 	service  *routing.Service
 	rotation uint64
 	body     *requestBody
@@ -188,17 +190,29 @@
 func (r *outboundRequest) outgoing(choice routing.Choice) *outgoingRequest {
 	d := dispatchHeader{
 		call: sendID(r.id, r.sends), service: r.version.Service, version: r.version.Version, instance: choice.Target.Instance,
-		route: r.route.Name, caller: r.outbound.options.Service, priority: r.route.Priority,
+		route: r.route.Name, caller: r.outbound.options.Service, priority: r.priority(),
 		objective: time.Until(r.objective),
 	}
 	if r.busyRefusals < maxBusyRefusals && choice.WaitLimit > 0 {
 		d.maxWait = choice.WaitLimit
 	}
 	names := r.outbound.options.Headers
-	return &outgoingRequest{request: r.request, body: r.body, headers: []string{
+	headers := []string{
 		HeaderDispatch, d.String(),
 		names.Deadline, strconv.FormatInt(max(time.Until(r.deadline).Milliseconds(), 1), 10),
-	}}
+	}
+	if r.tenant != nil {
+		headers = append(headers, HeaderTenant, tenantHeader{r.tenant.Name, r.tenant.Weight()}.String())
+	}
+	return &outgoingRequest{request: r.request, body: r.body, headers: headers}
+}
+
+// priority is that of the tenant, or of the route if the tenant has none.
+func (r *outboundRequest) priority() int {
+	if r.tenant != nil && r.tenant.Priority != nil {
+		return *r.tenant.Priority
+	}
+	return r.route.Priority
 }
 
 func (r *outboundRequest) maxAttempts() int {
--- a/internal/traffic/outgoing_request.go
+++ b/internal/traffic/outgoing_request.go
@@ -67,7 +67,7 @@
 // replacedHeaders are the request headers that are not copied: they are set anew for the next hop or left out.
 var replacedHeaders = map[string]bool{
 	"Content-Length": true, HeaderDeadline: true, HeaderAttempt: true, HeaderCall: true, HeaderRefusal: true, HeaderExecuted: true,
-	HeaderDispatch: true,
+	HeaderDispatch: true, HeaderTenant: true,
 }
 
 var (
--- a/internal/traffic/refusal.go
+++ b/internal/traffic/refusal.go
@@ -37,6 +37,7 @@
 	reasonResponseEncoded    = "response-encoded"
 	reasonTargetShed         = "target-shed"
 	reasonHeaderTooLarge     = "header-too-large"
+	reasonKeyUnknown         = "api-key-unknown"
 )
 
 // refusal is an error response of a daemon.
