--- a/internal/sidecar/drain.go
+++ b/internal/sidecar/drain.go
@@ -46,6 +46,8 @@
 	d.ingress.StopAccepting()
 	limited, cancel := context.WithDeadline(ctx, drained)
 	defer cancel()
+	answer := time.AfterFunc(time.Until(drained.Add(-lastAnswerMargin)), d.outbound.CancelCalls)
+	defer answer.Stop()
 	requestsCut, callsCut := d.ingress.Wait(limited) != nil, d.inbound.Wait(limited) != nil
 	if requestsCut || callsCut {
 		d.logger.Warn("stopping-cuts", zap.Int("requests", d.outbound.InFlight()), zap.Int("calls", d.inbound.InFlight()),
--- a/internal/traffic/outbound.go
+++ b/internal/traffic/outbound.go
@@ -79,6 +79,14 @@
 // given to StopAt.
 func (o *Outbound) RefuseLong() { o.stop.refusesLong.Store(true) }
 
+// CancelCalls cancels the requests in flight that have no response yet, so that their callers get an answer instead of a closed
+// connection. It is called at the time that was given to StopAt.
+func (o *Outbound) CancelCalls() {
+	for _, known := range *o.peers.known.Load() {
+		known.calls.cancelStopping()
+	}
+}
+
 // ServeHTTP handles one request of a caller.
 func (o *Outbound) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	o.inFlight.begin()
--- a/internal/traffic/outbound_refusal.go
+++ b/internal/traffic/outbound_refusal.go
@@ -42,6 +42,10 @@
 	deadlinePassed := isTimeout(err) && !time.Now().Before(r.deadline)
 	daemon := string(a.target.Daemon)
 	switch {
+	case errors.Is(err, errStopping) && maybeSent:
+		return inDoubt(http.StatusGatewayTimeout, reasonDeadline, "the daemon stops before the response")
+	case errors.Is(err, errStopping):
+		return notExecuted(http.StatusServiceUnavailable, reasonDraining, "this daemon is shutting down")
 	case errors.Is(err, errTargetLost) && maybeSent:
 		return inDoubt(http.StatusBadGateway, reasonTargetLost, "the daemon "+daemon+" is gone or its target replaced")
 	case errors.Is(err, errTargetLost):
--- a/internal/traffic/outbound_request.go
+++ b/internal/traffic/outbound_request.go
@@ -239,6 +239,9 @@
 	if a.refused == nil {
 		r.lastResponse = a
 	}
+	if r.outbound.stop.hasEnded() {
+		return reasonDraining, false
+	}
 	if a.refused != nil && !reached {
 		return r.decideRetryUnsent(a)
 	}
--- a/internal/traffic/outbound_stop_test.go
+++ b/internal/traffic/outbound_stop_test.go
@@ -28,6 +28,31 @@
 	is.Equal(target.received.Load(), int64(1))
 }
 
+// Guards against a request that arrived before the daemon began to stop and is cut off without an answer at the end of the grace
+// period, because its deadline is later.
+func TestEarlierRequestsAreAnsweredBeforeAStopEnds(t *testing.T) {
+	is := is.New(t)
+	release, arrived := make(chan struct{}), make(chan struct{}, 1)
+	target := startScriptedTarget(t, func(int, *http.Request) string {
+		arrived <- struct{}{}
+		<-release
+		return okResponse
+	})
+	c := startChain(t, target)
+	t.Cleanup(func() { close(release) })
+	c.deadline = time.Hour
+	go func() {
+		<-arrived
+		c.outbound.StopAt(time.Now())
+		c.outbound.CancelCalls()
+	}()
+	status, header, _, err := c.call(t.Context(), "POST", "/once/x")
+	is.NoErr(err)
+	is.Equal(status, http.StatusGatewayTimeout) // the target may have executed it
+	is.Equal(header.Get("Retry-After"), "")
+	is.Equal(target.received.Load(), int64(1))
+}
+
 // Guards against a request that is passed on although it cannot finish before the daemon has stopped.
 func TestRequestsThatCannotFinishBeforeAStopAreRefused(t *testing.T) {
 	is := is.New(t)
--- a/internal/traffic/peers.go
+++ b/internal/traffic/peers.go
@@ -109,6 +109,15 @@
 	}
 }
 
+// cancelStopping cancels all calls because the daemon stops.
+func (s *callSet) cancelStopping() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for e := range s.calls {
+		e.cancelStopping()
+	}
+}
+
 // peers holds a peer per target of the current table that is not silent.
 type peers struct {
 	tables Tables
--- a/internal/traffic/stop_limit.go
+++ b/internal/traffic/stop_limit.go
@@ -16,6 +16,12 @@
 
 func (l *stopLimit) set(t time.Time) { l.at.Store(t.UnixNano()) }
 
+// hasEnded reports whether the time has passed by which every request must be answered.
+func (l *stopLimit) hasEnded() bool {
+	at := l.at.Load()
+	return at != 0 && time.Now().UnixNano() >= at
+}
+
 // apply returns the deadline of a request that has just arrived, or a refusal.
 func (l *stopLimit) apply(deadline time.Time) (time.Time, *refusal) {
 	at := l.at.Load()
--- a/internal/traffic/transport.go
+++ b/internal/traffic/transport.go
@@ -36,6 +36,7 @@
 	errProtocolSwitch   = errors.New("the response switches protocols")
 	errTargetStalled    = errors.New("the target stopped answering")
 	errTargetLost       = errors.New("the target is silent, gone or replaced")
+	errStopping         = errors.New("the daemon stops")
 )
 
 // connectionLimit limits the open connections. A nil limit allows any number.
@@ -217,9 +218,11 @@
 	started      time.Time
 	stallTimeout time.Duration
 	stalled      atomic.Bool
-	response     *http.Response
-	conn         *trackedConn
-	reused       bool
+	// stopping is set when the exchange is cancelled because the daemon stops.
+	stopping atomic.Bool
+	response *http.Response
+	conn     *trackedConn
+	reused   bool
 	// unusable means that the connection was closed before the exchange began, so that no byte of the request was sent.
 	unusable bool
 	// writesBefore is the number of writes to the connection before this exchange.
@@ -323,8 +326,18 @@
 	e.cancel()
 }
 
-// failureCause returns errTargetStalled or errTargetLost if the exchange was cancelled for that reason, and err otherwise.
+// cancelStopping cancels the exchange because the daemon stops.
+func (e *exchange) cancelStopping() {
+	e.stopping.Store(true)
+	e.cancel()
+}
+
+// failureCause returns errStopping, errTargetStalled or errTargetLost if the exchange was cancelled for that reason, and err
+// otherwise.
 func (e *exchange) failureCause(err error) error {
+	if e.stopping.Load() {
+		return errStopping
+	}
 	if e.stalled.Load() {
 		return errTargetStalled
 	}
