--- a/internal/command/admission/priority_queue.go
+++ b/internal/command/admission/priority_queue.go
@@ -102,14 +102,35 @@
 
 // Acquire requests a slot for a call.
 func (q *PriorityQueue) Acquire(now time.Time, call Call) Decision {
+	at, refused := q.check(now, call)
+	if refused.Verdict == Refuse {
+		return refused
+	}
+	q.lastTicket++
+	if len(q.queue) == 0 && q.running < q.usableSlots(now) && q.rate.take(now) {
+		q.running++
+		return Decision{Verdict: Run, Ticket: q.lastTicket}
+	}
+	q.queue = slices.Insert(q.queue, at, waitingCall{call, q.lastTicket})
+	return Decision{Verdict: Wait, Ticket: q.lastTicket}
+}
+
+// Refuses reports whether a call would be refused now, and why. A sender learns it before it transfers a long request body.
+func (q *PriorityQueue) Refuses(now time.Time, call Call) (Decision, bool) {
+	_, refused := q.check(now, call)
+	return refused, refused.Verdict == Refuse
+}
+
+// check returns the position of a call in the queue, or its refusal.
+func (q *PriorityQueue) check(now time.Time, call Call) (at int, refused Decision) {
 	if !q.open {
-		return Decision{Verdict: Refuse, Reason: Draining}
+		return 0, Decision{Verdict: Refuse, Reason: Draining}
 	}
 	executionTime := q.ExpectedExecutionTime(call.Kind)
 	if !now.Add(scale(executionTime, typicalExecutionFraction)).After(call.Objective) {
 		q.trackOverload(now, call.Objective, executionTime)
 	}
-	at := q.position(now, call)
+	at = q.position(now, call)
 	wait := q.expectedWait(now, at)
 	if wait > 0 && q.isDemoted(now, call, wait) {
 		// While the overload lasts, calls that can meet their objective take all slots.
@@ -117,17 +138,11 @@
 	}
 	switch {
 	case !now.Add(wait + scale(executionTime, minExecutionFraction)).Before(call.Deadline):
-		return Decision{Verdict: Refuse, Reason: Deadline, RetryAfter: min(wait, q.expectedWait(now, len(q.queue))+executionTime)}
+		return at, Decision{Verdict: Refuse, Reason: Deadline, RetryAfter: min(wait, q.expectedWait(now, len(q.queue))+executionTime)}
 	case call.MaxWait > 0 && wait > call.MaxWait:
-		return Decision{Verdict: Refuse, Reason: Busy, RetryAfter: wait}
+		return at, Decision{Verdict: Refuse, Reason: Busy, RetryAfter: wait}
 	}
-	q.lastTicket++
-	if len(q.queue) == 0 && q.running < q.usableSlots(now) && q.rate.take(now) {
-		q.running++
-		return Decision{Verdict: Run, Ticket: q.lastTicket}
-	}
-	q.queue = slices.Insert(q.queue, at, waitingCall{call, q.lastTicket})
-	return Decision{Verdict: Wait, Ticket: q.lastTicket}
+	return at, Decision{}
 }
 
 // trackOverload records whether a new call would be late behind the whole queue. Once this has lasted for overloadAfter,
--- a/internal/traffic/body.go
+++ b/internal/traffic/body.go
@@ -38,6 +38,11 @@
 
 // readRequestBody buffers a body of at most maxReplayBody bytes. A longer one is streamed.
 func readRequestBody(w http.ResponseWriter, r *http.Request, limit int64, deadline time.Time) (*requestBody, *refusal) {
+	return readBodyUpTo(maxReplayBody, w, r, limit, deadline)
+}
+
+// readBodyUpTo buffers a body of at most the given number of bytes. A longer one is streamed.
+func readBodyUpTo(buffered int64, w http.ResponseWriter, r *http.Request, limit int64, deadline time.Time) (*requestBody, *refusal) {
 	if r.ContentLength > limit {
 		return nil, notExecuted(http.StatusRequestEntityTooLarge, reasonBodyTooLarge, "the request body is over the limit")
 	}
@@ -47,12 +52,12 @@
 	// A caller that sends its body too slowly is cut off at the deadline of the call.
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(deadline.Add(bodyGrace))
-	if r.ContentLength > maxReplayBody {
+	if r.ContentLength > buffered {
 		return &requestBody{rest: r.Body, length: r.ContentLength}, nil
 	}
 	size := r.ContentLength
 	if size < 0 {
-		size = maxReplayBody
+		size = buffered
 	}
 	buffer := make([]byte, size)
 	n, err := io.ReadFull(r.Body, buffer)
--- a/internal/traffic/chain_test.go
+++ b/internal/traffic/chain_test.go
@@ -218,6 +218,13 @@
 	c.table = routing.NewTable(view)
 }
 
+// setTargets replaces the targets that the Outbound knows.
+func (c *chain) setTargets(targets []model.Target) {
+	view := *c.table.View
+	view.Targets = targets
+	c.table = routing.NewTable(&view)
+}
+
 // address is the address of the callers' listener.
 func (c *chain) address() string { return strings.TrimPrefix(c.url, "http://") }
 
--- a/internal/traffic/inbound.go
+++ b/internal/traffic/inbound.go
@@ -56,12 +56,14 @@
 	lastSent     atomic.Int64 // Unix nanoseconds
 	failureRate  atomic.Int64 // smoothed fraction of failed calls in millionths
 	unsized      byteBudget
+	transfers    bodyTransfers
 }
 
 // NewInbound returns a handler. It refuses calls until SetTarget reports that the target is ready.
 func NewInbound(options InboundOptions) *Inbound {
 	in := &Inbound{
 		options: options, queue: newPriorityQueue(), recorder: newRecorder(options.Metrics, nil),
+		transfers: newBodyTransfers(),
 	}
 	in.pool = newPool(transportOptions{
 		idlePerPeer: options.Limits.IdlePerPeer, idleTotal: options.Limits.IdlePerPeer, headerBytes: options.Limits.HeaderBytes,
@@ -183,14 +185,24 @@
 		return notExecuted(http.StatusBadRequest, reasonBadDeadline,
 			in.options.Headers.Deadline+" must be one whole number of milliseconds")
 	}
-	body, refused := readRequestBody(w, c.request, in.options.Limits.BodyBytes, c.deadline)
-	c.body = body
-	if refused == nil && d.maxWait < 0 {
-		d.maxWait = 0
+	d.maxWait = max(d.maxWait, 0)
+	var refused *refusal
+	if isAnnounced(c.request) {
+		c.body, refused = c.receiveBody(w)
+	} else {
+		c.body, refused = readRequestBody(w, c.request, in.options.Limits.BodyBytes, c.deadline)
 	}
 	return refused
 }
 
+// admissionCall describes the call to the queue of the target.
+func (c *inboundCall) admissionCall() admission.Call {
+	return admission.Call{
+		Kind: string(c.dispatch.route), Priority: c.dispatch.priority,
+		Objective: c.started.Add(c.dispatch.objective), Deadline: c.deadline, MaxWait: c.dispatch.maxWait,
+	}
+}
+
 // checkTarget returns a refusal if the call is meant for another target or another run of it, or if the target takes no
 // calls.
 func (c *inboundCall) checkTarget() *refusal {
@@ -211,10 +223,7 @@
 // run takes a slot and executes the call.
 func (c *inboundCall) run(w http.ResponseWriter) {
 	queue := c.inbound.queue
-	refused := queue.acquire(c.request.Context(), c.deadline, admission.Call{
-		Kind: string(c.dispatch.route), Priority: c.dispatch.priority,
-		Objective: c.started.Add(c.dispatch.objective), Deadline: c.deadline, MaxWait: c.dispatch.maxWait,
-	})
+	refused := queue.acquire(c.request.Context(), c.deadline, c.admissionCall())
 	c.queueTime = time.Since(c.started)
 	c.inbound.options.Metrics.queue.record(context.WithoutCancel(c.request.Context()), c.dispatch.route, c.queueTime)
 	if refused != nil {
--- a/internal/traffic/outbound.go
+++ b/internal/traffic/outbound.go
@@ -52,6 +52,7 @@
 		options: options, peers: newPeers(options.Tables),
 		pool: newPool(transportOptions{
 			idlePerPeer: options.Limits.IdlePerPeer, idleTotal: options.Limits.IdleTotal, headerBytes: options.Limits.HeaderBytes,
+			expectContinue: maxDeadline,
 		}),
 	}
 	o.peers.keepRemovedCalls = true
--- a/internal/traffic/outbound_request.go
+++ b/internal/traffic/outbound_request.go
@@ -204,6 +204,9 @@
 	if r.tenant != nil {
 		headers = append(headers, HeaderTenant, tenantHeader{r.tenant.Name, r.tenant.Weight()}.String())
 	}
+	if r.body.length < 0 || r.body.length > minAnnouncedBody {
+		headers = append(headers, headerExpect, expectContinue)
+	}
 	return &outgoingRequest{request: r.request, body: r.body, headers: headers}
 }
 
--- a/internal/traffic/priority_queue.go
+++ b/internal/traffic/priority_queue.go
@@ -65,6 +65,17 @@
 	return priorityQueueRefusal(reason, q.rate().wait)
 }
 
+// refuses returns the refusal that a call would get now, or nil.
+func (q *priorityQueue) refuses(call admission.Call) *refusal {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	decision, refused := q.queue.Refuses(time.Now(), call)
+	if !refused {
+		return nil
+	}
+	return priorityQueueRefusal(decision.Reason, decision.RetryAfter)
+}
+
 func priorityQueueRefusal(reason admission.Reason, after time.Duration) *refusal {
 	switch reason {
 	case admission.Admitted:
--- a/internal/traffic/transport.go
+++ b/internal/traffic/transport.go
@@ -56,6 +56,8 @@
 	lingers bool
 	// idle is the time without an exchange after which a pooled connection is closed; 0 means idleTimeout.
 	idle time.Duration
+	// expectContinue is how long a request with "Expect: 100-continue" waits for the other end to ask for its body.
+	expectContinue time.Duration
 }
 
 // pool sends requests over HTTP/1.1 with http.Transport. It never sends a request twice, and records whether a byte of a
@@ -84,7 +86,7 @@
 	return &pool{transport: &http.Transport{
 		DialContext: dial, DisableCompression: true,
 		MaxIdleConns: o.idleTotal, MaxIdleConnsPerHost: o.idlePerPeer, IdleConnTimeout: idle,
-		MaxResponseHeaderBytes: int64(o.headerBytes),
+		MaxResponseHeaderBytes: int64(o.headerBytes), ExpectContinueTimeout: o.expectContinue,
 	}}
 }
 
