--- a/internal/command/admission/priority_queue.go
+++ b/internal/command/admission/priority_queue.go
@@ -315,11 +315,17 @@
 }
 
 const (
-	classInTime = iota
+	// classBrief calls delay the others little, and most are made by running requests, whose work is lost if they are late. They
+	// come first whatever their priority, which is that of their own route and not of the request that waits for them.
+	classBrief = iota
+	classInTime
 	classLate
 )
 
 func (q *PriorityQueue) orderKeyOf(now time.Time, call Call) orderKey {
+	if IsBrief(q.ExpectedExecutionTime(call.Kind), q.MeanExecutionTime()) {
+		return orderKey{classBrief, call.Priority, call.Objective}
+	}
 	if q.isDemoted(now, call, 0) {
 		return orderKey{classLate, call.Priority, call.Deadline}
 	}
--- a/internal/command/admission/priority_queue_test.go
+++ b/internal/command/admission/priority_queue_test.go
@@ -289,8 +289,15 @@
 
 // Guards against an overload in which the brief calls that running requests of another service make are refused, so that the work
 // of those requests is lost, and against brief calls that take the slots of all others. The load is that of a ledger service: calls
-// of 300 ms at 1.2 times the capacity, and calls of 30 ms that take a tenth of the slots.
+// of 300 ms at 1.2 times the capacity, and calls of 30 ms that take a tenth of the slots. The long calls may be of more important routes.
 func TestBriefCallsAreServedInAnOverload(t *testing.T) {
+	for _, longPriority := range []int{2, 0} {
+		checkBriefCalls(t, longPriority)
+	}
+}
+
+func checkBriefCalls(t *testing.T, longPriority int) {
+	t.Helper()
 	is := is.New(t)
 	const slots = 6
 	q := NewPriorityQueue()
@@ -325,8 +332,9 @@
 			if random.Float64() >= rates[kind]*step.Seconds() {
 				continue
 			}
-			call := Call{Kind: kind, Priority: 2, Objective: now.Add(800 * time.Millisecond), Deadline: now.Add(1200 * time.Millisecond)}
+			call := Call{Kind: kind, Priority: longPriority, Objective: now.Add(800 * time.Millisecond), Deadline: now.Add(1200 * time.Millisecond)}
 			if kind == "brief" {
+				call.Priority = 2
 				call.Objective, call.Deadline = now.Add(120*time.Millisecond), now.Add(400*time.Millisecond)
 			}
 			decision := q.Acquire(now, call)
