--- a/internal/command/admission/priority_queue.go
+++ b/internal/command/admission/priority_queue.go
@@ -76,8 +76,8 @@
 	// excess is the number of calls that the target reported in its own queue; it counts until excessUntil.
 	excess      int
 	excessUntil time.Time
-	// rate is the limit that the target has named.
-	rate rateLimit
+	// limits are the limit that the target has named and the one for the time for which it is cold.
+	limits rateLimits
 }
 
 // NewPriorityQueue returns a closed queue.
@@ -116,13 +116,16 @@
 		wait = waitForever
 	}
 	switch {
+	case call.MaxWait > 0 && wait > call.MaxWait && q.limits.isCold(now):
+		// The sender gives up a call that is refused for its deadline, but another target may be warm.
+		return Decision{Verdict: Refuse, Reason: Busy, RetryAfter: min(wait, q.expectedWait(now, len(q.queue))+executionTime)}
 	case !now.Add(wait + scale(executionTime, minExecutionFraction)).Before(call.Deadline):
 		return Decision{Verdict: Refuse, Reason: Deadline, RetryAfter: min(wait, q.expectedWait(now, len(q.queue))+executionTime)}
 	case call.MaxWait > 0 && wait > call.MaxWait:
 		return Decision{Verdict: Refuse, Reason: Busy, RetryAfter: wait}
 	}
 	q.lastTicket++
-	if len(q.queue) == 0 && q.running < q.usableSlots(now) && q.rate.take(now) {
+	if len(q.queue) == 0 && q.running < q.usableSlots(now) && q.limits.take(now) {
 		q.running++
 		return Decision{Verdict: Run, Ticket: q.lastTicket}
 	}
@@ -141,6 +144,9 @@
 		q.lateSince = now
 	case now.Sub(q.lateSince) >= overloadAfter:
 		q.overloadedUntil = now.Add(overloadDuration)
+		if q.limits.isCold(now) && q.limits.coldUntil.Before(q.overloadedUntil) {
+			q.overloadedUntil = q.limits.coldUntil // calls are late because of the limit, which ends
+		}
 	}
 }
 
@@ -194,26 +200,26 @@
 
 // NameRateLimit sets the calls per second that the target has named in an answer. It returns the calls that leave the queue.
 func (q *PriorityQueue) NameRateLimit(now time.Time, perSecond float64) []Dequeued {
-	q.rate.name(now, perSecond)
+	q.limits.named.name(now, perSecond)
 	return q.dispatch(now)
 }
 
 // EndRateLimit removes the limit after an answer without it, to a call that was sent at the given time. It returns the calls that
 // leave the queue, and whether the limit has ended.
 func (q *PriorityQueue) EndRateLimit(now, sent time.Time) ([]Dequeued, bool) {
-	if !q.rate.end(sent) {
+	if !q.limits.named.end(sent) {
 		return nil, false
 	}
 	return q.dispatch(now), true
 }
 
-// ResetRateLimit removes the limit because another run of the target begins.
-func (q *PriorityQueue) ResetRateLimit() { q.rate = rateLimit{} }
+// ResetRateLimit removes the limits because another run of the target begins.
+func (q *PriorityQueue) ResetRateLimit() { q.limits = rateLimits{} }
 
 // RateLimit returns the limit in calls per second, 0 if there is none, and the time until it has room for a call behind all
-// waiting ones.
+// waiting ones. Of the limit that the target has named and that of a cold target it is the lower one.
 func (q *PriorityQueue) RateLimit(now time.Time) (perSecond float64, wait time.Duration) {
-	return q.rate.perSecond, q.rate.wait(now, len(q.queue)+1)
+	return q.limits.perSecond(now), q.limits.wait(now, len(q.queue)+1)
 }
 
 // Dispatch refuses the waiting calls that cannot end by their deadline and admits others. It is called when the wait that
@@ -222,10 +228,10 @@
 
 // NextDispatch returns the wait until the rate limit admits the first waiting call. It reports false if no call waits for that.
 func (q *PriorityQueue) NextDispatch(now time.Time) (time.Duration, bool) {
-	if len(q.queue) == 0 || q.rate.perSecond == 0 || q.running >= q.usableSlots(now) {
+	if len(q.queue) == 0 || q.limits.perSecond(now) == 0 || q.running >= q.usableSlots(now) {
 		return 0, false
 	}
-	return q.rate.wait(now, 1), true
+	return q.limits.wait(now, 1), true
 }
 
 // Running returns the number of occupied slots.
@@ -264,7 +270,7 @@
 // expectedWait estimates how long a call waits for a slot, and for room in the rate limit, if the given number of calls is
 // ahead of it in the queue.
 func (q *PriorityQueue) expectedWait(now time.Time, ahead int) time.Duration {
-	wait := q.rate.wait(now, ahead+1)
+	wait := q.limits.wait(now, ahead+1)
 	slots := max(q.usableSlots(now), 1)
 	if missing := q.running + ahead + 1 - slots; missing > 0 {
 		wait = max(wait, q.MeanExecutionTime()*time.Duration(missing)/time.Duration(slots))
@@ -334,7 +340,7 @@
 		}
 		return 0
 	})
-	for len(q.queue) > 0 && q.running < q.usableSlots(now) && q.rate.take(now) {
+	for len(q.queue) > 0 && q.running < q.usableSlots(now) && q.limits.take(now) {
 		dequeued = append(dequeued, Dequeued{q.queue[0].ticket, Admitted})
 		q.queue = slices.Delete(q.queue, 0, 1)
 		q.running++
@@ -345,13 +351,13 @@
 // refuseBeyondRateLimit refuses the waiting calls for which the rate limit has no room in the time that they may wait: the target may
 // have named it, or a lower one, after they were queued, and another target may serve them.
 func (q *PriorityQueue) refuseBeyondRateLimit(now time.Time) []Dequeued {
-	if q.rate.perSecond == 0 {
+	if q.limits.perSecond(now) == 0 {
 		return nil
 	}
 	var dequeued []Dequeued
 	kept := q.queue[:0]
 	for _, call := range q.queue {
-		wait := q.rate.wait(now, len(kept)+1)
+		wait := q.limits.wait(now, len(kept)+1)
 		switch {
 		case call.MaxWait > 0 && wait > call.MaxWait:
 			dequeued = append(dequeued, Dequeued{call.ticket, Busy})
