--- a/internal/command/catalog/announcement.go
+++ b/internal/command/catalog/announcement.go
@@ -35,6 +35,8 @@
 	leaving     model.InstanceID
 	leavingBorn int64
 	stopping    bool
+	// warmAt is when the target is warm by its latest report; zero if it is.
+	warmAt time.Time
 	// earlier is the record that an earlier process of this daemon has written; nil if there is none or it is not known.
 	earlier *model.TargetRecord
 	// held is the newest report of a ready target that arrived before earlier was known, nil if there is none. From applyHeldAt on,
@@ -184,6 +186,7 @@
 	if next.DaemonEnds {
 		next.State = model.TargetDraining
 	}
+	c.setWarmth(now, r.WarmupLeft)
 	warm := now.Add(r.WarmupLeft)
 	if shifted := warm.Sub(next.WarmAt).Abs() > warmTolerance; shifted && (r.WarmupLeft > 0 || next.WarmAt.After(now)) {
 		next.WarmAt = warm
@@ -320,8 +323,8 @@
 }
 
 // record returns the announcement of the target, which has reported.
-func (l *localTarget) record() model.TargetRecord {
-	record := model.TargetRecord{Target: l.target, ReportSeq: l.report.Seq, Leaving: l.isLeaving(l.report)}
+func (l *localTarget) record(now time.Time) model.TargetRecord {
+	record := model.TargetRecord{Target: l.target.ForPeers(now), ReportSeq: l.report.Seq, Leaving: l.isLeaving(l.report)}
 	record.Slots = max(record.Slots, 1) // unknown if only the shutdown was reported; a record without slots is refused
 	return record
 }
@@ -332,7 +335,7 @@
 	local := &c.local
 	key := store.PrefixTargets + string(local.target.Daemon)
 	sequence := local.target.Sequence
-	record := local.record()
+	record := local.record(now)
 	value, err := c.cfg.Records.EncodeTarget(&record)
 	if err != nil {
 		c.log("announce-failed", "step", "encode", "detail", err.Error())
--- a/internal/command/catalog/catalog.go
+++ b/internal/command/catalog/catalog.go
@@ -262,7 +262,7 @@
 	case *message.CatalogQuery:
 		reply = c.buildCatalogReply(now, body)
 	case *message.TargetQuery:
-		reply = &message.TargetReply{Target: c.local.target}
+		reply = &message.TargetReply{Target: c.local.target.ForPeers(now)}
 	case *message.EvidenceQuery:
 		c.recordDriverQuery(now, body)
 		reply = c.outcomes.evidenceReply(now, c.local.target)
--- a/internal/command/catalog/earlier_record.go
+++ b/internal/command/catalog/earlier_record.go
@@ -177,7 +177,9 @@
 		"taken", strconv.FormatBool(sameRun))
 	if sameRun {
 		report := previous.LastReport()
-		report.WarmupLeft = max(previous.WarmAt.Sub(now), 0)
+		if report.WarmupLeft = ev.WarmupLeft; !ev.WarmupKnown {
+			report.WarmupLeft = max(previous.WarmAt.Sub(now), c.fullWarmup(), 0)
+		}
 		c.acceptReport(now, report)
 	}
 }
--- a/internal/command/catalog/evidence.go
+++ b/internal/command/catalog/evidence.go
@@ -32,7 +32,7 @@
 }
 
 func (o *localOutcomes) evidenceReply(now time.Time, target model.Target) *message.EvidenceReply {
-	reply := &message.EvidenceReply{Target: target, Running: o.running, Idle: now.Sub(o.lastArrival)}
+	reply := &message.EvidenceReply{Target: target.ForPeers(now), Running: o.running, Idle: now.Sub(o.lastArrival)}
 	for key, sum := range o.sums {
 		reply.Sums = append(reply.Sums, model.KeyedSum{OutcomeKey: key, OutcomeSum: *sum})
 	}
@@ -49,6 +49,7 @@
 // addReport adds the report of a daemon. The sums in a report are cumulative since the start of the daemon's process, so the
 // previous report of the same incarnation is subtracted.
 func (d *moveDriver) addReport(now time.Time, reply *message.EvidenceReply) {
+	reply.Target.Received(now)
 	report := d.reports[reply.Target.Daemon]
 	if report == nil || report.incarnation != reply.Target.Incarnation {
 		report = &evidenceReport{incarnation: reply.Target.Incarnation, totals: map[model.OutcomeKey]model.OutcomeSum{}}
--- a/internal/command/catalog/roster.go
+++ b/internal/command/catalog/roster.go
@@ -66,6 +66,7 @@
 		c.log("entry-refused", c.countRefusedEntry(e, "target", err)...)
 		return
 	}
+	record.Received(now)
 	if daemon == c.cfg.Target.Daemon {
 		c.compareStoredTarget(now, record)
 		return
@@ -118,6 +119,9 @@
 func truncate(text string) string { return text[:min(len(text), maxLoggedDetail)] }
 
 func (c *Core) updateMember(m *member, target model.Target, source string) {
+	if target.Incarnation == m.target.Incarnation && target.Sequence == m.target.Sequence {
+		target.WarmAt = m.target.WarmAt // counted from the first receipt
+	}
 	if m.target == target {
 		return
 	}
@@ -175,6 +179,7 @@
 	case reply.Target.Daemon != daemon || reply.Target.State == model.TargetGone || reply.Target.State == model.TargetStarting:
 		c.removeMember(now, daemon, "its daemon has no target")
 	default:
+		reply.Target.Received(now)
 		m.misses = 0
 		if m.unconfirmed {
 			m.unconfirmed, m.probeAt, c.dirty = false, time.Time{}, true
--- a/internal/command/catalog/simulation_test.go
+++ b/internal/command/catalog/simulation_test.go
@@ -65,8 +65,9 @@
 	changesReceived int
 	// recordsReceived counts the announcements that the platform had not stored and the node received from peers.
 	recordsReceived int
-	// healthyInstance is the instance with which the target answers health checks.
+	// healthyInstance is the instance with which the target answers health checks; health is the whole answer if it is empty.
 	healthyInstance model.InstanceID
+	health          effect.HealthChecked
 	unanswered      []unansweredRequest
 	logs            []effect.Log
 	// silentPeers holds the addresses to which this node's connection has gone silent: the next message there is lost. The next
@@ -179,7 +180,10 @@
 	case effect.Unwatch:
 		delete(n.watches, e.Key)
 	case effect.CheckHealth:
-		sim.handle(n, effect.HealthChecked{Instance: n.healthyInstance})
+		if n.healthyInstance != "" {
+			n.health = effect.HealthChecked{Instance: n.healthyInstance, WarmupKnown: true}
+		}
+		sim.handle(n, n.health)
 	case effect.Answer:
 		n.answers[e.Token] = e.Outcome
 	case effect.Reply:
--- a/internal/command/catalog/unstored_record.go
+++ b/internal/command/catalog/unstored_record.go
@@ -41,7 +41,7 @@
 	local.shareAt = time.Time{}
 	if local.hasUnstoredReport() {
 		c.log("record-shared", "instance", string(local.target.Instance), "state", string(local.target.State))
-		c.keepSharedRecord(sharedRecord{local.record(), now.Add(sharedRecordTTL)})
+		c.keepSharedRecord(sharedRecord{local.record(now), now.Add(sharedRecordTTL)})
 		c.sendRecordToSeeds(now)
 	}
 }
--- a/internal/command/catalog/view.go
+++ b/internal/command/catalog/view.go
@@ -96,7 +96,7 @@
 	c.dirty = false
 	view := &model.View{
 		Configuration: &model.Configuration{}, Targets: c.targets(), Marks: c.activeMarks(),
-		DataCentre: c.cfg.Target.DataCentre, Region: c.cfg.Target.Region, Local: c.local.target,
+		DataCentre: c.cfg.Target.DataCentre, Region: c.cfg.Target.Region, Local: c.local.viewTarget(),
 	}
 	if c.configuration != nil {
 		view.Configuration = c.composeConfiguration(view.Targets)
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -57,8 +57,8 @@
 	outcomes chan []model.KeyedSum
 	table    atomic.Pointer[routing.Table]
 	workers  sync.WaitGroup
-	// checkHealth requests the health of the local target and returns its instance.
-	checkHealth func(ctx context.Context, path string) model.InstanceID
+	// checkHealth requests the health of the local target.
+	checkHealth func(ctx context.Context, path string) effect.HealthChecked
 	// onPublish is called with each new view, on the loop goroutine.
 	onPublish func(*model.View)
 
@@ -92,7 +92,7 @@
 func (l *Loop) OnPublish(callback func(*model.View)) { l.onPublish = callback }
 
 // SetHealthCheck sets the function that requests the health of the local target. It must be set before Run.
-func (l *Loop) SetHealthCheck(check func(ctx context.Context, path string) model.InstanceID) {
+func (l *Loop) SetHealthCheck(check func(ctx context.Context, path string) effect.HealthChecked) {
 	l.checkHealth = check
 }
 
--- a/internal/control/perform.go
+++ b/internal/control/perform.go
@@ -31,7 +31,7 @@
 			l.onPublish(e.View)
 		}
 	case effect.CheckHealth:
-		l.startWorker(func() { l.post(ctx, effect.HealthChecked{Instance: l.checkHealth(ctx, e.Path)}) })
+		l.startWorker(func() { l.post(ctx, l.checkHealth(ctx, e.Path)) })
 	case effect.Reply:
 		l.deliverAnswer(e.Token, e.Body)
 	case effect.Answer:
--- a/internal/effect/effect.go
+++ b/internal/effect/effect.go
@@ -69,7 +69,12 @@
 	}
 	// HealthChecked is the result of a CheckHealth. Instance identifies the process of the target that reported itself
 	// healthy; it is empty if the target is not healthy.
-	HealthChecked struct{ Instance model.InstanceID }
+	HealthChecked struct {
+		Instance model.InstanceID
+		// WarmupLeft is the time until the target is warm, and WarmupKnown says that the response named it.
+		WarmupLeft  time.Duration
+		WarmupKnown bool
+	}
 	// Stopping reports that this daemon was asked to shut down: its target takes no new calls.
 	Stopping struct{}
 	// SeedsChanged replaces the peer addresses that are used while the platform cannot be read.
--- a/internal/model/target.go
+++ b/internal/model/target.go
@@ -50,6 +50,9 @@
 	Born int64 `json:"born,omitempty"`
 	// WarmAt is when the target is expected to reach full speed after its start.
 	WarmAt time.Time `json:"warmAt,omitzero"`
+	// WarmupLeft is, in what a daemon sends or stores, the time until WarmAt: clocks of machines differ and jump. Receivers count
+	// it from the receipt; see Received.
+	WarmupLeft time.Duration `json:"warmupLeft,omitempty"`
 	// Sequence counts the announcements of one incarnation of the daemon.
 	Sequence uint64 `json:"sequence,omitempty"`
 }
@@ -62,6 +65,23 @@
 	return t.Sequence > o.Sequence
 }
 
+// ForPeers returns the target as it is sent to other daemons or stored. A target that is warm has no WarmAt.
+func (t Target) ForPeers(now time.Time) Target {
+	if t.WarmupLeft = max(t.WarmAt.Sub(now), 0); t.WarmupLeft == 0 {
+		t.WarmAt = time.Time{}
+	}
+	return t
+}
+
+// Received sets WarmAt by the clock of this daemon in a target that ForPeers has returned. A daemon of an earlier release sends no
+// WarmupLeft, and its WarmAt stays.
+func (t *Target) Received(now time.Time) {
+	if t.WarmupLeft > 0 {
+		t.WarmAt = now.Add(t.WarmupLeft)
+	}
+	t.WarmupLeft = 0
+}
+
 // TargetRecord is the announcement of a target as the platform stores it. Besides the target it holds what the next process of
 // the daemon needs to recognise late reports.
 type TargetRecord struct {
--- a/internal/query/routing/candidates.go
+++ b/internal/query/routing/candidates.go
@@ -86,11 +86,11 @@
 	return drawn
 }
 
-// moveTrustedFirst returns the candidates that are not suspect, or all if every one is. It reorders them.
+// moveTrustedFirst returns the candidates that are neither suspect nor passed, or all if every one is. It reorders them.
 func moveTrustedFirst(candidates []candidate) []candidate {
 	trusted := 0
 	for i := range candidates {
-		if !candidates[i].load.Suspect {
+		if !candidates[i].load.Suspect && !candidates[i].passed {
 			candidates[i], candidates[trusted] = candidates[trusted], candidates[i]
 			trusted++
 		}
--- a/internal/query/routing/expected_loss.go
+++ b/internal/query/routing/expected_loss.go
@@ -79,6 +79,8 @@
 	Wait, ExecutionTime, ReportAge time.Duration
 	// MeanExecutionTime is the mean execution time of all calls of the target.
 	MeanExecutionTime time.Duration
+	// ColdLimited says that the target is cold and tolerates a limited number of calls per second.
+	ColdLimited bool
 	// WaitLimit is the wait at the target beyond which the second-best target is better; 0 means that there is no other.
 	WaitLimit time.Duration
 }
@@ -89,6 +91,8 @@
 	load                TargetLoad
 	tier                int
 	wait, executionTime time.Duration
+	// passed says that the call leaves out the target, which is cold, if its tier has others.
+	passed bool
 	// spare says that other targets are the canaries of the version.
 	spare bool
 	loss  float64
@@ -127,7 +131,7 @@
 	b := &candidates[best]
 	choice := Choice{
 		Target: b.target, Wait: b.wait, ExecutionTime: b.executionTime, ReportAge: b.load.ReportAge,
-		MeanExecutionTime: b.load.MeanExecutionTime,
+		MeanExecutionTime: b.load.MeanExecutionTime, ColdLimited: v.limitsCold(b),
 	}
 	if second >= 0 {
 		choice.WaitLimit = b.waitLimit(candidates[second].loss, s.Remaining)
@@ -176,7 +180,7 @@
 		c := &candidates[i]
 		c.executionTime = c.load.ExecutionTime
 		switch {
-		case c.executionTime == 0 && c.load.Cold:
+		case c.executionTime == 0 && c.load.Cold && v.warmupPerSecond == 0:
 			c.executionTime = time.Duration(coldFactor * float64(fastest))
 		case c.executionTime == 0:
 			c.executionTime = fastest
@@ -186,6 +190,7 @@
 		}
 		c.wait = c.load.expectedWait()
 	}
+	v.passCold(candidates, random)
 	return candidates
 }
 
--- a/internal/query/routing/versions.go
+++ b/internal/query/routing/versions.go
@@ -19,6 +19,8 @@
 	model.VersionRef
 	// UnderMove says that the version is the new one of an active move.
 	UnderMove bool
+	// warmupPerSecond is the number of calls per second that a cold target of the service tolerates; 0 means any number.
+	warmupPerSecond float64
 	// tiers holds the ready targets of the own data centre, of the region, and of other regions.
 	tiers [3][]*model.Target
 	// canaries holds those targets that receive nearly all calls of the version; nil means that no target is preferred.
@@ -87,12 +89,12 @@
 		if share.weight == 0 {
 			continue
 		}
-		v := &Version{VersionRef: share.ref, UnderMove: share.underMove}
+		v := &Version{VersionRef: share.ref, UnderMove: share.underMove, warmupPerSecond: s.WarmupPerSecond}
 		for _, target := range ready[share.ref] {
 			v.addTarget(view, target)
 		}
 		if share.underMove {
-			v.canaries = canariesOf(view, v.VersionRef, ready[share.ref])
+			v.canaries = canariesOf(view, v.VersionRef, s.WarmupPerSecond, ready[share.ref])
 		}
 		out.versions = append(out.versions, v)
 		out.weights = append(out.weights, share.weight)
@@ -107,9 +109,9 @@
 }
 
 // canariesOf returns the canaries among the ready targets of a version, or nil if there are none.
-func canariesOf(view *model.View, ref model.VersionRef, ready []*model.Target) *Version {
+func canariesOf(view *model.View, ref model.VersionRef, warmupPerSecond float64, ready []*model.Target) *Version {
 	daemons := view.Canaries[ref.Service]
-	canaries := &Version{VersionRef: ref}
+	canaries := &Version{VersionRef: ref, warmupPerSecond: warmupPerSecond}
 	for _, target := range ready {
 		if slices.Contains(daemons, target.Daemon) {
 			canaries.addTarget(view, target)
--- a/internal/sidecar/export_test.go
+++ b/internal/sidecar/export_test.go
@@ -17,7 +17,7 @@
 // CheckHealth checks the health of the target at an address as a daemon does.
 func CheckHealth(ctx context.Context, target string) model.InstanceID {
 	d := &Sidecar{settings: settings.Sidecar{Target: target}, logger: zap.NewNop()}
-	return d.checkTargetHealth(ctx, "/health")
+	return d.checkTargetHealth(ctx, "/health").Instance
 }
 
 // DrainNotices exports drainNotices for tests.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -160,7 +160,10 @@
 	d.loop = control.NewLoop(core, d.peerClient, gate, d.logger, d.metrics)
 	d.loop.SetHealthCheck(d.checkTargetHealth)
 	d.loop.OnPublish(func(view *model.View) {
-		d.inbound.SetTarget(view.Local, d.loop.Table().IsWithheld(view.Local.Ref()))
+		d.inbound.Update(view.Local, traffic.TargetConditions{
+			Withheld:        d.loop.Table().IsWithheld(view.Local.Ref()),
+			WarmupPerSecond: warmupPerSecond(view),
+		})
 	})
 	d.peerServer, err = peer.NewServer(listener, d.loop, counted)
 	if err != nil {
@@ -240,6 +243,11 @@
 	if err != nil {
 		return err
 	}
+	err = d.metrics.RegisterGauge("sniperail_target_cold_limit",
+		"Requests per second that the target gets because it is cold; 0 is no limit.", d.inbound.ColdRateLimit)
+	if err != nil {
+		return err
+	}
 	return d.metrics.RegisterGauge("sniperail_targets_ready", "Ready targets that this daemon knows.", func() float64 {
 		return float64(countReadyTargets(d.loop))
 	})
--- a/internal/traffic/chain_test.go
+++ b/internal/traffic/chain_test.go
@@ -27,6 +27,7 @@
 var headerNames = traffic.Headers{
 	RequestID: "X-Id", Deadline: "X-Deadline", ExpectInstance: "X-Expect", NotExecuted: "X-Not-Executed",
 	CallerService: "X-Caller", TenantID: "X-Tenant", TargetLoad: "X-Load", TargetRateLimit: "X-Rate-Limit", TargetLeaving: "X-Leaving",
+	TargetWarmup: "X-Warmup",
 }
 
 // scriptedTarget is a target that answers each request with the bytes that a function returns, and records the requests.
--- a/internal/traffic/dispatch_header.go
+++ b/internal/traffic/dispatch_header.go
@@ -28,6 +28,8 @@
 	InstanceID string
 	// TargetLoad holds the running calls, the waiting calls and the slots that a target reports, separated by commas.
 	TargetLoad string
+	// TargetWarmup holds the milliseconds for which a target that has started recently is still cold, as a decimal number.
+	TargetWarmup string
 	// TargetRateLimit holds the requests per second that a target takes from all VMs together, as a decimal number. A target
 	// names it in all its answers while it applies.
 	TargetRateLimit string
--- a/internal/traffic/inbound.go
+++ b/internal/traffic/inbound.go
@@ -46,8 +46,9 @@
 	open     openRequests
 	recorder *recorder
 	target   atomic.Pointer[model.Target]
-	withheld atomic.Bool
-	leaving  leavingRuns
+	// conditions are those under which the target gets calls.
+	conditions atomic.Pointer[TargetConditions]
+	leaving    leavingRuns
 	// unreported is a run that is leaving and that Leaving has not taken yet.
 	unreported atomic.Pointer[targetRun]
 	targetMu   sync.Mutex // serializes changes of the target
@@ -69,28 +70,10 @@
 	})
 	in.unsized.limit.Store(maxUnsizedTotal)
 	in.target.Store(&model.Target{State: model.TargetStarting})
+	in.conditions.Store(&TargetConditions{})
 	return in
 }
 
-// SetTarget sets the target as the control loop publishes it, and whether its version is withheld. Once it has returned, no
-// call is sent to a target that is leaving or whose version is withheld.
-func (in *Inbound) SetTarget(t model.Target, withheld bool) {
-	in.targetMu.Lock()
-	defer in.targetMu.Unlock()
-	in.setTarget(t, withheld)
-}
-
-// setTarget sets the target. A run that has said that it is leaving counts as draining, whatever else it reports. The lock must
-// be held.
-func (in *Inbound) setTarget(t model.Target, withheld bool) {
-	if t.State == model.TargetReady && in.leaving.contains(runOf(&t)) {
-		t.State = model.TargetDraining
-	}
-	in.target.Store(&t)
-	in.withheld.Store(withheld)
-	in.queue.setTarget(&t, withheld)
-}
-
 // Run reports outcomes, and a run of the target that is leaving, until ctx ends.
 func (in *Inbound) Run(ctx context.Context) {
 	ticker := time.NewTicker(flushInterval)
@@ -126,7 +109,16 @@
 }
 
 // RateLimit returns the calls per second that the target takes, 0 if it has named no limit.
-func (in *Inbound) RateLimit() float64 { return in.queue.rate().perSecond }
+func (in *Inbound) RateLimit() float64 {
+	named, _ := in.queue.limits()
+	return named
+}
+
+// ColdRateLimit returns the calls per second that the target gets because it is cold, 0 if it is warm or has no such limit.
+func (in *Inbound) ColdRateLimit() float64 {
+	_, cold := in.queue.limits()
+	return cold
+}
 
 // LogOpen logs the calls in flight, because the end of the process cuts them.
 func (in *Inbound) LogOpen() { in.open.log(in.options.Log, "target") }
@@ -202,7 +194,7 @@
 		return notExecuted(http.StatusServiceUnavailable, reasonWrongTarget, "another target or another run of it is here")
 	case t.State != model.TargetReady:
 		return notExecuted(http.StatusServiceUnavailable, reasonDraining, "the target is leaving")
-	case c.inbound.withheld.Load():
+	case c.inbound.conditions.Load().Withheld:
 		return notExecuted(http.StatusServiceUnavailable, reasonWithheld, "the version is withheld")
 	}
 	return nil
--- a/internal/traffic/inbound_statement.go
+++ b/internal/traffic/inbound_statement.go
@@ -30,7 +30,7 @@
 	}
 	in.options.Log.TargetLeaving(c.request, run)
 	in.targetMu.Lock()
-	in.setTarget(*in.target.Load(), in.withheld.Load())
+	in.setTarget(*in.target.Load(), *in.conditions.Load())
 	in.targetMu.Unlock()
 	in.unreported.Store(&run)
 }
--- a/internal/traffic/outbound_request.go
+++ b/internal/traffic/outbound_request.go
@@ -16,6 +16,10 @@
 // deadline.
 const maxBusyRefusals = 2
 
+// maxColdWait is the longest wait at a cold target if there is another target. The wait there follows from the limit and not from
+// the work ahead, and a call that has waited for long has no time left for the other target.
+const maxColdWait = 100 * time.Millisecond
+
 // outboundRequest is one request of a caller, with all its attempts.
 type outboundRequest struct {
 	outbound *Outbound
@@ -193,7 +197,10 @@
 		route: r.route.Name, caller: r.outbound.options.Service, priority: r.priority(),
 		objective: time.Until(r.objective),
 	}
-	if r.busyRefusals < maxBusyRefusals && choice.WaitLimit > 0 {
+	switch {
+	case choice.ColdLimited && choice.WaitLimit > 0:
+		d.maxWait = min(choice.WaitLimit, maxColdWait)
+	case r.busyRefusals < maxBusyRefusals && choice.WaitLimit > 0:
 		d.maxWait = choice.WaitLimit
 	}
 	names := r.outbound.options.Headers
@@ -252,6 +259,10 @@
 		return "refused", false
 	case !r.body.replayable():
 		return string(retry.BodyConsumed), false
+	case a.refused.reason == string(admission.Busy) && a.choice.ColdLimited && r.sends < maxSends:
+		// Another target is preferred, whatever the load: this one crashes under more calls.
+		r.tried = append(r.tried, a.target.Daemon)
+		return "busy", true
 	case a.refused.reason == string(admission.Busy):
 		// The target is not excluded: the refusal carried its load, with which the next selection weighs it.
 		r.busyRefusals++
--- a/internal/traffic/priority_queue.go
+++ b/internal/traffic/priority_queue.go
@@ -23,6 +23,10 @@
 	connections int
 	open        int
 	run         targetRun
+	// warmupPerSecond is the number of calls per second that the target tolerates while it is cold, 0 if any. warmAt is when the
+	// run is warm by its latest report.
+	warmupPerSecond float64
+	warmAt          time.Time
 	// timer dispatches waiting calls when the rate limit has room for the next one; nil if none waits for that.
 	timer *time.Timer
 }
@@ -31,14 +35,20 @@
 	return &priorityQueue{queue: admission.NewPriorityQueue(), waitList: newWaitList()}
 }
 
-func (q *priorityQueue) setTarget(t *model.Target, withheld bool) {
+func (q *priorityQueue) setTarget(t *model.Target, conditions TargetConditions) {
 	q.updateAndNotify(func(now time.Time) []admission.Dequeued {
 		q.connections = t.Connections
 		if run := runOf(t); run != q.run {
-			q.run = run
+			q.run, q.warmAt = run, time.Time{}
 			q.queue.ResetRateLimit()
 		}
-		return q.queue.SetTarget(now, max(t.Slots, 1), t.State == model.TargetReady && !withheld)
+		var dequeued []admission.Dequeued
+		if !t.WarmAt.Equal(q.warmAt) || conditions.WarmupPerSecond != q.warmupPerSecond {
+			// A response may have said since that the target is cold, which no report has confirmed yet.
+			q.warmAt, q.warmupPerSecond = t.WarmAt, conditions.WarmupPerSecond
+			dequeued = q.queue.SetCold(now, q.warmupPerSecond, q.warmAt)
+		}
+		return append(dequeued, q.queue.SetTarget(now, max(t.Slots, 1), t.State == model.TargetReady && conditions.admits())...)
 	})
 }
 
@@ -111,15 +121,17 @@
 		if run != q.run {
 			return nil
 		}
-		before, _ := q.queue.RateLimit(now)
+		before := q.queue.NamedRateLimit()
 		switch {
 		case s.limited:
 			dequeued = q.queue.NameRateLimit(now, s.perSecond)
 		case !s.invalid:
 			dequeued, _ = q.queue.EndRateLimit(now, sent)
 		}
-		after, _ := q.queue.RateLimit(now)
-		changed = before != after
+		changed = before != q.queue.NamedRateLimit()
+		if s.coldFor > 0 && q.warmupPerSecond > 0 {
+			dequeued = append(dequeued, q.queue.SetCold(now, q.warmupPerSecond, now.Add(s.coldFor))...)
+		}
 		return dequeued
 	})
 	return changed
@@ -133,6 +145,14 @@
 	return rateReport{perSecond, wait}
 }
 
+// limits returns the calls per second that the target has named as its limit, and those that it gets because it is cold; 0 for no
+// limit.
+func (q *priorityQueue) limits() (named, cold float64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.queue.NamedRateLimit(), q.queue.ColdRateLimit(time.Now())
+}
+
 func (q *priorityQueue) recordOverload(waiting int) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/internal/traffic/target_statement.go
+++ b/internal/traffic/target_statement.go
@@ -24,11 +24,14 @@
 	invalid   bool
 	// leaving says that the target is leaving.
 	leaving bool
+	// coldFor is the time for which the target is still cold; 0 if it does not say.
+	coldFor time.Duration
 }
 
 // parseTargetStatement reads the statement of a target. Of several limits the lowest one counts.
 func parseTargetStatement(names Headers, h http.Header) targetStatement {
 	s := targetStatement{leaving: saysLeaving(names, h)}
+	s.coldFor, _ = WarmupLeft(names, h)
 	if names.TargetRateLimit == "" {
 		return s
 	}
@@ -47,6 +50,22 @@
 	return s
 }
 
+// maxWarmup is the longest time for which a target is believed to be cold.
+const maxWarmup = time.Hour
+
+// WarmupLeft returns the time for which a target is still cold by one of its responses. It reports false if the response does not
+// name it, or in a form that cannot be read.
+func WarmupLeft(names Headers, h http.Header) (time.Duration, bool) {
+	if names.TargetWarmup == "" {
+		return 0, false
+	}
+	ms, err := strconv.ParseFloat(strings.TrimSpace(h.Get(names.TargetWarmup)), 64)
+	if err != nil || !(ms >= 0) {
+		return 0, false
+	}
+	return time.Duration(min(ms, float64(maxWarmup.Milliseconds())) * float64(time.Millisecond)), true
+}
+
 // saysLeaving reports whether a response says that its target is leaving.
 func saysLeaving(names Headers, h http.Header) bool {
 	return names.TargetLeaving != "" && h.Get(names.TargetLeaving) == "1"
