--- a/internal/command/catalog/catalog.go
+++ b/internal/command/catalog/catalog.go
@@ -24,6 +24,9 @@
 	IntentService(key string) (model.ServiceName, bool)
 	// KeyIntent returns the key of the operator's intent for a service.
 	KeyIntent(service model.ServiceName) string
+	// EvacuatedDataCentre returns the data centre that is evacuated while a key exists, whatever its value, and KeyEvacuation that key.
+	EvacuatedDataCentre(key string) (model.DataCentre, bool)
+	KeyEvacuation(dc model.DataCentre) string
 	// KeyReport returns the key at which the state of a service's move is reported to the operator.
 	KeyReport(service model.ServiceName) string
 	// DecodeConfiguration also returns the entries that could not be taken as written.
@@ -90,6 +93,10 @@
 	// gossipAt is when changes of targets alone may be gossiped next.
 	gossipAt time.Time
 
+	// evacuated holds the data centres whose targets get no calls. The time is when that ends because a restored store has lost the
+	// key; zero while the key exists.
+	evacuated map[model.DataCentre]time.Time
+
 	intents map[model.ServiceName]*intent
 	moves   map[model.ServiceName]*moveRecord
 	// roster holds the targets of the other daemons, and members their names in order.
@@ -130,6 +137,7 @@
 		cfg:               cfg,
 		pendingStoreCalls: map[effect.RequestID]pendingStoreCall{},
 		pendingSends:      map[effect.RequestID]func(time.Time, message.Reply){},
+		evacuated:         map[model.DataCentre]time.Time{},
 		intents:           map[model.ServiceName]*intent{},
 		moves:             map[model.ServiceName]*moveRecord{},
 		roster:            map[model.DaemonID]*member{},
@@ -215,6 +223,7 @@
 	c.probeUnlistedMembers(now)
 	c.runAntiEntropy(now)
 	c.dropKeptIntents(now)
+	c.dropKeptEvacuations(now)
 	c.runMoveDriver(now)
 	c.gossipChanges(now)
 }
@@ -240,6 +249,9 @@
 	for _, in := range c.intents {
 		next = earliest(next, in.keptUntil)
 	}
+	for _, keptUntil := range c.evacuated {
+		next = earliest(next, keptUntil)
+	}
 	for _, m := range c.roster {
 		if !m.probePending {
 			next = earliest(next, m.probeAt)
--- a/internal/command/catalog/comparison.go
+++ b/internal/command/catalog/comparison.go
@@ -10,12 +10,23 @@
 // maxCompares is the number of keys that the platform compares in one call.
 const maxCompares = 32
 
-// operatorCompares returns comparisons with the known revisions of the configuration and of the services' intents.
+// maxEvacuationCompares bounds the keys of evacuations in one call. A mesh has fewer data centres.
+const maxEvacuationCompares = 16
+
+// operatorCompares returns comparisons with the known revisions of the configuration, of evacuations and of the services' intents. If
+// there are more intents than one call compares, consecutive checks compare different ones.
 func (c *Core) operatorCompares() []store.Compare {
-	keys := []string{c.cfg.Operator.KeyConfiguration()}
+	evacuations := c.evacuationKeys()
+	keys := append([]string{c.cfg.Operator.KeyConfiguration()}, evacuations[:min(len(evacuations), maxEvacuationCompares)]...)
 	if c.configuration != nil {
-		for i := range c.configuration.Services {
-			keys = append(keys, c.cfg.Operator.KeyIntent(c.configuration.Services[i].Name))
+		services := c.configuration.Services
+		room := maxCompares - len(keys)
+		first := 0
+		if len(services) > room {
+			first = int(c.freshness.lastCheck % uint64(len(services)) * uint64(room) % uint64(len(services)))
+		}
+		for i := range min(len(services), room) {
+			keys = append(keys, c.cfg.Operator.KeyIntent(services[(first+i)%len(services)].Name))
 		}
 	}
 	compares := make([]store.Compare, 0, maxCompares)
--- a/internal/command/catalog/driver.go
+++ b/internal/command/catalog/driver.go
@@ -275,7 +275,7 @@
 		observations := d.takeObservations()
 		d.rollout.Observe(now, c.composeConfiguration(c.targets()), &m.Rollout, observations)
 		c.logProgress(now, d, m, observations)
-		decision := d.rollout.Decide(now, &m.Rollout, observations)
+		decision := d.rollout.Decide(now, &m.Rollout, c.callable(&m.Rollout, observations))
 		if mark := c.findMark(m.Version(), m.ID); mark != nil && m.Phase == model.PhaseRunning {
 			// A withheld version receives no calls, so there is no new evidence against it. It must still be withdrawn,
 			// because the daemons beside its targets lose the mark when they restart.
--- a/internal/command/catalog/earlier_record.go
+++ b/internal/command/catalog/earlier_record.go
@@ -149,8 +149,8 @@
 // slots would be idle until its next report, which takes a second or two.
 func (c *Core) checkPreviousTarget() {
 	local := &c.local
-	if local.previous == nil || c.configuration == nil || local.healthChecked {
-		return
+	if local.previous == nil || c.configuration == nil || local.healthChecked || !c.operatorKeys.loaded || c.isEvacuated(&c.cfg.Target) {
+		return // nothing is sent to an evacuated target, which is not known before all keys are
 	}
 	previous := local.previous
 	service := c.configuration.Service(c.cfg.Target.Service)
--- a/internal/command/catalog/view.go
+++ b/internal/command/catalog/view.go
@@ -19,6 +19,10 @@
 		c.applyConfigurationEntry(now, e)
 		return
 	}
+	if dc, ok := c.cfg.Operator.EvacuatedDataCentre(key); ok {
+		c.applyEvacuationEntry(now, dc, e != nil)
+		return
+	}
 	service, ok := c.cfg.Operator.IntentService(key)
 	if !ok {
 		return
@@ -97,6 +101,7 @@
 	view := &model.View{
 		Configuration: &model.Configuration{}, Targets: c.targets(), Marks: c.activeMarks(),
 		DataCentre: c.cfg.Target.DataCentre, Region: c.cfg.Target.Region, Local: c.local.viewTarget(),
+		Evacuated: slices.Sorted(maps.Keys(c.evacuated)),
 	}
 	if c.configuration != nil {
 		view.Configuration = c.composeConfiguration(view.Targets)
@@ -170,7 +175,7 @@
 		switch {
 		case t.Service != service || t.State != model.TargetReady:
 		case t.Version == wanted:
-			wantedReady = true
+			wantedReady = wantedReady || !c.isEvacuated(t)
 		default:
 			others[t.Version] = true
 		}
--- a/internal/model/target.go
+++ b/internal/model/target.go
@@ -1,6 +1,9 @@
 package model
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // TargetState is the state of a target as announced by the daemon beside it.
 type TargetState string
@@ -204,4 +207,9 @@
 	Region     Region
 	// Local is the target beside this daemon.
 	Local Target
+	// Evacuated are the data centres whose targets get no calls, in order.
+	Evacuated []DataCentre
 }
+
+// IsEvacuated reports whether the targets of a data centre get no calls.
+func (v *View) IsEvacuated(dc DataCentre) bool { return slices.Contains(v.Evacuated, dc) }
--- a/internal/query/routing/cold_test.go
+++ b/internal/query/routing/cold_test.go
@@ -55,3 +55,34 @@
 		})
 	}
 }
+
+// Guards against calls to evacuated targets, and against shares that an evacuation changes.
+func TestEvacuatedTargetsAreLeftOut(t *testing.T) {
+	is := is.New(t)
+	view := &model.View{DataCentre: "a", Region: "r", Configuration: &model.Configuration{Services: []model.Service{
+		{Name: "s", Versions: []model.VersionShare{{Version: "v1", Share: model.FullShare * 3 / 4}, {Version: "v2", Share: model.FullShare / 4}}},
+	}, Moves: []model.Move{{ID: "m", Service: "s", From: "v1", To: "v2", Phase: model.PhaseRunning}}}}
+	for i, version := range []model.VersionName{"v1", "v1", "v2"} {
+		view.Targets = append(view.Targets, model.Target{
+			Daemon: model.DaemonID(fmt.Sprint("d", i)), Service: "s", Version: version, State: model.TargetReady,
+			DataCentre: model.DataCentre(fmt.Sprint("dc", i)), Region: "r",
+		})
+	}
+	count := func(evacuated ...model.DataCentre) map[model.DaemonID]int {
+		view.Evacuated = evacuated
+		service := routing.NewTable(view).Service("s")
+		random, chosen := rand.NewPCG(1, 2), map[model.DaemonID]int{}
+		for i := range uint64(400) {
+			version, reason := service.SelectVersion(i)
+			is.Equal(reason, routing.Found)
+			if choice, ok := version.SelectByExpectedLoss(fixedLoads{}, random, routing.Selection{Remaining: time.Second}); ok {
+				chosen[choice.Target.Daemon]++
+			}
+		}
+		return chosen
+	}
+	is.Equal(count("dc0"), map[model.DaemonID]int{"d1": 300, "d2": 100})
+	is.Equal(count("dc0", "dc1"), map[model.DaemonID]int{"d2": 100}) // the new version takes over no calls of the old one
+	is.Equal(count("dc0", "dc2"), map[model.DaemonID]int{"d1": 400})
+	is.Equal(count("dc0", "dc1", "dc2"), map[model.DaemonID]int{})
+}
--- a/internal/query/routing/routing.go
+++ b/internal/query/routing/routing.go
@@ -185,11 +185,12 @@
 // IsWithheld reports whether a version receives no calls because it is marked or withdrawn.
 func (t *Table) IsWithheld(ref model.VersionRef) bool { return t.withheld[ref] }
 
+// readyTargets returns the ready targets of each version, without those of evacuated data centres.
 func readyTargets(view *model.View) map[model.VersionRef][]*model.Target {
 	ready := map[model.VersionRef][]*model.Target{}
 	for i := range view.Targets {
 		target := &view.Targets[i]
-		if target.State == model.TargetReady {
+		if target.State == model.TargetReady && !view.IsEvacuated(target.DataCentre) {
 			ready[target.Ref()] = append(ready[target.Ref()], target)
 		}
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -161,7 +161,7 @@
 	d.loop.SetHealthCheck(d.checkTargetHealth)
 	d.loop.OnPublish(func(view *model.View) {
 		d.inbound.Update(view.Local, traffic.TargetConditions{
-			Withheld:        d.loop.Table().IsWithheld(view.Local.Ref()),
+			Withheld: d.loop.Table().IsWithheld(view.Local.Ref()), Evacuated: view.IsEvacuated(view.Local.DataCentre),
 			WarmupPerSecond: warmupPerSecond(view),
 		})
 	})
--- a/internal/traffic/cold_test.go
+++ b/internal/traffic/cold_test.go
@@ -122,3 +122,31 @@
 	c.inbounds[0].Update(c.table.View.Targets[0], traffic.TargetConditions{WarmupPerSecond: tolerated})
 	is.True(c.inbounds[0].ColdRateLimit() == tolerated) // the view is older than the response
 }
+
+// Guards against requests to the targets of an evacuated data centre, also by callers' daemons that don't know of it yet, against
+// calls that are lost there although others could serve them, and against an evacuation that does not end.
+func TestEvacuatedTargetGetsNoRequests(t *testing.T) {
+	is := is.New(t)
+	evacuated := startScriptedTarget(t, func(int, *http.Request) string { return okResponse })
+	other := startScriptedTarget(t, func(int, *http.Request) string { return okResponse })
+	c := startChain(t, evacuated, other)
+	local := c.table.View.Targets[0]
+	c.inbounds[0].Update(local, traffic.TargetConditions{Evacuated: true})
+	is.Equal(countServed(t, c, 20), 20)
+	is.Equal(evacuated.received.Load(), int64(0))
+
+	c.evacuate("d")
+	is.Equal(countServed(t, c, 5), 0) // refused as not executed, with Retry-After
+	is.Equal(evacuated.received.Load(), int64(0))
+	is.Equal(other.received.Load(), int64(20))
+	c.evacuate()
+	c.inbounds[0].Update(local, traffic.TargetConditions{})
+	is.Equal(countServed(t, c, 20), 20)
+}
+
+// evacuate replaces the routing table by one with the given evacuated data centres.
+func (c *chain) evacuate(dcs ...model.DataCentre) {
+	view := *c.table.View
+	view.Evacuated = dcs
+	c.table = routing.NewTable(&view)
+}
--- a/internal/traffic/inbound.go
+++ b/internal/traffic/inbound.go
@@ -194,6 +194,8 @@
 		return notExecuted(http.StatusServiceUnavailable, reasonWrongTarget, "another target or another run of it is here")
 	case t.State != model.TargetReady:
 		return notExecuted(http.StatusServiceUnavailable, reasonDraining, "the target is leaving")
+	case c.inbound.conditions.Load().Evacuated:
+		return notExecuted(http.StatusServiceUnavailable, reasonEvacuated, "the data centre is evacuated")
 	case c.inbound.conditions.Load().Withheld:
 		return notExecuted(http.StatusServiceUnavailable, reasonWithheld, "the version is withheld")
 	}
--- a/internal/traffic/outbound_request.go
+++ b/internal/traffic/outbound_request.go
@@ -136,7 +136,9 @@
 
 // pickTarget selects a target of the version that has not been tried.
 func (r *outboundRequest) pickTarget(now time.Time) (routing.Choice, bool) {
-	loads := &peerLoads{r.outbound.peers, &r.outbound.leaving, r.route.Name, now}
+	// Retries keep the table that the request began with, but an evacuation holds at once.
+	evacuated := r.outbound.options.Tables.Table().View.Evacuated
+	loads := &peerLoads{r.outbound.peers, &r.outbound.leaving, evacuated, r.route.Name, now}
 	return r.version.SelectByExpectedLoss(loads, random{}, routing.Selection{
 		Tried: r.tried, Remaining: r.objective.Sub(now), OwnDataCentre: r.refusedAbroad,
 	})
@@ -326,7 +328,7 @@
 	now := time.Now()
 	eject := false
 	switch a.refused.reason {
-	case reasonDraining, reasonNotReady, reasonWrongTarget, reasonWithheld:
+	case reasonDraining, reasonNotReady, reasonWrongTarget, reasonWithheld, reasonEvacuated:
 		a.peer.markLeaving(now)
 	case reasonTargetUnreachable, reasonTargetLost:
 		eject = true
--- a/internal/traffic/peer_load.go
+++ b/internal/traffic/peer_load.go
@@ -1,6 +1,7 @@
 package traffic
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -49,8 +50,10 @@
 type peerLoads struct {
 	peers   *peers
 	leaving *leavingRuns
-	route   model.RouteName
-	now     time.Time
+	// evacuated are the data centres whose targets get no calls.
+	evacuated []model.DataCentre
+	route     model.RouteName
+	now       time.Time
 }
 
 func (l *peerLoads) Load(target *model.Target) routing.TargetLoad {
@@ -58,7 +61,7 @@
 	now := l.now.UnixNano()
 	out := routing.TargetLoad{
 		Slots: target.Slots, Cold: target.WarmAt.After(l.now),
-		Leaving: l.leaving.contains(runOf(target)),
+		Leaving: l.leaving.contains(runOf(target)) || slices.Contains(l.evacuated, target.DataCentre),
 		Suspect: p.ejectedUntil.Load() > now || p.leavingUntil.Load() > now,
 	}
 	own := p.inFlight.Load()
--- a/internal/traffic/refusal.go
+++ b/internal/traffic/refusal.go
@@ -27,6 +27,7 @@
 	reasonResponseUnframed   = "response-unframed"
 	reasonWrongTarget        = "wrong-target"
 	reasonWithheld           = "version-withheld"
+	reasonEvacuated          = "evacuated"
 	reasonOnceUnavailable    = "at-most-once-unavailable"
 	reasonOnceRouteUnknown   = "at-most-once-route-unknown"
 	reasonOnceRunning        = "running"
--- a/internal/traffic/target_conditions.go
+++ b/internal/traffic/target_conditions.go
@@ -6,12 +6,14 @@
 type TargetConditions struct {
 	// Withheld says that the version of the target is withheld.
 	Withheld bool
+	// Evacuated says that nothing is to be sent to the targets of the data centre.
+	Evacuated bool
 	// WarmupPerSecond is the number of calls per second that the target tolerates while it is cold; 0 means any number.
 	WarmupPerSecond float64
 }
 
 // admits reports whether the target gets calls.
-func (c *TargetConditions) admits() bool { return !c.Withheld }
+func (c *TargetConditions) admits() bool { return !c.Withheld && !c.Evacuated }
 
 // SetTarget sets the target as the control loop publishes it, and whether its version is withheld. Once it has returned, no
 // call is sent to a target that is leaving or whose version is withheld.
