--- a/internal/traffic/inbound.go
+++ b/internal/traffic/inbound.go
@@ -54,7 +54,7 @@
 	targetMu   sync.Mutex // serializes changes of the target
 	// invalidLimit is the latest rate limit that could not be read, which is logged once.
 	invalidLimit atomic.Pointer[string]
-	lastSent     atomic.Int64 // Unix nanoseconds
+	lastSent     atomic.Int64 // by monotonic; 0 if none was sent
 	failureRate  atomic.Int64 // smoothed fraction of failed calls in millionths
 	unsized      byteBudget
 }
@@ -84,7 +84,7 @@
 			in.reportLeaving()
 			running, _, _ := in.queue.occupancy()
 			sums := in.recorder.collect(ctx)
-			if !in.options.Observe(sums, running, time.Unix(0, in.lastSent.Load())) {
+			if !in.options.Observe(sums, running, in.lastSentAt()) {
 				in.recorder.countDropped(ctx, sums)
 			}
 		case <-ctx.Done():
@@ -93,6 +93,14 @@
 	}
 }
 
+// lastSentAt returns when the latest call was sent, long ago if none was.
+func (in *Inbound) lastSentAt() time.Time {
+	if at := in.lastSent.Load(); at != 0 {
+		return fromMonotonic(at)
+	}
+	return time.Unix(0, 0)
+}
+
 // WaitIdle blocks until no call is in flight, or returns the error of ctx.
 func (in *Inbound) WaitIdle(ctx context.Context) error { return in.inFlight.wait(ctx) }
 
@@ -294,7 +302,7 @@
 	}
 	run := runOf(c.inbound.target.Load())
 	slot.start = time.Now()
-	c.inbound.lastSent.Store(slot.start.UnixNano())
+	c.inbound.lastSent.Store(monotonic(slot.start))
 	e, err := c.inbound.pool.do(c.request.Context(), nil, c.inbound.options.Address, c.deadline, c.outgoing())
 	slot.maybeSent = e.maybeSent
 	if err != nil {
--- a/internal/traffic/ingress_call.go
+++ b/internal/traffic/ingress_call.go
@@ -189,7 +189,7 @@
 		return result
 	}
 	response := e.response
-	result.peer.lastResponse.Store(time.Now().UnixNano())
+	result.peer.lastResponse.Store(monotonic(time.Now()))
 	if response.Header.Get(HeaderCall) != sendID(c.id, c.attempt) {
 		e.finish(false)
 		result.refused = inDoubt(http.StatusBadGateway, reasonResponseMismatch, "the response belongs to another request")
--- a/internal/traffic/peer_load.go
+++ b/internal/traffic/peer_load.go
@@ -58,7 +58,7 @@
 
 func (l *peerLoads) Load(target *model.Target) routing.TargetLoad {
 	p := l.peers.get(target)
-	now := l.now.UnixNano()
+	now := monotonic(l.now)
 	out := routing.TargetLoad{
 		Slots: target.Slots, Cold: target.WarmAt.After(l.now),
 		Leaving: l.leaving.contains(runOf(target)) || slices.Contains(l.evacuated, target.DataCentre),
--- a/internal/traffic/peers.go
+++ b/internal/traffic/peers.go
@@ -47,10 +47,10 @@
 	latency              atomic.Int64 // smoothed, nanoseconds
 	consecutiveFailures  atomic.Int64
 	consecutiveEjections atomic.Int64
-	ejectedUntil         atomic.Int64 // Unix nanoseconds
-	busyUntil            atomic.Int64 // Unix nanoseconds
-	leavingUntil         atomic.Int64 // Unix nanoseconds
-	lastResponse         atomic.Int64 // Unix nanoseconds of the latest response
+	ejectedUntil         atomic.Int64 // by monotonic
+	busyUntil            atomic.Int64 // by monotonic
+	leavingUntil         atomic.Int64 // by monotonic
+	lastResponse         atomic.Int64 // by monotonic, of the latest response
 	load                 loadState
 }
 
@@ -179,7 +179,7 @@
 		if usual == 0 || known.inFlight.Load() == 0 {
 			continue
 		}
-		known.calls.cancelStalled(now, time.Unix(0, known.lastResponse.Load()), usual)
+		known.calls.cancelStalled(now, fromMonotonic(known.lastResponse.Load()), usual)
 	}
 }
 
@@ -221,7 +221,7 @@
 
 func (s *peerStats) Stats(target *model.Target) routing.TargetStats {
 	p := s.peers.get(target)
-	now := s.now.UnixNano()
+	now := monotonic(s.now)
 	return routing.TargetStats{
 		InFlight: int(p.inFlight.Load()), Latency: time.Duration(p.latency.Load()), ReadyFor: s.now.Sub(p.stateSince),
 		Ejected: p.ejectedUntil.Load() > now, Busy: p.busyUntil.Load() > now, Leaving: p.leavingUntil.Load() > now,
@@ -260,14 +260,14 @@
 func (p *peer) eject(now time.Time) {
 	n := p.consecutiveEjections.Add(1)
 	d := min(ejectBase<<min(n-1, 10), ejectMax)
-	p.ejectedUntil.Store(now.Add(d).UnixNano())
+	p.ejectedUntil.Store(monotonic(now.Add(d)))
 	p.consecutiveFailures.Store(0)
 }
 
 // markBusy makes selection skip the target for a fraction of its estimated wait.
 func (p *peer) markBusy(now time.Time, wait time.Duration) {
-	p.busyUntil.Store(now.Add(min(max(wait/2, minBusyTime), maxBusyTime)).UnixNano())
+	p.busyUntil.Store(monotonic(now.Add(min(max(wait/2, minBusyTime), maxBusyTime))))
 }
 
 // markLeaving makes selection skip the target until the roster is expected to show its new state.
-func (p *peer) markLeaving(now time.Time) { p.leavingUntil.Store(now.Add(leavingTime).UnixNano()) }
+func (p *peer) markLeaving(now time.Time) { p.leavingUntil.Store(monotonic(now.Add(leavingTime))) }
