--- a/internal/command/catalog/anti_entropy.go
+++ b/internal/command/catalog/anti_entropy.go
@@ -108,7 +108,7 @@
 			c.renewFromPeer(now, reply)
 		}
 		changed = c.mergeChanges(now, reply.Changes)
-		c.mergeLostMoves(reply.LostMoves)
+		c.mergeLostMoves(now, reply.LostMoves)
 	} else {
 		// Revisions and entries of another era mean nothing here.
 		reply.Revision, reply.Loaded = 0, false
--- a/internal/command/catalog/driver.go
+++ b/internal/command/catalog/driver.go
@@ -54,6 +54,8 @@
 	renewAt     time.Time
 	nextRoundAt time.Time
 	callPending bool
+	// written is the state of the move that this daemon has written last.
+	written *model.Rollout
 
 	// rollout decides on the move with the given ID, from the reports of the daemons beside the targets.
 	rollout *rollout.Driver
--- a/internal/command/catalog/earlier_record.go
+++ b/internal/command/catalog/earlier_record.go
@@ -135,6 +135,10 @@
 	}
 	if stored != nil && stored.Incarnation != local.target.Incarnation {
 		local.restarted = true
+		if stored.Incarnation > local.target.Incarnation {
+			// The clock was set back since the earlier process started. Peers would take its records for later ones.
+			local.target.Incarnation = stored.Incarnation + 1
+		}
 		if local.report == nil && !local.healthChecked {
 			local.previous = stored
 		}
--- a/internal/command/catalog/intent.go
+++ b/internal/command/catalog/intent.go
@@ -93,7 +93,7 @@
 	}
 	if record, ok := c.meshKeys.entries[store.PrefixMoves+string(service)]; ok && c.isCurrent(&c.meshKeys) {
 		// The record of the move may have come first.
-		c.applyMoveEntry(service, &record)
+		c.applyMoveEntry(now, service, &record)
 	}
 }
 
--- a/internal/command/catalog/move_record.go
+++ b/internal/command/catalog/move_record.go
@@ -37,7 +37,7 @@
 
 // applyMoveEntry applies the record of a move; e is nil if it was removed. A later state of the move than the record has stays in force
 // if the store lost it in a restore.
-func (c *Core) applyMoveEntry(service model.ServiceName, e *store.Entry) {
+func (c *Core) applyMoveEntry(now time.Time, service model.ServiceName, e *store.Entry) {
 	c.dirty = true
 	known := c.moves[service]
 	if e == nil {
@@ -53,6 +53,10 @@
 		c.log("entry-refused", c.countRefusedEntry(e, "move", err)...)
 		return
 	}
+	if known != nil && known.stored && known.revision == e.ModRevision && known.ID == m.ID && known.Step == m.Step && known.Phase == m.Phase {
+		m.Deadline, m.Since, m.Steps = known.Deadline, known.Since, known.Steps // the same record again
+	}
+	c.keepTimes(now, m)
 	if known != nil && c.isLostState(known, m) {
 		c.keepMove(known, e.ModRevision)
 		return
@@ -114,7 +118,7 @@
 
 // mergeLostMoves merges the moves that a peer keeps because the store lost them. A daemon that has started since knows their intents
 // only by their revisions in the present era, or not yet.
-func (c *Core) mergeLostMoves(lost []model.Rollout) {
+func (c *Core) mergeLostMoves(now time.Time, lost []model.Rollout) {
 	for i := range lost {
 		m := &lost[i]
 		in, known := c.intents[m.Service], c.moves[m.Service]
@@ -125,6 +129,7 @@
 		if in != nil {
 			in.move = m.ID
 		}
+		c.keepTimes(now, m)
 		c.moves[m.Service] = &moveRecord{*m, revision, false}
 		c.dirty = true
 		c.log("move-learned", "service", string(m.Service), "move", string(m.ID), "phase", string(m.Phase), "step", strconv.Itoa(m.Step))
@@ -174,7 +179,7 @@
 		reportedPhase(previous.Phase) != reportedPhase(m.Phase) {
 		txn.Puts = append(txn.Puts, store.Put{Key: c.cfg.Operator.KeyReport(service), Value: report})
 	}
-	d.callPending = true
+	d.callPending, d.written = true, m
 	c.callStore(store.Call{Kind: store.KindTxn, Priority: store.PriorityWithdraw, Reason: "drive", Txn: txn},
 		func(now time.Time, r store.Result) {
 			d.callPending = false
--- a/internal/command/catalog/roster.go
+++ b/internal/command/catalog/roster.go
@@ -52,7 +52,7 @@
 	case strings.HasPrefix(key, store.PrefixTargets):
 		c.applyTargetEntry(now, model.DaemonID(strings.TrimPrefix(key, store.PrefixTargets)), e)
 	case strings.HasPrefix(key, store.PrefixMoves):
-		c.applyMoveEntry(model.ServiceName(strings.TrimPrefix(key, store.PrefixMoves)), e)
+		c.applyMoveEntry(now, model.ServiceName(strings.TrimPrefix(key, store.PrefixMoves)), e)
 	}
 }
 
