--- a/internal/command/admission/priority_queue.go
+++ b/internal/command/admission/priority_queue.go
@@ -10,6 +10,9 @@
 	initialExecutionTime = 100 * time.Millisecond
 	// sampleWeight sets the weight of one call in the moving averages of the execution time to 1/sampleWeight.
 	sampleWeight = 20
+	// mixSampleWeight is that of the average which tells brief calls from others. A few brief calls in a row must not make it so low
+	// that they no longer count as brief.
+	mixSampleWeight = 100
 	// minExecutionFraction is the fraction of the expected execution time that a call needs at least. A call with less time
 	// left until its deadline is refused.
 	minExecutionFraction = 0.5
@@ -70,14 +73,17 @@
 	// executionTimes holds the moving average of the execution time by kind, meanExecutionTime that of all calls.
 	executionTimes    map[string]time.Duration
 	meanExecutionTime time.Duration
+	// mixExecutionTime is a slower average over all calls, of which mixSamples have ended, at most mixSampleWeight.
+	mixExecutionTime time.Duration
+	mixSamples       time.Duration
 	// lateSince is since when new calls are expected to be late if they wait behind the whole queue; zero if they are not.
 	lateSince       time.Time
 	overloadedUntil time.Time
 	// excess is the number of calls that the target reported in its own queue; it counts until excessUntil.
 	excess      int
 	excessUntil time.Time
-	// rate is the limit that the target has named.
-	rate rateLimit
+	// limits are the limit that the target has named and the one for the time for which it is cold.
+	limits rateLimits
 }
 
 // NewPriorityQueue returns a closed queue.
@@ -107,7 +113,7 @@
 		return refused
 	}
 	q.lastTicket++
-	if len(q.queue) == 0 && q.running < q.usableSlots(now) && q.rate.take(now) {
+	if len(q.queue) == 0 && q.running < q.usableSlots(now) && q.limits.take(now) {
 		q.running++
 		return Decision{Verdict: Run, Ticket: q.lastTicket}
 	}
@@ -137,6 +143,9 @@
 		wait = waitForever
 	}
 	switch {
+	case call.MaxWait > 0 && wait > call.MaxWait && q.limits.isCold(now):
+		// The sender gives up a call that is refused for its deadline, but another target may be warm.
+		return at, Decision{Verdict: Refuse, Reason: Busy, RetryAfter: min(wait, q.expectedWait(now, len(q.queue))+executionTime)}
 	case !now.Add(wait + scale(executionTime, minExecutionFraction)).Before(call.Deadline):
 		return at, Decision{Verdict: Refuse, Reason: Deadline, RetryAfter: min(wait, q.expectedWait(now, len(q.queue))+executionTime)}
 	case call.MaxWait > 0 && wait > call.MaxWait:
@@ -156,6 +165,9 @@
 		q.lateSince = now
 	case now.Sub(q.lateSince) >= overloadAfter:
 		q.overloadedUntil = now.Add(overloadDuration)
+		if q.limits.isCold(now) && q.limits.coldUntil.Before(q.overloadedUntil) {
+			q.overloadedUntil = q.limits.coldUntil // calls are late because of the limit, which ends
+		}
 	}
 }
 
@@ -167,10 +179,17 @@
 // isDemoted reports whether the target is overloaded and a call that waits for the given time is late, unless the call is brief.
 func (q *PriorityQueue) isDemoted(now time.Time, call Call, wait time.Duration) bool {
 	executionTime := q.ExpectedExecutionTime(call.Kind)
-	return q.isOverloaded(now) && !IsBrief(executionTime, q.MeanExecutionTime()) &&
+	return q.isOverloaded(now) && !q.isBrief(call.Kind) &&
 		now.Add(wait+scale(executionTime, typicalExecutionFraction)).After(call.Objective)
 }
 
+// isBrief reports whether calls of a kind are brief. A kind of which no call has ended counts as brief, so that its execution time
+// becomes known also while the target is overloaded.
+func (q *PriorityQueue) isBrief(kind string) bool {
+	executionTime := q.executionTimes[kind]
+	return executionTime == 0 || IsBrief(executionTime, q.mixExecutionTime)
+}
+
 // IsBrief reports whether calls of the given execution time are brief at a target with the given mean execution time.
 func IsBrief(executionTime, mean time.Duration) bool {
 	return executionTime <= scale(mean, briefFraction)
@@ -182,8 +201,11 @@
 // Release frees the slot of a call of the given kind and execution time. It returns the calls that leave the queue.
 func (q *PriorityQueue) Release(now time.Time, kind string, took time.Duration) []Dequeued {
 	q.running--
-	q.executionTimes[kind] = movingAverage(q.executionTimes[kind], took)
-	q.meanExecutionTime = movingAverage(q.meanExecutionTime, took)
+	q.executionTimes[kind] = movingAverage(q.executionTimes[kind], took, sampleWeight)
+	q.meanExecutionTime = movingAverage(q.meanExecutionTime, took, sampleWeight)
+	// The first calls to end are brief ones, which must not weigh more than the later ones.
+	q.mixSamples = min(q.mixSamples+1, mixSampleWeight)
+	q.mixExecutionTime = movingAverage(q.mixExecutionTime, took, q.mixSamples)
 	return q.dispatch(now)
 }
 
@@ -209,26 +231,26 @@
 
 // NameRateLimit sets the calls per second that the target has named in an answer. It returns the calls that leave the queue.
 func (q *PriorityQueue) NameRateLimit(now time.Time, perSecond float64) []Dequeued {
-	q.rate.name(now, perSecond)
+	q.limits.named.name(now, perSecond)
 	return q.dispatch(now)
 }
 
 // EndRateLimit removes the limit after an answer without it, to a call that was sent at the given time. It returns the calls that
 // leave the queue, and whether the limit has ended.
 func (q *PriorityQueue) EndRateLimit(now, sent time.Time) ([]Dequeued, bool) {
-	if !q.rate.end(sent) {
+	if !q.limits.named.end(sent) {
 		return nil, false
 	}
 	return q.dispatch(now), true
 }
 
-// ResetRateLimit removes the limit because another run of the target begins.
-func (q *PriorityQueue) ResetRateLimit() { q.rate = rateLimit{} }
+// ResetRateLimit removes the limits because another run of the target begins.
+func (q *PriorityQueue) ResetRateLimit() { q.limits = rateLimits{} }
 
 // RateLimit returns the limit in calls per second, 0 if there is none, and the time until it has room for a call behind all
-// waiting ones.
+// waiting ones. Of the limit that the target has named and that of a cold target it is the lower one.
 func (q *PriorityQueue) RateLimit(now time.Time) (perSecond float64, wait time.Duration) {
-	return q.rate.perSecond, q.rate.wait(now, len(q.queue)+1)
+	return q.limits.perSecond(now), q.limits.wait(now, len(q.queue)+1)
 }
 
 // Dispatch refuses the waiting calls that cannot end by their deadline and admits others. It is called when the wait that
@@ -237,10 +259,10 @@
 
 // NextDispatch returns the wait until the rate limit admits the first waiting call. It reports false if no call waits for that.
 func (q *PriorityQueue) NextDispatch(now time.Time) (time.Duration, bool) {
-	if len(q.queue) == 0 || q.rate.perSecond == 0 || q.running >= q.usableSlots(now) {
+	if len(q.queue) == 0 || q.limits.perSecond(now) == 0 || q.running >= q.usableSlots(now) {
 		return 0, false
 	}
-	return q.rate.wait(now, 1), true
+	return q.limits.wait(now, 1), true
 }
 
 // Running returns the number of occupied slots.
@@ -279,7 +301,7 @@
 // expectedWait estimates how long a call waits for a slot, and for room in the rate limit, if the given number of calls is
 // ahead of it in the queue.
 func (q *PriorityQueue) expectedWait(now time.Time, ahead int) time.Duration {
-	wait := q.rate.wait(now, ahead+1)
+	wait := q.limits.wait(now, ahead+1)
 	slots := max(q.usableSlots(now), 1)
 	if missing := q.running + ahead + 1 - slots; missing > 0 {
 		wait = max(wait, q.MeanExecutionTime()*time.Duration(missing)/time.Duration(slots))
@@ -323,7 +345,7 @@
 )
 
 func (q *PriorityQueue) orderKeyOf(now time.Time, call Call) orderKey {
-	if IsBrief(q.ExpectedExecutionTime(call.Kind), q.MeanExecutionTime()) {
+	if q.isBrief(call.Kind) {
 		return orderKey{classBrief, call.Priority, call.Objective}
 	}
 	if q.isDemoted(now, call, 0) {
@@ -355,7 +377,7 @@
 		}
 		return 0
 	})
-	for len(q.queue) > 0 && q.running < q.usableSlots(now) && q.rate.take(now) {
+	for len(q.queue) > 0 && q.running < q.usableSlots(now) && q.limits.take(now) {
 		dequeued = append(dequeued, Dequeued{q.queue[0].ticket, Admitted})
 		q.queue = slices.Delete(q.queue, 0, 1)
 		q.running++
@@ -366,13 +388,13 @@
 // refuseBeyondRateLimit refuses the waiting calls for which the rate limit has no room in the time that they may wait: the target may
 // have named it, or a lower one, after they were queued, and another target may serve them.
 func (q *PriorityQueue) refuseBeyondRateLimit(now time.Time) []Dequeued {
-	if q.rate.perSecond == 0 {
+	if q.limits.perSecond(now) == 0 {
 		return nil
 	}
 	var dequeued []Dequeued
 	kept := q.queue[:0]
 	for _, call := range q.queue {
-		wait := q.rate.wait(now, len(kept)+1)
+		wait := q.limits.wait(now, len(kept)+1)
 		switch {
 		case call.MaxWait > 0 && wait > call.MaxWait:
 			dequeued = append(dequeued, Dequeued{call.ticket, Busy})
@@ -390,9 +412,10 @@
 	return time.Duration(float64(executionTime) * fraction)
 }
 
-func movingAverage(old, took time.Duration) time.Duration {
+// movingAverage returns the average after a sample whose weight is 1/weight.
+func movingAverage(old, took, weight time.Duration) time.Duration {
 	if old == 0 {
 		return took
 	}
-	return old + (took-old)/sampleWeight
+	return old + (took-old)/weight
 }
--- a/internal/command/catalog/earlier_record.go
+++ b/internal/command/catalog/earlier_record.go
@@ -135,6 +135,10 @@
 	}
 	if stored != nil && stored.Incarnation != local.target.Incarnation {
 		local.restarted = true
+		if stored.Incarnation > local.target.Incarnation {
+			// The clock was set back since the earlier process started. Peers would take its records for later ones.
+			local.target.Incarnation = stored.Incarnation + 1
+		}
 		if local.report == nil && !local.healthChecked {
 			local.previous = stored
 		}
@@ -149,8 +153,8 @@
 // slots would be idle until its next report, which takes a second or two.
 func (c *Core) checkPreviousTarget() {
 	local := &c.local
-	if local.previous == nil || c.configuration == nil || local.healthChecked {
-		return
+	if local.previous == nil || c.configuration == nil || local.healthChecked || !c.operatorKeys.loaded || c.isEvacuated(&c.cfg.Target) {
+		return // nothing is sent to an evacuated target, which is not known before all keys are
 	}
 	previous := local.previous
 	service := c.configuration.Service(c.cfg.Target.Service)
@@ -177,7 +181,9 @@
 		"taken", strconv.FormatBool(sameRun))
 	if sameRun {
 		report := previous.LastReport()
-		report.WarmupLeft = max(previous.WarmAt.Sub(now), 0)
+		if report.WarmupLeft = ev.WarmupLeft; !ev.WarmupKnown {
+			report.WarmupLeft = max(previous.WarmAt.Sub(now), c.fullWarmup(), 0)
+		}
 		c.acceptReport(now, report)
 	}
 }
--- a/internal/traffic/inbound.go
+++ b/internal/traffic/inbound.go
@@ -46,14 +46,15 @@
 	open     openRequests
 	recorder *recorder
 	target   atomic.Pointer[model.Target]
-	withheld atomic.Bool
-	leaving  leavingRuns
+	// conditions are those under which the target gets calls.
+	conditions atomic.Pointer[TargetConditions]
+	leaving    leavingRuns
 	// unreported is a run that is leaving and that Leaving has not taken yet.
 	unreported atomic.Pointer[targetRun]
 	targetMu   sync.Mutex // serializes changes of the target
 	// invalidLimit is the latest rate limit that could not be read, which is logged once.
 	invalidLimit atomic.Pointer[string]
-	lastSent     atomic.Int64 // Unix nanoseconds
+	lastSent     atomic.Int64 // by monotonic; 0 if none was sent
 	failureRate  atomic.Int64 // smoothed fraction of failed calls in millionths
 	unsized      byteBudget
 	transfers    bodyTransfers
@@ -71,28 +72,10 @@
 	})
 	in.unsized.limit.Store(maxUnsizedTotal)
 	in.target.Store(&model.Target{State: model.TargetStarting})
+	in.conditions.Store(&TargetConditions{})
 	return in
 }
 
-// SetTarget sets the target as the control loop publishes it, and whether its version is withheld. Once it has returned, no
-// call is sent to a target that is leaving or whose version is withheld.
-func (in *Inbound) SetTarget(t model.Target, withheld bool) {
-	in.targetMu.Lock()
-	defer in.targetMu.Unlock()
-	in.setTarget(t, withheld)
-}
-
-// setTarget sets the target. A run that has said that it is leaving counts as draining, whatever else it reports. The lock must
-// be held.
-func (in *Inbound) setTarget(t model.Target, withheld bool) {
-	if t.State == model.TargetReady && in.leaving.contains(runOf(&t)) {
-		t.State = model.TargetDraining
-	}
-	in.target.Store(&t)
-	in.withheld.Store(withheld)
-	in.queue.setTarget(&t, withheld)
-}
-
 // Run reports outcomes, and a run of the target that is leaving, until ctx ends.
 func (in *Inbound) Run(ctx context.Context) {
 	ticker := time.NewTicker(flushInterval)
@@ -103,7 +86,7 @@
 			in.reportLeaving()
 			running, _, _ := in.queue.occupancy()
 			sums := in.recorder.collect(ctx)
-			if !in.options.Observe(sums, running, time.Unix(0, in.lastSent.Load())) {
+			if !in.options.Observe(sums, running, in.lastSentAt()) {
 				in.recorder.countDropped(ctx, sums)
 			}
 		case <-ctx.Done():
@@ -112,6 +95,14 @@
 	}
 }
 
+// lastSentAt returns when the latest call was sent, long ago if none was.
+func (in *Inbound) lastSentAt() time.Time {
+	if at := in.lastSent.Load(); at != 0 {
+		return fromMonotonic(at)
+	}
+	return time.Unix(0, 0)
+}
+
 // WaitIdle blocks until no call is in flight, or returns the error of ctx.
 func (in *Inbound) WaitIdle(ctx context.Context) error { return in.inFlight.wait(ctx) }
 
@@ -128,7 +119,16 @@
 }
 
 // RateLimit returns the calls per second that the target takes, 0 if it has named no limit.
-func (in *Inbound) RateLimit() float64 { return in.queue.rate().perSecond }
+func (in *Inbound) RateLimit() float64 {
+	named, _ := in.queue.limits()
+	return named
+}
+
+// ColdRateLimit returns the calls per second that the target gets because it is cold, 0 if it is warm or has no such limit.
+func (in *Inbound) ColdRateLimit() float64 {
+	_, cold := in.queue.limits()
+	return cold
+}
 
 // LogOpen logs the calls in flight, because the end of the process cuts them.
 func (in *Inbound) LogOpen() { in.open.log(in.options.Log, "target") }
@@ -214,7 +214,9 @@
 		return notExecuted(http.StatusServiceUnavailable, reasonWrongTarget, "another target or another run of it is here")
 	case t.State != model.TargetReady:
 		return notExecuted(http.StatusServiceUnavailable, reasonDraining, "the target is leaving")
-	case c.inbound.withheld.Load():
+	case c.inbound.conditions.Load().Evacuated:
+		return notExecuted(http.StatusServiceUnavailable, reasonEvacuated, "the data centre is evacuated")
+	case c.inbound.conditions.Load().Withheld:
 		return notExecuted(http.StatusServiceUnavailable, reasonWithheld, "the version is withheld")
 	}
 	return nil
@@ -309,7 +311,7 @@
 	}
 	run := runOf(c.inbound.target.Load())
 	slot.start = time.Now()
-	c.inbound.lastSent.Store(slot.start.UnixNano())
+	c.inbound.lastSent.Store(monotonic(slot.start))
 	e, err := c.inbound.pool.do(c.request.Context(), nil, c.inbound.options.Address, c.deadline, c.outgoing())
 	slot.maybeSent = e.maybeSent
 	if err != nil {
--- a/internal/traffic/outbound_request.go
+++ b/internal/traffic/outbound_request.go
@@ -16,6 +16,10 @@
 // deadline.
 const maxBusyRefusals = 2
 
+// maxColdWait is the longest wait at a cold target if there is another target. The wait there follows from the limit and not from
+// the work ahead, and a call that has waited for long has no time left for the other target.
+const maxColdWait = 100 * time.Millisecond
+
 // outboundRequest is one request of a caller, with all its attempts.
 type outboundRequest struct {
 	outbound *Outbound
@@ -132,7 +136,9 @@
 
 // pickTarget selects a target of the version that has not been tried.
 func (r *outboundRequest) pickTarget(now time.Time) (routing.Choice, bool) {
-	loads := &peerLoads{r.outbound.peers, &r.outbound.leaving, r.route.Name, now}
+	// Retries keep the table that the request began with, but an evacuation holds at once.
+	evacuated := r.outbound.options.Tables.Table().View.Evacuated
+	loads := &peerLoads{r.outbound.peers, &r.outbound.leaving, evacuated, r.route.Name, now}
 	return r.version.SelectByExpectedLoss(loads, random{}, routing.Selection{
 		Tried: r.tried, Remaining: r.objective.Sub(now), OwnDataCentre: r.refusedAbroad,
 	})
@@ -193,7 +199,10 @@
 		route: r.route.Name, caller: r.outbound.options.Service, priority: r.priority(),
 		objective: time.Until(r.objective),
 	}
-	if r.busyRefusals < maxBusyRefusals && choice.WaitLimit > 0 {
+	switch {
+	case choice.ColdLimited && choice.WaitLimit > 0:
+		d.maxWait = min(choice.WaitLimit, maxColdWait)
+	case r.busyRefusals < maxBusyRefusals && choice.WaitLimit > 0:
 		d.maxWait = choice.WaitLimit
 	}
 	names := r.outbound.options.Headers
@@ -258,6 +267,10 @@
 		return "refused", false
 	case !r.body.replayable():
 		return string(retry.BodyConsumed), false
+	case a.refused.reason == string(admission.Busy) && a.choice.ColdLimited && r.sends < maxSends:
+		// Another target is preferred, whatever the load: this one crashes under more calls.
+		r.tried = append(r.tried, a.target.Daemon)
+		return "busy", true
 	case a.refused.reason == string(admission.Busy):
 		// The target is not excluded: the refusal carried its load, with which the next selection weighs it.
 		r.busyRefusals++
@@ -321,7 +334,7 @@
 	now := time.Now()
 	eject := false
 	switch a.refused.reason {
-	case reasonDraining, reasonNotReady, reasonWrongTarget, reasonWithheld:
+	case reasonDraining, reasonNotReady, reasonWrongTarget, reasonWithheld, reasonEvacuated:
 		a.peer.markLeaving(now)
 	case reasonTargetUnreachable, reasonTargetLost:
 		eject = true
