--- a/internal/command/catalog/behind.go
+++ b/internal/command/catalog/behind.go
@@ -46,6 +46,7 @@
 		return
 	}
 	if c.lag.since.IsZero() {
+		c.recordBehind()
 		c.lag.since, c.lag.askAt = now, now.Add(c.jitter(firstAskDelay))
 	}
 	if number >= c.lag.number {
--- a/internal/command/catalog/catalog.go
+++ b/internal/command/catalog/catalog.go
@@ -56,6 +56,10 @@
 	FirstStart bool
 	// Exposure bounds the calls of a new version that is not known to be good.
 	Exposure rollout.ExposureLimit
+	// RevokeWithin is the age at which a configuration must not be used for API keys any more, and Clock a clock that counts
+	// suspension of the machine. Configurations are confirmed only if both are set.
+	RevokeWithin time.Duration
+	Clock        func() time.Duration
 }
 
 // Core holds all control state of a daemon. It is not safe for concurrent use: one goroutine calls it.
@@ -110,6 +114,7 @@
 	outcomes    localOutcomes
 	lag         lag
 	freshness   freshness
+	confirmer   confirmer
 	// settled says that this daemon can be expected to know the others; see updateSettled. loadedAt is when it had loaded all
 	// keys, settledAt the time at which it counts as settled unless it learns of another daemon.
 	loadedAt, settledAt time.Time
@@ -139,6 +144,7 @@
 		sharedRecords:     map[model.DaemonID]sharedRecord{},
 		dirty:             true,
 	}
+	c.startConfirming()
 	c.operatorKeys = newKeyReplica(cfg.Operator.PrefixOperator(), c.applyOperatorEntry)
 	c.meshKeys = newKeyReplica(store.PrefixMesh, c.applyMeshEntry)
 	return c
@@ -207,6 +213,7 @@
 	c.updateSettled(now)
 	c.updateOperatorWatch()
 	c.startDueCheck(now)
+	c.renewConfirmation(now)
 	c.applyHeldReport(now)
 	c.checkPreviousTarget()
 	c.maintainAnnouncement(now)
@@ -233,6 +240,7 @@
 	if c.settled && c.isCurrent(&c.operatorKeys) {
 		next = earliest(next, c.freshness.nextWake())
 	}
+	next = earliest(next, c.confirmer.wakeAt)
 	next = earliest(next, c.lag.askAt)
 	if c.hasPendingTargets() {
 		next = earliest(next, c.gossipAt)
@@ -266,6 +274,9 @@
 	case *message.EvidenceQuery:
 		c.recordDriverQuery(now, body)
 		reply = c.outcomes.evidenceReply(now, c.local.target)
+	case *message.ConfirmationQuery:
+		c.handleConfirmationQuery(ev.Token)
+		return
 	case *message.Spread:
 		c.handleSpread(now, body)
 		reply = &message.SpreadReply{Code: message.Accepted}
--- a/internal/command/catalog/era.go
+++ b/internal/command/catalog/era.go
@@ -69,6 +69,7 @@
 func (c *Core) enterEra(now time.Time, era store.Era, source string, listDelay time.Duration) {
 	previous := c.era
 	c.era = era
+	c.doubtStore(previous)
 	if previous == (store.Era{}) && c.operatorKeys.isEmpty() && c.meshKeys.isEmpty() {
 		c.operatorKeys.era, c.meshKeys.era = era.Number, era.Number
 		return
--- a/internal/command/catalog/freshness.go
+++ b/internal/command/catalog/freshness.go
@@ -100,9 +100,11 @@
 	attempt := f.attempts
 	f.pendingUntil = now.Add(checkTimeout)
 	compares := c.operatorCompares()
+	confirm := c.confirmComparison(compares)
 	call := store.Call{Kind: store.KindTxn, Priority: store.PriorityRead, Reason: "verify", Txn: store.Txn{Compares: compares}}
 	c.callStore(call, func(now time.Time, r store.Result) {
 		answered := c.mergeComparison(now, compares, r)
+		confirm(r)
 		switch {
 		case attempt != f.attempts || f.pendingUntil.IsZero():
 			// The check has timed out, or a peer has announced another one meanwhile.
@@ -135,8 +137,12 @@
 }
 
 // handleAnnouncedCheck processes a check that a peer has announced, with the number of the configuration at that time. A
-// daemon that does not have this configuration yet ignores the check: it must not pass the check on with an older number.
-func (c *Core) handleAnnouncedCheck(now time.Time, check uint64, number model.Number) {
+// daemon that does not have this configuration yet ignores the check: it must not pass the check on with an older number. The
+// peer is asked for its confirmation, which the check has renewed or is renewing.
+func (c *Core) handleAnnouncedCheck(now time.Time, check uint64, number model.Number, from string) {
+	if check > c.freshness.lastCheck {
+		c.askAnnouncer(from)
+	}
 	if check > c.freshness.lastCheck && c.configurationNumber() >= number && c.isCurrent(&c.operatorKeys) {
 		c.recordCheck(now, check)
 	}
--- a/internal/command/catalog/gossip.go
+++ b/internal/command/catalog/gossip.go
@@ -41,7 +41,7 @@
 	spread := &message.Spread{
 		From: c.cfg.Target.PeerAddress, Era: c.eraOfKeys(), Changes: c.pendingChanges,
 		Number: c.configurationNumber(), Revision: c.configurationRevision, Delta: c.pendingDelta,
-		Shared: c.sharedRecordMessages(now, c.pendingRecords),
+		Shared: c.sharedRecordMessages(now, c.pendingRecords), Document: c.documentMessage(),
 	}
 	if c.freshness.announcePending {
 		spread.Check = c.freshness.lastCheck
@@ -124,7 +124,8 @@
 		c.applyDelta(now, m.Delta, revision, "peer")
 	}
 	c.recordAnnouncedNumber(now, m.Number, m.From)
-	c.handleAnnouncedCheck(now, m.Check, m.Number)
+	c.learnDocument(m.Era, m.Document)
+	c.handleAnnouncedCheck(now, m.Check, m.Number, m.From)
 }
 
 // mergeChanges merges changes of the present era received from a peer, and reports whether any of them changed a replica. A replica of
--- a/internal/command/catalog/replica.go
+++ b/internal/command/catalog/replica.go
@@ -82,8 +82,12 @@
 		return
 	}
 	k.listing = true
+	confirm := c.confirmList(k)
 	c.callStore(store.Call{Kind: store.KindList, Priority: store.PriorityLease, Reason: "catalog", Key: k.prefix},
-		func(now time.Time, r store.Result) { c.handleList(now, k, r) })
+		func(now time.Time, r store.Result) {
+			c.handleList(now, k, r)
+			confirm(r)
+		})
 }
 
 func (c *Core) handleList(now time.Time, k *keyReplica, r store.Result) {
@@ -117,6 +121,7 @@
 
 // relist lists the keys of a replica and corrects the replica.
 func (c *Core) relist(k *keyReplica) {
+	confirm := c.confirmList(k)
 	c.callStore(store.Call{Kind: store.KindList, Priority: store.PriorityRead, Reason: "verify", Key: k.prefix},
 		func(now time.Time, r store.Result) {
 			if r.Outcome != store.Applied {
@@ -127,6 +132,7 @@
 			if c.applyList(now, k, r, true) && k.watching {
 				c.restartWatch(k)
 			}
+			confirm(r)
 		})
 }
 
--- a/internal/command/catalog/simulation_test.go
+++ b/internal/command/catalog/simulation_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"sniperail.example/sniperail/internal/command/catalog"
+	"sniperail.example/sniperail/internal/command/confirmation"
 	"sniperail.example/sniperail/internal/command/rollout"
 	"sniperail.example/sniperail/internal/document"
 	"sniperail.example/sniperail/internal/effect"
@@ -54,6 +55,8 @@
 	watches   map[string]int64
 	answers   map[effect.Token]model.Outcome
 	replies   map[effect.Token]message.Reply
+	askers    map[effect.Token]asker
+	inbox     []delayedMessage
 	lastToken effect.Token
 	listCalls int
 	// storeCalls counts calls to the platform's store by reason, and evidenceQueries the evidence queries that the node sent.
@@ -77,6 +80,11 @@
 	responseDelay time.Duration
 	// knownRestores is the number of restores of the store before the latest response that the node has received.
 	knownRestores int
+	// replyDelay is the time from a message to a peer, which is handled at once, to its reply.
+	replyDelay time.Duration
+	// confirmed is the time at which the configuration was confirmed, on the clock of the node.
+	confirmed           time.Duration
+	confirmationQueries int
 	// highestNumber is the highest configuration number that was in force.
 	highestNumber model.Number
 }
@@ -99,6 +107,10 @@
 	zeroBased bool
 	// lastWriter is the node that has written the record of a move last.
 	lastWriter *node
+	// latency is the time from a message to a peer until it is handled; 0 if it is handled at once, before the sender goes on.
+	latency time.Duration
+	// revokeWithin is the age of a configuration at which nodes stop using API keys; 0 if they confirm none.
+	revokeWithin time.Duration
 	// depth is the number of events that are being handled, each caused by the one before.
 	depth int
 }
@@ -129,7 +141,7 @@
 	sim.incarnation++
 	n := &node{
 		address: name + ":1", watches: map[string]int64{}, answers: map[effect.Token]model.Outcome{},
-		replies: map[effect.Token]message.Reply{}, storeCalls: map[string]int{},
+		replies: map[effect.Token]message.Reply{}, storeCalls: map[string]int{}, askers: map[effect.Token]asker{}, confirmed: confirmation.Never,
 	}
 	n.core = catalog.New(catalog.Config{
 		Target: model.Target{
@@ -139,6 +151,7 @@
 		},
 		Seeds: seeds, Operator: operatorCodec{}, Records: document.JSON{}, Rand: rand.New(rand.NewPCG(uint64(sim.incarnation), 3)),
 		MinLease: time.Second, FirstStart: sim.firstStart, Exposure: rollout.ExposureLimit{Fraction: 0.1, Slack: 50},
+		RevokeWithin: sim.revokeWithin, Clock: sim.clock,
 	})
 	if old := sim.byName[name]; old != nil {
 		for i := range sim.nodes {
@@ -153,12 +166,28 @@
 	return n
 }
 
+// clock is the clock of all nodes that counts suspension.
+func (sim *simulation) clock() time.Duration { return sim.now.Sub(time.Unix(49_000, 0)) }
+
 func (sim *simulation) handle(n *node, ev effect.Event) {
 	if sim.depth++; sim.depth > maxDepth {
 		sim.t.Fatalf("%s repeats a call or a message without a pause: %+v", n.address, ev)
 	}
 	known := n.knownRestores
-	for _, e := range n.core.Handle(sim.now, ev) {
+	effects := n.core.Handle(sim.now, ev)
+	confirms := false
+	for _, e := range effects {
+		// Calls and messages may be answered at once, which handles later events before the effects that follow.
+		switch e := e.(type) {
+		case effect.Confirm:
+			n.confirmed, confirms = e.At, true
+		case effect.Publish:
+			if confirms {
+				sim.t.Fatalf("%s: a configuration is confirmed before it is published", n.address)
+			}
+		}
+	}
+	for _, e := range effects {
 		sim.performEffect(n, e, known)
 	}
 	sim.depth--
@@ -184,6 +213,10 @@
 		n.answers[e.Token] = e.Outcome
 	case effect.Reply:
 		n.replies[e.Token] = e.Body
+		if asked, ok := n.askers[e.Token]; ok {
+			delete(n.askers, e.Token)
+			sim.returnReply(asked.from, asked.request, e.Body)
+		}
 	case effect.StoreCall:
 		if e.Call.Kind == store.KindList {
 			n.listCalls++
@@ -217,62 +250,10 @@
 		if _, ok := e.Body.(*message.Spread); ok {
 			n.spreadsSent++
 		}
-		reply, answered := sim.deliver(n, e)
-		if !answered {
-			n.unanswered = append(n.unanswered, unansweredRequest{sim.now.Add(sendTimeout), effect.SendDone{Request: e.Request}})
-			return
-		}
-		if catalog, ok := reply.(*message.CatalogReply); ok {
-			n.changesReceived += len(catalog.Changes)
-		}
-		sim.handle(n, effect.SendDone{Request: e.Request, Reply: reply})
-	}
-}
-
-const (
-	// sendTimeout is the time after which a message to a stopped daemon fails.
-	sendTimeout = 2500 * time.Millisecond
-	// storeCallTimeout is the time after which a call to the platform without a response fails.
-	storeCallTimeout = 1500 * time.Millisecond
-)
-
-// unansweredRequest is a message or a call to the platform without an answer. Its sender is told at failsAt.
-type unansweredRequest struct {
-	failsAt time.Time
-	failure effect.Event
-}
-
-// deliver hands a message to its receiver and returns the reply. It reports false if the receiver is stopped or the
-// connection is silent.
-func (sim *simulation) deliver(from *node, e effect.Send) (message.Reply, bool) {
-	if from.silentPeers[e.Address] {
-		delete(from.silentPeers, e.Address)
-		return nil, false
-	}
-	for _, to := range sim.nodes {
-		if to.address == e.Address && !to.stopped && !to.peersUnreachable && !from.peersUnreachable {
-			to.lastToken++
-			token := to.lastToken
-			if spread, ok := e.Body.(*message.Spread); ok {
-				to.recordsReceived += len(spread.Shared)
-			}
-			sim.handle(to, effect.RequestReceived{Token: token, Body: e.Body})
-			return to.replies[token], true
-		}
-	}
-	return nil, false
-}
-
-// failUnanswered tells a node that its unanswered messages and calls have timed out.
-func (sim *simulation) failUnanswered(n *node) {
-	unanswered := n.unanswered
-	n.unanswered = nil
-	for _, u := range unanswered {
-		if u.failsAt.After(sim.now) {
-			n.unanswered = append(n.unanswered, u)
-			continue
+		if _, ok := e.Body.(*message.ConfirmationQuery); ok {
+			n.confirmationQueries++
 		}
-		sim.handle(n, u.failure)
+		sim.deliver(n, e)
 	}
 }
 
@@ -287,6 +268,7 @@
 			}
 			sim.deliverWatchEvents(n)
 			sim.failUnanswered(n)
+			sim.receiveDue(n)
 			if next := n.core.NextWake(); !next.IsZero() && !next.After(sim.now) {
 				sim.handle(n, effect.Wake{})
 				if next = n.core.NextWake(); !next.IsZero() && !next.After(sim.now) {
--- a/internal/command/catalog/view.go
+++ b/internal/command/catalog/view.go
@@ -48,6 +48,7 @@
 			c.log("configuration-refused", "number", text, "revision", revision, "detail", "the number is lower than the one in force")
 			c.count("sniperail_configurations_refused", "lower-number")
 		}
+		c.recordDocument(e.ModRevision, next.Number)
 		return
 	}
 	if problems := unresolvedReferences(next); len(problems) > 0 {
@@ -56,6 +57,7 @@
 		return
 	}
 	c.setConfiguration(now, distribution.Strip(next), nil, e.ModRevision, "platform")
+	c.recordDocument(e.ModRevision, next.Number)
 	c.logNotTaken(text, revision, notTaken)
 }
 
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"sniperail.example/sniperail/internal/command/confirmation"
 	"sniperail.example/sniperail/internal/effect"
 	"sniperail.example/sniperail/internal/message"
 	"sniperail.example/sniperail/internal/model"
@@ -56,7 +57,9 @@
 	inputs   chan input
 	outcomes chan []model.KeyedSum
 	table    atomic.Pointer[routing.Table]
-	workers  sync.WaitGroup
+	// confirmed is the time at which the configuration was confirmed. It is set after the table to which it applies.
+	confirmed atomic.Int64
+	workers   sync.WaitGroup
 	// checkHealth requests the health of the local target and returns its instance.
 	checkHealth func(ctx context.Context, path string) model.InstanceID
 	// onPublish is called with each new view, on the loop goroutine.
@@ -84,6 +87,7 @@
 		watches:        map[string]context.CancelFunc{},
 	}
 	l.table.Store(routing.NewTable(&model.View{Configuration: &model.Configuration{}}))
+	l.confirmed.Store(int64(confirmation.Never))
 	return l
 }
 
@@ -99,6 +103,10 @@
 // Table returns the latest published routing table. It never returns nil.
 func (l *Loop) Table() *routing.Table { return l.table.Load() }
 
+// Confirmed returns the time at which the configuration was last confirmed, or confirmation.Never. A table that is read
+// afterwards has that configuration or a newer one.
+func (l *Loop) Confirmed() time.Duration { return time.Duration(l.confirmed.Load()) }
+
 // Observe sends a batch of request outcomes to the loop. It never blocks: it returns false if the batch was dropped.
 func (l *Loop) Observe(sums []model.KeyedSum) bool {
 	select {
--- a/internal/control/perform.go
+++ b/internal/control/perform.go
@@ -30,6 +30,8 @@
 		if l.onPublish != nil {
 			l.onPublish(e.View)
 		}
+	case effect.Confirm:
+		l.confirmed.Store(int64(e.At))
 	case effect.CheckHealth:
 		l.startWorker(func() { l.post(ctx, effect.HealthChecked{Instance: l.checkHealth(ctx, e.Path)}) })
 	case effect.Reply:
--- a/internal/effect/effect.go
+++ b/internal/effect/effect.go
@@ -110,6 +110,8 @@
 	Unwatch struct{ Key string }
 	// Publish replaces the view that the traffic goroutines read.
 	Publish struct{ View *model.View }
+	// Confirm sets the time at which the configuration of the latest Publish was confirmed, on a clock that counts suspension.
+	Confirm struct{ At time.Duration }
 	// Answer responds to a CommandSubmitted or TargetReported event.
 	Answer struct {
 		Token   Token
@@ -162,6 +164,7 @@
 func (Watch) effect()        {}
 func (Unwatch) effect()      {}
 func (Publish) effect()      {}
+func (Confirm) effect()      {}
 func (Answer) effect()       {}
 func (ReturnStatus) effect() {}
 func (Log) effect()          {}
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -54,6 +54,9 @@
 	Check uint64
 	// Shared are records that the platform had not stored when they were shared.
 	Shared []SharedRecord
+	// Document is the latest document of the configuration that the sender knows to be valid. It belongs to Era, and is nil if the
+	// sender knows none or confirms no configurations.
+	Document *Document
 }
 
 // SharedRecord is the record of a target that is leaving, which its daemon shares with its peers because the platform has not
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -91,6 +91,7 @@
 	{"Query.Load", (*message.LoadQuery)(nil), func() message.Reply { return new(message.LoadReply) }},
 	{"Query.Catalog", (*message.CatalogQuery)(nil), func() message.Reply { return new(message.CatalogReply) }},
 	{"Query.Target", (*message.TargetQuery)(nil), func() message.Reply { return new(message.TargetReply) }},
+	{"Query.Confirmation", (*message.ConfirmationQuery)(nil), func() message.Reply { return new(message.ConfirmationReply) }},
 	{"Query.Evidence", (*message.EvidenceQuery)(nil), func() message.Reply { return new(message.EvidenceReply) }},
 }
 
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -46,6 +46,8 @@
 		return &message.SnapshotReply{Configuration: &model.Configuration{Number: 9}}, true
 	case *message.StatusQuery:
 		return &message.StatusReply{Leader: "l"}, true
+	case *message.ConfirmationQuery:
+		return &message.ConfirmationReply{Number: 5, Confirmed: true, Age: time.Millisecond}, true
 	case *message.LoadQuery:
 		return &message.LoadReply{Daemons: 4}, true
 	default:
@@ -91,7 +93,8 @@
 		&message.Update{Term: 5, Delta: &message.Delta{Base: 1, Number: 2}}:        &message.UpdateReply{Code: message.Gap, Number: 2},
 		&message.Exchange{DataCentre: "worcester", Term: 8}:                        &message.ExchangeReply{Code: message.Accepted},
 		&message.SnapshotQuery{From: "d", Number: 1}:                               &message.SnapshotReply{Configuration: &model.Configuration{Number: 9}},
-		&message.StatusQuery{}: &message.StatusReply{Leader: "l"},
+		&message.StatusQuery{}:       &message.StatusReply{Leader: "l"},
+		&message.ConfirmationQuery{}: &message.ConfirmationReply{Number: 5, Confirmed: true, Age: time.Millisecond},
 		&message.LoadQuery{Service: "placements", Scope: message.ScopeAll}: &message.LoadReply{Daemons: 4},
 	}
 	for body, want := range messages {
@@ -141,7 +144,7 @@
 	}
 	spread := &message.Spread{
 		Changes: []message.Change{{Entry: store.Entry{Key: "k", Value: []byte{0, 255}, ModRevision: 1 << 60}, Removed: true}},
-		Delta:   &message.Delta{Number: 5, Base: 4},
+		Delta:   &message.Delta{Number: 5, Base: 4}, Document: &message.Document{Revision: 1 << 60, Number: 5},
 		Shared: []message.SharedRecord{{
 			Record: model.TargetRecord{
 				Target:    model.Target{Daemon: "d", Instance: "i", Since: at, State: model.TargetGone, Sequence: 3},
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -105,6 +105,11 @@
 	return handle(q.h, in, out)
 }
 
+// Confirmation returns how old the configuration of this daemon can be.
+func (q *Query) Confirmation(in *message.ConfirmationQuery, out *message.ConfirmationReply) error {
+	return handle(q.h, in, out)
+}
+
 // Server serves the connections of peers.
 type Server struct {
 	listener   net.Listener
