--- a/internal/traffic/chain_test.go
+++ b/internal/traffic/chain_test.go
@@ -137,6 +137,8 @@
 	metrics  *telemetry.Metrics
 	// deadline is the deadline that calls set.
 	deadline time.Duration
+	// confirmed reports whether the configuration is confirmed; nil if it always is.
+	confirmed func() bool
 }
 
 func (c *chain) Table() *routing.Table { return c.table }
@@ -194,7 +196,8 @@
 	c.table = routing.NewTable(view)
 	out := traffic.NewOutbound(traffic.OutboundOptions{
 		Tables: c, Headers: headerNames, Metrics: m, Limits: traffic.DefaultLimits(), Log: log, Service: "own",
-		Budget: retry.SharedLimit{Ratio: 1, Slack: 100, Window: time.Minute},
+		Confirmed: func() bool { return c.confirmed == nil || c.confirmed() },
+		Budget:    retry.SharedLimit{Ratio: 1, Slack: 100, Window: time.Minute},
 	})
 	c.outbound = out
 	_, address := servePipelined(t, out, func(conn net.Conn) net.Conn { return conn })
--- a/internal/traffic/outbound.go
+++ b/internal/traffic/outbound.go
@@ -24,6 +24,9 @@
 	Log     RequestLog
 	// Service is the service of the local target.
 	Service model.ServiceName
+	// Confirmed reports whether the configuration is known to be recent enough for API keys; nil means that it always is. It is
+	// called before Tables.
+	Confirmed func() bool
 	// Budget bounds the retries of all daemons together; each daemon uses its share.
 	Budget retry.SharedLimit
 }
@@ -96,6 +99,9 @@
 
 // accept validates the request, matches its route and reads its body.
 func (o *Outbound) accept(w http.ResponseWriter, r *http.Request, now time.Time) (*outboundRequest, *refusal) {
+	// The control loop publishes a table before the confirmation that applies to it. Read in the other order, an older table
+	// could be taken for a confirmed one.
+	confirmed := o.options.Confirmed == nil || o.options.Confirmed()
 	table := o.options.Tables.Table()
 	if table.View == nil || !table.View.Ready {
 		return nil, notExecuted(http.StatusServiceUnavailable, reasonNotReady, "this daemon has no configuration yet").
@@ -108,7 +114,7 @@
 	if reason != routing.Found {
 		return nil, notExecuted(http.StatusNotFound, string(reason), "no route matches host and path")
 	}
-	tenant, refused := o.authenticate(r, table, route)
+	tenant, refused := o.authenticate(r, table, route, confirmed)
 	if refused != nil {
 		return nil, refused
 	}
--- a/internal/traffic/tenant.go
+++ b/internal/traffic/tenant.go
@@ -5,6 +5,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"time"
 
 	"sniperail.example/sniperail/internal/model"
 	"sniperail.example/sniperail/internal/query/routing"
@@ -17,6 +18,9 @@
 // headerAuthorization carries the API key of a caller.
 const headerAuthorization = "Authorization"
 
+// unconfirmedRetryAfter covers the time from one freshness check of the store to the next.
+const unconfirmedRetryAfter = time.Second
+
 // tenantHeader is the content of HeaderTenant.
 type tenantHeader struct {
 	name model.TenantName
@@ -41,8 +45,11 @@
 }
 
 // authenticate returns the tenant of a request, and removes the API key and the tenant that the caller names from its header: the
-// target must see neither. Nothing is removed while the configuration has no tenants.
-func (o *Outbound) authenticate(r *http.Request, table *routing.Table, route *routing.Route) (*model.Tenant, *refusal) {
+// target must see neither. Nothing is removed while the configuration has no tenants. While the configuration is not confirmed, no
+// key is valid: it may have been revoked. Public routes are then served without a tenant.
+func (o *Outbound) authenticate(
+	r *http.Request, table *routing.Table, route *routing.Route, confirmed bool,
+) (*model.Tenant, *refusal) {
 	if !table.RequiresKeys() {
 		return nil, nil
 	}
@@ -51,6 +58,13 @@
 	if name := o.options.Headers.TenantID; name != "" {
 		r.Header.Del(name)
 	}
+	if !confirmed {
+		if route.Public {
+			return nil, nil
+		}
+		return nil, notExecuted(http.StatusServiceUnavailable, reasonUnconfirmed, "this daemon may not know the latest API keys").
+			withRetryAfter(unconfirmedRetryAfter)
+	}
 	if !ok {
 		return nil, notExecuted(http.StatusUnauthorized, reasonKeyUnknown, "the route needs a valid API key")
 	}
--- a/internal/traffic/tenant_test.go
+++ b/internal/traffic/tenant_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -77,3 +78,56 @@
 	_ = response.Body.Close()
 	is.Equal(target.headers[0].Get("Authorization"), "Bearer own")
 }
+
+// callWithKey sends a request with an API key and returns the status and the header.
+func (c *chain) callWithKey(t *testing.T, path, key string) (int, http.Header) {
+	t.Helper()
+	r, _ := http.NewRequestWithContext(t.Context(), "GET", c.url+path, nil)
+	r.Header.Set("Authorization", "Token "+key)
+	response, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	return response.StatusCode, response.Header
+}
+
+// Guards against an API key that is accepted although it may have been revoked, also on a public route, and against public routes
+// and deployments without tenants that are not served meanwhile.
+func TestUnconfirmedConfigurationAcceptsNoKeys(t *testing.T) {
+	is := is.New(t)
+	target := startScriptedTarget(t, func(int, *http.Request) string { return okResponse })
+	ch := startChain(t, target)
+	ch.confirmed = func() bool { return false }
+	status, _ := ch.callWithKey(t, "/safe/x", "key-a")
+	is.Equal(status, http.StatusOK) // no tenants
+	ch.setTenants()
+	status, header := ch.callWithKey(t, "/safe/x", "key-a")
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.Equal(header.Get(traffic.HeaderRefusal), "configuration-unconfirmed")
+	is.Equal(header.Get(traffic.HeaderExecuted), "no")
+	is.Equal(header.Get("Retry-After"), "1.000")
+	is.Equal(target.received.Load(), int64(1))
+	status, _ = ch.callWithKey(t, "/named/x", "key-b")
+	is.Equal(status, http.StatusOK)
+	is.Equal(target.headers[1].Get("X-Tenant"), "")
+	is.Equal(target.headers[1].Get("Authorization"), "")
+	is.True(strings.Contains(ch.scrape(t), `reason="configuration-unconfirmed"`))
+}
+
+// Guards against a table that is read before the confirmation: a key that was removed by the configuration that has been confirmed
+// in between would be accepted.
+func TestConfirmationIsReadBeforeTheTable(t *testing.T) {
+	is := is.New(t)
+	target := startScriptedTarget(t, func(int, *http.Request) string { return okResponse })
+	ch := startChain(t, target)
+	ch.setTenants()
+	ch.confirmed = func() bool {
+		ch.table.View.Configuration.Tenants = ch.table.View.Configuration.Tenants[1:]
+		ch.table = routing.NewTable(ch.table.View)
+		return true
+	}
+	status, _ := ch.callWithKey(t, "/safe/x", "key-a")
+	is.Equal(status, http.StatusUnauthorized)
+	is.Equal(target.received.Load(), int64(0))
+}
