--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -143,7 +143,7 @@
 	if err != nil {
 		return errors.Wrap(err, "--peer")
 	}
-	core := catalog.New(catalog.Config{
+	config := catalog.Config{
 		Target: model.Target{
 			Daemon: model.DaemonID(d.settings.ID), Incarnation: model.Incarnation(time.Now().UnixNano()),
 			Service:    model.ServiceName(d.settings.Service),
@@ -154,7 +154,9 @@
 		Seeds: d.settings.Seeds, Operator: d.adapter.Operator, Records: document.JSON{}, Rand: process.NewRand(),
 		MinLease: d.settings.MinLease, FirstStart: d.settings.FirstStart,
 		Exposure: rollout.ExposureLimit{Fraction: d.settings.ExposureFraction, Slack: d.settings.ExposureSlack},
-	})
+	}
+	d.confirmConfigurations(&config)
+	core := catalog.New(config)
 	counted := d.metrics.ControlBytesCounter()
 	d.peerClient = peer.NewClient(counted)
 	d.loop = control.NewLoop(core, d.peerClient, gate, d.logger, d.metrics)
@@ -199,7 +201,7 @@
 	limits.IdlePerPeer, limits.IdleTotal, limits.BodyBytes = idlePerPeer, idleTotal, maxBodyBytes
 	requestLog := traffic.RequestLog{Logger: d.logger, RequestID: d.adapter.Headers.RequestID}
 	d.outbound = traffic.NewOutbound(traffic.OutboundOptions{
-		Tables: d.loop, Headers: d.adapter.Headers, Metrics: metrics, Limits: limits, Log: requestLog,
+		Tables: d.loop, Confirmed: d.isConfirmed, Headers: d.adapter.Headers, Metrics: metrics, Limits: limits, Log: requestLog,
 		Service: model.ServiceName(d.settings.Service),
 		Budget:  retry.SharedLimit{Ratio: d.settings.RetryRatio, Slack: d.settings.RetrySlack, Window: d.settings.RetryWindow},
 	})
@@ -240,6 +242,9 @@
 	if err != nil {
 		return err
 	}
+	if err := d.registerConfirmationGauge(); err != nil {
+		return err
+	}
 	return d.metrics.RegisterGauge("sniperail_targets_ready", "Ready targets that this daemon knows.", func() float64 {
 		return float64(countReadyTargets(d.loop))
 	})
@@ -301,9 +306,12 @@
 	return &http.Server{Handler: h, ReadHeaderTimeout: auxiliaryHeaderTimeout}
 }
 
-// Ready reports whether the daemon accepts new callers: it is not draining, and its view is ready.
+// Ready reports whether the daemon accepts new callers: it is not draining, its view is ready, and it serves requests that need an
+// API key if there are any.
 func (d *Sidecar) Ready() bool {
-	return !d.draining.Load() && d.loop.Table().View.Ready
+	confirmed := d.isConfirmed() // before the table; see traffic.OutboundOptions
+	table := d.loop.Table()
+	return !d.draining.Load() && table.View.Ready && (confirmed || !table.RequiresKeys())
 }
 
 // Run serves until ctx is done. It then drains the daemon, within the grace period: the daemon is no longer ready, callers'
