--- a/internal/command/confirmation/confirmation.go
+++ b/internal/command/confirmation/confirmation.go
@@ -51,9 +51,11 @@
 	// random is a number from 0 to 1 that differs between daemons.
 	random float64
 	// doubtSince and doubtUntil bound the time in which reads of the store count only with a peer's word that followed. held is
-	// the time of the latest read that waits for that. Until suspectUntil, a higher number at a peer ends the confirmation.
+	// the time of the latest read that waits for that. Until suspectUntil, a higher number at a peer ends the confirmation. starting
+	// says that the doubt is that of a new process.
 	doubtSince, doubtUntil time.Duration
 	suspectUntil           time.Duration
+	starting               bool
 	held                   time.Duration
 	// query is the number of the latest query to a peer and awaitedUntil when it is no longer awaited; Never if it has ended.
 	query        uint64
@@ -68,7 +70,7 @@
 func New(now, within time.Duration, random float64) State {
 	s := State{within: within, confirmed: Never, random: random, awaitedUntil: Never}
 	s.Doubt(now)
-	s.doubtUntil, s.readAt = now+startDoubt, now+within/2
+	s.doubtUntil, s.readAt, s.starting = now+startDoubt, now+within/2, true
 	return s
 }
 
@@ -116,9 +118,13 @@
 	}
 }
 
-// EndDoubt ends the doubt about reads of the store: a peer has no higher number, or there is no peer.
+// EndDoubt ends the doubt about reads of the store: a peer has no higher number, or there is no peer. In a new process a higher
+// number is a new configuration from then on; ending the confirmation for it would refuse requests at each change that gossip missed.
 func (s *State) EndDoubt(now time.Duration) {
 	s.doubtUntil = min(s.doubtUntil, now)
+	if s.starting {
+		s.suspectUntil = now
+	}
 	s.ReleaseHeld(now)
 }
 
@@ -134,11 +140,11 @@
 // read that waits. The confirmation stays: it is older than the return of the store.
 func (s *State) Doubt(now time.Duration) {
 	s.doubtSince, s.doubtUntil, s.suspectUntil = now, now+RestoreDoubt, now+RestoreDoubt
-	s.held, s.askAt = Never, now
+	s.held, s.askAt, s.starting = Never, now, false
 }
 
-// RecordHigherNumber records that a peer has a higher number than the configuration in force. Shortly after a start or a return
-// of the store, the confirmation may rest on a copy of the store that lacked this number, and ends.
+// RecordHigherNumber records that a peer has a higher number than the configuration in force. Shortly after a return of the store,
+// or a start without a peer's word, the confirmation may rest on a copy of the store that lacked this number, and ends.
 func (s *State) RecordHigherNumber(now time.Duration) {
 	s.held = Never
 	if now < s.suspectUntil {
