--- a/internal/sidecar/drain.go
+++ b/internal/sidecar/drain.go
@@ -46,21 +46,28 @@
 	d.ingress.StopAccepting()
 	limited, cancel := context.WithDeadline(ctx, drained)
 	defer cancel()
-	answer := time.AfterFunc(time.Until(drained.Add(-lastAnswerMargin)), d.outbound.CancelCalls)
+	answer := time.AfterFunc(time.Until(drained.Add(-lastAnswerMargin)), func() { d.cutCalls(started) })
 	defer answer.Stop()
-	requestsCut, callsCut := d.ingress.Wait(limited) != nil, d.inbound.Wait(limited) != nil
-	if requestsCut || callsCut {
-		d.logger.Warn("stopping-cuts", zap.Int("requests", d.outbound.InFlight()), zap.Int("calls", d.inbound.InFlight()),
-			zap.Int64("after_ms", time.Since(started).Milliseconds()))
-		d.outbound.LogOpen()
-		d.inbound.LogOpen()
-	}
+	_ = d.ingress.Wait(limited) // what is still in flight was logged by cutCalls
+	_ = d.inbound.Wait(limited)
 	if d.ingress.WaitClosed(limited) != nil {
 		d.logger.Info("stopping-unread", zap.Int64("after_ms", time.Since(started).Milliseconds()))
 	}
 	d.closeServers(ctx)
 }
 
+// cutCalls logs the requests in flight that the end of the drain cuts, and answers those of callers of this daemon.
+func (d *Sidecar) cutCalls(started time.Time) {
+	requests, calls := d.outbound.InFlight(), d.inbound.InFlight()
+	if requests+calls > 0 {
+		d.logger.Warn("stopping-cuts", zap.Int("requests", requests), zap.Int("calls", calls),
+			zap.Int64("after_ms", time.Since(started).Milliseconds()))
+		d.outbound.LogOpen()
+		d.inbound.LogOpen()
+	}
+	d.outbound.CancelCalls()
+}
+
 // closeServers closes all servers. Their handlers have returned, but a process without processor time may not have written the last
 // responses yet, so it waits for that.
 func (d *Sidecar) closeServers(ctx context.Context) {
