--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -20,6 +20,7 @@
 	UnknownMember Code = "unknown-member"
 	Gap           Code = "gap"
 	Refused       Code = "refused"
+	NotOwner      Code = "not-owner"
 )
 
 // Request is a message that one daemon sends to another; Command messages change the receiver's state, Query
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -86,6 +86,7 @@
 	{"Command.Exchange", (*message.Exchange)(nil), func() message.Reply { return new(message.ExchangeReply) }},
 	{"Command.Withhold", (*message.Withhold)(nil), func() message.Reply { return new(message.WithholdReply) }},
 	{"Command.Spread", (*message.Spread)(nil), func() message.Reply { return new(message.SpreadReply) }},
+	{"Command.Quota", (*message.QuotaRequest)(nil), func() message.Reply { return new(message.QuotaReply) }},
 	{"Query.Snapshot", (*message.SnapshotQuery)(nil), func() message.Reply { return new(message.SnapshotReply) }},
 	{"Query.Status", (*message.StatusQuery)(nil), func() message.Reply { return new(message.StatusReply) }},
 	{"Query.Load", (*message.LoadQuery)(nil), func() message.Reply { return new(message.LoadReply) }},
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -75,6 +75,11 @@
 	return handle(c.h, in, out)
 }
 
+// Quota grants tokens of a tenant's quota.
+func (c *Command) Quota(in *message.QuotaRequest, out *message.QuotaReply) error {
+	return handle(c.h, in, out)
+}
+
 // Snapshot returns the configuration and roster, if they are newer than the sender's, and the marks.
 func (q *Query) Snapshot(in *message.SnapshotQuery, out *message.SnapshotReply) error {
 	return handle(q.h, in, out)
