--- a/internal/command/catalog/announcement.go
+++ b/internal/command/catalog/announcement.go
@@ -231,7 +231,11 @@
 			"state", string(next.State), "slots", strconv.Itoa(next.Slots), "sequence", strconv.FormatUint(next.Sequence+1, 10))
 	}
 	next.Sequence++
+	changesOwners := (local.target.State == model.TargetReady) != (next.State == model.TargetReady)
 	local.target = next
+	if changesOwners {
+		c.updateOwners(next.Daemon)
+	}
 	local.scheduleRecordShare(now)
 	c.dirty = true
 	return true
@@ -286,7 +290,7 @@
 func (c *Core) grantLease() {
 	local := &c.local
 	local.callPending = true
-	ttl := max(leaseTTL, c.cfg.MinLease)
+	ttl, sent := max(leaseTTL, c.cfg.MinLease), c.uptime()
 	c.callStore(store.Call{Kind: store.KindGrant, Priority: store.PriorityLease, Reason: "announce", TTL: ttl},
 		func(now time.Time, r store.Result) {
 			local.callPending = false
@@ -295,6 +299,7 @@
 				return
 			}
 			local.lease, local.storedSequence = r.Lease, 0
+			c.extendLease(sent, r.TTL)
 			local.renewAt = now.Add(r.TTL / renewalsPerTTL)
 			local.retryAt = time.Time{}
 		})
@@ -303,16 +308,19 @@
 func (c *Core) renewLease() {
 	local := &c.local
 	local.callPending = true
+	sent := c.uptime()
 	c.callStore(store.Call{Kind: store.KindKeepAlive, Priority: store.PriorityLease, Reason: "announce", Lease: local.lease},
 		func(now time.Time, r store.Result) {
 			local.callPending = false
 			switch r.Outcome {
 			case store.Applied:
 				local.failures = 0
+				c.extendLease(sent, r.TTL)
 				local.renewAt = now.Add(max(r.TTL, c.cfg.MinLease) / renewalsPerTTL)
 			case store.NotFound:
 				c.log("lease-ended", "lease", strconv.FormatInt(int64(local.lease), 10))
 				local.lease, local.storedSequence = 0, 0
+				c.setAnnounced(false)
 			default:
 				c.handleAnnounceFailure(now, "renewal", r)
 			}
@@ -354,6 +362,7 @@
 	switch r.Outcome {
 	case store.Applied:
 		local.storedSequence, local.failures = sequence, 0
+		c.setAnnounced(true)
 		c.mergeEntry(now, &c.meshKeys,
 			store.Entry{Key: key, Value: txn.Puts[0].Value, ModRevision: r.Revision, Lease: local.lease}, true)
 		local.retryAt = time.Time{}
@@ -366,6 +375,7 @@
 		local.retryAt = time.Time{}
 	case store.NotFound:
 		local.lease, local.storedSequence = 0, 0
+		c.setAnnounced(false)
 	default:
 		c.handleAnnounceFailure(now, "write", r)
 	}
--- a/internal/command/catalog/catalog.go
+++ b/internal/command/catalog/catalog.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"time"
 
+	"sniperail.example/sniperail/internal/command/quota"
 	"sniperail.example/sniperail/internal/command/rollout"
 	"sniperail.example/sniperail/internal/effect"
 	"sniperail.example/sniperail/internal/message"
@@ -56,6 +57,10 @@
 	FirstStart bool
 	// Exposure bounds the calls of a new version that is not known to be good.
 	Exposure rollout.ExposureLimit
+	// Quota holds the figures by which the quotas of tenants are judged.
+	Quota quota.Settings
+	// Uptime returns the time since the machine started, including suspension. Nil reads as a clock that stands still.
+	Uptime func() time.Duration
 }
 
 // Core holds all control state of a daemon. It is not safe for concurrent use: one goroutine calls it.
@@ -110,6 +115,9 @@
 	outcomes    localOutcomes
 	lag         lag
 	freshness   freshness
+	quotas      quotas
+	// borrower identifies this daemon to the owners of tenants.
+	borrower uint64
 	// settled says that this daemon can be expected to know the others; see updateSettled. loadedAt is when it had loaded all
 	// keys, settledAt the time at which it counts as settled unless it learns of another daemon.
 	loadedAt, settledAt time.Time
@@ -137,6 +145,8 @@
 		local:             localTarget{target: cfg.Target},
 		outcomes:          localOutcomes{sums: map[model.OutcomeKey]*model.OutcomeSum{}},
 		sharedRecords:     map[model.DaemonID]sharedRecord{},
+		quotas:            quotas{tenants: map[model.TenantName]*tenantOwner{}},
+		borrower:          quota.BorrowerID(cfg.Target.Daemon),
 		dirty:             true,
 	}
 	c.operatorKeys = newKeyReplica(cfg.Operator.PrefixOperator(), c.applyOperatorEntry)
@@ -172,6 +182,8 @@
 		c.outcomes.addOutcomes(ev)
 	case effect.Stopping:
 		c.handleStopping(now)
+	case effect.QuotaAsked:
+		c.handleQuotaAsked(now, ev)
 	case effect.SeedsChanged:
 		c.cfg.Seeds = ev.Seeds
 	}
@@ -217,6 +229,7 @@
 	c.dropKeptIntents(now)
 	c.runMoveDriver(now)
 	c.gossipChanges(now)
+	c.answerDueQuotas(now)
 }
 
 // NextWake returns when Handle must be called next with effect.Wake; zero means never. A task that waits for an answer has no
@@ -234,6 +247,7 @@
 		next = earliest(next, c.freshness.nextWake())
 	}
 	next = earliest(next, c.lag.askAt)
+	next = earliest(next, c.quotas.nextWake())
 	if c.hasPendingTargets() {
 		next = earliest(next, c.gossipAt)
 	}
@@ -266,6 +280,8 @@
 	case *message.EvidenceQuery:
 		c.recordDriverQuery(now, body)
 		reply = c.outcomes.evidenceReply(now, c.local.target)
+	case *message.QuotaRequest:
+		reply = c.handleQuotaRequest(now, body)
 	case *message.Spread:
 		c.handleSpread(now, body)
 		reply = &message.SpreadReply{Code: message.Accepted}
--- a/internal/command/catalog/gossip.go
+++ b/internal/command/catalog/gossip.go
@@ -188,6 +188,7 @@
 	c.configuration, c.configurationRevision, c.configurationPending = next, revision, true
 	c.operatorKeys.revision = max(c.operatorKeys.revision, revision)
 	c.dirty = true
+	c.dropRemovedTenants()
 	c.log("configuration", "number", formatNumber(next.Number), "revision", strconv.FormatInt(revision, 10),
 		"routes", strconv.Itoa(len(next.Routes)), "source", source, "behind_ms", formatMillis(c.endLag(now)))
 }
--- /dev/null
+++ b/internal/command/catalog/quota_test.go
@@ -0,0 +1,121 @@
+package catalog_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sniperail.example/sniperail/internal/command/quota"
+	"sniperail.example/sniperail/internal/effect"
+	"sniperail.example/sniperail/internal/message"
+	"sniperail.example/sniperail/internal/model"
+)
+
+var quotaSettings = quota.Settings{Window: 5 * time.Second, Tolerance: 0.1, Slack: 20}
+
+// startTenant starts targets on all nodes and a tenant with a quota, and returns the index of its owner.
+func startTenant(sim *simulation) int {
+	sim.startTargets("v1")
+	sim.put("op/configuration", model.Configuration{
+		Number: 2, Services: []model.Service{{Name: "profiles"}},
+		Tenants: []model.Tenant{{Name: "t", RatePerSecond: 100, Burst: 100}},
+	})
+	sim.run(6 * time.Second)
+	return ownerAmong(sim, func(*node) bool { return true })
+}
+
+// ownerAmong returns the index of the node with the highest weight of those that are counted.
+func ownerAmong(sim *simulation, counted func(*node) bool) int {
+	owner := -1
+	for i, n := range sim.nodes {
+		if counted(n) && (owner < 0 ||
+			quota.Weight("t", n.view.Local.Daemon) > quota.Weight("t", sim.nodes[owner].view.Local.Daemon)) {
+			owner = i
+		}
+	}
+	return owner
+}
+
+// askQuota asks a node for tokens for waiting requests, and returns its answer, if it has one by now.
+func askQuota(sim *simulation, n *node, waiting int) (effect.ReturnQuota, effect.Token) {
+	n.lastToken++
+	token := n.lastToken
+	sim.handle(n, effect.QuotaAsked{Token: token, Request: message.QuotaRequest{
+		Tenant: "t", Sequence: uint64(token), Waiting: waiting, Wanted: 5,
+	}})
+	return n.quotas[token], token
+}
+
+// Guards against daemons that choose different owners, and against a grant that is not limited by the owner's bucket.
+func TestOwnerGrantsToAllDaemons(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t, 6)
+	startTenant(sim)
+	granted := 0
+	for range 3 {
+		for _, n := range sim.nodes {
+			answer, _ := askQuota(sim, n, 20)
+			is.True(answer.Reply != nil)
+			granted += answer.Reply.Granted + answer.Reply.Prepaid
+		}
+	}
+	is.True(granted >= 60 && granted <= 130)
+}
+
+// Guards against requests that wait for an owner that does not answer, and against a share that adds up to more than the tolerance.
+func TestSilentOwnerLeavesTheTolerance(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t, 6)
+	owner := startTenant(sim)
+	sim.nodes[owner].stopped = true
+	total := 0
+	for i, n := range sim.nodes {
+		if i == owner {
+			continue
+		}
+		answer, token := askQuota(sim, n, 1)
+		is.Equal(answer.Token, effect.Token(0))
+		sim.run(quota.AskTimeout + 40*time.Millisecond)
+		answer = n.quotas[token]
+		is.True(answer.Token == token && answer.Reply == nil)
+		total += answer.Share
+	}
+	is.True(total > 30 && total <= 50) // 0.1 x 100 per second x 5 s, less the owner's part
+}
+
+// Guards against an owner that grants after the platform may have removed it, and others may have taken its tenants over.
+func TestOwnerWithoutLeaseGrantsNothing(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t, 6)
+	owner := sim.nodes[startTenant(sim)]
+	sim.setPlatformOutage(true)
+	sim.run(15 * time.Second)
+	answer, _ := askQuota(sim, owner, 1)
+	is.Equal(answer.Reply.Code, message.Accepted) // the lease has not ended yet
+	sim.run(20 * time.Second)
+	answer, _ = askQuota(sim, owner, 1)
+	is.Equal(answer.Reply.Code, message.Refused)
+	sim.setPlatformOutage(false)
+	sim.run(4 * time.Second)
+	answer, _ = askQuota(sim, owner, 1)
+	is.Equal(answer.Reply.Code, message.Accepted)
+	is.Equal(answer.Reply.Prepaid, 0) // tokens of an owner in between may still be valid
+}
+
+// Guards against an owner that keeps its tenants although its daemon is leaving, and against a full bucket of the next owner.
+func TestLeavingOwnerHandsItsTenantsOver(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t, 6)
+	old := sim.nodes[startTenant(sim)]
+	sim.handle(old, effect.Stopping{})
+	sim.run(500 * time.Millisecond)
+	next := sim.nodes[ownerAmong(sim, func(n *node) bool { return n != old })]
+	answer, _ := askQuota(sim, old, 60)
+	is.Equal(answer.Reply.Code, message.Accepted) // from the next owner
+	is.True(answer.Reply.Granted < 60)
+	sim.handle(old, effect.RequestReceived{Token: 1 << 40, Body: &message.QuotaRequest{Tenant: "t", Sequence: 1, Waiting: 1}})
+	is.Equal(old.replies[1<<40].(*message.QuotaReply).Code, message.NotOwner)
+	own, _ := askQuota(sim, next, 1)
+	is.True(own.Reply != nil)
+}
--- a/internal/command/catalog/roster.go
+++ b/internal/command/catalog/roster.go
@@ -87,6 +87,7 @@
 		m.unconfirmed = c.meshKeys.renewing && c.hasDeparted(now, &record.Target)
 	case m.unconfirmed && !c.meshKeys.renewing:
 		m.unconfirmed, c.dirty = false, true
+		c.updateOwners(daemon)
 	}
 	m.probeAt, m.misses = time.Time{}, 0
 	if m.unconfirmed {
@@ -128,8 +129,12 @@
 			"version", string(target.Version), "state", string(target.State),
 			"sequence", strconv.FormatUint(target.Sequence, 10), "source", source)
 	}
+	owned := m.ownsTenants()
 	m.target = target
 	c.dirty = true
+	if m.ownsTenants() != owned {
+		c.updateOwners(target.Daemon)
+	}
 }
 
 // handleUnlistedTarget schedules a probe of a daemon whose announcement was removed, and keeps its target until then: leases
@@ -178,6 +183,7 @@
 		m.misses = 0
 		if m.unconfirmed {
 			m.unconfirmed, m.probeAt, c.dirty = false, time.Time{}, true
+			c.updateOwners(daemon)
 		}
 		if reply.Target.Newer(&m.target) {
 			c.updateMember(m, reply.Target, "peer")
@@ -203,5 +209,6 @@
 		c.members = slices.Delete(c.members, at, at+1)
 	}
 	c.dirty = true
+	c.updateOwners(daemon)
 	c.log("peer-removed", "daemon", string(daemon), "reason", reason)
 }
--- a/internal/command/catalog/simulation_test.go
+++ b/internal/command/catalog/simulation_test.go
@@ -54,6 +54,7 @@
 	watches   map[string]int64
 	answers   map[effect.Token]model.Outcome
 	replies   map[effect.Token]message.Reply
+	quotas    map[effect.Token]effect.ReturnQuota
 	lastToken effect.Token
 	listCalls int
 	// storeCalls counts calls to the platform's store by reason, and evidenceQueries the evidence queries that the node sent.
@@ -129,7 +130,7 @@
 	sim.incarnation++
 	n := &node{
 		address: name + ":1", watches: map[string]int64{}, answers: map[effect.Token]model.Outcome{},
-		replies: map[effect.Token]message.Reply{}, storeCalls: map[string]int{},
+		replies: map[effect.Token]message.Reply{}, quotas: map[effect.Token]effect.ReturnQuota{}, storeCalls: map[string]int{},
 	}
 	n.core = catalog.New(catalog.Config{
 		Target: model.Target{
@@ -139,6 +140,7 @@
 		},
 		Seeds: seeds, Operator: operatorCodec{}, Records: document.JSON{}, Rand: rand.New(rand.NewPCG(uint64(sim.incarnation), 3)),
 		MinLease: time.Second, FirstStart: sim.firstStart, Exposure: rollout.ExposureLimit{Fraction: 0.1, Slack: 50},
+		Quota: quotaSettings, Uptime: func() time.Duration { return sim.now.Sub(time.Unix(40_000, 0)) },
 	})
 	if old := sim.byName[name]; old != nil {
 		for i := range sim.nodes {
@@ -184,6 +186,8 @@
 		n.answers[e.Token] = e.Outcome
 	case effect.Reply:
 		n.replies[e.Token] = e.Body
+	case effect.ReturnQuota:
+		n.quotas[e.Token] = e
 	case effect.StoreCall:
 		if e.Call.Kind == store.KindList {
 			n.listCalls++
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -148,6 +148,17 @@
 	return got.(model.Outcome)
 }
 
+// AskQuota asks the owner of a tenant for tokens. The reply is nil if the owner has not answered; share is then the number of
+// requests that this daemon may execute in a window without it. It returns false if ctx ended first.
+func (l *Loop) AskQuota(ctx context.Context, q message.QuotaRequest) (reply *message.QuotaReply, share int, ok bool) {
+	got, ok := l.request(ctx, func(t effect.Token) effect.Event { return effect.QuotaAsked{Token: t, Request: q} })
+	if !ok {
+		return nil, 0, false
+	}
+	answer := got.(effect.ReturnQuota)
+	return answer.Reply, answer.Share, true
+}
+
 // ObserveTarget sends the outcomes of the local target's calls to the loop. It never blocks: it returns false if they were
 // dropped.
 func (l *Loop) ObserveTarget(ev effect.TargetOutcomesObserved) bool { return l.offer(ev) }
--- a/internal/control/perform.go
+++ b/internal/control/perform.go
@@ -38,6 +38,8 @@
 		l.deliverAnswer(e.Token, e.Outcome)
 	case effect.ReturnStatus:
 		l.deliverAnswer(e.Token, e.Status)
+	case effect.ReturnQuota:
+		l.deliverAnswer(e.Token, e)
 	case effect.Log:
 		l.logger.Info(e.Event, zapFields(e.Fields)...)
 	case effect.Count:
--- a/internal/effect/effect.go
+++ b/internal/effect/effect.go
@@ -80,6 +80,11 @@
 		By      string
 		Command any
 	}
+	// QuotaAsked asks for tokens of a tenant's quota; respond with a ReturnQuota effect.
+	QuotaAsked struct {
+		Token   Token
+		Request message.QuotaRequest
+	}
 	// StatusRequested asks for the status of this daemon; respond with a ReturnStatus effect.
 	StatusRequested struct{ Token Token }
 )
@@ -120,6 +125,13 @@
 		Token  Token
 		Status *message.StatusReply
 	}
+	// ReturnQuota responds to a QuotaAsked event. Reply is nil if the owner has not answered in time; Share is the number of
+	// requests of the tenant that this daemon may execute in a window without the owner.
+	ReturnQuota struct {
+		Token Token
+		Reply *message.QuotaReply
+		Share int
+	}
 	// CheckHealth requests Path from the local target to check its health.
 	CheckHealth struct{ Path string }
 	// Log writes one log line.
@@ -155,6 +167,7 @@
 func (SeedsChanged) event()           {}
 func (CommandSubmitted) event()       {}
 func (StatusRequested) event()        {}
+func (QuotaAsked) event()             {}
 
 func (Send) effect()         {}
 func (Reply) effect()        {}
@@ -164,6 +177,7 @@
 func (Publish) effect()      {}
 func (Answer) effect()       {}
 func (ReturnStatus) effect() {}
+func (ReturnQuota) effect()  {}
 func (Log) effect()          {}
 func (CheckHealth) effect()  {}
 func (Count) effect()        {}
