--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"sniperail.example/sniperail/internal/command/catalog"
+	"sniperail.example/sniperail/internal/command/quota"
 	"sniperail.example/sniperail/internal/command/retry"
 	"sniperail.example/sniperail/internal/command/rollout"
 	"sniperail.example/sniperail/internal/control"
@@ -154,6 +155,7 @@
 		Seeds: d.settings.Seeds, Operator: d.adapter.Operator, Records: document.JSON{}, Rand: process.NewRand(),
 		MinLease: d.settings.MinLease, FirstStart: d.settings.FirstStart,
 		Exposure: rollout.ExposureLimit{Fraction: d.settings.ExposureFraction, Slack: d.settings.ExposureSlack},
+		Quota:    d.quotaSettings(), Uptime: process.Uptime,
 	})
 	counted := d.metrics.ControlBytesCounter()
 	d.peerClient = peer.NewClient(counted)
@@ -202,6 +204,7 @@
 		Tables: d.loop, Headers: d.adapter.Headers, Metrics: metrics, Limits: limits, Log: requestLog,
 		Service: model.ServiceName(d.settings.Service),
 		Budget:  retry.SharedLimit{Ratio: d.settings.RetryRatio, Slack: d.settings.RetrySlack, Window: d.settings.RetryWindow},
+		Quota:   traffic.QuotaOptions{Ask: d.loop.AskQuota, Settings: d.quotaSettings(), Uptime: process.Uptime},
 	})
 	d.inbound = traffic.NewInbound(traffic.InboundOptions{
 		Address: d.settings.Target, Headers: d.adapter.Headers, Metrics: metrics, Limits: limits, Log: requestLog,
@@ -227,6 +230,10 @@
 	return d.addServer("admission", d.settings.Admission, traffic.NewServer(d.inbound, limits))
 }
 
+func (d *Sidecar) quotaSettings() quota.Settings {
+	return quota.Settings{Window: d.settings.QuotaWindow, Tolerance: d.settings.QuotaTolerance, Slack: d.settings.QuotaSlack}
+}
+
 // registerViewGauges registers gauges on the view that the daemon has published.
 func (d *Sidecar) registerViewGauges() error {
 	err := d.metrics.RegisterGauge("sniperail_configuration_number", "Configuration number in force on this daemon.", func() float64 {
--- a/internal/traffic/chain_test.go
+++ b/internal/traffic/chain_test.go
@@ -150,6 +150,12 @@
 // startChainWithDaemons starts a chain whose first targets are behind scripted daemons, which get the requests of the Outbound
 // themselves.
 func startChainWithDaemons(t *testing.T, daemons, targets []*scriptedTarget) *chain {
+	t.Helper()
+	return startChainWithOptions(t, func(*traffic.OutboundOptions) {}, daemons, targets)
+}
+
+// startChainWithOptions starts a chain like startChainWithDaemons whose Outbound has further options.
+func startChainWithOptions(t *testing.T, set func(*traffic.OutboundOptions), daemons, targets []*scriptedTarget) *chain {
 	t.Helper()
 	metrics, err := telemetry.NewMetrics("test")
 	if err != nil {
@@ -192,10 +198,12 @@
 		c.inbounds = append(c.inbounds, in)
 	}
 	c.table = routing.NewTable(view)
-	out := traffic.NewOutbound(traffic.OutboundOptions{
+	options := traffic.OutboundOptions{
 		Tables: c, Headers: headerNames, Metrics: m, Limits: traffic.DefaultLimits(), Log: log, Service: "own",
 		Budget: retry.SharedLimit{Ratio: 1, Slack: 100, Window: time.Minute},
-	})
+	}
+	set(&options)
+	out := traffic.NewOutbound(options)
 	c.outbound = out
 	_, address := servePipelined(t, out, func(conn net.Conn) net.Conn { return conn })
 	c.url = "http://" + address
--- a/internal/traffic/metrics.go
+++ b/internal/traffic/metrics.go
@@ -22,8 +22,10 @@
 	retriesRefused  *telemetry.CounterSet
 	droppedOutcomes *telemetry.CounterSet
 	ejections       *telemetry.CounterSet
-	calls           metric.Int64Counter
-	latency         metric.Float64Histogram
+	// quotaTokens counts the tokens that owners granted, and requests by how they were served without one.
+	quotaTokens *telemetry.CounterSet
+	calls       metric.Int64Counter
+	latency     metric.Float64Histogram
 	// requests records the duration of callers' requests, queue the time of calls in a target's queue, both by route.
 	requests, queue routeHistogram
 	meter           metric.Meter
@@ -74,7 +76,9 @@
 		retriesRefused:  m.CounterSet("sniperail_retries_refused", "Failed attempts that were not retried, by reason."),
 		droppedOutcomes: m.CounterSet("sniperail_outcomes_dropped", "Call outcomes that were not reported to the control loop."),
 		ejections:       m.CounterSet("sniperail_ejections", "Targets that this daemon stopped selecting, by reason."),
-		calls:           calls, latency: latency, meter: m.Meter(),
+		quotaTokens: m.CounterSet("sniperail_quota_tokens",
+			"Tokens that the owners of tenants granted, and requests that were denied or served without their owner."),
+		calls: calls, latency: latency, meter: m.Meter(),
 	}, nil
 }
 
--- a/internal/traffic/outbound.go
+++ b/internal/traffic/outbound.go
@@ -26,6 +26,8 @@
 	Service model.ServiceName
 	// Budget bounds the retries of all daemons together; each daemon uses its share.
 	Budget retry.SharedLimit
+	// Quota limits the requests of tenants over all daemons.
+	Quota QuotaOptions
 }
 
 // Outbound is the caller's side of the sidecar: it takes requests from callers on its VM, including the local target, selects
@@ -42,6 +44,7 @@
 	leaving          leavingRuns
 	stop             stopLimit
 	open             openRequests
+	quotas           *tenantQuotas
 }
 
 // NewOutbound returns a handler. A call is not cancelled because its target leaves the table or has not answered for long:
@@ -49,7 +52,7 @@
 // cancelling it would lose its response.
 func NewOutbound(options OutboundOptions) *Outbound {
 	o := &Outbound{
-		options: options, peers: newPeers(options.Tables),
+		options: options, peers: newPeers(options.Tables), quotas: newTenantQuotas(options.Quota, options.Metrics),
 		pool: newPool(transportOptions{
 			idlePerPeer: options.Limits.IdlePerPeer, idleTotal: options.Limits.IdleTotal, headerBytes: options.Limits.HeaderBytes,
 		}),
@@ -112,6 +115,23 @@
 	if refused != nil {
 		return nil, refused
 	}
+	token, refused := o.quotas.take(r.Context(), tenant)
+	if refused != nil {
+		return nil, refused
+	}
+	request, refused := o.acceptRouted(w, r, now, table, route)
+	if refused != nil {
+		o.quotas.giveBack(token, refused)
+		return nil, refused
+	}
+	request.tenant, request.token = tenant, token
+	return request, nil
+}
+
+// acceptRouted checks a request whose route and tenant are known against the limits, and reads its body.
+func (o *Outbound) acceptRouted(
+	w http.ResponseWriter, r *http.Request, now time.Time, table *routing.Table, route *routing.Route,
+) (*outboundRequest, *refusal) {
 	left, ok := remainingTimeFrom(r.Header, o.options.Headers.Deadline, min(route.Timeout, maxDeadline))
 	if !ok {
 		return nil, notExecuted(http.StatusBadRequest, reasonBadDeadline,
@@ -137,7 +157,7 @@
 	o.peers.update(table, now)
 	service, rotation := table.SelectService(route, o.rotations.get(route.Name).Add(1))
 	return &outboundRequest{
-		outbound: o, table: table, request: r, route: route, tenant: tenant, service: service, rotation: rotation, body: body,
+		outbound: o, table: table, request: r, route: route, service: service, rotation: rotation, body: body,
 		started: now, objective: objective, deadline: deadline, id: strconv.FormatUint(o.calls.Add(1), 36),
 	}, nil
 }
--- a/internal/traffic/outbound_refusal.go
+++ b/internal/traffic/outbound_refusal.go
@@ -26,6 +26,7 @@
 }
 
 func (r *outboundRequest) refuse(w http.ResponseWriter, refused *refusal) {
+	r.outbound.quotas.giveBack(r.token, refused)
 	r.outbound.options.Log.Refused(r, refused)
 	refused.write(w, r.request, r.outbound.options.Metrics)
 }
--- a/internal/traffic/outbound_request.go
+++ b/internal/traffic/outbound_request.go
@@ -23,7 +23,9 @@
 	request  *http.Request
 	route    *routing.Route
 	// tenant is that of the caller's API key; nil if the request has none.
-	tenant   *model.Tenant
+	tenant *model.Tenant
+	// token is the request's part of the tenant's quota. All attempts share it.
+	token    quotaToken
 	service  *routing.Service
 	rotation uint64
 	body     *requestBody
--- a/internal/traffic/refusal.go
+++ b/internal/traffic/refusal.go
@@ -38,6 +38,7 @@
 	reasonTargetShed         = "target-shed"
 	reasonHeaderTooLarge     = "header-too-large"
 	reasonKeyUnknown         = "api-key-unknown"
+	reasonQuotaExceeded      = "quota-exceeded"
 )
 
 // refusal is an error response of a daemon.
