--- a/internal/command/quota/balance_test.go
+++ b/internal/command/quota/balance_test.go
@@ -72,3 +72,12 @@
 		is.True(turns[i]-turns[i-1] >= 9*time.Millisecond) // 100 per second, rounded
 	}
 }
+
+// Guards against a delayed request that replaces what the owner knows of a daemon's balance by an older figure.
+func TestLateRequestGetsNothing(t *testing.T) {
+	is := is.New(t)
+	bucket, now := quota.NewBucket(0), time.Hour
+	later := bucket.Grant(now, calm, &message.QuotaRequest{Sequence: 2, Waiting: 1, Wanted: 40})
+	is.Equal(later, message.QuotaReply{Code: message.Accepted, Granted: 1, Prepaid: 40})
+	is.Equal(bucket.Grant(now, calm, &message.QuotaRequest{Sequence: 1, Waiting: 1}).Code, message.Stale)
+}
--- a/internal/command/quota/bucket.go
+++ b/internal/command/quota/bucket.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"math"
 	"time"
 
 	"sniperail.example/sniperail/internal/message"
@@ -22,6 +23,8 @@
 	// exceededSince and exceededAt are the first and last time of denials that followed each other closely.
 	exceededSince, exceededAt time.Duration
 	exceeding                 bool
+	// granted and refused are the tokens granted and the requests refused for the quota, decaying over exceedingTime.
+	granted, refused float64
 }
 
 type balanceRecord struct {
@@ -48,6 +51,7 @@
 	}
 	b.record(now, q, q.Held)
 	b.clip(now, l)
+	b.refused += float64(q.Refused)
 	if b.nextTurn > now && q.Refused > 0 {
 		b.nextTurn += seconds(float64(q.Refused) / l.Rate)
 	}
@@ -64,18 +68,21 @@
 		b.level -= float64(reply.Prepaid)
 		b.record(now, q, q.Held+reply.Prepaid)
 	}
-	if b.exceeding && b.level < max(1, l.capacity()*scarceLevel) {
-		if q.Refused > 0 {
-			b.exceededAt = now
-		}
-		if b.isContested(now) {
-			// Once the tokens are used up, the daemon would only ask to be denied.
-			b.schedule(now, l, 0, &reply)
-		}
+	b.granted += float64(reply.Granted + reply.Prepaid)
+	if b.exceeding && q.Refused > 0 {
+		b.exceededAt = now
+	}
+	if b.isContested(now) && b.isMature(now) && b.level < max(1, l.capacity()*scarceLevel) {
+		// Once the tokens are used up, the daemon would only ask to be denied.
+		b.schedule(now, l, 0, &reply)
 	}
 	return reply
 }
 
+// contestedPart is the least part of refused requests, compared with those that got a token, at which a tenant counts as exceeding
+// its quota for a while.
+const contestedPart = 0.25
+
 // scarceLevel is the part of the capacity below which a daemon that has got tokens need not ask again at once while the tenant
 // exceeds its quota.
 const scarceLevel = 0.05
@@ -92,9 +99,11 @@
 	return min(max(wanted, 0), int(b.level/2))
 }
 
-// isContested reports whether the tenant has exceeded its quota for a while.
+// isContested reports whether the tenant has exceeded its quota for a while, and by more than what a tenant within its quota may
+// have refused now and then.
 func (b *Bucket) isContested(now time.Duration) bool {
-	return b.exceeding && now-b.exceededAt <= exceedingTime && now-b.exceededSince >= exceedingTime
+	return b.exceeding && now-b.exceededAt <= exceedingTime && now-b.exceededSince >= exceedingTime &&
+		b.refused > contestedPart*b.granted
 }
 
 // Exceeding reports whether requests of the tenant have been denied within a window before the given time.
@@ -108,6 +117,8 @@
 // advance adds the tokens that have accrued, up to the capacity.
 func (b *Bucket) advance(now time.Duration, l Limit) {
 	if now > b.at {
+		decay := math.Exp(-(now - b.at).Seconds() / exceedingTime.Seconds())
+		b.granted, b.refused = b.granted*decay, b.refused*decay
 		b.level += l.Rate * (now - b.at).Seconds()
 		b.at = now
 	}
@@ -150,6 +161,7 @@
 		b.exceededSince = now
 	}
 	b.exceeding, b.exceededAt = true, now
+	b.granted, b.refused = b.granted+float64(reply.Granted), b.refused+float64(callers)
 	b.schedule(now, l, callers, reply)
 }
 
