--- a/internal/bench/quota/command.go
+++ b/internal/bench/quota/command.go
@@ -14,6 +14,7 @@
 	Daemons   []int         `default:"66,300,1300" help:"Numbers of daemons."`
 	Scenarios []string      `help:"Names of the scenarios; empty runs all."`
 	Duration  time.Duration `default:"20s" help:"Virtual time that is measured in each scenario."`
+	Delay     time.Duration `default:"2ms" help:"Longest time of a message, beyond half a millisecond."`
 	Seed      uint64        `default:"1" help:"Seed of arrivals, delays and losses."`
 	output.Format
 }
@@ -24,7 +25,7 @@
 	for _, n := range c.Daemons {
 		for _, s := range scenarios {
 			if len(c.Scenarios) == 0 || contains(c.Scenarios, s.name) {
-				rows = append(rows, measure(s, n, c.Duration, c.Seed))
+				rows = append(rows, measure(s, n, c.Duration, c.Delay, c.Seed))
 			}
 		}
 	}
--- a/internal/bench/quota/quota_test.go
+++ b/internal/bench/quota/quota_test.go
@@ -12,7 +12,7 @@
 	for _, sc := range scenarios {
 		t.Run(sc.name, func(t *testing.T) {
 			is := is.New(t)
-			row := measure(sc, 20, 12*time.Second, 1)
+			row := measure(sc, 20, 12*time.Second, 2*time.Millisecond, 1)
 			t.Logf("%+v", row)
 			is.True(row.Worst > 0 && row.Worst <= 1)
 			is.True(row.Messages > 0 && row.Bytes > 0)
--- a/internal/bench/quota/scenario.go
+++ b/internal/bench/quota/scenario.go
@@ -113,9 +113,10 @@
 }
 
 // measure runs one scenario.
-func measure(sc scenario, daemons int, duration time.Duration, seed uint64) Row {
+func measure(sc scenario, daemons int, duration, delay time.Duration, seed uint64) Row {
 	tenants := newTenants(daemons, sc.arrival)
 	s := NewSimulation(seed, daemons, tenants)
+	s.MaxDelay = delay
 	s.Run(warmUp)
 	s.forget()
 	before := s.Now()
--- a/internal/command/quota/balance.go
+++ b/internal/command/quota/balance.go
@@ -184,8 +184,8 @@
 // them anew.
 func (b *Balance) addGrant(now time.Duration, reply *message.QuotaReply) {
 	held := b.held(now)
-	b.tokens = held + reply.Granted + reply.Prepaid
-	b.ceiling = held + reply.Prepaid
+	b.ceiling = held + max(reply.Prepaid, 0)
+	b.tokens = b.ceiling + max(reply.Granted, 0)
 	b.expires = b.sentAt + TokenTTL
 	if reply.Prepaid == 0 {
 		// The owner has few tokens. Asking ahead again at once would cost a message per request.
--- a/internal/command/quota/bucket.go
+++ b/internal/command/quota/bucket.go
@@ -46,14 +46,15 @@
 // Grant answers a daemon's request for tokens. Requests that arrive after a later one of the same daemon get nothing.
 func (b *Bucket) Grant(now time.Duration, l Limit, q *message.QuotaRequest) message.QuotaReply {
 	b.advance(now, l)
+	held, refused := min(max(q.Held, 0), maxCount), float64(min(max(q.Refused, 0), maxCount))
 	if known, ok := b.balances[q.Borrower]; ok && q.Sequence <= known.sequence {
 		return message.QuotaReply{Code: message.Stale}
 	}
-	b.record(now, q, q.Held)
+	b.record(now, q, held)
 	b.clip(now, l)
-	b.refused += float64(q.Refused)
-	if b.nextTurn > now && q.Refused > 0 {
-		b.nextTurn += seconds(float64(q.Refused) / l.Rate)
+	b.refused += refused
+	if b.nextTurn > now {
+		b.nextTurn += seconds(refused / l.Rate)
 	}
 	reply := message.QuotaReply{Code: message.Accepted}
 	reply.Granted = min(max(q.Waiting, 0), int(b.level))
@@ -66,10 +67,10 @@
 		// Half of the level stays for the other daemons.
 		reply.Prepaid = b.prepaid(l, q.Wanted)
 		b.level -= float64(reply.Prepaid)
-		b.record(now, q, q.Held+reply.Prepaid)
+		b.record(now, q, held+reply.Prepaid)
 	}
 	b.granted += float64(reply.Granted + reply.Prepaid)
-	if b.exceeding && q.Refused > 0 {
+	if b.exceeding && refused > 0 {
 		b.exceededAt = now
 	}
 	if b.isContested(now) && b.isMature(now) && b.level < max(1, l.capacity()*scarceLevel) {
@@ -79,6 +80,9 @@
 	return reply
 }
 
+// maxCount bounds the counts of a request, whose sums must not overflow.
+const maxCount = 1 << 30
+
 // contestedPart is the least part of refused requests, compared with those that got a token, at which a tenant counts as exceeding
 // its quota for a while.
 const contestedPart = 0.25
@@ -146,7 +150,6 @@
 
 // record replaces what is known of a daemon's balance.
 func (b *Bucket) record(now time.Duration, q *message.QuotaRequest, tokens int) {
-	tokens = max(tokens, 0)
 	known, ok := b.balances[q.Borrower]
 	b.total += tokens - known.tokens
 	b.balances[q.Borrower] = balanceRecord{tokens, q.Sequence}
