--- a/internal/command/catalog/confirmation.go
+++ b/internal/command/catalog/confirmation.go
@@ -29,12 +29,12 @@
 }
 
 // confirms reports whether configurations are confirmed.
-func (c *Core) confirms() bool { return c.cfg.Clock != nil && c.cfg.RevokeWithin > 0 }
+func (c *Core) confirms() bool { return c.cfg.Uptime != nil && c.cfg.RevokeWithin > 0 }
 
 func (c *Core) startConfirming() {
 	if c.confirms() {
 		c.confirmer.published = confirmation.Never
-		c.confirmer.state = confirmation.New(c.cfg.Clock(), c.cfg.RevokeWithin, c.cfg.Rand.Float64())
+		c.confirmer.state = confirmation.New(c.cfg.Uptime(), c.cfg.RevokeWithin, c.cfg.Rand.Float64())
 	}
 }
 
@@ -74,7 +74,7 @@
 	if !c.confirms() {
 		return func(store.Result) {}
 	}
-	sent, expected := c.cfg.Clock(), compares[0].ModRevision
+	sent, expected := c.cfg.Uptime(), compares[0].ModRevision
 	// The configuration may be replaced before the result arrives. That it covered the entry stays true.
 	covered := c.isCovered(expected)
 	return func(r store.Result) {
@@ -97,7 +97,7 @@
 	if !c.confirms() || k != &c.operatorKeys {
 		return func(store.Result) {}
 	}
-	sent := c.cfg.Clock()
+	sent := c.cfg.Uptime()
 	return func(r store.Result) {
 		if r.Outcome != store.Applied || r.Truncated {
 			return
@@ -114,7 +114,7 @@
 // recordRead records a read that showed nothing newer than the configuration in force.
 func (c *Core) recordRead(sent time.Duration) {
 	if c.lag.since.IsZero() {
-		c.confirmer.state.RecordRead(sent, c.cfg.Clock())
+		c.confirmer.state.RecordRead(sent, c.cfg.Uptime())
 	}
 }
 
@@ -123,14 +123,14 @@
 func (c *Core) doubtStore(previous store.Era) {
 	c.confirmer.document = message.Document{}
 	if c.confirms() && previous != (store.Era{}) {
-		c.confirmer.state.Doubt(c.cfg.Clock())
+		c.confirmer.state.Doubt(c.cfg.Uptime())
 	}
 }
 
 // recordBehind is called when this daemon learns that a peer has a newer configuration.
 func (c *Core) recordBehind() {
 	if c.confirms() {
-		c.confirmer.state.RecordHigherNumber(c.cfg.Clock())
+		c.confirmer.state.RecordHigherNumber(c.cfg.Uptime())
 	}
 }
 
@@ -142,7 +142,7 @@
 // needs. Only queries along announcements are waited for, since daemons that ask each other at random could wait for each other.
 func (c *Core) handleConfirmationQuery(token effect.Token) {
 	f := &c.confirmer
-	if c.confirms() && f.announced && f.state.IsAwaiting(c.cfg.Clock()) && len(f.waiting) < maxWaiting {
+	if c.confirms() && f.announced && f.state.IsAwaiting(c.cfg.Uptime()) && len(f.waiting) < maxWaiting {
 		f.waiting = append(f.waiting, token)
 		return
 	}
@@ -161,7 +161,7 @@
 func (c *Core) buildConfirmationReply() *message.ConfirmationReply {
 	reply := &message.ConfirmationReply{Number: c.configurationNumber()}
 	if c.confirms() {
-		reply.Age, reply.Confirmed = c.confirmer.state.Age(c.cfg.Clock())
+		reply.Age, reply.Confirmed = c.confirmer.state.Age(c.cfg.Uptime())
 	}
 	return reply
 }
@@ -172,7 +172,7 @@
 	if !c.confirms() || c.configuration == nil {
 		return
 	}
-	if clock := c.cfg.Clock(); c.confirmer.state.WantsRenewal(clock) {
+	if clock := c.cfg.Uptime(); c.confirmer.state.WantsRenewal(clock) {
 		c.askConfirmation(clock, from)
 		c.confirmer.announced = true
 	}
@@ -196,7 +196,7 @@
 		}
 		c.recordAnnouncedNumber(now, reply.Number, address)
 		if c.lag.since.IsZero() {
-			s.RecordReply(sent, c.cfg.Clock(), c.configurationNumber(),
+			s.RecordReply(sent, c.cfg.Uptime(), c.configurationNumber(),
 				confirmation.Reply{Number: reply.Number, Confirmed: reply.Confirmed, Age: reply.Age})
 		}
 	})
@@ -207,7 +207,7 @@
 	if !c.confirms() || c.configuration == nil {
 		return
 	}
-	s, clock := &c.confirmer.state, c.cfg.Clock()
+	s, clock := &c.confirmer.state, c.cfg.Uptime()
 	if c.meshKeys.loaded && c.isCurrent(&c.meshKeys) && len(c.members) == 0 && len(c.cfg.Seeds) == 0 {
 		s.EndDoubt(clock)
 	}
--- a/internal/command/catalog/simulation_test.go
+++ b/internal/command/catalog/simulation_test.go
@@ -57,6 +57,7 @@
 	replies   map[effect.Token]message.Reply
 	askers    map[effect.Token]asker
 	inbox     []delayedMessage
+	quotas    map[effect.Token]effect.ReturnQuota
 	lastToken effect.Token
 	listCalls int
 	// storeCalls counts calls to the platform's store by reason, and evidenceQueries the evidence queries that the node sent.
@@ -143,6 +144,7 @@
 	n := &node{
 		address: name + ":1", watches: map[string]int64{}, answers: map[effect.Token]model.Outcome{},
 		replies: map[effect.Token]message.Reply{}, storeCalls: map[string]int{}, askers: map[effect.Token]asker{}, confirmed: confirmation.Never,
+		quotas: map[effect.Token]effect.ReturnQuota{},
 	}
 	n.core = catalog.New(catalog.Config{
 		Target: model.Target{
@@ -152,7 +154,7 @@
 		},
 		Seeds: seeds, Operator: operatorCodec{}, Records: document.JSON{}, Rand: rand.New(rand.NewPCG(uint64(sim.incarnation), 3)),
 		MinLease: time.Second, FirstStart: sim.firstStart, Exposure: rollout.ExposureLimit{Fraction: 0.1, Slack: 50},
-		RevokeWithin: sim.revokeWithin, Clock: sim.clock,
+		RevokeWithin: sim.revokeWithin, Quota: quotaSettings, Uptime: sim.clock,
 	})
 	if old := sim.byName[name]; old != nil {
 		for i := range sim.nodes {
@@ -221,6 +223,8 @@
 			delete(n.askers, e.Token)
 			sim.returnReply(asked.from, asked.request, e.Body)
 		}
+	case effect.ReturnQuota:
+		n.quotas[e.Token] = e
 	case effect.StoreCall:
 		if e.Call.Kind == store.KindList {
 			n.listCalls++
--- a/internal/sidecar/confirmation.go
+++ b/internal/sidecar/confirmation.go
@@ -11,7 +11,7 @@
 // confirmConfigurations makes the core confirm configurations if the settings ask for it.
 func (d *Sidecar) confirmConfigurations(config *catalog.Config) {
 	if d.settings.RevokeStrict {
-		config.RevokeWithin, config.Clock = d.settings.RevokeWithin, process.BootTime
+		config.RevokeWithin = d.settings.RevokeWithin
 	}
 }
 
@@ -22,7 +22,7 @@
 	}
 	// The clock is read last, so that the age is rather too high.
 	confirmed := d.loop.Confirmed()
-	return confirmation.Serves(confirmed, process.BootTime(), d.settings.RevokeWithin)
+	return confirmation.Serves(confirmed, process.Uptime(), d.settings.RevokeWithin)
 }
 
 func (d *Sidecar) registerConfirmationGauge() error {
@@ -35,6 +35,6 @@
 			if confirmed == confirmation.Never {
 				return math.Inf(1)
 			}
-			return (process.BootTime() - confirmed).Seconds()
+			return (process.Uptime() - confirmed).Seconds()
 		})
 }
--- a/internal/traffic/refusal.go
+++ b/internal/traffic/refusal.go
@@ -40,6 +40,7 @@
 	reasonHeaderTooLarge     = "header-too-large"
 	reasonKeyUnknown         = "api-key-unknown"
 	reasonUnconfirmed        = "configuration-unconfirmed"
+	reasonQuotaExceeded      = "quota-exceeded"
 )
 
 // refusal is an error response of a daemon.
