--- a/internal/traffic/outbound.go
+++ b/internal/traffic/outbound.go
@@ -132,11 +132,13 @@
 	}
 	token, refused := o.quotas.take(r.Context(), tenant)
 	if refused != nil {
+		refused.tenant = tenant
 		return nil, refused
 	}
 	request, refused := o.acceptRouted(w, r, now, table, route)
 	if refused != nil {
 		o.quotas.giveBack(token, refused)
+		refused.tenant = tenant
 		return nil, refused
 	}
 	request.tenant, request.token = tenant, token
--- a/internal/traffic/refusal.go
+++ b/internal/traffic/refusal.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"sniperail.example/sniperail/internal/command/retry"
+	"sniperail.example/sniperail/internal/model"
 )
 
 // Reasons of refusals that this package decides. Further reasons come from the routing and admission packages.
@@ -50,6 +51,8 @@
 	executed   retry.Executed
 	detail     string
 	retryAfter time.Duration
+	// tenant is that of the request, if it is known; nil otherwise.
+	tenant *model.Tenant
 	// wait is the wait that the target's daemon estimates, with a finer resolution than Retry-After.
 	wait time.Duration
 }
--- a/internal/traffic/request_log.go
+++ b/internal/traffic/request_log.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"sniperail.example/sniperail/internal/command/retry"
+	"sniperail.example/sniperail/internal/model"
 )
 
 // RequestLog writes one line for each decision about a request: for each failed send with the decision to retry, and for
@@ -22,10 +23,18 @@
 	return zap.String("request", r.Header.Get(l.RequestID))
 }
 
+// tenantField is the tenant of a request, left out if it has none.
+func tenantField(t *model.Tenant) zap.Field {
+	if t == nil {
+		return zap.Skip()
+	}
+	return zap.String("tenant", string(t.Name))
+}
+
 // Unrouted logs a request that was refused before a target was selected.
 func (l RequestLog) Unrouted(r *http.Request, refused *refusal) {
 	l.Logger.Info("request-refused", l.id(r), zap.String("host", r.Host), zap.String("path", r.URL.Path),
-		zap.String("reason", refused.reason), zap.String("executed", formatExecuted(refused.executed)),
+		tenantField(refused.tenant), zap.String("reason", refused.reason), zap.String("executed", formatExecuted(refused.executed)),
 		zap.Int("status", refused.status))
 }
 
@@ -51,7 +60,7 @@
 		zap.String("route", string(r.route.Name)), zap.String("service", string(r.service.Name)),
 		zap.Uint64("number", uint64(r.table.View.Configuration.Number)), zap.Int("sends", r.sends),
 		zap.Int("attempts", r.attempts), milliseconds("age_ms", time.Since(r.started)),
-		milliseconds("left_ms", time.Until(r.deadline)),
+		milliseconds("left_ms", time.Until(r.deadline)), tenantField(r.tenant),
 	}
 }
 
@@ -100,7 +109,7 @@
 		zap.Int("status", statusOf(a)), zap.Int("sends", r.sends), zap.Int("attempts", r.attempts),
 		milliseconds("wait_ms", a.choice.Wait), milliseconds("run_ms", a.choice.ExecutionTime),
 		milliseconds("load_age_ms", a.choice.ReportAge),
-		milliseconds("age_ms", time.Since(r.started)))
+		milliseconds("age_ms", time.Since(r.started)), tenantField(r.tenant))
 }
 
 // Cut logs a request that the end of the process cuts.
