--- a/internal/command/catalog/quota.go
+++ b/internal/command/catalog/quota.go
@@ -25,6 +25,8 @@
 	leaseTTL time.Duration
 	// asked are the requests of the traffic goroutines that other daemons have not answered, in the order of their deadlines.
 	asked []*askedQuota
+	// joining are the daemons that do not own tenants yet, in the order of the times at which they will.
+	joining []joiningDaemon
 	// checkAt is when tenants may have stopped exceeding their quotas.
 	checkAt time.Time
 }
@@ -47,6 +49,16 @@
 	answered bool
 }
 
+// joiningDaemon is a daemon that became known after this one had settled.
+type joiningDaemon struct {
+	daemon model.DaemonID
+	at     time.Time
+}
+
+// ownershipDelay is the time from the announcement of a daemon until it owns tenants: it must have settled before it can grant tokens.
+// Until then the owner before it goes on.
+const ownershipDelay = maxSettleDelay
+
 func (c *Core) uptime() time.Duration {
 	if c.cfg.Uptime == nil {
 		return 0
@@ -63,6 +75,9 @@
 	case owner == nil:
 		c.emit(effect.ReturnQuota{Token: ev.Token, Share: c.quotaShare(q.Tenant)})
 		return
+	case owner.daemon == c.cfg.Target.Daemon && !c.settled:
+		c.emit(effect.ReturnQuota{Token: ev.Token, Share: c.quotaShare(q.Tenant)})
+		return
 	case owner.daemon == c.cfg.Target.Daemon:
 		reply := c.grantQuota(now, &q, owner, limit)
 		c.emit(effect.ReturnQuota{Token: ev.Token, Reply: &reply, Share: c.quotaShare(q.Tenant)})
@@ -94,12 +109,31 @@
 	}
 	c.quotas.asked = asked
 	c.checkExceeding(now)
+	c.admitOwners(now)
+}
+
+// admitOwners lets daemons that have joined own tenants once they are expected to have settled.
+func (c *Core) admitOwners(now time.Time) {
+	joining := c.quotas.joining
+	for i := range joining {
+		if joining[i].at.IsZero() {
+			joining[i].at = now.Add(ownershipDelay)
+		}
+	}
+	for len(joining) > 0 && !now.Before(joining[0].at) {
+		if m := c.roster[joining[0].daemon]; m != nil && m.joining {
+			m.joining = false
+			c.updateOwners(joining[0].daemon)
+		}
+		joining = joining[1:]
+	}
+	c.quotas.joining = joining
 }
 
 // handleQuotaRequest answers a request for tokens of another daemon.
 func (c *Core) handleQuotaRequest(now time.Time, q *message.QuotaRequest) *message.QuotaReply {
 	owner, limit := c.ownerOf(q.Tenant)
-	if owner == nil {
+	if owner == nil || !c.settled {
 		return &message.QuotaReply{Code: message.Refused}
 	}
 	if owner.daemon != c.cfg.Target.Daemon {
@@ -153,7 +187,7 @@
 // has no quota.
 func (c *Core) ownerOf(name model.TenantName) (*tenantOwner, quota.Limit) {
 	tenant := c.tenant(name)
-	if tenant == nil || !tenant.HasQuota() || !c.settled {
+	if tenant == nil || !tenant.HasQuota() || !c.meshKeys.loaded {
 		return nil, quota.Limit{}
 	}
 	owner := c.quotas.tenants[name]
@@ -204,12 +238,14 @@
 	return true
 }
 
-// ownsTenants reports whether a daemon takes part in the ownership of tenants: it is not leaving.
-func (m *member) ownsTenants() bool { return !m.unconfirmed && m.target.State == model.TargetReady }
+// ownsTenants reports whether a daemon takes part in the ownership of tenants: it has joined and is not leaving.
+func (m *member) ownsTenants() bool {
+	return !m.unconfirmed && !m.joining && m.target.State == model.TargetReady
+}
 
 // ownsTenants reports whether others may count this daemon among the owners.
 func (c *Core) ownsTenants() bool {
-	return c.quotas.announced && c.local.target.State == model.TargetReady
+	return c.quotas.announced && c.settled && c.local.target.State == model.TargetReady
 }
 
 // setAnnounced records whether the platform holds the announcement of this daemon.
@@ -295,6 +331,9 @@
 
 func (q *quotas) nextWake() time.Time {
 	next := q.checkAt
+	if len(q.joining) > 0 {
+		next = earliest(next, q.joining[0].at)
+	}
 	for _, asked := range q.asked {
 		if !asked.answered {
 			return earliest(next, asked.deadline)
--- a/internal/command/catalog/quota_test.go
+++ b/internal/command/catalog/quota_test.go
@@ -1,6 +1,7 @@
 package catalog_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -119,3 +120,34 @@
 	own, _ := askQuota(sim, next, 1)
 	is.True(own.Reply != nil)
 }
+
+// Guards against requests within the quota that are refused while a daemon joins: at the daemon itself, which does not know all
+// others yet, and at the others if the tenant moves to the new daemon before it can grant tokens.
+func TestJoiningDaemonCostsNoTokens(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t, 6)
+	old := sim.nodes[startTenant(sim)]
+	name := ""
+	for i := 0; name == ""; i++ {
+		next := fmt.Sprintf("new%d", i)
+		if quota.Weight("t", model.DaemonID(next)) > quota.Weight("t", old.view.Local.Daemon) {
+			name = next
+		}
+	}
+	joining := sim.start(name, nil)
+	sim.run(100 * time.Millisecond)
+	sim.startTarget(len(sim.nodes)-1, "v1")
+	for range 80 {
+		sim.run(100 * time.Millisecond)
+		for _, n := range sim.nodes {
+			_, token := askQuota(sim, n, 1)
+			sim.run(2 * time.Millisecond)
+			answer := n.quotas[token]
+			is.True(answer.Reply != nil)
+			is.Equal(answer.Reply.Code, message.Accepted)
+			is.Equal(answer.Reply.Granted, 1)
+		}
+	}
+	sim.handle(joining, effect.RequestReceived{Token: 1 << 40, Body: &message.QuotaRequest{Tenant: "t", Sequence: 1, Waiting: 1}})
+	is.Equal(joining.replies[1<<40].(*message.QuotaReply).Code, message.Accepted) // the daemon owns the tenant by now
+}
--- a/internal/command/catalog/roster.go
+++ b/internal/command/catalog/roster.go
@@ -37,6 +37,8 @@
 	// unconfirmed says that a restored store holds the announcement of a target that had left the roster before. The target gets no
 	// calls until its daemon has answered a probe or written the announcement again.
 	unconfirmed bool
+	// joining says that the daemon became known recently and owns no tenants yet.
+	joining bool
 }
 
 // departedMember is the last known target of a daemon that was removed from the roster, and the time of the removal.
@@ -133,6 +135,10 @@
 			"version", string(target.Version), "state", string(target.State),
 			"sequence", strconv.FormatUint(target.Sequence, 10), "source", source)
 	}
+	if m.target.Daemon == "" && c.settled {
+		m.joining = true
+		c.quotas.joining = append(c.quotas.joining, joiningDaemon{daemon: target.Daemon})
+	}
 	owned := m.ownsTenants()
 	m.target = target
 	c.dirty = true
--- a/internal/command/catalog/watch.go
+++ b/internal/command/catalog/watch.go
@@ -86,6 +86,7 @@
 func (c *Core) settle() {
 	c.settled = true
 	c.resetOwnership()
+	c.updateOwners(c.cfg.Target.Daemon)
 	c.log("settled", "daemons", strconv.Itoa(len(c.members)+1))
 }
 
