--- a/internal/traffic/dispatch_header.go
+++ b/internal/traffic/dispatch_header.go
@@ -26,7 +26,7 @@
 	TenantID string
 	// InstanceID holds the run of a target in its response to a health check.
 	InstanceID string
-	// TargetLoad holds the running calls, the waiting calls and the slots that a target reports, separated by commas.
+	// TargetLoad holds the load that a target reports; see parseTargetWaiting.
 	TargetLoad string
 	// TargetRateLimit holds the requests per second that a target takes from all VMs together, as a decimal number. A target
 	// names it in all its answers while it applies.
@@ -143,16 +143,6 @@
 	}, true
 }
 
-// parseTargetWaiting returns the waiting calls from the load header of a target.
-func parseTargetWaiting(text string) (int, bool) {
-	parts := strings.Split(text, ",")
-	if len(parts) != 3 {
-		return 0, false
-	}
-	n, err := strconv.Atoi(strings.TrimSpace(parts[1]))
-	return n, err == nil && n >= 0
-}
-
 // remainingTimeFrom returns the time until the deadline that the named header sets, at most limit. It returns false for an
 // invalid header.
 func remainingTimeFrom(h http.Header, name string, limit time.Duration) (time.Duration, bool) {
