--- /dev/null
+++ b/internal/command/admission/order.go
@@ -0,0 +1,47 @@
+package admission
+
+import "time"
+
+// position returns the index at which a call is to be inserted into the queue.
+func (q *PriorityQueue) position(now time.Time, call Call) int {
+	key := q.orderKeyOf(now, call)
+	for i := range q.queue {
+		if key.less(q.orderKeyOf(now, q.queue[i].Call)) {
+			return i
+		}
+	}
+	return len(q.queue)
+}
+
+// orderKey orders waiting calls: by class, then by priority, then those of tenants over their share last, then by due time.
+type orderKey struct {
+	class, priority int
+	overShare       bool
+	due             time.Time
+}
+
+func (a orderKey) less(b orderKey) bool {
+	if a.class != b.class {
+		return a.class < b.class
+	}
+	if a.priority != b.priority {
+		return a.priority < b.priority
+	}
+	if a.overShare != b.overShare {
+		return b.overShare
+	}
+	return a.due.Before(b.due)
+}
+
+const (
+	classInTime = iota
+	classLate
+)
+
+func (q *PriorityQueue) orderKeyOf(now time.Time, call Call) orderKey {
+	over := q.shares.isOver(now, &call)
+	if q.isDemoted(now, call, 0) {
+		return orderKey{classLate, call.Priority, over, call.Deadline}
+	}
+	return orderKey{classInTime, call.Priority, over, call.Objective}
+}
--- a/internal/command/admission/priority_queue.go
+++ b/internal/command/admission/priority_queue.go
@@ -46,6 +46,9 @@
 	Objective, Deadline time.Time
 	// MaxWait is the longest expected wait with which the sender prefers this target to another one; 0 means any wait.
 	MaxWait time.Duration
+	// Tenant is the tenant of the call, empty if it has none, and Weight its weight in the fair shares.
+	Tenant string
+	Weight float64
 }
 
 type waitingCall struct {
@@ -61,6 +64,8 @@
 // expected to be late, the target counts as overloaded: calls that can no longer meet their objective are ordered behind
 // those that can, and a new call of this sort is refused at once if no slot is free. Brief calls are exempt: they delay the
 // others little, and are mostly made by running requests, whose work is lost if they are refused.
+//
+// Within a priority, calls of tenants that have recently used more than their fair share are ordered behind all others.
 type PriorityQueue struct {
 	slots      int
 	open       bool
@@ -77,7 +82,9 @@
 	excess      int
 	excessUntil time.Time
 	// rate is the limit that the target has named.
-	rate rateLimit
+	rate    rateLimit
+	shares  fairShares
+	retries retrySchedule
 }
 
 // NewPriorityQueue returns a closed queue.
@@ -105,6 +112,7 @@
 	if !q.open {
 		return Decision{Verdict: Refuse, Reason: Draining}
 	}
+	q.shares.recordArrival(now, &call)
 	executionTime := q.ExpectedExecutionTime(call.Kind)
 	if !now.Add(scale(executionTime, typicalExecutionFraction)).After(call.Objective) {
 		q.trackOverload(now, call.Objective, executionTime)
@@ -117,13 +125,15 @@
 	}
 	switch {
 	case !now.Add(wait + scale(executionTime, minExecutionFraction)).Before(call.Deadline):
-		return Decision{Verdict: Refuse, Reason: Deadline, RetryAfter: min(wait, q.expectedWait(now, len(q.queue))+executionTime)}
+		earliest := min(wait, q.expectedWait(now, len(q.queue))+executionTime)
+		return Decision{Verdict: Refuse, Reason: Deadline, RetryAfter: q.RetryAfter(now, call, earliest)}
 	case call.MaxWait > 0 && wait > call.MaxWait:
 		return Decision{Verdict: Refuse, Reason: Busy, RetryAfter: wait}
 	}
 	q.lastTicket++
 	if len(q.queue) == 0 && q.running < q.usableSlots(now) && q.rate.take(now) {
 		q.running++
+		q.shares.recordStart(now, &call, executionTime)
 		return Decision{Verdict: Run, Ticket: q.lastTicket}
 	}
 	q.queue = slices.Insert(q.queue, at, waitingCall{call, q.lastTicket})
@@ -272,45 +282,6 @@
 	return wait
 }
 
-// position returns the index at which a call is to be inserted into the queue.
-func (q *PriorityQueue) position(now time.Time, call Call) int {
-	key := q.orderKeyOf(now, call)
-	for i := range q.queue {
-		if key.less(q.orderKeyOf(now, q.queue[i].Call)) {
-			return i
-		}
-	}
-	return len(q.queue)
-}
-
-// orderKey orders waiting calls: by class, then by priority, then by due time.
-type orderKey struct {
-	class, priority int
-	due             time.Time
-}
-
-func (a orderKey) less(b orderKey) bool {
-	if a.class != b.class {
-		return a.class < b.class
-	}
-	if a.priority != b.priority {
-		return a.priority < b.priority
-	}
-	return a.due.Before(b.due)
-}
-
-const (
-	classInTime = iota
-	classLate
-)
-
-func (q *PriorityQueue) orderKeyOf(now time.Time, call Call) orderKey {
-	if q.isDemoted(now, call, 0) {
-		return orderKey{classLate, call.Priority, call.Deadline}
-	}
-	return orderKey{classInTime, call.Priority, call.Objective}
-}
-
 // dispatch refuses the waiting calls that cannot end by their deadline and gives the free slots to the first others.
 func (q *PriorityQueue) dispatch(now time.Time) []Dequeued {
 	var dequeued []Dequeued
@@ -335,7 +306,9 @@
 		return 0
 	})
 	for len(q.queue) > 0 && q.running < q.usableSlots(now) && q.rate.take(now) {
-		dequeued = append(dequeued, Dequeued{q.queue[0].ticket, Admitted})
+		first := &q.queue[0]
+		q.shares.recordStart(now, &first.Call, q.ExpectedExecutionTime(first.Kind))
+		dequeued = append(dequeued, Dequeued{first.ticket, Admitted})
 		q.queue = slices.Delete(q.queue, 0, 1)
 		q.running++
 	}
--- a/internal/traffic/inbound.go
+++ b/internal/traffic/inbound.go
@@ -8,7 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"sniperail.example/sniperail/internal/command/admission"
 	"sniperail.example/sniperail/internal/model"
 )
 
@@ -211,17 +210,15 @@
 // run takes a slot and executes the call.
 func (c *inboundCall) run(w http.ResponseWriter) {
 	queue := c.inbound.queue
-	refused := queue.acquire(c.request.Context(), c.deadline, admission.Call{
-		Kind: string(c.dispatch.route), Priority: c.dispatch.priority,
-		Objective: c.started.Add(c.dispatch.objective), Deadline: c.deadline, MaxWait: c.dispatch.maxWait,
-	})
+	call := c.admissionCall()
+	refused := queue.acquire(c.request.Context(), c.deadline, call)
 	c.queueTime = time.Since(c.started)
 	c.inbound.options.Metrics.queue.record(context.WithoutCancel(c.request.Context()), c.dispatch.route, c.queueTime)
 	if refused != nil {
 		c.writeRefusal(w, refused)
 		return
 	}
-	slot := &prioritySlot{queue: queue, route: string(c.dispatch.route), start: time.Now()}
+	slot := &prioritySlot{queue: queue, call: call, start: time.Now()}
 	// A panic between here and the explicit release must not lose the slot.
 	defer slot.releaseUnmeasured()
 	c.execute(w, slot)
--- a/internal/traffic/priority_queue.go
+++ b/internal/traffic/priority_queue.go
@@ -62,7 +62,19 @@
 		// A slot that was granted at the same moment is free again, and other calls may wait for the rate limit.
 		q.updateAndNotify(func(time.Time) []admission.Dequeued { return nil })
 	}
-	return priorityQueueRefusal(reason, q.rate().wait)
+	return priorityQueueRefusal(reason, q.retryAfter(call, reason))
+}
+
+// retryAfter returns the time after which the caller of a call that was refused while it waited should come back.
+func (q *priorityQueue) retryAfter(call admission.Call, reason admission.Reason) time.Duration {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := time.Now()
+	_, wait := q.queue.RateLimit(now)
+	if reason != admission.Deadline {
+		return wait
+	}
+	return q.queue.RetryAfter(now, call, wait)
 }
 
 func priorityQueueRefusal(reason admission.Reason, after time.Duration) *refusal {
@@ -173,7 +185,7 @@
 // prioritySlot is an occupied slot. Only the first release has an effect.
 type prioritySlot struct {
 	queue *priorityQueue
-	route string
+	call  admission.Call
 	start time.Time
 	// maybeSent means that a byte of the call may have reached the target.
 	maybeSent bool
@@ -187,7 +199,10 @@
 	}
 	s.released = true
 	took := time.Since(s.start)
-	s.queue.updateAndNotify(func(now time.Time) []admission.Dequeued { return s.queue.queue.Release(now, s.route, took) })
+	s.queue.updateAndNotify(func(now time.Time) []admission.Dequeued {
+		s.queue.queue.RecordUse(now, s.call, took)
+		return s.queue.queue.Release(now, s.call.Kind, took)
+	})
 }
 
 // releaseUnmeasured frees the slot of a call that the target did not execute or that got no valid response; no execution
@@ -197,7 +212,16 @@
 		return
 	}
 	s.released = true
-	free := func() { s.queue.updateAndNotify(s.queue.queue.ReleaseUnmeasured) }
+	took := time.Duration(0)
+	if s.maybeSent {
+		took = time.Since(s.start)
+	}
+	free := func() {
+		s.queue.updateAndNotify(func(now time.Time) []admission.Dequeued {
+			s.queue.queue.RecordUse(now, s.call, took)
+			return s.queue.queue.ReleaseUnmeasured(now)
+		})
+	}
 	if s.maybeSent {
 		time.AfterFunc(abandonedSlotDelay, free)
 		return
--- a/internal/traffic/tenant.go
+++ b/internal/traffic/tenant.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 
+	"sniperail.example/sniperail/internal/command/admission"
 	"sniperail.example/sniperail/internal/model"
 	"sniperail.example/sniperail/internal/query/routing"
 )
@@ -40,6 +41,18 @@
 	return tenantHeader{model.TenantName(name), weight}, true
 }
 
+// admissionCall describes the call to the queue beside the target.
+func (c *inboundCall) admissionCall() admission.Call {
+	call := admission.Call{
+		Kind: string(c.dispatch.route), Priority: c.dispatch.priority,
+		Objective: c.started.Add(c.dispatch.objective), Deadline: c.deadline, MaxWait: c.dispatch.maxWait,
+	}
+	if tenant, ok := parseTenantHeader(c.request.Header); ok {
+		call.Tenant, call.Weight = string(tenant.name), tenant.weight
+	}
+	return call
+}
+
 // authenticate returns the tenant of a request, and removes the API key and the tenant that the caller names from its header: the
 // target must see neither. Nothing is removed while the configuration has no tenants.
 func (o *Outbound) authenticate(r *http.Request, table *routing.Table, route *routing.Route) (*model.Tenant, *refusal) {
