--- a/internal/command/admission/fair_share.go
+++ b/internal/command/admission/fair_share.go
@@ -133,8 +133,3 @@
 		s.total.served += t.served
 	}
 }
-
-// RecordUse records that a call that got a slot has used it for the given time. It is called before the slot is released.
-func (q *PriorityQueue) RecordUse(now time.Time, call Call, took time.Duration) {
-	q.shares.recordEnd(now, &call, q.ExpectedExecutionTime(call.Kind), took)
-}
--- a/internal/command/admission/fair_share_test.go
+++ b/internal/command/admission/fair_share_test.go
@@ -42,7 +42,7 @@
 			if now.Before(r.call.Objective) {
 				served[r.tenant]++
 			}
-			q.RecordUse(now, r.call, now.Sub(r.began))
+			q.RecordUse(now, r.call, now.Sub(r.began), true)
 			for _, d := range q.Release(now, "k", now.Sub(r.began)) {
 				if d.Reason == Admitted {
 					begin(now, calls[d.Ticket])
--- /dev/null
+++ b/internal/command/admission/limit_trial.go
@@ -0,0 +1,132 @@
+package admission
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// minTrial and maxTrial bound the time in which the calls start that a trial counts. It is twice the mean execution time, so
+	// that most of them end in it.
+	minTrial = 250 * time.Millisecond
+	maxTrial = time.Second
+	// trialCalls is the number of calls that a trial needs, and trialPatience the multiple of its time after which it ends without.
+	trialCalls    = 8
+	trialPatience = 3
+	// failingEnds is the number of calls that end under a higher limit, relative to those before in the same time, below which the
+	// trial has failed.
+	failingEnds = 0.4
+	// startTolerance is the difference between the start of a call and the end of it less its time, which are read one after
+	// the other.
+	startTolerance = 2 * time.Millisecond
+)
+
+// trialCall is a running call.
+type trialCall struct {
+	kind  string
+	start time.Time
+}
+
+// limitTrial is a trial of another concurrency limit. It counts the calls that start and end under the limit on trial.
+type limitTrial struct {
+	// from is the limit before, and before are calls under it.
+	from   int
+	before []executionSample
+	// begun is when the concurrency had fallen to the limit on trial; zero until then.
+	begun  time.Time
+	length time.Duration
+	// running are the calls that started within length and still run, ended are those that have ended.
+	running []trialCall
+	ended   []executionSample
+	// ends counts the calls that have ended since the trial began, whenever they started.
+	ends int
+	// createdAt bounds the wait for calls.
+	createdAt time.Time
+}
+
+func newLimitTrial(now time.Time, from int, before []executionSample, mean time.Duration) *limitTrial {
+	return &limitTrial{from: from, before: before, createdAt: now, length: min(max(2*mean, minTrial), maxTrial)}
+}
+
+// recordRunning begins the trial once no more calls run than the limit on trial allows.
+func (t *limitTrial) recordRunning(now time.Time, running, limit int) {
+	if t.begun.IsZero() && running <= limit {
+		t.begun, t.ends = now, 0
+	}
+}
+
+func (t *limitTrial) includes(start time.Time) bool {
+	return !t.begun.IsZero() && !start.Before(t.begun) && start.Sub(t.begun) < t.length
+}
+
+func (t *limitTrial) recordStart(now time.Time, kind string) {
+	if t.includes(now) {
+		t.running = append(t.running, trialCall{kind, now})
+	}
+}
+
+// recordEnd records the end of a call; measured says that the sample says how long the call takes.
+func (t *limitTrial) recordEnd(kind string, s executionSample, measured bool) {
+	t.ends++
+	i := slices.IndexFunc(t.running, func(c trialCall) bool { return c.kind == kind && c.start.Sub(s.start()).Abs() < startTolerance })
+	if !t.includes(s.start()) || i < 0 {
+		return
+	}
+	t.running = slices.Delete(t.running, i, i+1)
+	if measured {
+		t.ended = append(t.ended, s)
+	}
+}
+
+func (t *limitTrial) started() int { return len(t.running) + len(t.ended) }
+
+// quickTime estimates the quickQuantile of the relative execution times of the calls of the trial. Those that still run count as
+// long as they have run (Kaplan-Meier estimator); otherwise calls that started late in the trial would make the target look slow.
+func (t *limitTrial) quickTime(now time.Time, kinds map[string]*kindMean) float64 {
+	type observation struct {
+		time  float64
+		ended bool
+	}
+	var all []observation
+	for i := range t.ended {
+		all = append(all, observation{t.ended[i].relative(), true})
+	}
+	for _, c := range t.running {
+		if mean := kinds[c.kind]; mean != nil {
+			all = append(all, observation{math.Log(float64(max(now.Sub(c.start), 1))) - mean.log, false})
+		}
+	}
+	slices.SortFunc(all, func(a, b observation) int { return cmp.Compare(a.time, b.time) })
+	remaining := 1.0
+	for i, o := range all {
+		if o.ended {
+			remaining *= 1 - 1/float64(len(all)-i)
+		}
+		if remaining <= 1-quickQuantile {
+			return o.time
+		}
+	}
+	return math.Inf(1)
+}
+
+// isFailing reports whether far fewer calls end under a higher limit than did before. The trial then ends early, since all calls
+// that run meanwhile are slow, and slow until as many have ended as are too many.
+func (t *limitTrial) isFailing(now time.Time) bool {
+	expected := float64(len(t.before)) / span(t.before).Seconds() * now.Sub(t.begun).Seconds()
+	return float64(t.ends) < failingEnds*expected
+}
+
+// isOver reports whether the trial can be judged. A higher limit is judged without waiting for more calls: if few have started,
+// those that ran have become slow.
+func (t *limitTrial) isOver(now time.Time, limit int) bool {
+	if t.begun.IsZero() {
+		return now.Sub(t.createdAt) >= trialPatience*maxTrial
+	}
+	passed := now.Sub(t.begun)
+	if raised := limit > t.from; raised {
+		return passed >= t.length || passed >= minTrial && t.isFailing(now)
+	}
+	return passed >= t.length && t.started() >= trialCalls || passed >= trialPatience*t.length
+}
--- a/internal/command/admission/priority_queue.go
+++ b/internal/command/admission/priority_queue.go
@@ -85,6 +85,8 @@
 	rate    rateLimit
 	shares  fairShares
 	retries retrySchedule
+	// concurrency is the learned limit, used in place of the slots.
+	concurrency concurrencyLimit
 }
 
 // NewPriorityQueue returns a closed queue.
@@ -114,6 +116,7 @@
 	}
 	q.shares.recordArrival(now, &call)
 	executionTime := q.ExpectedExecutionTime(call.Kind)
+	q.concurrency.recordArrival(executionTime, call.Objective.Sub(now))
 	if !now.Add(scale(executionTime, typicalExecutionFraction)).After(call.Objective) {
 		q.trackOverload(now, call.Objective, executionTime)
 	}
@@ -133,7 +136,7 @@
 	q.lastTicket++
 	if len(q.queue) == 0 && q.running < q.usableSlots(now) && q.rate.take(now) {
 		q.running++
-		q.shares.recordStart(now, &call, executionTime)
+		q.recordStart(now, &call)
 		return Decision{Verdict: Run, Ticket: q.lastTicket}
 	}
 	q.queue = slices.Insert(q.queue, at, waitingCall{call, q.lastTicket})
@@ -244,8 +247,8 @@
 // Queued returns the number of waiting calls.
 func (q *PriorityQueue) Queued() int { return len(q.queue) }
 
-// Slots returns the slots of the target.
-func (q *PriorityQueue) Slots() int { return q.slots }
+// Slots returns the slots of the target, or the learned limit.
+func (q *PriorityQueue) Slots() int { return q.concurrency.usable(q.slots) }
 
 // MeanExecutionTime returns the average execution time of all calls.
 func (q *PriorityQueue) MeanExecutionTime() time.Duration {
@@ -266,9 +269,9 @@
 // usableSlots returns the number of slots that calls may occupy now.
 func (q *PriorityQueue) usableSlots(now time.Time) int {
 	if now.Before(q.excessUntil) {
-		return max(q.slots-q.excess, 1)
+		return max(q.Slots()-q.excess, 1)
 	}
-	return q.slots
+	return q.Slots()
 }
 
 // expectedWait estimates how long a call waits for a slot, and for room in the rate limit, if the given number of calls is
@@ -307,10 +310,10 @@
 	})
 	for len(q.queue) > 0 && q.running < q.usableSlots(now) && q.rate.take(now) {
 		first := &q.queue[0]
-		q.shares.recordStart(now, &first.Call, q.ExpectedExecutionTime(first.Kind))
+		q.running++
+		q.recordStart(now, &first.Call)
 		dequeued = append(dequeued, Dequeued{first.ticket, Admitted})
 		q.queue = slices.Delete(q.queue, 0, 1)
-		q.running++
 	}
 	return append(dequeued, q.refuseBeyondRateLimit(now)...)
 }
--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -40,6 +40,8 @@
 	QuotaTolerance float64       `default:"0.1" help:"Requests of a tenant that may be served beyond its quota, as a part of the quota."`
 	QuotaSlack     float64       `default:"20" help:"Requests of a tenant that may be served beyond that, within the window."`
 
+	LearnConcurrency bool `help:"Learn from execution times how many calls the target can run at once, up to the slots that it announces."`
+
 	LogLevel string `default:"info" help:"Least level of the events that are logged: debug, info, warn or error."`
 }
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -160,6 +160,7 @@
 	d.loop = control.NewLoop(core, d.peerClient, gate, d.logger, d.metrics)
 	d.loop.SetHealthCheck(d.checkTargetHealth)
 	d.loop.OnPublish(func(view *model.View) {
+		d.inbound.SetLearning(d.learnsConcurrency(view))
 		d.inbound.SetTarget(view.Local, d.loop.Table().IsWithheld(view.Local.Ref()))
 	})
 	d.peerServer, err = peer.NewServer(listener, d.loop, counted)
@@ -172,6 +173,12 @@
 	return nil
 }
 
+// learnsConcurrency reports whether the concurrency limit of the target is learned. It is not during a move of the service: a new
+// version that cannot run calls on all its slots must look as slow as it is, so that it is withdrawn and not only used less.
+func (d *Sidecar) learnsConcurrency(view *model.View) bool {
+	return d.settings.LearnConcurrency && view.Configuration != nil && view.Configuration.ActiveMove(view.Local.Service) == nil
+}
+
 func (d *Sidecar) connectStore() (*platform.Gate, error) {
 	client, err := platform.NewClient(platform.ClientConfig{
 		Endpoints: []string{d.settings.Platform}, Timeout: storeTimeout, DialTimeout: storeDialTimeout,
--- a/internal/traffic/dispatch_header.go
+++ b/internal/traffic/dispatch_header.go
@@ -113,6 +113,14 @@
 	failureRate float64
 }
 
+// usableSlots returns the slots that the target can use. The daemon beside it may have learned that these are fewer than announced.
+func (l loadReport) usableSlots(announced int) int {
+	if l.slots < 1 {
+		return announced
+	}
+	return min(l.slots, announced)
+}
+
 const loadFields = 6
 
 func (l loadReport) String() string {
--- a/internal/traffic/inbound.go
+++ b/internal/traffic/inbound.go
@@ -90,6 +90,9 @@
 	in.queue.setTarget(&t, withheld)
 }
 
+// SetLearning enables or disables the learned concurrency limit of the target.
+func (in *Inbound) SetLearning(enabled bool) { in.queue.setLearning(enabled) }
+
 // Run reports outcomes, and a run of the target that is leaving, until ctx ends.
 func (in *Inbound) Run(ctx context.Context) {
 	ticker := time.NewTicker(flushInterval)
--- a/internal/traffic/peer_load.go
+++ b/internal/traffic/peer_load.go
@@ -71,6 +71,7 @@
 	out.Outstanding = float64(own)
 	out.Fresh = out.ReportAge != noReportAge && out.ReportAge < maxReportAge
 	if out.Fresh {
+		out.Slots = p.load.report.usableSlots(target.Slots)
 		out.Outstanding = max(float64(int64(p.load.report.running+p.load.report.queued)+own-p.load.ownInFlight), float64(own))
 	}
 	if out.Fresh && p.load.rate.perSecond > 0 {
--- a/internal/traffic/priority_queue.go
+++ b/internal/traffic/priority_queue.go
@@ -37,11 +37,20 @@
 		if run := runOf(t); run != q.run {
 			q.run = run
 			q.queue.ResetRateLimit()
+			q.queue.ResetLearning()
 		}
 		return q.queue.SetTarget(now, max(t.Slots, 1), t.State == model.TargetReady && !withheld)
 	})
 }
 
+// setLearning enables or disables the learned concurrency limit. More slots are given out with the next call that ends or the
+// next setTarget.
+func (q *priorityQueue) setLearning(enabled bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.queue.SetLearning(enabled)
+}
+
 // acquire takes a slot, waiting for one if needed. The call has a slot if the result is nil.
 func (q *priorityQueue) acquire(ctx context.Context, deadline time.Time, call admission.Call) *refusal {
 	q.mu.Lock()
@@ -200,7 +209,7 @@
 	s.released = true
 	took := time.Since(s.start)
 	s.queue.updateAndNotify(func(now time.Time) []admission.Dequeued {
-		s.queue.queue.RecordUse(now, s.call, took)
+		s.queue.queue.RecordUse(now, s.call, took, true)
 		return s.queue.queue.Release(now, s.call.Kind, took)
 	})
 }
@@ -218,7 +227,7 @@
 	}
 	free := func() {
 		s.queue.updateAndNotify(func(now time.Time) []admission.Dequeued {
-			s.queue.queue.RecordUse(now, s.call, took)
+			s.queue.queue.RecordUse(now, s.call, took, false)
 			return s.queue.queue.ReleaseUnmeasured(now)
 		})
 	}
--- a/internal/traffic/target_load_test.go
+++ b/internal/traffic/target_load_test.go
@@ -23,3 +23,11 @@
 		is.True(!ok)
 	}
 }
+
+// Guards against a learned limit that callers do not use, and against a report that makes a target look larger than announced.
+func TestReportedSlots(t *testing.T) {
+	is := is.New(t)
+	is.Equal(loadReport{slots: 6}.usableSlots(12), 6)
+	is.Equal(loadReport{slots: 99}.usableSlots(12), 12)
+	is.Equal(loadReport{}.usableSlots(12), 12)
+}
