--- a/internal/command/admission/concurrency.go
+++ b/internal/command/admission/concurrency.go
@@ -15,9 +15,10 @@
 	// exploreAfter is how long the target must have been fully used before a lower limit is tried although nothing is known of
 	// low concurrency, as after a start under load.
 	exploreAfter = 4 * time.Second
-	// exploreTightness is the execution time, relative to the time until the objective, from which on such a trial is made. A target
-	// at which calls take less is short of slots, not slow.
-	exploreTightness = 0.5
+	// minTightness is the execution time, relative to the time until the objective, from which on a lower limit is tried. A target
+	// at which calls take less is short of slots, not slow; after targets have become slower, trials of a lower limit take capacity
+	// when it is needed most.
+	minTightness = 0.5
 	// 1/tightnessWeight is the weight of one call in the mean of that ratio.
 	tightnessWeight = 50
 	// probeAfter and maxProbeAfter bound the time between two trials of a higher limit. A trial that fails slows down the calls
@@ -161,7 +162,7 @@
 		raised = min(max(l.limit+l.step, l.confirm), l.slots)
 	}
 	lower := 0
-	if !now.Before(l.tryAt) && span(high) >= minLowerSpan {
+	if !now.Before(l.tryAt) && l.tightness >= minTightness && span(high) >= minLowerSpan {
 		lower = l.lowerLimit(now, high, e.overloaded)
 	}
 	switch {
@@ -202,7 +203,7 @@
 			return lower
 		}
 	}
-	if known || !overloaded || l.limit < l.slots || l.tightness < exploreTightness ||
+	if known || !overloaded || l.limit < l.slots ||
 		l.busySince.IsZero() || now.Sub(l.busySince) < exploreAfter {
 		return 0
 	}
--- a/internal/command/admission/concurrency_test.go
+++ b/internal/command/admission/concurrency_test.go
@@ -124,15 +124,15 @@
 		least, recovered float64
 	}{
 		{"alike", func(time.Duration, int) float64 { return 1 }, 1, 1},
-		{"noise", func(at time.Duration, _ int) float64 { return machine(at) }, 0.98, 0.98},
-		{"three speeds", func(at time.Duration, _ int) float64 { return []float64{1, 0.5, 0.33}[at/(20*time.Second)] }, 0.95, 0.98},
+		{"noise", func(at time.Duration, _ int) float64 { return machine(at) }, 1, 1},
+		{"three speeds", func(at time.Duration, _ int) float64 { return []float64{1, 0.5, 0.33}[at/(20*time.Second)] }, 1, 1},
 		{"a fifth at half of the slots for 40 s", func(at time.Duration, running int) float64 {
 			if at < 40*time.Second && running > slots/2 {
 				return 0.2
 			}
 			return 1
 		}, 1.5, 0.9},
-		{"a shared processor", func(_ time.Duration, running int) float64 { return min(1, slots/2/float64(running)) }, 0.97, 0.95},
+		{"a shared processor", func(_ time.Duration, running int) float64 { return min(1, slots/2/float64(running)) }, 1, 1},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
