--- a/cmd/sniperail-bench/main.go
+++ b/cmd/sniperail-bench/main.go
@@ -11,6 +11,7 @@
 	"sniperail.example/sniperail/internal/bench/moves"
 	"sniperail.example/sniperail/internal/bench/once"
 	"sniperail.example/sniperail/internal/bench/overload"
+	"sniperail.example/sniperail/internal/bench/placement"
 	"sniperail.example/sniperail/internal/settings"
 )
 
@@ -28,6 +29,7 @@
 	Moves        moves.Command        `cmd:"" help:"Many moves of drawn versions under this policy and naive ones."`
 	Latency      latency.Command      `cmd:"" help:"Latency and processor time that the two daemons on a call's path add, against direct calls."`
 	Overload     overload.Command     `cmd:"" help:"Goodput above capacity, against a naive balancer with blind retries."`
+	Placement    placement.Command    `cmd:"" help:"Calls in time at targets of different speed with the real selection and queues, against correct weights."`
 	Once         once.Command         `cmd:"" help:"Executions per identity under kills, lost answers and platform faults."`
 }
 
--- a/internal/query/routing/placement_test.go
+++ b/internal/query/routing/placement_test.go
@@ -206,6 +206,21 @@
 	return best
 }
 
+// selectByCorrectWeight selects a random target by its speed, which no daemon knows.
+func selectByCorrectWeight(d *simulatedDaemon, random *rand.Rand) int {
+	total := 0.0
+	for i := range d.simulation.targets {
+		total += 1 / d.simulation.targets[i].executionTime.Seconds()
+	}
+	left := random.Float64() * total
+	for i := range d.simulation.targets {
+		if left -= 1 / d.simulation.targets[i].executionTime.Seconds(); left < 0 {
+			return i
+		}
+	}
+	return len(d.simulation.targets) - 1
+}
+
 func selectByExpectedLoss(d *simulatedDaemon, random *rand.Rand) int {
 	choice, _ := d.simulation.version.SelectByExpectedLoss(d, random, routing.Selection{Remaining: d.simulation.load.targetLatency})
 	return d.simulation.index[choice.Target.Daemon]
@@ -234,7 +249,10 @@
 			late, busiest := playPlacement(t, c.load, selectByExpectedLoss)
 			randomLate, _ := playPlacement(t, c.load, selectRandom)
 			leastLate, leastBusiest := playPlacement(t, c.load, selectLeastKnown)
-			t.Logf("late %.3f, random %.3f, least known load %.3f; busiest %.2f, %.2f", late, randomLate, leastLate, busiest, leastBusiest)
+			weightLate, _ := playPlacement(t, c.load, selectByCorrectWeight)
+			t.Logf("late %.3f, random %.3f, least known load %.3f, correct weights %.3f; busiest %.2f, %.2f", late, randomLate, leastLate,
+				weightLate, busiest, leastBusiest)
+			is.True(late <= weightLate+0.02)
 			is.True(late <= c.maxLate)
 			is.True(busiest <= c.maxBusiest)
 			is.True(late < randomLate)
