--- a/internal/bench/placement/target.go
+++ b/internal/bench/placement/target.go
@@ -133,9 +133,9 @@
 
 // respond sends a response or a refusal to the caller's daemon.
 func (t *target) respond(c *call, reason admission.Reason) {
+	execution, mean := t.queue.ReportedTimes(c.kind)
 	r := report{
-		outstanding: t.queue.Running() + t.queue.Queued(), slots: t.queue.Slots(),
-		execution: t.queue.ExpectedExecutionTime(c.kind), meanTime: t.queue.MeanExecutionTime(),
+		outstanding: t.queue.Running() + t.queue.Queued(), slots: t.queue.Slots(), execution: execution, meanTime: mean,
 	}
 	t.run.after(t.run.delay(c.daemon, t), func() { c.daemon.receive(c, r, reason) })
 }
--- a/internal/command/admission/concurrency.go
+++ b/internal/command/admission/concurrency.go
@@ -254,8 +254,12 @@
 	if q.concurrency.enabled != enabled {
 		q.concurrency.enabled = enabled
 		q.concurrency.reset(q.slots)
+		q.reported = reportedTimes{}
 	}
 }
 
 // ResetLearning forgets what was learned, because another run of the target begins.
-func (q *PriorityQueue) ResetLearning() { q.concurrency.reset(q.slots) }
+func (q *PriorityQueue) ResetLearning() {
+	q.concurrency.reset(q.slots)
+	q.reported = reportedTimes{}
+}
--- a/internal/command/admission/concurrency_test.go
+++ b/internal/command/admission/concurrency_test.go
@@ -197,3 +197,31 @@
 		}
 	})
 }
+
+// Guards against reported times that follow a change of speed as slowly as the averages of the queue, and against reports that
+// change where nothing is learned.
+func TestReportedTimesFollowSooner(t *testing.T) {
+	is := is.New(t)
+	q := NewPriorityQueue()
+	now := time.Unix(1000, 0)
+	q.SetTarget(now, 1, true)
+	play := func(calls int, took time.Duration) {
+		for range calls {
+			q.Acquire(now, Call{Kind: "k", Objective: now.Add(time.Minute), Deadline: now.Add(time.Minute)})
+			now = now.Add(took)
+			q.RecordUse(now, Call{Kind: "k"}, took, true)
+			q.Release(now, "k", took)
+		}
+	}
+	play(20, 100*time.Millisecond)
+	execution, mean := q.ReportedTimes("k")
+	is.Equal(execution, q.ExpectedExecutionTime("k"))
+	is.Equal(mean, q.MeanExecutionTime())
+	q.SetLearning(true)
+	play(20, 100*time.Millisecond)
+	play(10, 300*time.Millisecond)
+	execution, mean = q.ReportedTimes("k")
+	is.True(execution > 230*time.Millisecond)
+	is.True(mean > 230*time.Millisecond)
+	is.True(q.MeanExecutionTime() < 200*time.Millisecond)
+}
--- a/internal/command/admission/priority_queue.go
+++ b/internal/command/admission/priority_queue.go
@@ -87,6 +87,7 @@
 	retries retrySchedule
 	// concurrency is the learned limit, used in place of the slots.
 	concurrency concurrencyLimit
+	reported    reportedTimes
 }
 
 // NewPriorityQueue returns a closed queue.
--- a/internal/command/admission/use.go
+++ b/internal/command/admission/use.go
@@ -12,6 +12,9 @@
 // otherwise it was given up. It is called before the slot is released.
 func (q *PriorityQueue) RecordUse(now time.Time, call Call, took time.Duration, complete bool) {
 	q.shares.recordEnd(now, &call, q.ExpectedExecutionTime(call.Kind), took)
+	if q.concurrency.enabled && complete {
+		q.reported.record(call.Kind, took)
+	}
 	q.concurrency.recordEnd(now, callEnded{
 		kind: call.Kind, took: took, complete: complete, running: q.running,
 		short: len(q.queue) > 0, overloaded: q.isOverloaded(now), mean: q.MeanExecutionTime(),
--- a/internal/traffic/priority_queue.go
+++ b/internal/traffic/priority_queue.go
@@ -169,9 +169,10 @@
 func (q *priorityQueue) load(route string) loadReport {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	execution, mean := q.queue.ReportedTimes(route)
 	return loadReport{
 		running: q.queue.Running(), queued: q.queue.Queued(), slots: q.queue.Slots(),
-		executionTime: q.queue.ExpectedExecutionTime(route), meanExecutionTime: q.queue.MeanExecutionTime(),
+		executionTime: execution, meanExecutionTime: mean,
 	}
 }
 
