--- a/Makefile
+++ b/Makefile
@@ -40,6 +40,7 @@
 	bin/sniperail-bench moves --seed=$(SEED) --customer=most-mladych
 	bin/sniperail-bench moves --seed=$(SEED) --customer=granite-ledger
 	bin/sniperail-bench distribution --seed=$(SEED)
+	bin/sniperail-bench placement --seed=$(SEED)
 
 # Real daemons on loopback, COUNT of them in 4 data centres.
 COUNT ?= 100
