--- a/internal/command/admission/concurrency.go
+++ b/internal/command/admission/concurrency.go
@@ -10,7 +10,7 @@
 	evaluateEvery = 250 * time.Millisecond
 	// tryAgainAfter and maxTryAfter bound the time between two trials of a lower limit that did not help, during which a target
 	// that is slow for another reason than its load has fewer slots for a second.
-	tryAgainAfter = 10 * time.Second
+	tryAgainAfter = 30 * time.Second
 	maxTryAfter   = 5 * time.Minute
 	// exploreAfter is how long the target must have been fully used before a lower limit is tried although nothing is known of
 	// low concurrency, as after a start under load.
@@ -215,12 +215,13 @@
 	t := l.trial
 	l.trial = nil
 	gain := logThroughput(l.limit, t.quickTime(now, l.samples.kinds)) - logThroughput(t.from, quickTime(t.before))
+	failing := !t.begun.IsZero() && t.isFailing(now, l.limit)
 	if l.limit < t.from {
-		l.endLower(now, t, gain >= math.Log(minThroughputGain))
+		l.endLower(now, t, gain >= math.Log(minThroughputGain) && !failing)
 		return
 	}
 	l.confirm = 0
-	if gain > 0 && !t.isFailing(now) {
+	if gain > 0 && !failing {
 		l.step, l.probeDelay = 2*l.step, probeAfter
 		l.probeAt = now
 		return
--- a/internal/command/admission/concurrency_test.go
+++ b/internal/command/admission/concurrency_test.go
@@ -132,6 +132,12 @@
 			}
 			return 1
 		}, 1.5, 0.9},
+		{"nearly as slow as the objective for 30 s", func(at time.Duration, _ int) float64 {
+			if at >= 10*time.Second && at < 40*time.Second {
+				return 0.2
+			}
+			return 1
+		}, 0.93, 0.95},
 		{"a shared processor", func(_ time.Duration, running int) float64 { return min(1, slots/2/float64(running)) }, 1, 1},
 	}
 	for _, test := range tests {
--- a/internal/command/admission/limit_trial.go
+++ b/internal/command/admission/limit_trial.go
@@ -18,6 +18,10 @@
 	// failingEnds is the number of calls that end under a higher limit, relative to those before in the same time, below which the
 	// trial has failed.
 	failingEnds = 0.4
+	// failingLowerEnds is that number under a lower limit, which has to raise it, and lowerEnds the number of ends that were expected
+	// before at which it counts.
+	failingLowerEnds = 0.8
+	lowerEnds        = 6
 	// startTolerance is the difference between the start of a call and the end of it less its time, which are read one after
 	// the other.
 	startTolerance = 2 * time.Millisecond
@@ -111,11 +115,14 @@
 	return math.Inf(1)
 }
 
-// isFailing reports whether far fewer calls end under a higher limit than did before. The trial then ends early, since all calls
-// that run meanwhile are slow, and slow until as many have ended as are too many.
-func (t *limitTrial) isFailing(now time.Time) bool {
+// isFailing reports whether so few calls end that the trial cannot succeed any more. It then ends early: under a higher limit all
+// calls that run are slow, and slow until as many have ended as are too many; under a lower one slots are unused.
+func (t *limitTrial) isFailing(now time.Time, limit int) bool {
 	expected := float64(len(t.before)) / span(t.before).Seconds() * now.Sub(t.begun).Seconds()
-	return float64(t.ends) < failingEnds*expected
+	if limit > t.from {
+		return now.Sub(t.begun) >= minTrial && float64(t.ends) < failingEnds*expected
+	}
+	return expected >= lowerEnds && float64(t.ends) < failingLowerEnds*expected
 }
 
 // isOver reports whether the trial can be judged. A higher limit is judged without waiting for more calls: if few have started,
@@ -124,9 +131,9 @@
 	if t.begun.IsZero() {
 		return now.Sub(t.createdAt) >= trialPatience*maxTrial
 	}
-	passed := now.Sub(t.begun)
-	if raised := limit > t.from; raised {
-		return passed >= t.length || passed >= minTrial && t.isFailing(now)
+	if t.isFailing(now, limit) {
+		return true
 	}
-	return passed >= t.length && t.started() >= trialCalls || passed >= trialPatience*t.length
+	passed := now.Sub(t.begun)
+	return passed >= t.length && (t.started() >= trialCalls || limit > t.from) || passed >= trialPatience*t.length
 }
