--- a/internal/command/admission/priority_queue.go
+++ b/internal/command/admission/priority_queue.go
@@ -49,6 +49,9 @@
 	Objective, Deadline time.Time
 	// MaxWait is the longest expected wait with which the sender prefers this target to another one; 0 means any wait.
 	MaxWait time.Duration
+	// Tenant is the tenant of the call, empty if it has none, and Weight its weight in the fair shares.
+	Tenant string
+	Weight float64
 }
 
 type waitingCall struct {
@@ -62,8 +65,10 @@
 //
 // Under more load than the target can serve, this order makes every call late. Therefore, while even new calls are
 // expected to be late, the target counts as overloaded: calls that can no longer meet their objective are ordered behind
-// those that can, and a new call of this sort is refused at once if no slot is free. Brief calls are exempt: they delay the
-// others little, and are mostly made by running requests, whose work is lost if they are refused.
+// those that can, and a new call of this sort is refused at once if no slot is free. Brief calls are exempt and always come
+// first: they delay the others little, and are mostly made by running requests, whose work is lost if they are refused.
+//
+// Within a priority, calls of tenants that have recently used more than their fair share are ordered behind all others.
 type PriorityQueue struct {
 	slots      int
 	open       bool
@@ -83,7 +88,12 @@
 	excess      int
 	excessUntil time.Time
 	// limits are the limit that the target has named and the one for the time for which it is cold.
-	limits rateLimits
+	limits  rateLimits
+	shares  fairShares
+	retries retrySchedule
+	// concurrency is the learned limit, used in place of the slots.
+	concurrency concurrencyLimit
+	reported    reportedTimes
 }
 
 // NewPriorityQueue returns a closed queue.
@@ -108,6 +118,8 @@
 
 // Acquire requests a slot for a call.
 func (q *PriorityQueue) Acquire(now time.Time, call Call) Decision {
+	q.shares.recordArrival(now, &call)
+	q.concurrency.recordArrival(q.ExpectedExecutionTime(call.Kind), call.Objective.Sub(now))
 	at, refused := q.check(now, call)
 	if refused.Verdict == Refuse {
 		return refused
@@ -115,6 +127,7 @@
 	q.lastTicket++
 	if len(q.queue) == 0 && q.running < q.usableSlots(now) && q.limits.take(now) {
 		q.running++
+		q.recordStart(now, &call)
 		return Decision{Verdict: Run, Ticket: q.lastTicket}
 	}
 	q.queue = slices.Insert(q.queue, at, waitingCall{call, q.lastTicket})
@@ -147,7 +160,8 @@
 		// The sender gives up a call that is refused for its deadline, but another target may be warm.
 		return at, Decision{Verdict: Refuse, Reason: Busy, RetryAfter: min(wait, q.expectedWait(now, len(q.queue))+executionTime)}
 	case !now.Add(wait + scale(executionTime, minExecutionFraction)).Before(call.Deadline):
-		return at, Decision{Verdict: Refuse, Reason: Deadline, RetryAfter: min(wait, q.expectedWait(now, len(q.queue))+executionTime)}
+		earliest := min(wait, q.expectedWait(now, len(q.queue))+executionTime)
+		return at, Decision{Verdict: Refuse, Reason: Deadline, RetryAfter: q.RetryAfter(now, call, earliest)}
 	case call.MaxWait > 0 && wait > call.MaxWait:
 		return at, Decision{Verdict: Refuse, Reason: Busy, RetryAfter: wait}
 	}
@@ -271,8 +285,8 @@
 // Queued returns the number of waiting calls.
 func (q *PriorityQueue) Queued() int { return len(q.queue) }
 
-// Slots returns the slots of the target.
-func (q *PriorityQueue) Slots() int { return q.slots }
+// Slots returns the slots of the target, or the learned limit.
+func (q *PriorityQueue) Slots() int { return q.concurrency.usable(q.slots) }
 
 // MeanExecutionTime returns the average execution time of all calls.
 func (q *PriorityQueue) MeanExecutionTime() time.Duration {
@@ -293,9 +307,9 @@
 // usableSlots returns the number of slots that calls may occupy now.
 func (q *PriorityQueue) usableSlots(now time.Time) int {
 	if now.Before(q.excessUntil) {
-		return max(q.slots-q.excess, 1)
+		return max(q.Slots()-q.excess, 1)
 	}
-	return q.slots
+	return q.Slots()
 }
 
 // expectedWait estimates how long a call waits for a slot, and for room in the rate limit, if the given number of calls is
@@ -309,51 +323,6 @@
 	return wait
 }
 
-// position returns the index at which a call is to be inserted into the queue.
-func (q *PriorityQueue) position(now time.Time, call Call) int {
-	key := q.orderKeyOf(now, call)
-	for i := range q.queue {
-		if key.less(q.orderKeyOf(now, q.queue[i].Call)) {
-			return i
-		}
-	}
-	return len(q.queue)
-}
-
-// orderKey orders waiting calls: by class, then by priority, then by due time.
-type orderKey struct {
-	class, priority int
-	due             time.Time
-}
-
-func (a orderKey) less(b orderKey) bool {
-	if a.class != b.class {
-		return a.class < b.class
-	}
-	if a.priority != b.priority {
-		return a.priority < b.priority
-	}
-	return a.due.Before(b.due)
-}
-
-const (
-	// classBrief calls delay the others little, and most are made by running requests, whose work is lost if they are late. They
-	// come first whatever their priority, which is that of their own route and not of the request that waits for them.
-	classBrief = iota
-	classInTime
-	classLate
-)
-
-func (q *PriorityQueue) orderKeyOf(now time.Time, call Call) orderKey {
-	if q.isBrief(call.Kind) {
-		return orderKey{classBrief, call.Priority, call.Objective}
-	}
-	if q.isDemoted(now, call, 0) {
-		return orderKey{classLate, call.Priority, call.Deadline}
-	}
-	return orderKey{classInTime, call.Priority, call.Objective}
-}
-
 // dispatch refuses the waiting calls that cannot end by their deadline and gives the free slots to the first others.
 func (q *PriorityQueue) dispatch(now time.Time) []Dequeued {
 	var dequeued []Dequeued
@@ -378,9 +347,11 @@
 		return 0
 	})
 	for len(q.queue) > 0 && q.running < q.usableSlots(now) && q.limits.take(now) {
-		dequeued = append(dequeued, Dequeued{q.queue[0].ticket, Admitted})
-		q.queue = slices.Delete(q.queue, 0, 1)
+		first := &q.queue[0]
 		q.running++
+		q.recordStart(now, &first.Call)
+		dequeued = append(dequeued, Dequeued{first.ticket, Admitted})
+		q.queue = slices.Delete(q.queue, 0, 1)
 	}
 	return append(dequeued, q.refuseBeyondRateLimit(now)...)
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -164,6 +164,7 @@
 	d.loop = control.NewLoop(core, d.peerClient, gate, d.logger, d.metrics)
 	d.loop.SetHealthCheck(d.checkTargetHealth)
 	d.loop.OnPublish(func(view *model.View) {
+		d.inbound.SetLearning(d.learnsConcurrency(view))
 		d.inbound.Update(view.Local, traffic.TargetConditions{
 			Withheld: d.loop.Table().IsWithheld(view.Local.Ref()), Evacuated: view.IsEvacuated(view.Local.DataCentre),
 			WarmupPerSecond: warmupPerSecond(view),
@@ -179,6 +180,12 @@
 	return nil
 }
 
+// learnsConcurrency reports whether the concurrency limit of the target is learned. It is not during a move of the service: a new
+// version that cannot run calls on all its slots must look as slow as it is, so that it is withdrawn and not only used less.
+func (d *Sidecar) learnsConcurrency(view *model.View) bool {
+	return d.settings.LearnConcurrency && view.Configuration != nil && view.Configuration.ActiveMove(view.Local.Service) == nil
+}
+
 func (d *Sidecar) connectStore() (*platform.Gate, error) {
 	client, err := platform.NewClient(platform.ClientConfig{
 		Endpoints: []string{d.settings.Platform}, Timeout: storeTimeout, DialTimeout: storeDialTimeout,
--- a/internal/traffic/inbound.go
+++ b/internal/traffic/inbound.go
@@ -8,7 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"sniperail.example/sniperail/internal/command/admission"
 	"sniperail.example/sniperail/internal/model"
 )
 
@@ -76,6 +75,9 @@
 	return in
 }
 
+// SetLearning enables or disables the learned concurrency limit of the target.
+func (in *Inbound) SetLearning(enabled bool) { in.queue.setLearning(enabled) }
+
 // Run reports outcomes, and a run of the target that is leaving, until ctx ends.
 func (in *Inbound) Run(ctx context.Context) {
 	ticker := time.NewTicker(flushInterval)
@@ -195,14 +197,6 @@
 	return refused
 }
 
-// admissionCall describes the call to the queue of the target.
-func (c *inboundCall) admissionCall() admission.Call {
-	return admission.Call{
-		Kind: string(c.dispatch.route), Priority: c.dispatch.priority,
-		Objective: c.started.Add(c.dispatch.objective), Deadline: c.deadline, MaxWait: c.dispatch.maxWait,
-	}
-}
-
 // checkTarget returns a refusal if the call is meant for another target or another run of it, or if the target takes no
 // calls.
 func (c *inboundCall) checkTarget() *refusal {
@@ -225,14 +219,15 @@
 // run takes a slot and executes the call.
 func (c *inboundCall) run(w http.ResponseWriter) {
 	queue := c.inbound.queue
-	refused := queue.acquire(c.request.Context(), c.deadline, c.admissionCall())
+	call := c.admissionCall()
+	refused := queue.acquire(c.request.Context(), c.deadline, call)
 	c.queueTime = time.Since(c.started)
 	c.inbound.options.Metrics.queue.record(context.WithoutCancel(c.request.Context()), c.dispatch.route, c.queueTime)
 	if refused != nil {
 		c.writeRefusal(w, refused)
 		return
 	}
-	slot := &prioritySlot{queue: queue, route: string(c.dispatch.route), start: time.Now()}
+	slot := &prioritySlot{queue: queue, call: call, start: time.Now()}
 	// A panic between here and the explicit release must not lose the slot.
 	defer slot.releaseUnmeasured()
 	c.execute(w, slot)
--- a/internal/traffic/priority_queue.go
+++ b/internal/traffic/priority_queue.go
@@ -41,6 +41,7 @@
 		if run := runOf(t); run != q.run {
 			q.run, q.warmAt = run, time.Time{}
 			q.queue.ResetRateLimit()
+			q.queue.ResetLearning()
 		}
 		var dequeued []admission.Dequeued
 		if !t.WarmAt.Equal(q.warmAt) || conditions.WarmupPerSecond != q.warmupPerSecond {
@@ -52,6 +53,14 @@
 	})
 }
 
+// setLearning enables or disables the learned concurrency limit. More slots are given out with the next call that ends or the
+// next setTarget.
+func (q *priorityQueue) setLearning(enabled bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.queue.SetLearning(enabled)
+}
+
 // acquire takes a slot, waiting for one if needed. The call has a slot if the result is nil.
 func (q *priorityQueue) acquire(ctx context.Context, deadline time.Time, call admission.Call) *refusal {
 	q.mu.Lock()
@@ -72,7 +81,19 @@
 		// A slot that was granted at the same moment is free again, and other calls may wait for the rate limit.
 		q.updateAndNotify(func(time.Time) []admission.Dequeued { return nil })
 	}
-	return priorityQueueRefusal(reason, q.rate().wait)
+	return priorityQueueRefusal(reason, q.retryAfter(call, reason))
+}
+
+// retryAfter returns the time after which the caller of a call that was refused while it waited should come back.
+func (q *priorityQueue) retryAfter(call admission.Call, reason admission.Reason) time.Duration {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := time.Now()
+	_, wait := q.queue.RateLimit(now)
+	if reason != admission.Deadline {
+		return wait
+	}
+	return q.queue.RetryAfter(now, call, wait)
 }
 
 // refuses returns the refusal that a call would get now, or nil.
@@ -179,9 +200,10 @@
 func (q *priorityQueue) load(route string) loadReport {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	execution, mean := q.queue.ReportedTimes(route)
 	return loadReport{
 		running: q.queue.Running(), queued: q.queue.Queued(), slots: q.queue.Slots(),
-		executionTime: q.queue.ExpectedExecutionTime(route), meanExecutionTime: q.queue.MeanExecutionTime(),
+		executionTime: execution, meanExecutionTime: mean,
 	}
 }
 
@@ -204,7 +226,7 @@
 // prioritySlot is an occupied slot. Only the first release has an effect.
 type prioritySlot struct {
 	queue *priorityQueue
-	route string
+	call  admission.Call
 	start time.Time
 	// maybeSent means that a byte of the call may have reached the target.
 	maybeSent bool
@@ -218,7 +240,10 @@
 	}
 	s.released = true
 	took := time.Since(s.start)
-	s.queue.updateAndNotify(func(now time.Time) []admission.Dequeued { return s.queue.queue.Release(now, s.route, took) })
+	s.queue.updateAndNotify(func(now time.Time) []admission.Dequeued {
+		s.queue.queue.RecordUse(now, s.call, took, true)
+		return s.queue.queue.Release(now, s.call.Kind, took)
+	})
 }
 
 // releaseUnmeasured frees the slot of a call that the target did not execute or that got no valid response; no execution
@@ -228,7 +253,16 @@
 		return
 	}
 	s.released = true
-	free := func() { s.queue.updateAndNotify(s.queue.queue.ReleaseUnmeasured) }
+	took := time.Duration(0)
+	if s.maybeSent {
+		took = time.Since(s.start)
+	}
+	free := func() {
+		s.queue.updateAndNotify(func(now time.Time) []admission.Dequeued {
+			s.queue.queue.RecordUse(now, s.call, took, false)
+			return s.queue.queue.ReleaseUnmeasured(now)
+		})
+	}
 	if s.maybeSent {
 		time.AfterFunc(abandonedSlotDelay, free)
 		return
--- a/internal/traffic/tenant.go
+++ b/internal/traffic/tenant.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"sniperail.example/sniperail/internal/command/admission"
 	"sniperail.example/sniperail/internal/model"
 	"sniperail.example/sniperail/internal/query/routing"
 )
@@ -44,6 +45,18 @@
 	return tenantHeader{model.TenantName(name), weight}, true
 }
 
+// admissionCall describes the call to the queue beside the target.
+func (c *inboundCall) admissionCall() admission.Call {
+	call := admission.Call{
+		Kind: string(c.dispatch.route), Priority: c.dispatch.priority,
+		Objective: c.started.Add(c.dispatch.objective), Deadline: c.deadline, MaxWait: c.dispatch.maxWait,
+	}
+	if tenant, ok := parseTenantHeader(c.request.Header); ok {
+		call.Tenant, call.Weight = string(tenant.name), tenant.weight
+	}
+	return call
+}
+
 // authenticate returns the tenant of a request, and removes the API key and the tenant that the caller names from its header: the
 // target must see neither. Nothing is removed while the configuration has no tenants. While the configuration is not confirmed, no
 // key is valid: it may have been revoked. Public routes are then served without a tenant.
