--- a/internal/command/catalog/announcement.go
+++ b/internal/command/catalog/announcement.go
@@ -237,8 +237,12 @@
 	changesOwners := (local.target.State == model.TargetReady) != (next.State == model.TargetReady)
 	local.target = next
 	if changesOwners {
+		c.setAnnounced(now, false) // until the platform has stored this state
 		c.updateOwners(next.Daemon)
 	}
+	if next.State == model.TargetGone {
+		c.quotas.unlisted = true
+	}
 	local.scheduleRecordShare(now)
 	c.dirty = true
 	return true
@@ -323,7 +327,7 @@
 			case store.NotFound:
 				c.log("lease-ended", "lease", strconv.FormatInt(int64(local.lease), 10))
 				local.lease, local.storedSequence = 0, 0
-				c.setAnnounced(false)
+				c.recordLeaseEnd(now)
 			default:
 				c.handleAnnounceFailure(now, "renewal", r)
 			}
@@ -356,7 +360,12 @@
 	}
 	local.callPending = true
 	c.callStore(store.Call{Kind: store.KindTxn, Priority: store.PriorityLease, Reason: "announce", Txn: txn},
-		func(now time.Time, r store.Result) { c.handleTargetWrite(now, key, sequence, txn, r) })
+		func(now time.Time, r store.Result) {
+			c.handleTargetWrite(now, key, sequence, txn, r)
+			if r.Outcome == store.Applied {
+				c.setAnnounced(now, record.State == model.TargetReady && local.target.State == model.TargetReady)
+			}
+		})
 }
 
 func (c *Core) handleTargetWrite(now time.Time, key string, sequence uint64, txn store.Txn, r store.Result) {
@@ -365,7 +374,6 @@
 	switch r.Outcome {
 	case store.Applied:
 		local.storedSequence, local.failures = sequence, 0
-		c.setAnnounced(true)
 		c.mergeEntry(now, &c.meshKeys,
 			store.Entry{Key: key, Value: txn.Puts[0].Value, ModRevision: r.Revision, Lease: local.lease}, true)
 		local.retryAt = time.Time{}
@@ -378,7 +386,7 @@
 		local.retryAt = time.Time{}
 	case store.NotFound:
 		local.lease, local.storedSequence = 0, 0
-		c.setAnnounced(false)
+		c.recordLeaseEnd(now)
 	default:
 		c.handleAnnounceFailure(now, "write", r)
 	}
--- a/internal/command/catalog/catalog.go
+++ b/internal/command/catalog/catalog.go
@@ -157,7 +157,7 @@
 		local:             localTarget{target: cfg.Target},
 		outcomes:          localOutcomes{sums: map[model.OutcomeKey]*model.OutcomeSum{}},
 		sharedRecords:     map[model.DaemonID]sharedRecord{},
-		quotas:            quotas{tenants: map[model.TenantName]*tenantOwner{}},
+		quotas:            quotas{tenants: map[model.TenantName]*tenantOwner{}, unlisted: !cfg.FirstStart},
 		borrower:          quota.BorrowerID(cfg.Target.Daemon),
 		dirty:             true,
 	}
--- a/internal/command/catalog/earlier_record.go
+++ b/internal/command/catalog/earlier_record.go
@@ -134,7 +134,10 @@
 		return
 	}
 	if stored != nil && stored.Incarnation != local.target.Incarnation {
-		local.restarted = true
+		if !local.restarted {
+			local.restarted = true
+			c.quotas.unlisted = stored.State == model.TargetGone
+		}
 		if stored.Incarnation > local.target.Incarnation {
 			// The clock was set back since the earlier process started. Peers would take its records for later ones.
 			local.target.Incarnation = stored.Incarnation + 1
--- a/internal/command/catalog/quota.go
+++ b/internal/command/catalog/quota.go
@@ -17,8 +17,12 @@
 	tenants map[model.TenantName]*tenantOwner
 	// changedAt is the uptime since when the owners of all other tenants are unchanged.
 	changedAt time.Duration
-	// announced says that the platform has stored this daemon's target, so that others may count it among the owners.
+	// announced says that the platform has stored that this daemon's target is ready, so that others may count it among the owners.
 	announced bool
+	// unlisted says that others may not have this daemon in their rosters: they count it among the owners only ownershipDelay after
+	// they learn of it. ownsAt is the end of that delay; zero if there is none.
+	unlisted bool
+	ownsAt   time.Time
 	// leaseUntil is the uptime until which this daemon's lease on the platform cannot have expired.
 	leaseUntil time.Duration
 	// leaseTTL is the lifetime with which the lease was granted.
@@ -56,7 +60,7 @@
 }
 
 // ownershipDelay is the time from the announcement of a daemon until it owns tenants: it must have settled before it can grant tokens.
-// Until then the owner before it goes on.
+// Until then the owner before it goes on. The daemon itself waits as long, so that the two do not grant the same tokens.
 const ownershipDelay = maxSettleDelay
 
 func (c *Core) uptime() time.Duration {
@@ -128,6 +132,10 @@
 		joining = joining[1:]
 	}
 	c.quotas.joining = joining
+	if !c.quotas.ownsAt.IsZero() && !now.Before(c.quotas.ownsAt) {
+		c.quotas.ownsAt = time.Time{}
+		c.updateOwners(c.cfg.Target.Daemon)
+	}
 }
 
 // handleQuotaRequest answers a request for tokens of another daemon.
@@ -245,18 +253,25 @@
 
 // ownsTenants reports whether others may count this daemon among the owners.
 func (c *Core) ownsTenants() bool {
-	return c.quotas.announced && c.settled && c.local.target.State == model.TargetReady
+	return c.quotas.announced && c.quotas.ownsAt.IsZero() && c.settled && c.local.target.State == model.TargetReady
 }
 
-// setAnnounced records whether the platform holds the announcement of this daemon.
-func (c *Core) setAnnounced(announced bool) {
-	if !announced {
-		c.quotas.leaseUntil = 0
+// setAnnounced records whether the platform holds the announcement that this daemon's target is ready.
+func (c *Core) setAnnounced(now time.Time, announced bool) {
+	if c.quotas.announced == announced {
+		return
 	}
-	if c.quotas.announced != announced {
-		c.quotas.announced = announced
-		c.updateOwners(c.cfg.Target.Daemon)
+	if announced && c.quotas.unlisted {
+		c.quotas.unlisted, c.quotas.ownsAt = false, now.Add(ownershipDelay)
 	}
+	c.quotas.announced = announced
+	c.updateOwners(c.cfg.Target.Daemon)
+}
+
+// recordLeaseEnd records that the platform has removed the announcement, after which others may remove this daemon from their rosters.
+func (c *Core) recordLeaseEnd(now time.Time) {
+	c.quotas.leaseUntil, c.quotas.unlisted = 0, true
+	c.setAnnounced(now, false)
 }
 
 // updateOwners updates the owners of tenants after a change of a daemon. It must be called after each change that may concern
@@ -330,7 +345,7 @@
 }
 
 func (q *quotas) nextWake() time.Time {
-	next := q.checkAt
+	next := earliest(q.checkAt, q.ownsAt)
 	if len(q.joining) > 0 {
 		next = earliest(next, q.joining[0].at)
 	}
--- a/internal/command/catalog/quota_test.go
+++ b/internal/command/catalog/quota_test.go
@@ -151,3 +151,45 @@
 	sim.handle(joining, effect.RequestReceived{Token: 1 << 40, Body: &message.QuotaRequest{Tenant: "t", Sequence: 1, Waiting: 1}})
 	is.Equal(joining.replies[1<<40].(*message.QuotaReply).Code, message.Accepted) // the daemon owns the tenant by now
 }
+
+// Guards against two owners that grant the same tokens: a daemon that has settled long before its target is ready, or that the others
+// have removed while its target was gone, must not grant before the others count it among the owners.
+func TestDaemonGrantsOnlyOnceOthersCountItAsOwner(t *testing.T) {
+	for _, returns := range []bool{false, true} {
+		is := is.New(t)
+		sim := newSimulation(t, 6)
+		old := startTenant(sim)
+		name, joining := "", old
+		for i := 0; name == ""; i++ {
+			next := fmt.Sprintf("new%d", i)
+			if quota.Weight("t", model.DaemonID(next)) > quota.Weight("t", sim.nodes[old].view.Local.Daemon) {
+				name = next
+			}
+		}
+		if returns {
+			gone := model.TargetReport{Instance: model.InstanceID(fmt.Sprint("i", old)), Born: 1, Seq: 2, State: model.TargetGone}
+			sim.report(sim.nodes[old], gone)
+			old = ownerAmong(sim, func(n *node) bool { return n != sim.nodes[joining] })
+		} else {
+			sim.start(name, nil)
+			joining = len(sim.nodes) - 1
+		}
+		sim.run(8 * time.Second)
+		sim.report(sim.nodes[joining], model.TargetReport{Instance: "next", Born: 2, Seq: 1, Version: "v1", State: model.TargetReady})
+		granted := 0
+		for range 35 { // of 140 ms each: less than the window
+			sim.run(100 * time.Millisecond)
+			for _, i := range []int{old, joining} {
+				_, token := askQuota(sim, sim.nodes[i], 40)
+				sim.run(2 * time.Millisecond)
+				if reply := sim.nodes[i].quotas[token].Reply; reply != nil {
+					granted += reply.Granted
+				}
+			}
+		}
+		is.True(granted <= 680) // (100 * 5 + 100) * 1.1 + 20
+		sim.run(2 * time.Second)
+		answer, _ := askQuota(sim, sim.nodes[joining], 1)
+		is.True(answer.Reply != nil) // the daemon owns the tenant by now
+	}
+}
