--- a/internal/command/catalog/quota.go
+++ b/internal/command/catalog/quota.go
@@ -53,7 +53,7 @@
 	answered bool
 }
 
-// joiningDaemon is a daemon that became known after this one had settled.
+// joiningDaemon is a daemon that owns no tenants before a time; zero until it is computed.
 type joiningDaemon struct {
 	daemon model.DaemonID
 	at     time.Time
@@ -119,25 +119,40 @@
 // admitOwners lets daemons that have joined own tenants once they are expected to have settled.
 func (c *Core) admitOwners(now time.Time) {
 	joining := c.quotas.joining
-	for i := range joining {
-		if joining[i].at.IsZero() {
-			joining[i].at = now.Add(ownershipDelay)
+	c.quotas.joining = joining[:0]
+	for _, j := range joining {
+		if j.at.IsZero() {
+			j.at = c.ownsTenantsAt(now, j.daemon)
 		}
-	}
-	for len(joining) > 0 && !now.Before(joining[0].at) {
-		if m := c.roster[joining[0].daemon]; m != nil && m.joining {
+		if now.Before(j.at) {
+			c.quotas.joining = append(c.quotas.joining, j)
+			continue
+		}
+		if m := c.roster[j.daemon]; m != nil {
 			m.joining = false
-			c.updateOwners(joining[0].daemon)
 		}
-		joining = joining[1:]
+		c.updateOwners(j.daemon)
 	}
-	c.quotas.joining = joining
 	if !c.quotas.ownsAt.IsZero() && !now.Before(c.quotas.ownsAt) {
 		c.quotas.ownsAt = time.Time{}
 		c.updateOwners(c.cfg.Target.Daemon)
 	}
 }
 
+// ownsTenantsAt returns when a daemon that has just become known owns tenants. A daemon that starts judges the others by the time of
+// day at which their targets started, since a daemon that restarts beside a running target keeps its tenants. Where clocks differ it
+// may ask a daemon that does not grant yet, or not any more.
+func (c *Core) ownsTenantsAt(now time.Time, daemon model.DaemonID) time.Time {
+	m := c.roster[daemon]
+	if m == nil || c.settled {
+		return now.Add(ownershipDelay)
+	}
+	if started := time.UnixMilli(m.target.Born); started.Before(now) {
+		return started.Add(ownershipDelay)
+	}
+	return now
+}
+
 // handleQuotaRequest answers a request for tokens of another daemon.
 func (c *Core) handleQuotaRequest(now time.Time, q *message.QuotaRequest) *message.QuotaReply {
 	owner, limit := c.ownerOf(q.Tenant)
@@ -229,14 +244,27 @@
 		}
 	}
 	self := c.cfg.Target.Daemon
-	if c.ownsTenants() || owner.daemon == "" {
+	if c.ownsTenants() {
 		owner.offer(self, quota.Weight(name, self))
 	}
+	if owner.daemon == "" {
+		c.offerAll(name, owner)
+	}
 	if owner.daemon == self && before != "" && before != self {
 		owner.bucket = quota.NewBucket(c.uptime())
 	}
 }
 
+// offerAll selects the owner where all daemons have just started.
+func (c *Core) offerAll(name model.TenantName, owner *tenantOwner) {
+	owner.offer(c.cfg.Target.Daemon, quota.Weight(name, c.cfg.Target.Daemon))
+	for daemon, m := range c.roster {
+		if !m.unconfirmed && m.target.State == model.TargetReady {
+			owner.offer(daemon, quota.Weight(name, daemon))
+		}
+	}
+}
+
 // offer makes a daemon the owner if its weight is the highest, and reports whether it did.
 func (t *tenantOwner) offer(daemon model.DaemonID, weight uint64) bool {
 	if t.daemon != "" && (weight < t.weight || weight == t.weight && daemon <= t.daemon) {
@@ -346,8 +374,8 @@
 
 func (q *quotas) nextWake() time.Time {
 	next := earliest(q.checkAt, q.ownsAt)
-	if len(q.joining) > 0 {
-		next = earliest(next, q.joining[0].at)
+	for _, j := range q.joining {
+		next = earliest(next, j.at)
 	}
 	for _, asked := range q.asked {
 		if !asked.answered {
--- a/internal/command/catalog/roster.go
+++ b/internal/command/catalog/roster.go
@@ -135,7 +135,7 @@
 			"version", string(target.Version), "state", string(target.State),
 			"sequence", strconv.FormatUint(target.Sequence, 10), "source", source)
 	}
-	if m.target.Daemon == "" && c.settled {
+	if m.target.Daemon == "" {
 		m.joining = true
 		c.quotas.joining = append(c.quotas.joining, joiningDaemon{daemon: target.Daemon})
 	}
