--- a/internal/sidecar/export_test.go
+++ b/internal/sidecar/export_test.go
@@ -14,9 +14,10 @@
 // CountReadyTargets exports countReadyTargets to tests.
 var CountReadyTargets = countReadyTargets
 
-// CheckHealth checks the health of the target at an address as a daemon does.
+// CheckHealth checks the health of the target at an address as a daemon does. The target names its run in X-Instance.
 func CheckHealth(ctx context.Context, target string) model.InstanceID {
 	d := &Sidecar{settings: settings.Sidecar{Target: target}, logger: zap.NewNop()}
+	d.adapter.Headers.InstanceID = "X-Instance"
 	return d.checkTargetHealth(ctx, "/health").Instance
 }
 
--- a/internal/sidecar/health_test.go
+++ b/internal/sidecar/health_test.go
@@ -41,6 +41,15 @@
 	<-ended
 }
 
+// Guards against a status line that is no status and is taken for the answer of a healthy target.
+func TestHealthChecksNeedStatus200(t *testing.T) {
+	is := is.New(t)
+	for code, run := range map[string]model.InstanceID{"200": "i", "000": "", "007": "", "099": "", "600": "", "999": "", "2000": "", "20": ""} {
+		target := startEndlessTarget(t, "HTTP/1.1 "+code+" Odd\r\nX-Instance: i\r\nContent-Length: 9\r\n\r\n", "whole")
+		is.Equal(sidecar.CheckHealth(t.Context(), target.address), run)
+	}
+}
+
 // endlessTarget is a listener that writes an endless response on each connection.
 type endlessTarget struct {
 	address string
--- a/internal/traffic/admission_call.go
+++ b/internal/traffic/admission_call.go
@@ -207,6 +207,8 @@
 	switch {
 	case maybeSent && deadlinePassed:
 		return inDoubt(http.StatusGatewayTimeout, reasonDeadline, "the target did not answer before the deadline")
+	case errors.Is(err, errInvalidResponse):
+		return inDoubt(http.StatusBadGateway, reasonResponseInvalid, err.Error())
 	case maybeSent:
 		return inDoubt(http.StatusBadGateway, reasonConnectionLost, "the connection to the target broke")
 	case deadlinePassed:
--- a/internal/traffic/chain_test.go
+++ b/internal/traffic/chain_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"sniperail.example/sniperail/internal/command/retry"
 	"sniperail.example/sniperail/internal/model"
@@ -136,6 +137,8 @@
 	inbounds []*traffic.Inbound
 	table    *routing.Table
 	metrics  *telemetry.Metrics
+	// logs holds the lines of the request log.
+	logs *observer.ObservedLogs
 	// deadline is the deadline that calls set.
 	deadline time.Duration
 	// confirmed reports whether the configuration is confirmed; nil if it always is.
@@ -169,8 +172,9 @@
 		t.Fatal(err)
 	}
 	m.FractionalRetryAfter = true
-	log := traffic.RequestLog{Logger: zap.NewNop(), RequestID: headerNames.RequestID}
-	c := &chain{metrics: metrics, deadline: 10 * time.Second}
+	core, logs := observer.New(zap.InfoLevel)
+	log := traffic.RequestLog{Logger: zap.New(core), RequestID: headerNames.RequestID}
+	c := &chain{metrics: metrics, logs: logs, deadline: 10 * time.Second}
 	view := &model.View{Ready: true, DataCentre: "d", Configuration: &model.Configuration{
 		Services: []model.Service{{Name: "s", Versions: []model.VersionShare{{Version: "v1", Share: model.FullShare}}}},
 		Routes: []model.Route{
--- a/internal/traffic/export_test.go
+++ b/internal/traffic/export_test.go
@@ -1,6 +1,7 @@
 package traffic
 
 import (
+	"context"
 	"net"
 	"net/http/httptrace"
 	"sync"
@@ -70,3 +71,14 @@
 
 // SetUnsizedLimit sets the bytes of responses without a length that are held at the same time.
 func (in *Inbound) SetUnsizedLimit(limit int64) { in.unsized.limit.Store(limit) }
+
+// ProbeHealth reports whether a target at an address is healthy for a probe.
+func ProbeHealth(ctx context.Context, address string) bool {
+	_, healthy := NewProbe(ProbeOptions{Address: address, HealthPath: "/health"}).probe(ctx, true)
+	return healthy
+}
+
+// CollectOutcomes returns the outcomes that have not been reported yet.
+func (in *Inbound) CollectOutcomes(ctx context.Context) []model.KeyedSum {
+	return in.recorder.collect(ctx)
+}
--- a/internal/traffic/inbound.go
+++ b/internal/traffic/inbound.go
@@ -335,19 +335,6 @@
 	return e, nil
 }
 
-// targetRefusal returns a refusal if the response says that the target did not execute the call, or nil.
-func (c *inboundCall) targetRefusal(response *http.Response) *refusal {
-	names := c.inbound.options.Headers
-	if response.StatusCode == http.StatusMisdirectedRequest {
-		return notExecuted(http.StatusServiceUnavailable, reasonWrongTarget, "another run of the target is here")
-	}
-	if names.NotExecuted == "" || response.Header.Get(names.NotExecuted) == "" {
-		return nil
-	}
-	return notExecuted(http.StatusServiceUnavailable, reasonTargetShed,
-		"the target did not take the call, status "+strconv.Itoa(response.StatusCode))
-}
-
 func (c *inboundCall) outgoing() *outgoingRequest {
 	names := c.inbound.options.Headers
 	headers := []string{
--- a/internal/traffic/inbound_refusal.go
+++ b/internal/traffic/inbound_refusal.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -24,6 +25,8 @@
 		return c.unsentCallerGoneRefusal()
 	case maybeSent && deadlinePassed:
 		return inDoubt(http.StatusGatewayTimeout, reasonDeadline, "the target did not answer before the deadline")
+	case errors.Is(err, errInvalidResponse):
+		return inDoubt(http.StatusBadGateway, reasonResponseInvalid, err.Error())
 	case maybeSent:
 		return inDoubt(http.StatusBadGateway, reasonConnectionLost, "the connection to the target broke or its response is malformed")
 	case deadlinePassed:
@@ -34,6 +37,19 @@
 	return notExecuted(http.StatusServiceUnavailable, reasonTargetUnreachable, "the target does not accept connections")
 }
 
+// targetRefusal returns a refusal if the response says that the target did not execute the call, or nil.
+func (c *inboundCall) targetRefusal(response *http.Response) *refusal {
+	names := c.inbound.options.Headers
+	if response.StatusCode == http.StatusMisdirectedRequest {
+		return notExecuted(http.StatusServiceUnavailable, reasonWrongTarget, "another run of the target is here")
+	}
+	if names.NotExecuted == "" || response.Header.Get(names.NotExecuted) == "" {
+		return nil
+	}
+	return notExecuted(http.StatusServiceUnavailable, reasonTargetShed,
+		"the target did not take the call, status "+strconv.Itoa(response.StatusCode))
+}
+
 func (c *inboundCall) unsentCallerGoneRefusal() *refusal {
 	return notExecuted(http.StatusServiceUnavailable, reasonCallerGone, "the caller left before the call was sent")
 }
--- a/internal/traffic/ingress_call.go
+++ b/internal/traffic/ingress_call.go
@@ -260,6 +260,10 @@
 		return inDoubt(http.StatusGatewayTimeout, reasonDeadline, "the deadline of the call passed before the response")
 	case deadlinePassed:
 		return notExecuted(http.StatusGatewayTimeout, reasonDeadline, "the deadline of the call passed before it was sent")
+	case errors.Is(err, errInvalidResponse):
+		c.recordOutcome(result, true)
+		c.recordTargetFailure(result, false, "failed")
+		return inDoubt(http.StatusBadGateway, reasonResponseInvalid, err.Error())
 	case maybeSent:
 		c.recordOutcome(result, true)
 		c.recordTargetFailure(result, false, "connection")
--- a/internal/traffic/outbound_refusal.go
+++ b/internal/traffic/outbound_refusal.go
@@ -55,6 +55,8 @@
 		return inDoubt(http.StatusGatewayTimeout, reasonDeadline, "the deadline passed before the response")
 	case deadlinePassed:
 		return notExecuted(http.StatusServiceUnavailable, reasonDeadline, "the deadline passed before the request was sent")
+	case errors.Is(err, errInvalidResponse):
+		return inDoubt(http.StatusBadGateway, reasonResponseInvalid, err.Error())
 	case maybeSent:
 		return inDoubt(http.StatusBadGateway, reasonConnectionLost, "the connection to "+daemon+" broke")
 	}
--- a/internal/traffic/outbound_request.go
+++ b/internal/traffic/outbound_request.go
@@ -344,6 +344,9 @@
 		// A broken connection to the daemon is conclusive: the daemon is gone. An invalid response of the target says
 		// little about the next one, and the daemon reports the fraction of failed calls.
 		eject = a.peer.recordFailure(a.response == nil)
+	case reasonResponseInvalid:
+		// Daemons of the release before forward the head of a target that has no valid status.
+		eject = a.peer.recordFailure(false)
 	}
 	if eject {
 		a.peer.eject(now)
--- a/internal/traffic/probe.go
+++ b/internal/traffic/probe.go
@@ -94,5 +94,5 @@
 		return true, false
 	}
 	_ = response.Body.Close()
-	return true, response.StatusCode < http.StatusMultipleChoices
+	return true, isSuccess(response.StatusCode)
 }
--- a/internal/traffic/refusal.go
+++ b/internal/traffic/refusal.go
@@ -25,6 +25,7 @@
 	reasonTargetLost         = "target-lost"
 	reasonTargetStalled      = "target-stalled"
 	reasonResponseMismatch   = "response-mismatch"
+	reasonResponseInvalid    = "response-invalid"
 	reasonResponseUnframed   = "response-unframed"
 	reasonWrongTarget        = "wrong-target"
 	reasonWithheld           = "version-withheld"
--- a/internal/traffic/transport.go
+++ b/internal/traffic/transport.go
@@ -33,7 +33,6 @@
 var (
 	// errNoConnectionLeft is returned by a dial that would exceed the target's connections.
 	errNoConnectionLeft = errors.New("the target has no connection left")
-	errProtocolSwitch   = errors.New("the response switches protocols")
 	errTargetStalled    = errors.New("the target stopped answering")
 	errTargetLost       = errors.New("the target is silent, gone or replaced")
 	errStopping         = errors.New("the daemon stops")
@@ -108,10 +107,11 @@
 	closeOnce sync.Once
 	// ended is closed once the connection is closed, after it has lingered.
 	ended chan struct{}
-	// mu guards readPending, which means that a read waits for the other end, and closeCalled.
-	mu                       sync.Mutex
-	changed                  *sync.Cond
-	readPending, closeCalled bool
+	// mu guards readPending, which means that a read waits for the other end, closeCalled, and unchecked, which means that the head
+	// of the response to the present exchange has not been checked.
+	mu                                  sync.Mutex
+	changed                             *sync.Cond
+	readPending, closeCalled, unchecked bool
 }
 
 func newTrackedConn(conn net.Conn, limit connectionLimit, lingers bool) *trackedConn {
@@ -149,16 +149,20 @@
 // awaitReader waits until the reader of http.Transport either waits for new bytes, in which case the connection can be used
 // for the next exchange, or has closed the connection because bytes were left after the last response. It returns false
 // if the connection was closed. http.Transport offers a connection for the next exchange before its reader has checked for
-// such bytes, and would treat them as the response to it.
+// such bytes, and would treat them as the response to it. It also offers the connection before the
+// head of that response has been checked, which awaitReader waits for.
 func (c *trackedConn) awaitReader() (open bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for !c.readPending && !c.closeCalled {
+	for (!c.readPending || c.unchecked) && !c.closeCalled {
 		c.changed.Wait()
 	}
 	return !c.closeCalled
 }
 
+// endCheck allows the next exchange on the connection. It must follow each exchange that has got the connection.
+func (c *trackedConn) endCheck() { c.setFlag(&c.unchecked, false) }
+
 // blockWrites makes later writes fail and returns the number of earlier ones.
 func (c *trackedConn) blockWrites() int64 {
 	c.closed.Store(true)
@@ -261,6 +265,9 @@
 			break
 		}
 		e.maybeSent = e.conn != nil && e.conn.blockWrites() > e.writesBefore && !e.unusable
+		if e.conn != nil {
+			e.conn.endCheck()
+		}
 		// A pooled connection that the other end had closed does not mean that a new one would fail; try again.
 		if !e.maybeSent && e.reused && tries < maxStaleConns && ctx.Err() == nil && o.body.replayable() {
 			continue
@@ -269,11 +276,7 @@
 		e.deregister()
 		return e, e.failureCause(err)
 	}
-	if e.response.StatusCode == http.StatusSwitchingProtocols {
-		e.finish(false)
-		return e, errProtocolSwitch
-	}
-	return e, nil
+	return e, e.checkHead(o.request.Method)
 }
 
 // gotConn records the connection of the exchange. It is called on the goroutine of RoundTrip.
@@ -284,6 +287,7 @@
 	}
 	// Writes to a closed connection fail, so the request is not sent.
 	e.unusable = info.Reused && !conn.awaitReader()
+	conn.setFlag(&conn.unchecked, true)
 	e.conn, e.reused, e.writesBefore = conn, info.Reused, conn.writes.Load()
 	conn.current.Store(e)
 }
--- a/internal/traffic/unread_body_test.go
+++ b/internal/traffic/unread_body_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"log"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -92,11 +93,23 @@
 	return response.StatusCode, true
 }
 
-// serveStandard serves a handler on the server that daemons use between each other, and returns its address.
+// panicDetector fails a test when http.Server reports the panic of a handler.
+type panicDetector struct{ t *testing.T }
+
+func (d panicDetector) Write(p []byte) (int, error) {
+	if strings.Contains(string(p), "panic serving") {
+		d.t.Errorf("a handler panicked: %.200s", p)
+	}
+	return len(p), nil
+}
+
+// serveStandard serves a handler on the server that daemons use between each other, and returns its address. The test fails if the
+// handler panics, except with http.ErrAbortHandler.
 func serveStandard(t *testing.T, handler http.Handler) string {
 	t.Helper()
 	server := httptest.NewUnstartedServer(nil)
 	server.Config = traffic.NewServer(handler, traffic.DefaultLimits())
+	server.Config.ErrorLog = log.New(panicDetector{t}, "", 0)
 	server.Start()
 	t.Cleanup(server.Close)
 	return server.Listener.Addr().String()
