--- a/internal/traffic/inbound.go
+++ b/internal/traffic/inbound.go
@@ -265,7 +265,7 @@
 		return
 	}
 	c.writeHeader(w, response)
-	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	setLength(w.Header(), c.request.Method, body)
 	w.WriteHeader(response.StatusCode)
 	_, _ = w.Write(body) // fails only if the calling daemon has disconnected
 }
--- a/internal/traffic/outbound_request.go
+++ b/internal/traffic/outbound_request.go
@@ -359,7 +359,7 @@
 	copyHeader(w.Header(), a.response.Header, internalResponseHeaders)
 	r.outbound.options.Log.Answered(r, a)
 	if a.exchange == nil {
-		w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+		setLength(w.Header(), r.request.Method, a.body)
 		w.WriteHeader(a.response.StatusCode)
 		_, _ = w.Write(a.body) // fails only if the caller has disconnected
 		return
--- a/internal/traffic/pipelined_response.go
+++ b/internal/traffic/pipelined_response.go
@@ -263,7 +263,7 @@
 		r.mu.Unlock()
 		return false
 	}
-	if r.finished && r.length < 0 {
+	if r.finished && r.length < 0 && !r.hasNoBody() {
 		r.length = int64(len(r.buffered))
 	}
 	closes := r.conn.decideClosing(r.mustClose())
--- a/internal/traffic/pipelined_write.go
+++ b/internal/traffic/pipelined_write.go
@@ -32,11 +32,12 @@
 		r.header.Del("Connection")
 	}
 	switch {
-	case r.status == http.StatusNoContent:
+	case r.status == http.StatusNoContent || r.status == http.StatusNotModified:
+		// A length of a 304 would be that of the response to a GET without conditions, which is not known here.
 		r.header.Del("Content-Length")
 	case r.length >= 0:
 		r.header.Set("Content-Length", strconv.FormatInt(r.length, 10))
-	case !r.endsWithConnection():
+	case !r.endsWithConnection() && !r.hasNoBody():
 		r.header.Set("Transfer-Encoding", "chunked")
 	}
 	if r.header.Get("Date") == "" {
--- a/internal/traffic/response_head.go
+++ b/internal/traffic/response_head.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -55,3 +56,11 @@
 	e.conn.endCheck()
 	return errors.Wrapf(errInvalidResponse, "status %03d", e.response.StatusCode)
 }
+
+// setLength sets the length of a response whose whole body is known. The header of a response to HEAD keeps the length that the target
+// has named, which is that of a response to GET.
+func setLength(h http.Header, method string, body []byte) {
+	if method != http.MethodHead {
+		h.Set("Content-Length", strconv.Itoa(len(body)))
+	}
+}
