--- a/internal/traffic/inbound.go
+++ b/internal/traffic/inbound.go
@@ -140,6 +140,7 @@
 
 // ServeHTTP handles one call from another daemon.
 func (in *Inbound) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	defer in.options.Log.recoverPanic(r)
 	now := time.Now()
 	d, ok := parseDispatchHeader(r.Header)
 	if !ok {
--- a/internal/traffic/odd_head_test.go
+++ b/internal/traffic/odd_head_test.go
@@ -1,11 +1,14 @@
 package traffic_test
 
 import (
+	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 
 	"github.com/matryer/is"
+	"go.uber.org/zap"
 
 	"sniperail.example/sniperail/internal/traffic"
 )
@@ -85,3 +88,34 @@
 		})
 	}
 }
+
+// panickingWriter is the response of a server that refuses each status.
+type panickingWriter struct{ http.ResponseWriter }
+
+func (panickingWriter) WriteHeader(status int) { panic(status) }
+
+// Guards against a panic beside the target that leaves no line with the request, or that ends in anything but a closed connection.
+func TestPanicBesideTargetIsLogged(t *testing.T) {
+	is := is.New(t)
+	ch := startChain(t, startScriptedTarget(t, func(int, *http.Request) string { return okResponse }))
+	r := httptest.NewRequestWithContext(t.Context(), "POST", "/once/x", nil)
+	r.Header.Set("X-Id", "req-2")
+	func() {
+		defer func() { is.Equal(recover(), http.ErrAbortHandler) }()
+		ch.inbounds[0].ServeHTTP(panickingWriter{httptest.NewRecorder()}, r)
+	}()
+	is.Equal(ch.logs.FilterMessage("handler-panicked").FilterField(zap.String("request", "req-2")).Len(), 1)
+}
+
+// Guards against a status that no response has and that the callers' server sends as it is, or as 200 if it is 0.
+func TestInvalidStatusOfHandlerIsNotSent(t *testing.T) {
+	is := is.New(t)
+	for _, status := range []int{0, 7, 99, 100, 600, 999} {
+		_, address := servePipelined(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) }),
+			func(conn net.Conn) net.Conn { return conn })
+		response, err := http.Get("http://" + address)
+		is.NoErr(err)
+		is.NoErr(response.Body.Close())
+		is.Equal(response.StatusCode, http.StatusBadGateway)
+	}
+}
--- a/internal/traffic/pipelined_response.go
+++ b/internal/traffic/pipelined_response.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 )
 
@@ -53,8 +54,12 @@
 // Header returns the header that WriteHeader sends.
 func (r *pipelinedResponse) Header() http.Header { return r.header }
 
-// WriteHeader sets the status, once, and reads the declared length from the header.
+// WriteHeader sets the status, once, and reads the declared length from the header. Like http.Server it panics for a
+// status that no response has; 0 would be sent as 200.
 func (r *pipelinedResponse) WriteHeader(status int) {
+	if !isFinalStatus(status) {
+		panic(errors.Errorf("%d is not the status of a final response", status))
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.setStatus(status)
--- a/internal/traffic/request_log.go
+++ b/internal/traffic/request_log.go
@@ -117,6 +117,19 @@
 	l.Logger.Warn("request-cut", l.id(r), zap.String("hop", hop), zap.String("method", r.Method), milliseconds("age_ms", age))
 }
 
+// recoverPanic logs the panic of the handler of a request, and aborts the response. It must be deferred. http.Server would report the
+// panic without the request, on a log of its own that daemons keep at the debug level.
+func (l RequestLog) recoverPanic(r *http.Request) {
+	fault := recover()
+	if fault == nil {
+		return
+	}
+	if fault != http.ErrAbortHandler {
+		l.Logger.Error("handler-panicked", l.id(r), zap.String("path", r.URL.Path), zap.Any("fault", fault), zap.StackSkip("stack", 1))
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // CallerGone logs a request whose caller disconnected before the response.
 func (l RequestLog) CallerGone(r *outboundRequest, a *attempt) {
 	l.Logger.Info("caller-gone", l.id(r.request), zap.String("route", string(r.route.Name)),
