--- a/internal/traffic/inbound.go
+++ b/internal/traffic/inbound.go
@@ -140,6 +140,7 @@
 
 // ServeHTTP handles one call from another daemon.
 func (in *Inbound) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	defer in.options.Log.recoverPanic(r)
 	now := time.Now()
 	d, ok := parseDispatchHeader(r.Header)
 	if !ok {
@@ -265,7 +266,7 @@
 		return
 	}
 	c.writeHeader(w, response)
-	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	setLength(w.Header(), c.request.Method, body)
 	w.WriteHeader(response.StatusCode)
 	_, _ = w.Write(body) // fails only if the calling daemon has disconnected
 }
@@ -335,19 +336,6 @@
 	return e, nil
 }
 
-// targetRefusal returns a refusal if the response says that the target did not execute the call, or nil.
-func (c *inboundCall) targetRefusal(response *http.Response) *refusal {
-	names := c.inbound.options.Headers
-	if response.StatusCode == http.StatusMisdirectedRequest {
-		return notExecuted(http.StatusServiceUnavailable, reasonWrongTarget, "another run of the target is here")
-	}
-	if names.NotExecuted == "" || response.Header.Get(names.NotExecuted) == "" {
-		return nil
-	}
-	return notExecuted(http.StatusServiceUnavailable, reasonTargetShed,
-		"the target did not take the call, status "+strconv.Itoa(response.StatusCode))
-}
-
 func (c *inboundCall) outgoing() *outgoingRequest {
 	names := c.inbound.options.Headers
 	headers := []string{
