--- a/internal/query/routing/expected_loss.go
+++ b/internal/query/routing/expected_loss.go
@@ -166,6 +166,13 @@
 		}
 		candidates = v.appendTier(candidates, tier, loads, random, s.Tried)
 	}
+	v.estimate(candidates)
+	v.passCold(candidates, random)
+	return candidates
+}
+
+// estimate sets the expected wait and execution time at each candidate.
+func (v *Version) estimate(candidates []candidate) {
 	fastest := time.Duration(0)
 	for i := range candidates {
 		if load := &candidates[i].load; load.ExecutionTime > 0 && (fastest == 0 || load.ExecutionTime < fastest) {
@@ -190,8 +197,6 @@
 		}
 		c.wait = c.load.expectedWait()
 	}
-	v.passCold(candidates, random)
-	return candidates
 }
 
 // reportDecay is the age at which a reported execution time has about a third of its weight left (1/e). It exceeds the time
