--- a/internal/sidecar/names_test.go
+++ b/internal/sidecar/names_test.go
@@ -90,6 +90,7 @@
 func TestDocumentedReasons(t *testing.T) {
 	reasons := findNames(t, []string{"../traffic/refusal.go"}, `reason[A-Z][A-Za-z]* *= "([a-z-]+)"`)
 	reasons = append(reasons, findNames(t, []string{"../command/admission/priority_queue.go"}, `Reason = "([a-z-]+)"`)...)
+	reasons = append(reasons, findNames(t, []string{"../api/queries/explain.go"}, `reason[A-Z][A-Za-z]* *= "([a-z-]+)"`)...)
 	reasons = append(reasons, "connections-exhausted", "deadline-too-short", "no-route", "no-target", "no-version")
 	// Reasons of routes that run a request at most once, which only sniperaild has.
 	reasons = slices.DeleteFunc(reasons, func(r string) bool {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -318,7 +318,7 @@
 	if d.settings.Metrics == "" {
 		return nil
 	}
-	return d.addServer("metrics", d.settings.Metrics, newAuxiliaryServer(d.metrics.Handler()))
+	return d.addServer("metrics", d.settings.Metrics, newAuxiliaryServer(d.metricsHandler()))
 }
 
 // auxiliaryHeaderTimeout bounds the reading of a request header on these listeners.
--- a/internal/traffic/export_test.go
+++ b/internal/traffic/export_test.go
@@ -70,3 +70,11 @@
 
 // SetUnsizedLimit sets the bytes of responses without a length that are held at the same time.
 func (in *Inbound) SetUnsizedLimit(limit int64) { in.unsized.limit.Store(limit) }
+
+// RotationAndCalls returns the rotation counter of a route and the counter of calls.
+func (o *Outbound) RotationAndCalls(route model.RouteName) (rotation, calls uint64) {
+	return o.rotations.get(route).Load(), o.calls.Load()
+}
+
+// KnownTargets returns how many targets have been taken over from a table.
+func (o *Outbound) KnownTargets() int { return len(*o.peers.known.Load()) }
