--- a/cmd/sniperail/main.go
+++ b/cmd/sniperail/main.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"strings"
 	"time"
 
 	"github.com/alecthomas/kong"
@@ -47,7 +48,8 @@
 	Watch  watch  `cmd:"" group:"query" help:"Follow a move to its end. Exits with 1 if it is withdrawn."`
 	Check  check  `cmd:"" group:"query" help:"Check files without a server."`
 
-	Explain explain `cmd:"" group:"query" help:"Show the way of a request from the logs of daemons."`
+	Explain      explain      `cmd:"" group:"query" help:"Show the way of a request from the logs of daemons."`
+	ExplainRoute explainRoute `cmd:"" group:"query" help:"Show where a request would go now. Sends nothing to a target."`
 }
 
 type (
@@ -87,6 +89,27 @@
 	Logs    []string `arg:"" optional:"" placeholder:"FILE" help:"Logs, one a daemon; without any, standard input."`
 }
 
+// explainRoute has no flag for the key, because other users of the machine see the command line.
+type explainRoute struct {
+	Path    string `arg:"" help:"Path of the request."`
+	Host    string `help:"Host of the request."`
+	Method  string `default:"GET" help:"Method of the request."`
+	KeyFile string `placeholder:"FILE" help:"File with the API key. The default is the content of SNIPERAIL_API_KEY."`
+}
+
+// Run prints the explanation of the daemon whose metrics listener is --server.
+func (e explainRoute) Run(ctx context.Context, s queries.Session) error {
+	key := os.Getenv("SNIPERAIL_API_KEY")
+	if e.KeyFile != "" {
+		content, err := os.ReadFile(e.KeyFile)
+		if err != nil {
+			return errors.WithStack(err)
+		}
+		key = string(content)
+	}
+	return s.ExplainRoute(ctx, queries.RouteRequest{Host: e.Host, Method: e.Method, Path: e.Path, Key: strings.TrimSpace(key)})
+}
+
 // Run opens the logs and prints the explanation.
 func (e explain) Run(s queries.Session) error {
 	if len(e.Logs) == 0 {
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -90,6 +90,21 @@
 	}, func(problem.Executed) bool { return true })
 }
 
+// QueryWithKey decodes the response to a GET of a path, sent with an API key unless it is empty, into out. The error is a
+// *RefusalError or an *UnreachableError; neither contains the key.
+func (c *Client) QueryWithKey(ctx context.Context, path, key string, out any) error {
+	return c.tryServers(func(server string) error {
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+server+path, nil)
+		if err != nil {
+			return err
+		}
+		if key != "" {
+			request.Header.Set("Authorization", "Token "+key)
+		}
+		return c.send(request, server, out)
+	}, func(problem.Executed) bool { return true })
+}
+
 // tryServers sends a request to the servers in order, until one gives a response other than "unavailable" or mayRetry
 // reports that no other server may be tried. If all servers were tried without such a response, it returns the last refusal as
 // unavailable, or an UnreachableError if there was none.
@@ -140,6 +155,10 @@
 	if c.operator != "" {
 		request.Header.Set(commands.OperatorHeader, c.operator)
 	}
+	return c.send(request, server, out)
+}
+
+func (c *Client) send(request *http.Request, server string, out any) error {
 	response, err := c.http.Do(request)
 	if err != nil {
 		return err
