--- a/internal/query/explanation/explanation_test.go
+++ b/internal/query/explanation/explanation_test.go
@@ -137,3 +137,17 @@
 		explanation.Explain(s, r, rand.NewPCG(1, 2))
 	}
 }
+
+// Guards against an explanation that ignores the deadline, and against one that applies it to brief calls, which need not wait.
+func TestRefusedForTheDeadline(t *testing.T) {
+	is := is.New(t)
+	s := newSnapshot()
+	loads := s.Loads("r")
+	for daemon := range loads {
+		loads[daemon] = load(4_000, 50*time.Millisecond)
+	}
+	r := explanation.Request{Method: "GET", Path: "/r", Authorization: []string{"Token key-a"}}
+	is.Equal(explanation.Explain(s, r, rand.NewPCG(1, 2)).Reason, explanation.DeadlineTooShort)
+	s.IsBrief = func(time.Duration, time.Duration) bool { return true }
+	is.Equal(explanation.Explain(s, r, rand.NewPCG(1, 2)).Reason, routing.Found)
+}
