--- a/internal/traffic/export_test.go
+++ b/internal/traffic/export_test.go
@@ -82,3 +82,11 @@
 func (in *Inbound) CollectOutcomes(ctx context.Context) []model.KeyedSum {
 	return in.recorder.collect(ctx)
 }
+
+// RotationAndCalls returns the rotation counter of a route and the counter of calls.
+func (o *Outbound) RotationAndCalls(route model.RouteName) (rotation, calls uint64) {
+	return o.rotations.get(route).Load(), o.calls.Load()
+}
+
+// KnownTargets returns how many targets have been taken over from a table.
+func (o *Outbound) KnownTargets() int { return len(*o.peers.known.Load()) }
