--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -116,13 +116,29 @@
 	writer    *bufio.Writer
 	enc       *msgpack.Encoder
 	dec       *msgpack.Decoder
+	// running holds an element per request of the peer that has no response yet, at most maxRunning; nil for a client.
+	running chan struct{}
+}
+
+// maxRunning bounds the requests of a connection that run concurrently. A daemon has a few at once to each other daemon.
+const maxRunning = 16
+
+// newServerCodec returns the codec of a connection that was accepted. The guard may be nil.
+func newServerCodec(conn io.ReadWriteCloser, guard Guard, onRefused func(error)) *codec {
+	c := newGuardedCodec(conn, guard, onRefused)
+	c.running = make(chan struct{}, maxRunning)
+	return c
 }
 
 func newCodec(conn io.ReadWriteCloser, onRefused func(error)) *codec {
+	return newGuardedCodec(conn, nil, onRefused)
+}
+
+func newGuardedCodec(conn io.ReadWriteCloser, guard Guard, onRefused func(error)) *codec {
 	w := bufio.NewWriterSize(conn, bufferSize)
 	return &codec{
 		conn: conn, onRefused: onRefused, writer: w, enc: NewEncoder(w),
-		dec: msgpack.NewDecoder(bufio.NewReaderSize(conn, bufferSize)),
+		dec: msgpack.NewDecoder(newValueReader(conn, guard)),
 	}
 }
 
@@ -197,12 +213,18 @@
 func (c *codec) ReadRequestHeader(r *rpc.Request) error {
 	h, err := c.readHeader()
 	r.ServiceMethod, r.Seq = h.Method, h.Seq
+	if err == nil && c.running != nil {
+		c.running <- struct{}{}
+	}
 	return err
 }
 
 func (c *codec) ReadRequestBody(body any) error { return c.readBody(body) }
 
 func (c *codec) WriteResponse(r *rpc.Response, body any) error {
+	if c.running != nil {
+		defer func() { <-c.running }()
+	}
 	err := c.write(Header{Layout: Layout, Method: r.ServiceMethod, Seq: r.Seq, Error: r.Error}, body)
 	if err != nil {
 		// net/rpc ignores the error. The connection is closed so that the peer does not wait for the rest of the message.
--- a/internal/peer/odd_message_test.go
+++ b/internal/peer/odd_message_test.go
@@ -34,7 +34,7 @@
 	f.Add([]byte{0xdd, 0xff, 0xff, 0xff, 0xff})
 	f.Fuzz(func(_ *testing.T, data []byte) {
 		for _, m := range methods {
-			c := &codec{dec: msgpack.NewDecoder(bytes.NewReader(data))}
+			c := &codec{dec: msgpack.NewDecoder(newValueReader(bytes.NewReader(data), nil))}
 			_ = c.readBody(m.newReply())
 			_ = c.readBody(nil)
 		}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -140,14 +140,15 @@
 		if err != nil {
 			return
 		}
-		counted := &countedConn{Conn: conn, count: s.countBytes}
+		counted := &countedConn{Conn: conn, count: s.countBytes, writeTimeout: messageTimeout}
 		if !s.add(counted) {
 			_ = conn.Close()
 			return
 		}
 		go func() {
 			defer s.remove(counted)
-			s.rpc.ServeCodec(newCodec(counted, func(err error) {
+			guard, _ := conn.(Guard)
+			s.rpc.ServeCodec(newServerCodec(counted, guard, func(err error) {
 				if s.onRefused != nil {
 					s.onRefused(conn.RemoteAddr().String(), err)
 				}
@@ -187,6 +188,8 @@
 type countedConn struct {
 	net.Conn
 	count func(sent bool, n int)
+	// writeTimeout bounds a write; 0 means that it may take any time.
+	writeTimeout time.Duration
 }
 
 func (c *countedConn) Read(p []byte) (int, error) {
@@ -198,6 +201,9 @@
 }
 
 func (c *countedConn) Write(p []byte) (int, error) {
+	if c.writeTimeout > 0 {
+		_ = c.SetWriteDeadline(time.Now().Add(c.writeTimeout)) // fails only if the connection is closed
+	}
 	n, err := c.Conn.Write(p)
 	if c.count != nil && n > 0 {
 		c.count(true, n)
