--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"sniperail.example/sniperail/internal/api"
 	"sniperail.example/sniperail/internal/command/admission"
 	"sniperail.example/sniperail/internal/command/agent"
+	"sniperail.example/sniperail/internal/command/callers"
 	"sniperail.example/sniperail/internal/command/claims"
 	"sniperail.example/sniperail/internal/command/controller"
 	"sniperail.example/sniperail/internal/control"
@@ -65,6 +66,10 @@
 	admission   *traffic.Admission
 	guard       *once.Guard
 	servers     servers
+
+	callers        *traffic.CallerBudget
+	callerLimits   callers.Limits
+	trafficMetrics *traffic.Metrics
 }
 
 type listeners struct{ ingress, admission, peer, api net.Listener }
@@ -85,9 +90,8 @@
 		return nil, err
 	}
 	debug.SetGCPercent(traffic.GCPercent)
-	debug.SetMemoryLimit(memoryLimit)
 	d := &Daemon{settings: s, logger: logger, metrics: metrics}
-	steps := []func() error{d.listen, d.connectStore, d.buildControl, d.buildTraffic, d.buildAPI}
+	steps := []func() error{d.buildCallers, d.listen, d.connectStore, d.buildControl, d.buildTraffic, d.buildAPI}
 	for _, step := range steps {
 		if err := step(); err != nil {
 			d.closeListeners()
@@ -97,6 +101,17 @@
 	return d, nil
 }
 
+// buildCallers assembles the budget for callers on all listeners.
+func (d *Daemon) buildCallers() error {
+	metrics, err := traffic.NewMetrics(d.metrics)
+	if err != nil {
+		return err
+	}
+	d.callerLimits = traffic.CallerLimits(d.settings.Callers, memoryLimit)
+	d.callers, d.trafficMetrics = traffic.NewCallerBudget(d.callerLimits, metrics), metrics
+	return metrics.RegisterCallerGauges(d.callers)
+}
+
 func (d *Daemon) listen() error {
 	open := []struct {
 		flag, address string
@@ -162,7 +177,7 @@
 	controller.New(core, document.JSON{})
 	d.peerClient = peer.NewClient(d.metrics.ControlBytesCounter())
 	d.loop = control.NewLoop(core, d.peerClient, d.store, d.logger, d.metrics)
-	server, err := peer.NewServer(d.listeners.peer, d.loop, d.metrics.ControlBytesCounter())
+	server, err := peer.NewServer(d.callers.Listen(d.listeners.peer, "peer"), d.loop, d.metrics.ControlBytesCounter())
 	if err != nil {
 		return err
 	}
@@ -174,10 +189,8 @@
 }
 
 func (d *Daemon) buildTraffic() error {
-	metrics, err := traffic.NewMetrics(d.metrics)
-	if err != nil {
-		return err
-	}
+	metrics := d.trafficMetrics
+	var err error
 	d.guard, err = once.NewGuard(d.store, once.Config{
 		Claims: claims.DefaultConfig(d.settings.ID),
 		Count:  func(reason string) { d.metrics.Add("sniperail_claims", reason) },
@@ -186,7 +199,10 @@
 		return err
 	}
 	limits := traffic.DefaultLimits()
-	d.ingress = traffic.NewIngress(traffic.IngressOptions{Tables: d.loop, Observer: d.loop, Metrics: metrics, Limits: limits})
+	callerSide := limits
+	callerSide.OutgoingConnections = d.callerLimits.Outgoing
+	callerSide.BufferedBodyBytes, callerSide.Pace = traffic.MaxBufferedUpload, d.callerLimits.Pace
+	d.ingress = traffic.NewIngress(traffic.IngressOptions{Tables: d.loop, Observer: d.loop, Metrics: metrics, Limits: callerSide})
 	d.admission = traffic.NewAdmission(traffic.AdmissionOptions{
 		Address: d.settings.Target,
 		Service: model.ServiceName(d.settings.Service), Version: model.VersionName(d.settings.Version),
@@ -201,10 +217,11 @@
 	}
 	// Unlike http.Server, it answers requests that have arrived when it stops, also those of connections that were not accepted yet.
 	d.servers.ingress = traffic.NewPipelineServer(traffic.PipelineOptions{
-		Handler: d.ingress, HeaderBytes: limits.HeaderBytes, Logger: d.logger, WriteTimeout: traffic.ResponseWriteTimeout,
+		Handler: d.ingress, HeaderBytes: limits.HeaderBytes, Logger: d.logger, WriteTimeout: traffic.ResponseWriteTimeout, Callers: d.callers,
 		HeaderTimeout: func() time.Duration { return headerTimeout }, IdleTimeout: func() time.Duration { return idleTimeout },
 	})
 	d.servers.admission = d.withErrorLog(traffic.NewServer(d.admission, limits))
+	d.listeners.admission = d.callers.Guard(d.servers.admission, d.listeners.admission, "admission")
 	return nil
 }
 
@@ -224,7 +241,8 @@
 	if err != nil {
 		return err
 	}
-	d.servers.api = d.withErrorLog(&http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second})
+	d.servers.api = d.withErrorLog(traffic.NewAuxiliaryServer(handler, headerTimeout))
+	d.listeners.api = d.callers.Guard(d.servers.api, d.listeners.api, "api")
 	return nil
 }
 
--- a/internal/settings/daemon.go
+++ b/internal/settings/daemon.go
@@ -29,7 +29,9 @@
 	Slots       int           `default:"12" help:"Requests that the target runs at once."`
 	Connections int           `default:"130" help:"Connections that the target accepts."`
 	Warmup      time.Duration `default:"0s" help:"Time from the target's first answer until it counts as warm."`
-	LogLevel    string        `default:"info" help:"Least level of the events that are logged: debug, info, warn or error."`
+	Callers     `embed:""`
+
+	LogLevel string `default:"info" help:"Least level of the events that are logged: debug, info, warn or error."`
 }
 
 // Validate returns all wrong values as Problems.
@@ -53,5 +55,6 @@
 	c.Positive("connections", d.Connections, maxConnections)
 	c.Duration("warmup", d.Warmup, 0, maxWarmup)
 	c.OneOf("log-level", d.LogLevel, LogLevels...)
+	d.check(&c)
 	return c.Err()
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -56,31 +56,44 @@
 	is.Equal(len(c.Err().(Problems)), 2)
 }
 
+// wrongCallers are wrong values of all flags, whose zero values stand for the defaults.
+var wrongCallers = Callers{
+	MachineMemory: -1, Descriptors: -1, ReservedDescriptors: -1, CallerBytes: -1, CallerConnections: -1, CallerGrace: -1,
+	AddressShare: -1, ListenerShare: -1, TenantShare: -1, BodyGrace: -1, BodyRate: -1, HeadFields: -1,
+}
+
+// countFlags counts the fields that a check has to cover, with those of embedded settings.
+func countFlags(settings reflect.Type) int {
+	n := 0
+	for _, field := range reflect.VisibleFields(settings) {
+		if !field.Anonymous && field.Type.Kind() != reflect.Bool { // kong refuses what is no truth value
+			n++
+		}
+	}
+	return n
+}
+
 // Guards against a flag of the daemon that no check covers.
 func TestDaemonChecksEveryFlag(t *testing.T) {
 	is := is.New(t)
-	d := Daemon{Seeds: []string{"x"}, Warmup: -1}
+	d := Daemon{Seeds: []string{"x"}, Warmup: -1, Callers: wrongCallers}
 	problems := d.Validate().(Problems)
 	flags := map[string]bool{}
 	for _, p := range problems {
 		flags[p.Flag] = true
 	}
-	is.Equal(len(flags), reflect.TypeFor[Daemon]().NumField())
+	is.Equal(len(flags), countFlags(reflect.TypeFor[Daemon]()))
 }
 
 // Guards against a flag of the sidecar that no check covers.
 func TestSidecarChecksEveryFlag(t *testing.T) {
 	is := is.New(t)
-	s := Sidecar{Seeds: []string{"x"}, Metrics: "x", Advertise: "a b", RetryRatio: 2, RetrySlack: -1, ExposureFraction: 2, ExposureSlack: -1}
+	s := Sidecar{Seeds: []string{"x"}, Metrics: "x", Advertise: "a b", RetryRatio: 2, RetrySlack: -1, ExposureFraction: 2, ExposureSlack: -1,
+		QuotaTolerance: -1, QuotaSlack: -1,
+		Callers: wrongCallers}
 	flags := map[string]bool{}
 	for _, p := range s.Validate().(Problems) {
 		flags[p.Flag] = true
 	}
-	checked := 0
-	for field := range reflect.TypeFor[Sidecar]().Fields() {
-		if field.Type.Kind() != reflect.Bool { // kong refuses what is no truth value
-			checked++
-		}
-	}
-	is.Equal(len(flags), checked)
+	is.Equal(len(flags), countFlags(reflect.TypeFor[Sidecar]()))
 }
--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -40,6 +40,8 @@
 	QuotaTolerance float64       `default:"0.1" help:"Requests of a tenant that may be served beyond its quota, as a part of the quota."`
 	QuotaSlack     float64       `default:"20" help:"Requests of a tenant that may be served beyond that, within the window."`
 
+	Callers `embed:""`
+
 	LogLevel string `default:"info" help:"Least level of the events that are logged: debug, info, warn or error."`
 }
 
@@ -97,5 +99,6 @@
 	c.Number("quota-tolerance", s.QuotaTolerance, 0, 1)
 	c.Number("quota-slack", s.QuotaSlack, 0, maxSlack)
 	c.OneOf("log-level", s.LogLevel, LogLevels...)
+	s.check(&c)
 	return c.Err()
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"sniperail.example/sniperail/internal/command/callers"
 	"sniperail.example/sniperail/internal/command/catalog"
 	"sniperail.example/sniperail/internal/command/retry"
 	"sniperail.example/sniperail/internal/command/rollout"
@@ -75,11 +76,15 @@
 	peerClient  *peer.Client
 	peerServer  *peer.Server
 	ingress     *traffic.PipelineServer
+	callers     *traffic.CallerBudget
 	outbound    *traffic.Outbound
 	inbound     *traffic.Inbound
 	storeClient *platform.Client
 	servers     []*server
 	draining    atomic.Bool
+
+	callLimits     callers.Limits
+	trafficMetrics *traffic.Metrics
 }
 
 // httpServer is implemented by http.Server and traffic.PipelineServer.
@@ -103,7 +108,7 @@
 		return nil, err
 	}
 	d := &Sidecar{settings: s, adapter: adapter, logger: logger, metrics: metrics}
-	for _, step := range []func() error{d.buildControl, d.buildTraffic, d.buildAuxiliaryServers} {
+	for _, step := range []func() error{d.buildCallers, d.buildControl, d.buildTraffic, d.buildAuxiliaryServers} {
 		if err := step(); err != nil {
 			d.closeListeners()
 			return nil, err
@@ -129,6 +134,7 @@
 	}
 	if s, ok := h.(*http.Server); ok {
 		s.ErrorLog, _ = zap.NewStdLogAt(d.logger, zapcore.DebugLevel)
+		listener = d.callers.Guard(s, listener, name)
 	}
 	d.servers = append(d.servers, &server{name, listener, h})
 	return nil
@@ -162,7 +168,7 @@
 	d.loop.OnPublish(func(view *model.View) {
 		d.inbound.SetTarget(view.Local, d.loop.Table().IsWithheld(view.Local.Ref()))
 	})
-	d.peerServer, err = peer.NewServer(listener, d.loop, counted)
+	d.peerServer, err = peer.NewServer(d.callers.Listen(listener, "peer"), d.loop, counted)
 	if err != nil {
 		return err
 	}
@@ -189,17 +195,28 @@
 	})
 }
 
-func (d *Sidecar) buildTraffic() error {
+// buildCallers assembles the budget for callers on all listeners.
+func (d *Sidecar) buildCallers() error {
 	metrics, err := traffic.NewMetrics(d.metrics)
 	if err != nil {
 		return err
 	}
 	metrics.FractionalRetryAfter = true
+	d.callLimits = traffic.CallerLimits(d.settings.Callers, 0)
+	d.callers, d.trafficMetrics = traffic.NewCallerBudget(d.callLimits, metrics), metrics
+	return metrics.RegisterCallerGauges(d.callers)
+}
+
+func (d *Sidecar) buildTraffic() error {
+	metrics := d.trafficMetrics
 	limits := traffic.DefaultLimits()
 	limits.IdlePerPeer, limits.IdleTotal, limits.BodyBytes = idlePerPeer, idleTotal, maxBodyBytes
+	callerSide := limits
+	callerSide.OutgoingConnections = d.callLimits.Outgoing
+	callerSide.BufferedBodyBytes, callerSide.Pace = traffic.MaxBufferedUpload, d.callLimits.Pace
 	requestLog := traffic.RequestLog{Logger: d.logger, RequestID: d.adapter.Headers.RequestID}
 	d.outbound = traffic.NewOutbound(traffic.OutboundOptions{
-		Tables: d.loop, Headers: d.adapter.Headers, Metrics: metrics, Limits: limits, Log: requestLog,
+		Tables: d.loop, Headers: d.adapter.Headers, Metrics: metrics, Limits: callerSide, Log: requestLog,
 		Service: model.ServiceName(d.settings.Service),
 		Budget:  retry.SharedLimit{Ratio: d.settings.RetryRatio, Slack: d.settings.RetrySlack, Window: d.settings.RetryWindow},
 	})
@@ -217,7 +234,7 @@
 		return err
 	}
 	d.ingress = traffic.NewPipelineServer(traffic.PipelineOptions{
-		Handler: d.outbound, HeaderBytes: limits.HeaderBytes, Logger: d.logger, WriteTimeout: traffic.ResponseWriteTimeout,
+		Handler: d.outbound, HeaderBytes: limits.HeaderBytes, Logger: d.logger, WriteTimeout: traffic.ResponseWriteTimeout, Callers: d.callers,
 		HeaderTimeout: d.callerLimit(headerTimeout, func(l *model.CallerLimits) int { return l.HeaderTimeoutMS }),
 		IdleTimeout:   d.callerLimit(idleTimeout, func(l *model.CallerLimits) int { return l.IdleTimeoutMS }),
 	})
@@ -298,7 +315,7 @@
 const auxiliaryHeaderTimeout = 5 * time.Second
 
 func newAuxiliaryServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: auxiliaryHeaderTimeout}
+	return traffic.NewAuxiliaryServer(h, auxiliaryHeaderTimeout)
 }
 
 // Ready reports whether the daemon accepts new callers: it is not draining, and its view is ready.
--- a/internal/traffic/admission.go
+++ b/internal/traffic/admission.go
@@ -119,7 +119,7 @@
 		return nil, notExecuted(http.StatusBadRequest, reasonBadDeadline, HeaderDeadline+" must be one whole number of milliseconds")
 	}
 	deadline := now.Add(left)
-	body, refused := readRequestBody(w, r, a.options.Limits.BodyBytes, deadline)
+	body, refused := readRequestBody(w, r, a.options.Limits, a.options.Limits.BodyBytes, deadline)
 	if refused != nil {
 		return nil, refused
 	}
--- a/internal/traffic/body.go
+++ b/internal/traffic/body.go
@@ -21,6 +21,8 @@
 	rest        io.Reader
 	length      int64
 	readStarted atomic.Bool
+	// pace bounds the time of reading rest; nil if only the deadline of the call does.
+	pace *pacedRead
 	// readFailed is set when reading a streamed body from the caller fails.
 	readFailed atomic.Bool
 }
@@ -30,25 +32,35 @@
 
 func (s callerBodyReader) Read(p []byte) (int, error) {
 	n, err := s.body.rest.Read(p)
+	s.body.pace.read(n)
 	if err != nil && err != io.EOF {
 		s.body.readFailed.Store(true)
 	}
 	return n, err
 }
 
-// readRequestBody buffers a body of at most maxReplayBody bytes. A longer one is streamed.
-func readRequestBody(w http.ResponseWriter, r *http.Request, limit int64, deadline time.Time) (*requestBody, *refusal) {
+// readRequestBody buffers a body of at most maxReplayBody bytes, or of limits.BufferedBodyBytes if its length is known. A longer one is
+// streamed.
+func readRequestBody(
+	w http.ResponseWriter, r *http.Request, limits Limits, limit int64, deadline time.Time,
+) (*requestBody, *refusal) {
 	if r.ContentLength > limit {
 		return nil, notExecuted(http.StatusRequestEntityTooLarge, reasonBodyTooLarge, "the request body is over the limit")
 	}
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
 		return &requestBody{}, nil
 	}
-	// A caller that sends its body too slowly is cut off at the deadline of the call.
+	if b, ok := r.Body.(*bufferedBody); ok {
+		return &requestBody{buffered: b.data, length: int64(len(b.data))}, nil
+	}
+	// A caller that sends its body too slowly is cut off at the deadline of the call, or before by its pace.
 	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(deadline.Add(bodyGrace))
+	pace := newPacedRead(control, limits.Pace, deadline.Add(bodyGrace))
 	if r.ContentLength > maxReplayBody {
-		return &requestBody{rest: r.Body, length: r.ContentLength}, nil
+		if r.ContentLength <= limits.BufferedBodyBytes {
+			return readUpload(control, r, pace)
+		}
+		return &requestBody{rest: r.Body, length: r.ContentLength, pace: pace}, nil
 	}
 	size := r.ContentLength
 	if size < 0 {
@@ -61,7 +73,7 @@
 		_ = control.SetReadDeadline(time.Time{})
 		return &requestBody{buffered: buffer, length: size}, nil
 	case err == nil:
-		return &requestBody{buffered: buffer, rest: &limitedReader{r.Body, limit - size}, length: -1}, nil
+		return &requestBody{buffered: buffer, rest: &limitedReader{r.Body, limit - size}, length: -1, pace: pace}, nil
 	case r.ContentLength < 0 && (err == io.EOF || err == io.ErrUnexpectedEOF) && n < len(buffer) && atEOF(r.Body):
 		_ = control.SetReadDeadline(time.Time{})
 		return &requestBody{buffered: buffer[:n], length: int64(n)}, nil
--- a/internal/traffic/inbound.go
+++ b/internal/traffic/inbound.go
@@ -56,6 +56,7 @@
 	lastSent     atomic.Int64 // Unix nanoseconds
 	failureRate  atomic.Int64 // smoothed fraction of failed calls in millionths
 	unsized      byteBudget
+	streams      bodyStreams
 }
 
 // NewInbound returns a handler. It refuses calls until SetTarget reports that the target is ready.
@@ -152,6 +153,7 @@
 	in.open.begin(r)
 	defer in.open.end(r)
 	c := &inboundCall{inbound: in, request: r, dispatch: &d, started: now}
+	defer in.streams.end(c)
 	if refused := c.accept(w, now); refused != nil {
 		c.writeRefusal(w, refused)
 		return
@@ -169,6 +171,8 @@
 	deadline time.Time
 	// queueTime is the time from started, which precedes the reading of the body, until a slot was granted or refused.
 	queueTime time.Duration
+	// streams says that the body counts among those that are streamed from a caller.
+	streams bool
 }
 
 // accept checks that the call is meant for this run of the target and reads its body.
@@ -183,8 +187,11 @@
 		return notExecuted(http.StatusBadRequest, reasonBadDeadline,
 			in.options.Headers.Deadline+" must be one whole number of milliseconds")
 	}
-	body, refused := readRequestBody(w, c.request, in.options.Limits.BodyBytes, c.deadline)
+	body, refused := readRequestBody(w, c.request, in.options.Limits, in.options.Limits.BodyBytes, c.deadline)
 	c.body = body
+	if refused == nil {
+		refused = in.streams.begin(c)
+	}
 	if refused == nil && d.maxWait < 0 {
 		d.maxWait = 0
 	}
@@ -378,17 +385,6 @@
 
 func (c *inboundCall) isCallerGone() bool { return c.request.Context().Err() != nil }
 
-// recordFailure updates the smoothed fraction of failed calls.
-func (in *Inbound) recordFailure(failed bool) {
-	sample := int64(0)
-	if failed {
-		sample = 1_000_000
-	}
-	old := in.failureRate.Load()
-	// Concurrent calls may overwrite each other; one lost sample does not matter.
-	in.failureRate.Store(old + (sample-old)/failureWeight)
-}
-
 // load returns the load of the target, with the execution time of a call on the route.
 func (in *Inbound) load(route string) loadReport {
 	l := in.queue.load(route)
--- a/internal/traffic/inbound_statement.go
+++ b/internal/traffic/inbound_statement.go
@@ -48,3 +48,14 @@
 	previous := in.invalidLimit.Swap(&text)
 	return previous == nil || *previous != text
 }
+
+// recordFailure updates the smoothed fraction of failed calls.
+func (in *Inbound) recordFailure(failed bool) {
+	sample := int64(0)
+	if failed {
+		sample = 1_000_000
+	}
+	old := in.failureRate.Load()
+	// Concurrent calls may overwrite each other; one lost sample does not matter.
+	in.failureRate.Store(old + (sample-old)/failureWeight)
+}
--- a/internal/traffic/ingress.go
+++ b/internal/traffic/ingress.go
@@ -50,6 +50,7 @@
 		options: options, peers: newPeers(options.Tables), recorder: newRecorder(options.Metrics, options.Observer),
 		pool: newPool(transportOptions{
 			idlePerPeer: options.Limits.IdlePerPeer, idleTotal: options.Limits.IdleTotal, headerBytes: options.Limits.HeaderBytes,
+			limit: newConnectionCount(options.Limits.OutgoingConnections), yieldsIdle: true,
 		}),
 	}
 	i.calls.Store(random{}.Uint64())
@@ -136,7 +137,7 @@
 	if refused != nil {
 		return nil, refused
 	}
-	body, refused := readRequestBody(w, r, i.options.Limits.BodyBytes, deadline)
+	body, refused := readRequestBody(w, r, i.options.Limits, i.options.Limits.BodyBytes, deadline)
 	if refused != nil {
 		return nil, refused
 	}
--- a/internal/traffic/ingress_call.go
+++ b/internal/traffic/ingress_call.go
@@ -245,6 +245,8 @@
 	}
 	deadlinePassed := isTimeout(err) && !time.Now().Before(c.deadline)
 	switch {
+	case errors.Is(err, errNoConnectionLeft):
+		return callersRefusal("all connections to other daemons are in use")
 	case errors.Is(err, errTargetStalled):
 		c.recordOutcome(result, true)
 		c.recordTargetFailure(result, false, reasonTargetStalled)
--- a/internal/traffic/metrics.go
+++ b/internal/traffic/metrics.go
@@ -22,8 +22,11 @@
 	retriesRefused  *telemetry.CounterSet
 	droppedOutcomes *telemetry.CounterSet
 	ejections       *telemetry.CounterSet
-	calls           metric.Int64Counter
-	latency         metric.Float64Histogram
+	// callersRefused counts connections and requests for which there was no room, callersEnded connections that were ended in favour of
+	// others.
+	callersRefused, callersEnded *telemetry.CounterSet
+	calls                        metric.Int64Counter
+	latency                      metric.Float64Histogram
 	// requests records the duration of callers' requests, queue the time of calls in a target's queue, both by route.
 	requests, queue routeHistogram
 	meter           metric.Meter
@@ -74,7 +77,11 @@
 		retriesRefused:  m.CounterSet("sniperail_retries_refused", "Failed attempts that were not retried, by reason."),
 		droppedOutcomes: m.CounterSet("sniperail_outcomes_dropped", "Call outcomes that were not reported to the control loop."),
 		ejections:       m.CounterSet("sniperail_ejections", "Targets that this daemon stopped selecting, by reason."),
-		calls:           calls, latency: latency, meter: m.Meter(),
+		callersRefused: m.CounterSet("sniperail_callers_refused",
+			"Connections and requests of callers that were refused, by the limit that was reached."),
+		callersEnded: m.CounterSet("sniperail_callers_ended",
+			"Connections of callers that were ended in favour of others, by what they waited for."),
+		calls: calls, latency: latency, meter: m.Meter(),
 	}, nil
 }
 
@@ -105,13 +112,30 @@
 		"sniperail_slots_limit": func() int { _, limit, _ := a.Occupancy(); return limit },
 		"sniperail_queue_calls": func() int { _, _, queued := a.Occupancy(); return queued },
 	} {
-		observe := func(_ context.Context, o metric.Int64Observer) error {
-			o.Observe(int64(value()))
-			return nil
+		if err := m.registerGauge(name, "Occupancy of the target beside the daemon.", func() int64 { return int64(value()) }); err != nil {
+			return err
 		}
-		if _, err := m.meter.Int64ObservableGauge(name, metric.WithInt64Callback(observe),
-			metric.WithDescription("Occupancy of the target beside the daemon.")); err != nil {
-			return errors.Wrap(err, name)
+	}
+	return nil
+}
+
+func (m *Metrics) registerGauge(name, description string, value func() int64) error {
+	observe := func(_ context.Context, o metric.Int64Observer) error {
+		o.Observe(value())
+		return nil
+	}
+	_, err := m.meter.Int64ObservableGauge(name, metric.WithInt64Callback(observe), metric.WithDescription(description))
+	return errors.Wrap(err, name)
+}
+
+// RegisterCallerGauges adds gauges of what is held for callers. It fails only if a name is invalid.
+func (m *Metrics) RegisterCallerGauges(b *CallerBudget) error {
+	for name, value := range map[string]func() int64{
+		"sniperail_caller_bytes":       func() int64 { bytes, _ := b.Held(); return bytes },
+		"sniperail_caller_connections": func() int64 { _, connections := b.Held(); return int64(connections) },
+	} {
+		if err := m.registerGauge(name, "What the process holds for callers.", value); err != nil {
+			return err
 		}
 	}
 	return nil
--- a/internal/traffic/outbound.go
+++ b/internal/traffic/outbound.go
@@ -52,6 +52,7 @@
 		options: options, peers: newPeers(options.Tables),
 		pool: newPool(transportOptions{
 			idlePerPeer: options.Limits.IdlePerPeer, idleTotal: options.Limits.IdleTotal, headerBytes: options.Limits.HeaderBytes,
+			limit: newConnectionCount(options.Limits.OutgoingConnections), yieldsIdle: true,
 		}),
 	}
 	o.peers.keepRemovedCalls = true
@@ -91,6 +92,11 @@
 		refused.write(w, r, o.options.Metrics)
 		return
 	}
+	if refused := request.holdTenant(); refused != nil {
+		request.refuse(w, refused)
+		return
+	}
+	defer request.releaseTenant()
 	request.run(w)
 }
 
@@ -130,7 +136,7 @@
 	if refused != nil {
 		return nil, refused
 	}
-	body, refused := readRequestBody(w, r, limit, deadline)
+	body, refused := readRequestBody(w, r, o.options.Limits, limit, deadline)
 	if refused != nil {
 		return nil, refused
 	}
--- a/internal/traffic/outbound_refusal.go
+++ b/internal/traffic/outbound_refusal.go
@@ -42,6 +42,8 @@
 	deadlinePassed := isTimeout(err) && !time.Now().Before(r.deadline)
 	daemon := string(a.target.Daemon)
 	switch {
+	case errors.Is(err, errNoConnectionLeft):
+		return callersRefusal("all connections to other daemons are in use")
 	case errors.Is(err, errTargetLost) && maybeSent:
 		return inDoubt(http.StatusBadGateway, reasonTargetLost, "the daemon "+daemon+" is gone or its target replaced")
 	case errors.Is(err, errTargetLost):
--- a/internal/traffic/outbound_request.go
+++ b/internal/traffic/outbound_request.go
@@ -23,11 +23,13 @@
 	request  *http.Request
 	route    *routing.Route
 	// tenant is that of the caller's API key; nil if the request has none.
-	tenant   *model.Tenant
-	service  *routing.Service
-	rotation uint64
-	body     *requestBody
-	started  time.Time
+	tenant *model.Tenant
+	// tenantBytes is what the request is charged to its tenant.
+	tenantBytes int64
+	service     *routing.Service
+	rotation    uint64
+	body        *requestBody
+	started     time.Time
 	// objective is the time of the latency objective, counted from the caller's first attempt; a later response loses value.
 	objective time.Time
 	deadline  time.Time
@@ -257,7 +259,7 @@
 		r.busyRefusals++
 		r.refusedAbroad = r.refusedAbroad || a.target.DataCentre != r.table.View.DataCentre
 		return "busy", r.busyRefusals <= maxBusyRefusals
-	case a.refused.reason == string(admission.Deadline):
+	case a.refused.reason == string(admission.Deadline), a.response == nil && a.refused.reason == reasonCallersOverLimit:
 		return a.refused.reason, false
 	case r.sends >= maxSends:
 		return string(retry.AttemptsSpent), false
--- a/internal/traffic/pipeline_close.go
+++ b/internal/traffic/pipeline_close.go
@@ -53,6 +53,7 @@
 		return false
 	}
 	c.lingering = true
+	c.caller.awaitInput()
 	_ = c.conn.SetReadDeadline(time.Now().Add(closeLinger))
 	return true
 }
--- a/internal/traffic/pipeline_conn.go
+++ b/internal/traffic/pipeline_conn.go
@@ -8,10 +8,10 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
-	"go.uber.org/zap"
 )
 
 // pipelineConn is one connection. One goroutine reads its requests, one writes its responses, and each request runs on its
@@ -29,6 +29,12 @@
 	cancel context.CancelFunc
 	// writeDeadline is the write deadline of the connection. It belongs to the writer.
 	writeDeadline time.Time
+	// caller is the account of the connection in the budget for callers, nil if there is none.
+	caller *callerConn
+	// largest is the length of the longest response so far, as far as it was buffered. progress receives an element when a response
+	// has been written.
+	largest  atomic.Int64
+	progress chan struct{}
 
 	mu sync.Mutex
 	// pending counts the requests of which a byte has been read and that have not been answered.
@@ -53,6 +59,13 @@
 type headerLimitReader struct {
 	conn net.Conn
 	left int
+	// caller is the account of the connection. scanner counts the fields of the head that is being read, at most maxFields unless that
+	// is 0, and charged is what was charged for the head. inRequest says that a request has begun and is incomplete.
+	caller    *callerConn
+	scanner   headScanner
+	maxFields int
+	charged   int64
+	inRequest bool
 }
 
 var errHeaderTooLong = errors.New("the request header is over the limit")
@@ -61,17 +74,24 @@
 	if l.left <= 0 {
 		return 0, errHeaderTooLong
 	}
+	if l.inRequest {
+		l.caller.awaitInput()
+	}
 	n, err := l.conn.Read(p[:min(len(p), l.left)])
 	l.left -= n
+	if err := l.scanHead(p[:max(n, 0)]); err != nil {
+		return 0, err
+	}
 	return n, err
 }
 
 func (c *pipelineConn) serve() {
 	defer c.server.remove(c)
+	defer c.caller.close()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	c.cancel = cancel
-	c.limit.conn = c.conn
+	c.limit.conn, c.limit.caller, c.limit.maxFields = c.conn, c.caller, c.server.options.Callers.fields()
 	c.reader = bufio.NewReaderSize(&c.limit, requestBuffer)
 	c.responses = make(chan *pipelinedResponse, maxPipelined)
 	c.semaphore = make(chan struct{}, maxRunning)
@@ -100,14 +120,20 @@
 		return false
 	}
 	c.limit.left = c.server.options.HeaderBytes + requestBuffer
-	request, err := http.ReadRequest(c.reader)
+	err := c.beginHead()
+	var request *http.Request
+	if err == nil {
+		request, err = http.ReadRequest(c.reader)
+	}
 	c.limit.left = noReadLimit
 	if err != nil {
+		c.caller.release(c.limit.takeCharge())
 		c.refuseUnreadable(err)
 		return false
 	}
 	c.clearReadDeadline()
 	r := newPipelinedResponse(c, request)
+	r.charged = c.limit.takeCharge()
 	if request.Host == "" || request.ProtoMajor != 1 {
 		r.setErrorStatus(http.StatusBadRequest)
 		c.responses <- r
@@ -160,7 +186,11 @@
 	}
 	c.clearReadDeadline()
 	r := newPipelinedResponse(c, nil)
-	r.setErrorStatus(status)
+	if status == http.StatusServiceUnavailable {
+		r.refuseFull()
+	} else {
+		r.setErrorStatus(status)
+	}
 	c.responses <- r
 }
 
@@ -168,7 +198,9 @@
 // has disconnected.
 func unreadableStatus(err error) int {
 	switch {
-	case errors.Is(err, errHeaderTooLong):
+	case errors.Is(err, errCallersFull):
+		return http.StatusServiceUnavailable
+	case errors.Is(err, errHeaderTooLong), errors.Is(err, errTooManyFields):
 		return http.StatusRequestHeaderFieldsTooLarge
 	case isTimeout(err):
 		return http.StatusRequestTimeout
@@ -187,15 +219,27 @@
 // false if no request can follow on the connection.
 func (c *pipelineConn) start(ctx context.Context, r *pipelinedResponse) bool {
 	request := r.request
+	if c.awaitRoom(); ctx.Err() != nil {
+		r.abort()
+		return false
+	}
 	ctx, cancel := context.WithCancel(ctx)
-	r.request = request.WithContext(context.WithValue(ctx, arrivalTimeKey{}, time.Now()))
+	r.request = request.WithContext(context.WithValue(ctx, arrivalKey{}, &arrival{time.Now(), c.caller, r}))
 	r.request.RemoteAddr = c.conn.RemoteAddr().String()
+	if !r.reserve(requestCharge(request)) {
+		cancel()
+		r.refuseFull()
+		return false
+	}
 	bodyBuffered, err := c.bufferBody(r.request)
 	if err != nil {
 		cancel()
 		r.refuseBody(err)
 		return false
 	}
+	if bodyBuffered {
+		c.limit.requestComplete()
+	}
 	if bodyBuffered {
 		c.semaphore <- struct{}{}
 		go func() {
@@ -210,6 +254,7 @@
 	r.request.Body = r.body
 	r.run()
 	cancel()
+	defer c.limit.requestComplete()
 	return r.body.discard() && !request.Close
 }
 
@@ -224,12 +269,12 @@
 	}
 	c.setReadDeadline(time.Now().Add(bodyTimeout))
 	defer c.clearReadDeadline()
-	start, err := io.ReadAll(io.LimitReader(r.Body, maxReplayBody+1))
+	start, err := readShortBody(r)
 	if err != nil {
 		return false, err
 	}
 	if len(start) <= maxReplayBody {
-		r.Body = io.NopCloser(bytes.NewReader(start))
+		r.Body, r.Trailer = newBufferedBody(start), nil
 		return true, nil
 	}
 	r.Body = io.NopCloser(io.MultiReader(bytes.NewReader(start), r.Body))
@@ -294,6 +339,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.pending--
+	if c.pending == 0 {
+		c.caller.setIdle()
+	}
 	c.startIdleTimeout()
 }
 
@@ -330,41 +378,3 @@
 	}
 	return c.closing
 }
-
-// write writes the responses in order. The responses after one that closes the connection are discarded.
-func (c *pipelineConn) write() {
-	writer := bufio.NewWriterSize(c.conn, responseBuffer)
-	open, discarded := true, 0
-	for r := range c.responses {
-		if !open {
-			discarded++
-		} else if open = r.writeTo(writer); !open {
-			c.closeAfterLast()
-		}
-		r.discard()
-		c.endRequest()
-	}
-	if discarded > 0 {
-		c.server.options.Logger.Info("responses-discarded", zap.Int("responses", discarded), zap.Bool("caller_left", c.callerLeft))
-	}
-}
-
-// limitWriting sets the write deadline of the connection to that of the response being written. Only the writer may call it: a deadline
-// that the handler of a later response sets would end the writing of earlier ones.
-func (c *pipelineConn) limitWriting(t time.Time) {
-	if !t.Equal(c.writeDeadline) {
-		c.writeDeadline = t
-		_ = c.conn.SetWriteDeadline(t)
-	}
-}
-
-// arrivalTimeKey is the context key of the time at which a request was read.
-type arrivalTimeKey struct{}
-
-// arrivalTime returns the time at which a PipelineServer read the request, or the current time for another server.
-func arrivalTime(r *http.Request) time.Time {
-	if at, ok := r.Context().Value(arrivalTimeKey{}).(time.Time); ok {
-		return at
-	}
-	return time.Now()
-}
--- a/internal/traffic/pipeline_server.go
+++ b/internal/traffic/pipeline_server.go
@@ -47,6 +47,8 @@
 	// WriteTimeout bounds the time for writing a response whose handler sets no deadline for that.
 	WriteTimeout time.Duration
 	Logger       *zap.Logger
+	// Callers bounds what is held for callers; nil bounds nothing.
+	Callers *CallerBudget
 }
 
 // PipelineServer serves HTTP/1.1 like http.Server, except that the requests of one connection run concurrently; their
@@ -96,8 +98,14 @@
 			time.Sleep(acceptPause)
 			continue
 		}
-		c := &pipelineConn{server: s, conn: conn}
+		c := &pipelineConn{server: s, conn: conn, progress: make(chan struct{}, 1)}
+		var admitted bool
+		if c.caller, admitted = s.options.Callers.open(conn.RemoteAddr(), "ingress", c.reset); !admitted {
+			_ = conn.Close()
+			continue
+		}
 		if !s.add(c) {
+			c.caller.close()
 			_ = conn.Close()
 			return http.ErrServerClosed
 		}
--- a/internal/traffic/pipelined_body.go
+++ b/internal/traffic/pipelined_body.go
@@ -75,7 +75,20 @@
 		}
 		b.awaitsContinue = false
 	}
-	return b.trackedBody.Read(p)
+	n, err := b.trackedBody.Read(p)
+	if b.ended.Load() {
+		b.response.conn.caller.received()
+	}
+	return n, err
+}
+
+// setReadDeadline sets the deadline of the reads, unless they have ended. It must not be called during a read.
+func (b *pipelinedBody) setReadDeadline(t time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.released.Load() {
+		b.response.conn.setReadDeadline(t)
+	}
 }
 
 // release ends the reads on behalf of the handler, so that the connection can be read otherwise.
--- a/internal/traffic/pipelined_response.go
+++ b/internal/traffic/pipelined_response.go
@@ -34,6 +34,8 @@
 	// means never, and expiry wakes those who wait then.
 	writeDeadline, latestWrite, expires time.Time
 	expiry                              *time.Timer
+	// charged is what is charged for the request until its response has been written.
+	charged int64
 	// begun means that the writer may have sent bytes of the response, finished that the handler has returned, aborted that the
 	// response is incomplete and the caller must be able to tell, discarded that the response will not be written (any further),
 	// wantsContinue that "100 Continue" must be sent before the caller sends its body, bodyLeft that the rest of the request body
@@ -87,6 +89,10 @@
 		return 0, os.ErrDeadlineExceeded
 	}
 	r.buffered = append(r.buffered, p...)
+	r.conn.caller.charge(int64(len(p)))
+	if n := int64(len(r.buffered)); n > r.conn.largest.Load() {
+		r.conn.largest.Store(n) // a smaller value of a concurrent response is as good
+	}
 	r.changed.Broadcast()
 	return len(p), nil
 }
@@ -103,7 +109,7 @@
 // connection is then read for the next request, which the deadline would end.
 func (r *pipelinedResponse) SetReadDeadline(t time.Time) error {
 	if r.body != nil {
-		r.conn.setReadDeadline(t)
+		r.body.setReadDeadline(t)
 	}
 	return nil
 }
@@ -214,6 +220,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.discarded = true
+	r.conn.caller.release(r.charged + int64(len(r.buffered)))
+	r.charged, r.buffered = 0, nil
 	r.changed.Broadcast()
 }
 
@@ -245,6 +253,7 @@
 		return false
 	}
 	clear(r.header)
+	r.conn.caller.release(int64(len(r.buffered)))
 	r.status, r.buffered, r.length, r.flushed = 0, nil, -1, false
 	r.clearExpiry()
 	return true
--- a/internal/traffic/pipelined_write.go
+++ b/internal/traffic/pipelined_write.go
@@ -8,8 +8,41 @@
 	"net/http/httputil"
 	"strconv"
 	"time"
+
+	"go.uber.org/zap"
 )
 
+// write writes the responses in order. The responses after one that closes the connection are discarded.
+func (c *pipelineConn) write() {
+	writer := bufio.NewWriterSize(callerWriter{c}, responseBuffer)
+	open, discarded := true, 0
+	for r := range c.responses {
+		if !open {
+			discarded++
+		} else if open = r.writeTo(writer); !open {
+			c.closeAfterLast()
+		}
+		r.discard()
+		c.endRequest()
+		select {
+		case c.progress <- struct{}{}:
+		default:
+		}
+	}
+	if discarded > 0 {
+		c.server.options.Logger.Info("responses-discarded", zap.Int("responses", discarded), zap.Bool("caller_left", c.callerLeft))
+	}
+}
+
+// limitWriting sets the write deadline of the connection to that of the response being written. Only the writer may call it: a deadline
+// that the handler of a later response sets would end the writing of earlier ones.
+func (c *pipelineConn) limitWriting(t time.Time) {
+	if !t.Equal(c.writeDeadline) {
+		c.writeDeadline = t
+		_ = c.conn.SetWriteDeadline(t)
+	}
+}
+
 func (r *pipelinedResponse) hasNoBody() bool {
 	return r.request != nil && r.request.Method == http.MethodHead || r.status == http.StatusNoContent ||
 		r.status == http.StatusNotModified
@@ -72,6 +105,7 @@
 		if !finished && w.Flush() != nil {
 			return false
 		}
+		r.conn.caller.release(int64(len(part))) // after a failure the connection ends, and with it what it is charged
 		if finished {
 			break
 		}
--- a/internal/traffic/refusal.go
+++ b/internal/traffic/refusal.go
@@ -38,6 +38,7 @@
 	reasonTargetShed         = "target-shed"
 	reasonHeaderTooLarge     = "header-too-large"
 	reasonKeyUnknown         = "api-key-unknown"
+	reasonCallersOverLimit   = "callers-over-limit"
 )
 
 // refusal is an error response of a daemon.
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"time"
 
+	"sniperail.example/sniperail/internal/command/callers"
 	"sniperail.example/sniperail/internal/model"
 	"sniperail.example/sniperail/internal/query/routing"
 )
@@ -120,10 +121,17 @@
 type Limits struct {
 	// BodyBytes bounds a request body.
 	BodyBytes int64
+	// BufferedBodyBytes is the length up to which a request body of known length is held whole by the daemon that takes the request from
+	// its caller, so that a caller that stops short occupies no slot of a target. Bodies of up to 64 KB always are.
+	BufferedBodyBytes int64
+	// Pace is how fast a longer body has to come; the zero value means until the deadline of the call.
+	Pace callers.Pace
 	// HeaderBytes bounds the headers of a request or response.
 	HeaderBytes int
 	// IdlePerPeer and IdleTotal bound idle connections to other daemons.
 	IdlePerPeer, IdleTotal int
+	// OutgoingConnections bounds all connections to other daemons; 0 bounds nothing.
+	OutgoingConnections int
 	// StoredResponseBytes bounds the response of an at-most-once request, which is stored.
 	StoredResponseBytes int
 }
--- a/internal/traffic/transport.go
+++ b/internal/traffic/transport.go
@@ -51,6 +51,8 @@
 	// not used: it counts a lingering connection as closed, and a call over the limit would wait, occupying a slot, instead
 	// of being refused.
 	limit connectionLimit
+	// yieldsIdle closes idle connections in favour of a new one when the limit is reached.
+	yieldsIdle bool
 	// lingers keeps the connection of an abandoned exchange open until the other end closes it, at most for maxLinger.
 	lingers bool
 	// idle is the time without an exchange after which a pooled connection is closed; 0 means idleTimeout.
@@ -63,9 +65,17 @@
 
 func newPool(o transportOptions) *pool {
 	dialer := &net.Dialer{Timeout: dialTimeout}
+	p := &pool{}
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 		if o.limit != nil && !o.limit.openConnection() {
-			return nil, errNoConnectionLeft
+			// Idle connections to others may take the room.
+			if !o.yieldsIdle {
+				return nil, errNoConnectionLeft
+			}
+			p.closeIdle()
+			if !o.limit.openConnection() {
+				return nil, errNoConnectionLeft
+			}
 		}
 		conn, err := dialer.DialContext(ctx, network, address)
 		if err != nil {
@@ -80,11 +90,12 @@
 	if idle == 0 {
 		idle = idleTimeout
 	}
-	return &pool{transport: &http.Transport{
+	p.transport = &http.Transport{
 		DialContext: dial, DisableCompression: true,
 		MaxIdleConns: o.idleTotal, MaxIdleConnsPerHost: o.idlePerPeer, IdleConnTimeout: idle,
 		MaxResponseHeaderBytes: int64(o.headerBytes),
-	}}
+	}
+	return p
 }
 
 // closeIdle closes all idle connections.
