--- a/internal/traffic/body.go
+++ b/internal/traffic/body.go
@@ -39,7 +39,7 @@
 	return n, err
 }
 
-// readRequestBody buffers a body of at most maxReplayBody bytes, or of limits.BufferedBodyBytes if its length is known. A longer one is
+// readRequestBody buffers a body of at most maxReplayBody bytes, or of limits.BufferedBodyBytes if there are more. A longer one is
 // streamed.
 func readRequestBody(
 	w http.ResponseWriter, r *http.Request, limits Limits, limit int64, deadline time.Time,
@@ -72,6 +72,8 @@
 	case err == nil && r.ContentLength >= 0:
 		_ = control.SetReadDeadline(time.Time{})
 		return &requestBody{buffered: buffer, length: size}, nil
+	case err == nil && size < limits.BufferedBodyBytes:
+		return readUnsizedUpload(control, r, buffer, limits.BufferedBodyBytes, limit, pace)
 	case err == nil:
 		return &requestBody{buffered: buffer, rest: &limitedReader{r.Body, limit - size}, length: -1, pace: pace}, nil
 	case r.ContentLength < 0 && (err == io.EOF || err == io.ErrUnexpectedEOF) && n < len(buffer) && atEOF(r.Body):
--- a/internal/traffic/caller_settings.go
+++ b/internal/traffic/caller_settings.go
@@ -9,7 +9,7 @@
 )
 
 // CallerLimits returns the limits of what this process holds for callers, and sets the memory from which the garbage collector runs
-// more often, which is at most softMemory unless that is 0. What the settings leave open follows from the machine.
+// more often, which is at most softMemory beside the callers' bytes unless that is 0. What the settings leave open follows from the machine.
 func CallerLimits(s settings.Callers, softMemory int64) callers.Limits {
 	s = s.WithDefaults()
 	memory, descriptors := s.MachineMemory, s.Descriptors
@@ -19,11 +19,6 @@
 	if descriptors == 0 {
 		descriptors = process.Descriptors()
 	}
-	soft := callers.SoftMemoryFor(memory)
-	if softMemory > 0 {
-		soft = min(soft, softMemory)
-	}
-	debug.SetMemoryLimit(soft)
 	limits := callers.Limits{
 		Bytes: s.CallerBytes, Connections: s.CallerConnections,
 		AddressShare: s.AddressShare, ListenerShare: s.ListenerShare, TenantShare: s.TenantShare,
@@ -35,6 +30,11 @@
 	if limits.Connections == 0 {
 		limits.Connections = callers.ConnectionsFor(descriptors, s.ReservedDescriptors, limits.Bytes)
 	}
+	soft := callers.SoftMemoryFor(memory)
+	if softMemory > 0 {
+		soft = min(soft, softMemory+limits.Bytes)
+	}
+	debug.SetMemoryLimit(soft)
 	limits.Outgoing = callers.OutgoingFor(descriptors, s.ReservedDescriptors, limits.Connections)
 	return limits
 }
--- a/internal/traffic/paced_body.go
+++ b/internal/traffic/paced_body.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"sniperail.example/sniperail/internal/command/admission"
 	"sniperail.example/sniperail/internal/command/callers"
 )
@@ -78,6 +80,35 @@
 	return &requestBody{buffered: buffer, length: r.ContentLength}, nil
 }
 
+// readUnsizedUpload is readUpload for a body of unknown length, of which the start has been read. What is longer than most is streamed.
+func readUnsizedUpload(
+	control *http.ResponseController, r *http.Request, start []byte, most, limit int64, pace *pacedRead,
+) (*requestBody, *refusal) {
+	rest := &limitedReader{r.Body, limit - int64(len(start))}
+	for int64(len(start)) < most {
+		if !callerOf(r).reserve(2 * maxReplayBody) { // the buffer grows by copying
+			return nil, callersRefusal("there is no room for the request body")
+		}
+		holdForRequest(r, 2*maxReplayBody)
+		n := len(start)
+		start = append(start, make([]byte, maxReplayBody)...)
+		read, err := io.ReadFull(rest, start[n:])
+		start = start[:n+read]
+		switch {
+		case err == nil:
+			pace.extend(int64(len(start)))
+		case errors.Is(err, errBodyTooLarge):
+			return nil, notExecuted(http.StatusRequestEntityTooLarge, reasonBodyTooLarge, "the request body is over the limit")
+		case (err == io.EOF || err == io.ErrUnexpectedEOF) && atEOF(r.Body):
+			_ = control.SetReadDeadline(time.Time{})
+			return &requestBody{buffered: start, length: int64(len(start))}, nil
+		default:
+			return nil, notExecuted(http.StatusBadRequest, reasonBodyUnreadable, "the request body ended early")
+		}
+	}
+	return &requestBody{buffered: start, rest: rest, length: -1, pace: pace}, nil
+}
+
 // holdForRequest makes bytes that were reserved be returned at the end of the request.
 func holdForRequest(r *http.Request, n int64) {
 	if a, ok := r.Context().Value(arrivalKey{}).(*arrival); ok {
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -121,7 +121,7 @@
 type Limits struct {
 	// BodyBytes bounds a request body.
 	BodyBytes int64
-	// BufferedBodyBytes is the length up to which a request body of known length is held whole by the daemon that takes the request from
+	// BufferedBodyBytes is the length up to which a request body is held whole by the daemon that takes the request from
 	// its caller, so that a caller that stops short occupies no slot of a target. Bodies of up to 64 KB always are.
 	BufferedBodyBytes int64
 	// Pace is how fast a longer body has to come; the zero value means until the deadline of the call.
