--- a/internal/settings/sidecar.go
+++ b/internal/settings/sidecar.go
@@ -42,6 +42,8 @@
 
 	LearnConcurrency bool `help:"Learn from execution times how many calls the target can run at once, up to the slots that it announces."`
 
+	Callers `embed:""`
+
 	LogLevel string `default:"info" help:"Least level of the events that are logged: debug, info, warn or error."`
 }
 
@@ -99,5 +101,6 @@
 	c.Number("quota-tolerance", s.QuotaTolerance, 0, 1)
 	c.Number("quota-slack", s.QuotaSlack, 0, maxSlack)
 	c.OneOf("log-level", s.LogLevel, LogLevels...)
+	s.check(&c)
 	return c.Err()
 }
--- a/internal/traffic/body.go
+++ b/internal/traffic/body.go
@@ -21,6 +21,8 @@
 	rest        io.Reader
 	length      int64
 	readStarted atomic.Bool
+	// pace bounds the time of reading rest; nil if only the deadline of the call does.
+	pace *pacedRead
 	// readFailed is set when reading a streamed body from the caller fails.
 	readFailed atomic.Bool
 }
@@ -30,34 +32,39 @@
 
 func (s callerBodyReader) Read(p []byte) (int, error) {
 	n, err := s.body.rest.Read(p)
+	s.body.pace.read(n)
 	if err != nil && err != io.EOF {
 		s.body.readFailed.Store(true)
 	}
 	return n, err
 }
 
-// readRequestBody buffers a body of at most maxReplayBody bytes. A longer one is streamed.
-func readRequestBody(w http.ResponseWriter, r *http.Request, limit int64, deadline time.Time) (*requestBody, *refusal) {
-	return readBodyUpTo(maxReplayBody, w, r, limit, deadline)
-}
-
-// readBodyUpTo buffers a body of at most the given number of bytes. A longer one is streamed.
-func readBodyUpTo(buffered int64, w http.ResponseWriter, r *http.Request, limit int64, deadline time.Time) (*requestBody, *refusal) {
+// readRequestBody buffers a body of at most maxReplayBody bytes, or of limits.BufferedBodyBytes if there are more. A longer one is
+// streamed.
+func readRequestBody(
+	w http.ResponseWriter, r *http.Request, limits Limits, limit int64, deadline time.Time,
+) (*requestBody, *refusal) {
 	if r.ContentLength > limit {
 		return nil, notExecuted(http.StatusRequestEntityTooLarge, reasonBodyTooLarge, "the request body is over the limit")
 	}
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
 		return &requestBody{}, nil
 	}
-	// A caller that sends its body too slowly is cut off at the deadline of the call.
+	if b, ok := r.Body.(*bufferedBody); ok {
+		return &requestBody{buffered: b.data, length: int64(len(b.data))}, nil
+	}
+	// A caller that sends its body too slowly is cut off at the deadline of the call, or before by its pace.
 	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(deadline.Add(bodyGrace))
-	if r.ContentLength > buffered {
-		return &requestBody{rest: r.Body, length: r.ContentLength}, nil
+	pace := newPacedRead(control, limits.Pace, deadline.Add(bodyGrace))
+	if r.ContentLength > maxReplayBody {
+		if r.ContentLength <= limits.BufferedBodyBytes {
+			return readUpload(control, r, pace)
+		}
+		return &requestBody{rest: r.Body, length: r.ContentLength, pace: pace}, nil
 	}
 	size := r.ContentLength
 	if size < 0 {
-		size = buffered
+		size = maxReplayBody
 	}
 	buffer := make([]byte, size)
 	n, err := io.ReadFull(r.Body, buffer)
@@ -65,8 +72,10 @@
 	case err == nil && r.ContentLength >= 0:
 		_ = control.SetReadDeadline(time.Time{})
 		return &requestBody{buffered: buffer, length: size}, nil
+	case err == nil && size < limits.BufferedBodyBytes:
+		return readUnsizedUpload(control, r, buffer, limits.BufferedBodyBytes, limit, pace)
 	case err == nil:
-		return &requestBody{buffered: buffer, rest: &limitedReader{r.Body, limit - size}, length: -1}, nil
+		return &requestBody{buffered: buffer, rest: &limitedReader{r.Body, limit - size}, length: -1, pace: pace}, nil
 	case r.ContentLength < 0 && (err == io.EOF || err == io.ErrUnexpectedEOF) && n < len(buffer) && atEOF(r.Body):
 		_ = control.SetReadDeadline(time.Time{})
 		return &requestBody{buffered: buffer[:n], length: int64(n)}, nil
--- a/internal/traffic/body_transfer.go
+++ b/internal/traffic/body_transfer.go
@@ -16,9 +16,6 @@
 	// minAnnouncedBody is the length in bytes from which on a request body is sent to the target's daemon only when that asks for it. A
 	// shorter one costs less than the round trip.
 	minAnnouncedBody = 16 << 10
-	// maxAnnouncedBody is the longest announced body that is received before the call takes a slot of the target. A longer one is
-	// streamed to the target, which keeps the slot until the sender has sent it.
-	maxAnnouncedBody = 512 << 10
 	// maxTransfers is the number of announced bodies that a daemon receives at the same time. More transfers would not be faster on
 	// a full link, but delay all other requests on it by the bytes of their windows.
 	maxTransfers = 4
@@ -26,9 +23,10 @@
 	transferTimeout = 3 * time.Second
 )
 
-// isAnnounced reports whether the sender of a request waits for "100 Continue" before it sends the body.
+// isAnnounced reports whether the sender of a request waits for "100 Continue" before it sends the body. A longer body is streamed to the
+// target, which keeps a slot until the sender has sent it.
 func isAnnounced(r *http.Request) bool {
-	return r.ContentLength > 0 && r.ContentLength <= maxAnnouncedBody && expectsContinue(r)
+	return r.ContentLength > 0 && r.ContentLength <= MaxBufferedUpload && expectsContinue(r)
 }
 
 // bodyTransfers bounds the announced request bodies that are received at the same time.
@@ -63,5 +61,7 @@
 	if c.deadline.Before(until) {
 		until = c.deadline
 	}
-	return readBodyUpTo(maxAnnouncedBody, w, c.request, in.options.Limits.BodyBytes, until)
+	limits := in.options.Limits
+	limits.BufferedBodyBytes = MaxBufferedUpload
+	return readRequestBody(w, c.request, limits, limits.BodyBytes, until)
 }
--- a/internal/traffic/outbound.go
+++ b/internal/traffic/outbound.go
@@ -59,6 +59,7 @@
 		pool: newPool(transportOptions{
 			idlePerPeer: options.Limits.IdlePerPeer, idleTotal: options.Limits.IdleTotal, headerBytes: options.Limits.HeaderBytes,
 			expectContinue: maxDeadline,
+			limit:          newConnectionCount(options.Limits.OutgoingConnections), yieldsIdle: true,
 		}),
 	}
 	o.peers.keepRemovedCalls = true
@@ -106,6 +107,11 @@
 		refused.write(w, r, o.options.Metrics)
 		return
 	}
+	if refused := request.holdTenant(); refused != nil {
+		request.refuse(w, refused)
+		return
+	}
+	defer request.releaseTenant()
 	request.run(w)
 }
 
@@ -167,7 +173,7 @@
 	if refused != nil {
 		return nil, refused
 	}
-	body, refused := readRequestBody(w, r, limit, deadline)
+	body, refused := readRequestBody(w, r, o.options.Limits, limit, deadline)
 	if refused != nil {
 		return nil, refused
 	}
--- a/internal/traffic/outbound_refusal.go
+++ b/internal/traffic/outbound_refusal.go
@@ -47,6 +47,8 @@
 		return inDoubt(http.StatusGatewayTimeout, reasonDeadline, "the daemon stops before the response")
 	case errors.Is(err, errStopping):
 		return notExecuted(http.StatusServiceUnavailable, reasonDraining, "this daemon is shutting down")
+	case errors.Is(err, errNoConnectionLeft):
+		return callersRefusal("all connections to other daemons are in use")
 	case errors.Is(err, errTargetLost) && maybeSent:
 		return inDoubt(http.StatusBadGateway, reasonTargetLost, "the daemon "+daemon+" is gone or its target replaced")
 	case errors.Is(err, errTargetLost):
--- a/internal/traffic/refusal.go
+++ b/internal/traffic/refusal.go
@@ -43,6 +43,7 @@
 	reasonKeyUnknown         = "api-key-unknown"
 	reasonUnconfirmed        = "configuration-unconfirmed"
 	reasonQuotaExceeded      = "quota-exceeded"
+	reasonCallersOverLimit   = "callers-over-limit"
 )
 
 // refusal is an error response of a daemon.
