--- a/internal/command/admission/concurrency.go
+++ b/internal/command/admission/concurrency.go
@@ -198,8 +198,8 @@
 			continue
 		}
 		known = true
-		if logThroughput(lower, quickTime(low)) >
-			logThroughput(l.limit, quickTime(high))+math.Log(minThroughputGain) {
+		quickLow, quickHigh := quickTimes(observationsOf(low), observationsOf(high))
+		if logThroughput(lower, quickLow) > logThroughput(l.limit, quickHigh)+math.Log(minThroughputGain) {
 			return lower
 		}
 	}
@@ -214,7 +214,8 @@
 func (l *concurrencyLimit) endTrial(now time.Time) {
 	t := l.trial
 	l.trial = nil
-	gain := logThroughput(l.limit, t.quickTime(now, l.samples.kinds)) - logThroughput(t.from, quickTime(t.before))
+	quick, quickBefore := quickTimes(t.observations(now, l.samples.kinds), observationsOf(t.before))
+	gain := logThroughput(l.limit, quick) - logThroughput(t.from, quickBefore)
 	failing := !t.begun.IsZero() && t.isFailing(now, l.limit)
 	if l.limit < t.from {
 		l.endLower(now, t, gain >= math.Log(minThroughputGain) && !failing)
--- a/internal/command/admission/execution_samples.go
+++ b/internal/command/admission/execution_samples.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 )
 
@@ -24,9 +23,6 @@
 	maxHighWindow = 6 * time.Second
 	// lowWindow is the greatest age of a call at low concurrency.
 	lowWindow = time.Minute
-	// quickQuantile is the quantile of the execution times that is compared. It is low, since a machine that is slow for a part of
-	// the time and a few long calls change the mean and the higher quantiles.
-	quickQuantile = 0.25
 	// 1/kindWeight is the weight of one call in the mean of its kind.
 	kindWeight = 50
 )
@@ -48,16 +44,6 @@
 // relative returns the logarithm of the execution time, relative to the kind.
 func (s *executionSample) relative() float64 { return math.Log(float64(s.took)) - s.kind.log }
 
-// quickTime returns the quickQuantile of the relative execution times.
-func quickTime(samples []executionSample) float64 {
-	times := make([]float64, len(samples))
-	for i := range samples {
-		times[i] = samples[i].relative()
-	}
-	slices.Sort(times)
-	return times[int(quickQuantile*float64(len(times)))]
-}
-
 // sampleRing holds the latest samples that are at least spacing apart.
 type sampleRing struct {
 	samples []executionSample
--- a/internal/command/admission/limit_trial.go
+++ b/internal/command/admission/limit_trial.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -86,33 +85,16 @@
 
 func (t *limitTrial) started() int { return len(t.running) + len(t.ended) }
 
-// quickTime estimates the quickQuantile of the relative execution times of the calls of the trial. Those that still run count as
-// long as they have run (Kaplan-Meier estimator); otherwise calls that started late in the trial would make the target look slow.
-func (t *limitTrial) quickTime(now time.Time, kinds map[string]*kindMean) float64 {
-	type observation struct {
-		time  float64
-		ended bool
-	}
-	var all []observation
-	for i := range t.ended {
-		all = append(all, observation{t.ended[i].relative(), true})
-	}
+// observations returns the calls of the trial. Those that still run count as long as they have run; otherwise calls that started
+// late in the trial would make the target look slow.
+func (t *limitTrial) observations(now time.Time, kinds map[string]*kindMean) []timeObservation {
+	all := observationsOf(t.ended)
 	for _, c := range t.running {
 		if mean := kinds[c.kind]; mean != nil {
-			all = append(all, observation{math.Log(float64(max(now.Sub(c.start), 1))) - mean.log, false})
-		}
-	}
-	slices.SortFunc(all, func(a, b observation) int { return cmp.Compare(a.time, b.time) })
-	remaining := 1.0
-	for i, o := range all {
-		if o.ended {
-			remaining *= 1 - 1/float64(len(all)-i)
-		}
-		if remaining <= 1-quickQuantile {
-			return o.time
+			all = append(all, timeObservation{mean, math.Log(float64(max(now.Sub(c.start), 1))) - mean.log, false})
 		}
 	}
-	return math.Inf(1)
+	return all
 }
 
 // isFailing reports whether so few calls end that the trial cannot succeed any more. It then ends early: under a higher limit all
