--- a/internal/command/admission/concurrency.go
+++ b/internal/command/admission/concurrency.go
@@ -218,7 +218,8 @@
 	gain := logThroughput(l.limit, quick) - logThroughput(t.from, quickBefore)
 	failing := !t.begun.IsZero() && t.isFailing(now, l.limit)
 	if l.limit < t.from {
-		l.endLower(now, t, gain >= math.Log(minThroughputGain) && !failing)
+		more := float64(t.ends) >= minThroughputGain*t.expectedEnds(now)
+		l.endLower(now, t, gain >= math.Log(minThroughputGain) && more && !failing)
 		return
 	}
 	l.confirm = 0
--- a/internal/command/admission/learned_seeds_test.go
+++ b/internal/command/admission/learned_seeds_test.go
@@ -27,3 +27,27 @@
 		is.True(float64(with.sum(0, 40)) >= 1.5*float64(without.sum(0, 40)))
 	}
 }
+
+// Guards against a lower limit that stays at a target whose speed does not depend on concurrency, after a trial in which no more calls
+// ended than before but those were quick by chance (0.45, seed 29).
+func TestLearnedConcurrencyLeavesSlowTarget(t *testing.T) {
+	const slots, utilization = 12, 0.45
+	p := playedTarget{slots, utilization * slots / 0.23, 230 * time.Millisecond, func(at time.Duration, _ int) float64 {
+		if at >= 10*time.Second {
+			return 0.2
+		}
+		return 1
+	}}
+	for _, seed := range []uint64{29} {
+		lower := 0
+		limits := p.play(40, seed, true).limits
+		for _, limit := range limits {
+			if limit < slots {
+				lower++
+			}
+		}
+		if lower > 4 {
+			t.Errorf("seed %d: lower limits in %d s of 40: %v", seed, lower, limits)
+		}
+	}
+}
--- a/internal/command/admission/limit_trial.go
+++ b/internal/command/admission/limit_trial.go
@@ -107,10 +107,15 @@
 	return all
 }
 
+// expectedEnds returns the calls that would have ended since the trial began at the rate before.
+func (t *limitTrial) expectedEnds(now time.Time) float64 {
+	return float64(len(t.before)) / span(t.before).Seconds() * now.Sub(t.begun).Seconds()
+}
+
 // isFailing reports whether so few calls end that the trial cannot succeed any more. It then ends early: under a higher limit all
 // calls that run are slow, and slow until as many have ended as are too many; under a lower one slots are unused.
 func (t *limitTrial) isFailing(now time.Time, limit int) bool {
-	expected := float64(len(t.before)) / span(t.before).Seconds() * now.Sub(t.begun).Seconds()
+	expected := t.expectedEnds(now)
 	if limit > t.from {
 		return now.Sub(t.begun) >= minTrial && float64(t.ends) < failingEnds*expected
 	}
