--- a/internal/command/admission/learned_seeds_test.go
+++ b/internal/command/admission/learned_seeds_test.go
@@ -38,7 +38,7 @@
 		}
 		return 1
 	}}
-	for _, seed := range []uint64{29} {
+	for seed := range uint64(31) {
 		lower := 0
 		limits := p.play(40, seed, true).limits
 		for _, limit := range limits {
--- a/internal/command/admission/limit_trial.go
+++ b/internal/command/admission/limit_trial.go
@@ -40,12 +40,12 @@
 	// begun is when the concurrency had fallen to the limit on trial; zero until then.
 	begun  time.Time
 	length time.Duration
-	// running are the calls that started within length and still run, ended are those that have ended.
+	// running are the calls of the trial that still run, ended are those that have ended.
 	running []trialCall
 	ended   []executionSample
 	// ends counts the calls that have ended since the trial began, whenever they started.
 	ends int
-	// above counts the calls that started within length while more ran than the limit before.
+	// above counts the calls of the trial that started while more ran than the limit before.
 	above int
 	// createdAt bounds the wait for calls.
 	createdAt time.Time
@@ -62,8 +62,9 @@
 	}
 }
 
-func (t *limitTrial) includes(start time.Time) bool {
-	return !t.begun.IsZero() && !start.Before(t.begun) && start.Sub(t.begun) < t.length
+// includes reports whether a call that starts now counts: one that starts within length, or later while too few have started.
+func (t *limitTrial) includes(now time.Time) bool {
+	return !t.begun.IsZero() && (now.Sub(t.begun) < t.length || t.started() < trialCalls)
 }
 
 // recordStart records that a call started; running includes it.
@@ -80,7 +81,7 @@
 func (t *limitTrial) recordEnd(kind string, s executionSample, measured bool) {
 	t.ends++
 	i := slices.IndexFunc(t.running, func(c trialCall) bool { return c.kind == kind && c.start.Sub(s.start()).Abs() < startTolerance })
-	if !t.includes(s.start()) || i < 0 {
+	if i < 0 {
 		return
 	}
 	t.running = slices.Delete(t.running, i, i+1)
