--- a/internal/command/admission/concurrency.go
+++ b/internal/command/admission/concurrency.go
@@ -229,8 +229,9 @@
 		return
 	}
 	l.setLimit(now, t.from)
-	if gain > 0 && !failing {
-		l.probeAt = now.Add(l.probeDelay)
+	if !failing {
+		// The trial was not broken off for too few ends: the target may have recovered, and the calls were slow by chance.
+		l.step, l.probeAt = 0, now.Add(probeAfter)
 		return
 	}
 	l.step, l.probeAt = 0, now.Add(l.probeDelay)
--- a/internal/command/admission/learned_seeds_test.go
+++ b/internal/command/admission/learned_seeds_test.go
@@ -51,3 +51,23 @@
 		}
 	}
 }
+
+// Guards against a lower limit that stays for many seconds after the target has recovered, because a trial of a higher one that had too few
+// calls to be judged well is repeated as late as one that slowed down the target.
+func TestLearnedConcurrencyRecovers(t *testing.T) {
+	const slots, recovered = 12, 20
+	for _, utilization := range []float64{0.9, 1.1} {
+		p := playedTarget{slots, utilization * slots / 0.23, 230 * time.Millisecond, func(at time.Duration, running int) float64 {
+			if at < recovered*time.Second && running > slots/2 {
+				return 0.2
+			}
+			return 1
+		}}
+		for seed := range uint64(31) {
+			limits := p.play(recovered+15, seed, true).limits
+			if limits[recovered+14] < slots {
+				t.Errorf("utilization %.1f, seed %d: limits %v", utilization, seed, limits[recovered:])
+			}
+		}
+	}
+}
