--- a/internal/command/admission/priority_queue.go
+++ b/internal/command/admission/priority_queue.go
@@ -78,6 +78,8 @@
 	// executionTimes holds the moving average of the execution time by kind, meanExecutionTime that of all calls.
 	executionTimes    map[string]time.Duration
 	meanExecutionTime time.Duration
+	// longKinds are the kinds without an average of which a call was given up after more time than brief calls take.
+	longKinds map[string]bool
 	// mixExecutionTime is a slower average over all calls, of which mixSamples have ended, at most mixSampleWeight.
 	mixExecutionTime time.Duration
 	mixSamples       time.Duration
@@ -98,7 +100,7 @@
 
 // NewPriorityQueue returns a closed queue.
 func NewPriorityQueue() *PriorityQueue {
-	return &PriorityQueue{executionTimes: map[string]time.Duration{}}
+	return &PriorityQueue{executionTimes: map[string]time.Duration{}, longKinds: map[string]bool{}}
 }
 
 // SetTarget sets the slots of the target and opens or closes the queue. Closing refuses all waiting calls. It returns the
@@ -198,10 +200,14 @@
 }
 
 // isBrief reports whether calls of a kind are brief. A kind of which no call has ended counts as brief, so that its execution time
-// becomes known also while the target is overloaded.
+// becomes known also while the target is overloaded. It no longer does once a call was given up that was not brief: if all calls
+// run until their deadline, none ever ends.
 func (q *PriorityQueue) isBrief(kind string) bool {
 	executionTime := q.executionTimes[kind]
-	return executionTime == 0 || IsBrief(executionTime, q.mixExecutionTime)
+	if executionTime == 0 {
+		return !q.longKinds[kind]
+	}
+	return IsBrief(executionTime, q.mixExecutionTime)
 }
 
 // IsBrief reports whether calls of the given execution time are brief at a target with the given mean execution time.
@@ -215,6 +221,7 @@
 // Release frees the slot of a call of the given kind and execution time. It returns the calls that leave the queue.
 func (q *PriorityQueue) Release(now time.Time, kind string, took time.Duration) []Dequeued {
 	q.running--
+	delete(q.longKinds, kind)
 	q.executionTimes[kind] = movingAverage(q.executionTimes[kind], took, sampleWeight)
 	q.meanExecutionTime = movingAverage(q.meanExecutionTime, took, sampleWeight)
 	// The first calls to end are brief ones, which must not weigh more than the later ones.
--- a/internal/command/admission/use.go
+++ b/internal/command/admission/use.go
@@ -15,6 +15,9 @@
 	if q.concurrency.enabled && complete {
 		q.reported.record(call.Kind, took)
 	}
+	if !complete && q.executionTimes[call.Kind] == 0 && !IsBrief(took, q.mixExecutionTime) {
+		q.longKinds[call.Kind] = true
+	}
 	q.concurrency.recordEnd(now, callEnded{
 		kind: call.Kind, took: took, complete: complete, running: q.running,
 		short: len(q.queue) > 0, overloaded: q.isOverloaded(now), mean: q.MeanExecutionTime(),
