--- a/internal/command/admission/limit_trial.go
+++ b/internal/command/admission/limit_trial.go
@@ -21,8 +21,8 @@
 	// before at which it counts.
 	failingLowerEnds = 0.8
 	lowerEnds        = 6
-	// startTolerance is the difference between the start of a call and the end of it less its time, which are read one after
-	// the other.
+	// startTolerance is how much earlier a call may seem to have started, from its end less its time, than it got its slot. The times are
+	// read one after the other.
 	startTolerance = 2 * time.Millisecond
 )
 
@@ -80,7 +80,7 @@
 // recordEnd records the end of a call; measured says that the sample says how long the call takes.
 func (t *limitTrial) recordEnd(kind string, s executionSample, measured bool) {
 	t.ends++
-	i := slices.IndexFunc(t.running, func(c trialCall) bool { return c.kind == kind && c.start.Sub(s.start()).Abs() < startTolerance })
+	i := t.indexOf(kind, s.start())
 	if i < 0 {
 		return
 	}
@@ -90,6 +90,18 @@
 	}
 }
 
+// indexOf returns the running call of a kind that began to execute at the given time, or -1: the latest that got its slot before. On a
+// machine that is short of CPU time many milliseconds pass between the two. A call whose start is unknown takes the place of another
+// one of its kind, which keeps the number of running calls right.
+func (t *limitTrial) indexOf(kind string, start time.Time) int {
+	for i, c := range slices.Backward(t.running) {
+		if c.kind == kind && c.start.Sub(start) < startTolerance {
+			return i
+		}
+	}
+	return -1
+}
+
 // isUsed reports whether half of the calls of the trial of a higher limit started above the one before. Otherwise the trial says how
 // the target does at the limit before.
 func (t *limitTrial) isUsed() bool { return 2*t.above >= t.started() }
