--- a/internal/command/admission/order.go
+++ b/internal/command/admission/order.go
@@ -51,3 +51,19 @@
 	}
 	return orderKey{classInTime, call.Priority, over, call.Objective}
 }
+
+// isBrief reports whether calls of a kind are brief. A kind of which no call has ended counts as brief, so that its execution time
+// becomes known also while the target is overloaded. It no longer does once a call was given up that was not brief: if all calls
+// run until their deadline, none ever ends.
+func (q *PriorityQueue) isBrief(kind string) bool {
+	executionTime := q.executionTimes[kind]
+	if executionTime == 0 {
+		return !q.longKinds[kind]
+	}
+	return IsBrief(executionTime, q.mixExecutionTime)
+}
+
+// IsBrief reports whether calls of the given execution time are brief at a target with the given mean execution time.
+func IsBrief(executionTime, mean time.Duration) bool {
+	return executionTime <= scale(mean, briefFraction)
+}
--- a/internal/command/admission/priority_queue.go
+++ b/internal/command/admission/priority_queue.go
@@ -120,8 +120,7 @@
 
 // Acquire requests a slot for a call.
 func (q *PriorityQueue) Acquire(now time.Time, call Call) Decision {
-	q.shares.recordArrival(now, &call)
-	q.concurrency.recordArrival(q.ExpectedExecutionTime(call.Kind), call.Objective.Sub(now))
+	q.recordArrival(now, &call)
 	at, refused := q.check(now, call)
 	if refused.Verdict == Refuse {
 		return refused
@@ -139,7 +138,11 @@
 // Refuses reports whether a call would be refused now, and why. A sender learns it before it transfers a long request body.
 func (q *PriorityQueue) Refuses(now time.Time, call Call) (Decision, bool) {
 	_, refused := q.check(now, call)
-	return refused, refused.Verdict == Refuse
+	if refused.Verdict != Refuse {
+		return refused, false // Acquire follows
+	}
+	q.recordArrival(now, &call)
+	return refused, true
 }
 
 // check returns the position of a call in the queue, or its refusal.
@@ -199,22 +202,6 @@
 		now.Add(wait+scale(executionTime, typicalExecutionFraction)).After(call.Objective)
 }
 
-// isBrief reports whether calls of a kind are brief. A kind of which no call has ended counts as brief, so that its execution time
-// becomes known also while the target is overloaded. It no longer does once a call was given up that was not brief: if all calls
-// run until their deadline, none ever ends.
-func (q *PriorityQueue) isBrief(kind string) bool {
-	executionTime := q.executionTimes[kind]
-	if executionTime == 0 {
-		return !q.longKinds[kind]
-	}
-	return IsBrief(executionTime, q.mixExecutionTime)
-}
-
-// IsBrief reports whether calls of the given execution time are brief at a target with the given mean execution time.
-func IsBrief(executionTime, mean time.Duration) bool {
-	return executionTime <= scale(mean, briefFraction)
-}
-
 // waitForever is a wait beyond any deadline.
 const waitForever = time.Hour
 
--- a/internal/command/admission/use.go
+++ b/internal/command/admission/use.go
@@ -2,6 +2,12 @@
 
 import "time"
 
+// recordArrival records that a call requests a slot.
+func (q *PriorityQueue) recordArrival(now time.Time, call *Call) {
+	q.shares.recordArrival(now, call)
+	q.concurrency.recordArrival(q.ExpectedExecutionTime(call.Kind), call.Objective.Sub(now))
+}
+
 // recordStart records that a call got a slot.
 func (q *PriorityQueue) recordStart(now time.Time, call *Call) {
 	q.shares.recordStart(now, call, q.ExpectedExecutionTime(call.Kind))
--- a/internal/command/admission/use_test.go
+++ b/internal/command/admission/use_test.go
@@ -34,3 +34,21 @@
 	dequeued := q.Release(now, "known", 100*time.Millisecond)
 	is.Equal(dequeued, []Dequeued{{known.Ticket, Admitted}})
 }
+
+// Guards against calls with long bodies that are refused before their transfer and missing in the requests of their tenant, which then
+// seems to be served in full; and against calls that are not refused and count twice.
+func TestCallsRefusedBeforeTheirTransferCount(t *testing.T) {
+	is := is.New(t)
+	q := NewPriorityQueue()
+	now := time.Unix(1000, 0)
+	q.SetTarget(now, 1, true)
+	call := Call{Kind: "k", Objective: now.Add(time.Minute), Deadline: now.Add(time.Minute), Tenant: "t", Weight: 1}
+	_, refused := q.Refuses(now, call)
+	is.True(!refused)
+	is.Equal(q.Acquire(now, call).Verdict, Run)
+	is.Equal(q.shares.tenants["t"].arrived, 1.0)
+	call.MaxWait = time.Millisecond
+	_, refused = q.Refuses(now, call)
+	is.True(refused)
+	is.Equal(q.shares.tenants["t"].arrived, 2.0)
+}
