--- a/internal/command/admission/concurrency.go
+++ b/internal/command/admission/concurrency.go
@@ -97,7 +97,7 @@
 		l.reachedAt = now
 	}
 	if l.trial != nil {
-		l.trial.recordStart(now, kind)
+		l.trial.recordStart(now, kind, running)
 	}
 }
 
@@ -198,8 +198,8 @@
 			continue
 		}
 		known = true
-		if logThroughput(lower, quickTime(low)) >
-			logThroughput(l.limit, quickTime(high))+math.Log(minThroughputGain) {
+		quickLow, quickHigh := quickTimes(observationsOf(low), observationsOf(high))
+		if logThroughput(lower, quickLow) > logThroughput(l.limit, quickHigh)+math.Log(minThroughputGain) {
 			return lower
 		}
 	}
@@ -214,19 +214,26 @@
 func (l *concurrencyLimit) endTrial(now time.Time) {
 	t := l.trial
 	l.trial = nil
-	gain := logThroughput(l.limit, t.quickTime(now, l.samples.kinds)) - logThroughput(t.from, quickTime(t.before))
+	quick, quickBefore := quickTimes(t.observations(now, l.samples.kinds), observationsOf(t.before))
+	gain := logThroughput(l.limit, quick) - logThroughput(t.from, quickBefore)
 	failing := !t.begun.IsZero() && t.isFailing(now, l.limit)
 	if l.limit < t.from {
-		l.endLower(now, t, gain >= math.Log(minThroughputGain) && !failing)
+		more := float64(t.ends) >= minThroughputGain*t.expectedEnds(now)
+		l.endLower(now, t, gain >= math.Log(minThroughputGain) && more && !failing)
 		return
 	}
 	l.confirm = 0
-	if gain > 0 && !failing {
+	if gain > 0 && !failing && t.isUsed() {
 		l.step, l.probeDelay = 2*l.step, probeAfter
 		l.probeAt = now
 		return
 	}
 	l.setLimit(now, t.from)
+	if !failing {
+		// The trial was not broken off for too few ends: the target may have recovered, and the calls were slow by chance.
+		l.step, l.probeAt = 0, now.Add(probeAfter)
+		return
+	}
 	l.step, l.probeAt = 0, now.Add(l.probeDelay)
 	l.probeDelay = min(2*l.probeDelay, maxProbeAfter)
 }
--- a/internal/command/admission/limit_trial.go
+++ b/internal/command/admission/limit_trial.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -22,8 +21,8 @@
 	// before at which it counts.
 	failingLowerEnds = 0.8
 	lowerEnds        = 6
-	// startTolerance is the difference between the start of a call and the end of it less its time, which are read one after
-	// the other.
+	// startTolerance is how much earlier a call may seem to have started, from its end less its time, than it got its slot. The times are
+	// read one after the other.
 	startTolerance = 2 * time.Millisecond
 )
 
@@ -41,11 +40,13 @@
 	// begun is when the concurrency had fallen to the limit on trial; zero until then.
 	begun  time.Time
 	length time.Duration
-	// running are the calls that started within length and still run, ended are those that have ended.
+	// running are the calls of the trial that still run, ended are those that have ended.
 	running []trialCall
 	ended   []executionSample
 	// ends counts the calls that have ended since the trial began, whenever they started.
 	ends int
+	// above counts the calls of the trial that started while more ran than the limit before.
+	above int
 	// createdAt bounds the wait for calls.
 	createdAt time.Time
 }
@@ -61,21 +62,26 @@
 	}
 }
 
-func (t *limitTrial) includes(start time.Time) bool {
-	return !t.begun.IsZero() && !start.Before(t.begun) && start.Sub(t.begun) < t.length
+// includes reports whether a call that starts now counts: one that starts within length, or later while too few have started.
+func (t *limitTrial) includes(now time.Time) bool {
+	return !t.begun.IsZero() && (now.Sub(t.begun) < t.length || t.started() < trialCalls)
 }
 
-func (t *limitTrial) recordStart(now time.Time, kind string) {
+// recordStart records that a call started; running includes it.
+func (t *limitTrial) recordStart(now time.Time, kind string, running int) {
 	if t.includes(now) {
 		t.running = append(t.running, trialCall{kind, now})
+		if running > t.from {
+			t.above++
+		}
 	}
 }
 
 // recordEnd records the end of a call; measured says that the sample says how long the call takes.
 func (t *limitTrial) recordEnd(kind string, s executionSample, measured bool) {
 	t.ends++
-	i := slices.IndexFunc(t.running, func(c trialCall) bool { return c.kind == kind && c.start.Sub(s.start()).Abs() < startTolerance })
-	if !t.includes(s.start()) || i < 0 {
+	i := t.indexOf(kind, s.start())
+	if i < 0 {
 		return
 	}
 	t.running = slices.Delete(t.running, i, i+1)
@@ -84,41 +90,45 @@
 	}
 }
 
+// indexOf returns the running call of a kind that began to execute at the given time, or -1: the latest that got its slot before. On a
+// machine that is short of CPU time many milliseconds pass between the two. A call whose start is unknown takes the place of another
+// one of its kind, which keeps the number of running calls right.
+func (t *limitTrial) indexOf(kind string, start time.Time) int {
+	for i, c := range slices.Backward(t.running) {
+		if c.kind == kind && c.start.Sub(start) < startTolerance {
+			return i
+		}
+	}
+	return -1
+}
+
+// isUsed reports whether half of the calls of the trial of a higher limit started above the one before. Otherwise the trial says how
+// the target does at the limit before.
+func (t *limitTrial) isUsed() bool { return 2*t.above >= t.started() }
+
 func (t *limitTrial) started() int { return len(t.running) + len(t.ended) }
 
-// quickTime estimates the quickQuantile of the relative execution times of the calls of the trial. Those that still run count as
-// long as they have run (Kaplan-Meier estimator); otherwise calls that started late in the trial would make the target look slow.
-func (t *limitTrial) quickTime(now time.Time, kinds map[string]*kindMean) float64 {
-	type observation struct {
-		time  float64
-		ended bool
-	}
-	var all []observation
-	for i := range t.ended {
-		all = append(all, observation{t.ended[i].relative(), true})
-	}
+// observations returns the calls of the trial. Those that still run count as long as they have run; otherwise calls that started
+// late in the trial would make the target look slow.
+func (t *limitTrial) observations(now time.Time, kinds map[string]*kindMean) []timeObservation {
+	all := observationsOf(t.ended)
 	for _, c := range t.running {
 		if mean := kinds[c.kind]; mean != nil {
-			all = append(all, observation{math.Log(float64(max(now.Sub(c.start), 1))) - mean.log, false})
-		}
-	}
-	slices.SortFunc(all, func(a, b observation) int { return cmp.Compare(a.time, b.time) })
-	remaining := 1.0
-	for i, o := range all {
-		if o.ended {
-			remaining *= 1 - 1/float64(len(all)-i)
-		}
-		if remaining <= 1-quickQuantile {
-			return o.time
+			all = append(all, timeObservation{mean, math.Log(float64(max(now.Sub(c.start), 1))) - mean.log, false})
 		}
 	}
-	return math.Inf(1)
+	return all
+}
+
+// expectedEnds returns the calls that would have ended since the trial began at the rate before.
+func (t *limitTrial) expectedEnds(now time.Time) float64 {
+	return float64(len(t.before)) / span(t.before).Seconds() * now.Sub(t.begun).Seconds()
 }
 
 // isFailing reports whether so few calls end that the trial cannot succeed any more. It then ends early: under a higher limit all
 // calls that run are slow, and slow until as many have ended as are too many; under a lower one slots are unused.
 func (t *limitTrial) isFailing(now time.Time, limit int) bool {
-	expected := float64(len(t.before)) / span(t.before).Seconds() * now.Sub(t.begun).Seconds()
+	expected := t.expectedEnds(now)
 	if limit > t.from {
 		return now.Sub(t.begun) >= minTrial && float64(t.ends) < failingEnds*expected
 	}
--- a/internal/command/admission/use.go
+++ b/internal/command/admission/use.go
@@ -2,6 +2,12 @@
 
 import "time"
 
+// recordArrival records that a call requests a slot.
+func (q *PriorityQueue) recordArrival(now time.Time, call *Call) {
+	q.shares.recordArrival(now, call)
+	q.concurrency.recordArrival(q.ExpectedExecutionTime(call.Kind), call.Objective.Sub(now))
+}
+
 // recordStart records that a call got a slot.
 func (q *PriorityQueue) recordStart(now time.Time, call *Call) {
 	q.shares.recordStart(now, call, q.ExpectedExecutionTime(call.Kind))
@@ -15,6 +21,9 @@
 	if q.concurrency.enabled && complete {
 		q.reported.record(call.Kind, took)
 	}
+	if !complete && q.executionTimes[call.Kind] == 0 && !IsBrief(took, q.mixExecutionTime) {
+		q.longKinds[call.Kind] = true
+	}
 	q.concurrency.recordEnd(now, callEnded{
 		kind: call.Kind, took: took, complete: complete, running: q.running,
 		short: len(q.queue) > 0, overloaded: q.isOverloaded(now), mean: q.MeanExecutionTime(),
