--- a/internal/traffic/outbound.go
+++ b/internal/traffic/outbound.go
@@ -130,14 +130,14 @@
 	if refused != nil {
 		return nil, refused
 	}
-	token, refused := o.quotas.take(r.Context(), tenant)
+	request, refused := o.acceptRouted(w, r, now, table, route)
 	if refused != nil {
 		refused.tenant = tenant
 		return nil, refused
 	}
-	request, refused := o.acceptRouted(w, r, now, table, route)
+	// The token is taken once the body is here: requests that end their bodies together must not add up the tokens of many windows.
+	token, refused := o.quotas.take(r.Context(), tenant)
 	if refused != nil {
-		o.quotas.giveBack(token, refused)
 		refused.tenant = tenant
 		return nil, refused
 	}
--- a/internal/traffic/quota_test.go
+++ b/internal/traffic/quota_test.go
@@ -1,7 +1,10 @@
 package traffic_test
 
 import (
+	"bufio"
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"sync"
 	"testing"
@@ -151,3 +154,30 @@
 	status, _ = c.callAs(t, "key-a", "/safe/x")
 	is.Equal(status, http.StatusTooManyRequests)
 }
+
+// Guards against requests that take their tokens with their heads, wait for the ends of their bodies and are then executed all at once,
+// with the tokens of many windows.
+func TestTokenIsTakenOnceTheBodyIsComplete(t *testing.T) {
+	is := is.New(t)
+	target := startScriptedTarget(t, func(int, *http.Request) string { return okResponse })
+	c, _ := startLimitedChain(t, 1, target)
+	conn, err := net.Dial("tcp", c.address())
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "POST /safe/x HTTP/1.1\r\nHost: h\r\nX-Id: req-1\r\nX-Deadline: 10000\r\nAuthorization: Token key-a\r\n"+
+		"Expect: 100-continue\r\nContent-Length: 2\r\n\r\n")
+	is.NoErr(err)
+	reader := bufio.NewReader(conn)
+	line, err := reader.ReadString('\n') // the head has been handled
+	is.NoErr(err)
+	is.Equal(line, "HTTP/1.1 100 Continue\r\n")
+	status, _ := c.callAs(t, "key-a", "/safe/x")
+	is.Equal(status, http.StatusOK)
+	_, err = io.WriteString(conn, "{}")
+	is.NoErr(err)
+	_, err = reader.ReadString('\n') // the empty line
+	is.NoErr(err)
+	line, err = reader.ReadString('\n')
+	is.NoErr(err)
+	is.Equal(line, "HTTP/1.1 429 Too Many Requests\r\n")
+}
