--- a/internal/query/routing/expected_loss.go
+++ b/internal/query/routing/expected_loss.go
@@ -64,6 +64,9 @@
 	// Suspect says that the target was ejected, or refused calls because it is leaving. Cold says that it has started
 	// recently and is still slow.
 	Suspect, Cold bool
+	// Unlimited says that a report that is later than the news that the target is cold named no rate limit. The daemon beside a cold
+	// target names its limit.
+	Unlimited bool
 }
 
 // LoadProvider returns the load of a target.
--- a/internal/traffic/cold_test.go
+++ b/internal/traffic/cold_test.go
@@ -150,3 +150,25 @@
 	view.Evacuated = dcs
 	c.table = routing.NewTable(&view)
 }
+
+// Guards against a daemon that has read an old announcement, takes a target for cold that has long been warm, and leaves it idle while
+// the others are busy.
+func TestReportWithoutLimitShowsThatTheTargetIsWarm(t *testing.T) {
+	is := is.New(t)
+	answer := func(int, *http.Request) string {
+		time.Sleep(20 * time.Millisecond)
+		return okResponse
+	}
+	warm, other := startScriptedTarget(t, answer), startScriptedTarget(t, answer)
+	c := startChain(t, warm, other)
+	c.makeCold(time.Minute)
+	local := c.table.View.Targets[0]
+	local.WarmAt = time.Time{}
+	c.inbounds[0].Update(local, traffic.TargetConditions{WarmupPerSecond: tolerated})
+	served := 0
+	for range 10 {
+		served += countOK(t, c, 40)
+	}
+	is.Equal(served, 400)
+	is.True(warm.received.Load() > 100)
+}
--- a/internal/traffic/peer_load.go
+++ b/internal/traffic/peer_load.go
@@ -77,6 +77,7 @@
 		out.Slots = p.load.report.usableSlots(target.Slots)
 		out.Outstanding = max(float64(int64(p.load.report.running+p.load.report.queued)+own-p.load.ownInFlight), float64(own))
 	}
+	out.Unlimited = !p.load.at.IsZero() && monotonic(p.load.at) > p.warmAtSince.Load() && p.load.rate.perSecond == 0
 	if out.Fresh && p.load.rate.perSecond > 0 {
 		// This daemon's calls since the report take their turn at the limit too.
 		since := time.Duration(float64(max(own-p.load.ownInFlight, 0)) / p.load.rate.perSecond * float64(time.Second))
--- a/internal/traffic/peers.go
+++ b/internal/traffic/peers.go
@@ -52,6 +52,9 @@
 	leavingUntil         atomic.Int64 // by monotonic
 	lastResponse         atomic.Int64 // by monotonic, of the latest response
 	load                 loadState
+	// warmAt is when the target is warm by the table, and warmAtSince, by monotonic, since when the table says so; 0 if always.
+	warmAt      time.Time
+	warmAtSince atomic.Int64
 }
 
 // callSet holds the calls in flight to one incarnation of a target.
@@ -207,9 +210,12 @@
 	ready := t.State == model.TargetReady
 	switch {
 	case known == nil || known.incarnation != t.Incarnation:
-		return &peer{incarnation: t.Incarnation, ref: t.Ref(), ready: ready, stateSince: now, calls: newCallSet()}
+		return &peer{incarnation: t.Incarnation, ref: t.Ref(), ready: ready, stateSince: now, warmAt: t.WarmAt, calls: newCallSet()}
 	case known.ready != ready:
-		return &peer{incarnation: t.Incarnation, ref: t.Ref(), ready: ready, stateSince: now, calls: known.calls}
+		return &peer{incarnation: t.Incarnation, ref: t.Ref(), ready: ready, stateSince: now, warmAt: t.WarmAt, calls: known.calls}
+	case !known.warmAt.Equal(t.WarmAt):
+		known.warmAt = t.WarmAt
+		known.warmAtSince.Store(monotonic(now))
 	}
 	return known
 }
