--- a/internal/traffic/tenant.go
+++ b/internal/traffic/tenant.go
@@ -58,19 +58,19 @@
 }
 
 // authenticate returns the tenant of a request, and removes the API key and the tenant that the caller names from its header: the
-// target must see neither. Nothing is removed while the configuration has no tenants. While the configuration is not confirmed, no
+// target must see neither. The Authorization header stays while the configuration has no tenants. While the configuration is not confirmed, no
 // key is valid: it may have been revoked. Public routes are then served without a tenant.
 func (o *Outbound) authenticate(
 	r *http.Request, table *routing.Table, route *routing.Route, confirmed bool,
 ) (*model.Tenant, *refusal) {
+	if name := o.options.Headers.TenantID; name != "" {
+		r.Header.Del(name)
+	}
 	if !table.RequiresKeys() {
 		return nil, nil
 	}
 	tenant, ok := table.Authenticate(route, r.Header[headerAuthorization])
 	r.Header.Del(headerAuthorization)
-	if name := o.options.Headers.TenantID; name != "" {
-		r.Header.Del(name)
-	}
 	if !confirmed {
 		if route.Public {
 			return nil, nil
--- a/internal/traffic/tenant_test.go
+++ b/internal/traffic/tenant_test.go
@@ -66,17 +66,20 @@
 	}
 }
 
-// Guards against headers of requests that change where the configuration has no tenants.
+// Guards against an Authorization header that is removed where the configuration has no tenants, and against a forged tenant there, for
+// example after the last tenant was removed.
 func TestAuthorizationPassesWithoutTenants(t *testing.T) {
 	is := is.New(t)
 	target := startScriptedTarget(t, func(int, *http.Request) string { return okResponse })
 	ch := startChain(t, target)
 	r, _ := http.NewRequestWithContext(t.Context(), "GET", ch.url+"/safe/x", nil)
 	r.Header.Set("Authorization", "Bearer own")
+	r.Header.Set("X-Tenant", "forged")
 	response, err := http.DefaultTransport.RoundTrip(r)
 	is.NoErr(err)
 	_ = response.Body.Close()
 	is.Equal(target.headers[0].Get("Authorization"), "Bearer own")
+	is.Equal(target.headers[0].Get("X-Tenant"), "")
 }
 
 // callWithKey sends a request with an API key and returns the status and the header.
