--- a/internal/command/admission/retry_schedule.go
+++ b/internal/command/admission/retry_schedule.go
@@ -41,3 +41,13 @@
 	}
 	return q.retries.book(now, earliest, scale(between, 1/retryShare))
 }
+
+// RetryAfterWait returns the time after which the caller of a call that was refused for its deadline while it waited should come back.
+// For a call with a tenant it is booked from the same time as that of one that is refused at once, otherwise those refused after a
+// wait would come back first, while there is no room.
+func (q *PriorityQueue) RetryAfterWait(now time.Time, call Call) time.Duration {
+	if call.Tenant == "" {
+		return q.limits.wait(now, len(q.queue)+1)
+	}
+	return q.RetryAfter(now, call, q.expectedWait(now, len(q.queue))+q.ExpectedExecutionTime(call.Kind))
+}
--- a/internal/traffic/priority_queue.go
+++ b/internal/traffic/priority_queue.go
@@ -77,10 +77,11 @@
 	q.scheduleDispatch()
 	q.mu.Unlock()
 	reason := q.wait(ctx, deadline, q.queue, decision.Ticket, result)
-	if reason != admission.Admitted {
-		// A slot that was granted at the same moment is free again, and other calls may wait for the rate limit.
-		q.updateAndNotify(func(time.Time) []admission.Dequeued { return nil })
+	if reason == admission.Admitted {
+		return nil
 	}
+	// A slot that was granted at the same moment is free again, and other calls may wait for the rate limit.
+	q.updateAndNotify(func(time.Time) []admission.Dequeued { return nil })
 	return priorityQueueRefusal(reason, q.retryAfter(call, reason))
 }
 
@@ -89,11 +90,11 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := time.Now()
-	_, wait := q.queue.RateLimit(now)
-	if reason != admission.Deadline {
-		return wait
+	if reason == admission.Deadline {
+		return q.queue.RetryAfterWait(now, call)
 	}
-	return q.queue.RetryAfter(now, call, wait)
+	_, wait := q.queue.RateLimit(now)
+	return wait
 }
 
 // refuses returns the refusal that a call would get now, or nil.
