--- a/internal/command/admission/limit_trial.go
+++ b/internal/command/admission/limit_trial.go
@@ -43,7 +43,7 @@
 	// running are the calls of the trial that still run, ended are those that have ended.
 	running []trialCall
 	ended   []executionSample
-	// ends counts the calls that have ended since the trial began, whenever they started.
+	// ends counts the calls that have ended since the trial began, whenever they started, without those that were given up, as before.
 	ends int
 	// above counts the calls of the trial that started while more ran than the limit before.
 	above int
@@ -79,7 +79,9 @@
 
 // recordEnd records the end of a call; measured says that the sample says how long the call takes.
 func (t *limitTrial) recordEnd(kind string, s executionSample, measured bool) {
-	t.ends++
+	if measured {
+		t.ends++
+	}
 	i := t.indexOf(kind, s.start())
 	if i < 0 {
 		return
--- a/internal/command/admission/limit_trial_test.go
+++ b/internal/command/admission/limit_trial_test.go
@@ -28,4 +28,5 @@
 	end(100*time.Millisecond, 100*time.Millisecond, false)
 	is.Equal(len(trial.ended), 2)
 	is.Equal(len(trial.running), 0)
+	is.Equal(trial.ends, 3) // the rate before the trial, too, is that of calls with a time
 }
