--- a/internal/traffic/priority_queue.go
+++ b/internal/traffic/priority_queue.go
@@ -76,7 +76,7 @@
 	result := q.add(decision.Ticket)
 	q.scheduleDispatch()
 	q.mu.Unlock()
-	reason := q.wait(ctx, deadline, q.queue, decision.Ticket, result)
+	reason := q.wait(ctx, deadline, withdrawableCall{q.queue, call}, decision.Ticket, result)
 	if reason == admission.Admitted {
 		return nil
 	}
@@ -85,6 +85,18 @@
 	return priorityQueueRefusal(reason, q.retryAfter(call, reason))
 }
 
+// withdrawableCall is the queue of a target as the wait of one call uses it.
+type withdrawableCall struct {
+	*admission.PriorityQueue
+	call admission.Call
+}
+
+// ReleaseUnmeasured frees the slot of the call, which has not used it.
+func (c withdrawableCall) ReleaseUnmeasured(now time.Time) []admission.Dequeued {
+	c.RecordUse(now, c.call, 0, false)
+	return c.PriorityQueue.ReleaseUnmeasured(now)
+}
+
 // retryAfter returns the time after which the caller of a call that was refused while it waited should come back.
 func (q *priorityQueue) retryAfter(call admission.Call, reason admission.Reason) time.Duration {
 	q.mu.Lock()
