--- a/internal/traffic/priority_queue.go
+++ b/internal/traffic/priority_queue.go
@@ -76,24 +76,37 @@
 	result := q.add(decision.Ticket)
 	q.scheduleDispatch()
 	q.mu.Unlock()
-	reason := q.wait(ctx, deadline, q.queue, decision.Ticket, result)
-	if reason != admission.Admitted {
-		// A slot that was granted at the same moment is free again, and other calls may wait for the rate limit.
-		q.updateAndNotify(func(time.Time) []admission.Dequeued { return nil })
+	reason := q.wait(ctx, deadline, withdrawableCall{q.queue, call}, decision.Ticket, result)
+	if reason == admission.Admitted {
+		return nil
 	}
+	// A slot that was granted at the same moment is free again, and other calls may wait for the rate limit.
+	q.updateAndNotify(func(time.Time) []admission.Dequeued { return nil })
 	return priorityQueueRefusal(reason, q.retryAfter(call, reason))
 }
 
+// withdrawableCall is the queue of a target as the wait of one call uses it.
+type withdrawableCall struct {
+	*admission.PriorityQueue
+	call admission.Call
+}
+
+// ReleaseUnmeasured frees the slot of the call, which has not used it.
+func (c withdrawableCall) ReleaseUnmeasured(now time.Time) []admission.Dequeued {
+	c.RecordUse(now, c.call, 0, false)
+	return c.PriorityQueue.ReleaseUnmeasured(now)
+}
+
 // retryAfter returns the time after which the caller of a call that was refused while it waited should come back.
 func (q *priorityQueue) retryAfter(call admission.Call, reason admission.Reason) time.Duration {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := time.Now()
-	_, wait := q.queue.RateLimit(now)
-	if reason != admission.Deadline {
-		return wait
+	if reason == admission.Deadline {
+		return q.queue.RetryAfterWait(now, call)
 	}
-	return q.queue.RetryAfter(now, call, wait)
+	_, wait := q.queue.RateLimit(now)
+	return wait
 }
 
 // refuses returns the refusal that a call would get now, or nil.
