--- a/internal/command/catalog/announcement.go
+++ b/internal/command/catalog/announcement.go
@@ -234,15 +234,9 @@
 			"state", string(next.State), "slots", strconv.Itoa(next.Slots), "sequence", strconv.FormatUint(next.Sequence+1, 10))
 	}
 	next.Sequence++
-	changesOwners := (local.target.State == model.TargetReady) != (next.State == model.TargetReady)
+	before := local.target.State
 	local.target = next
-	if changesOwners {
-		c.setAnnounced(now, false) // until the platform has stored this state
-		c.updateOwners(next.Daemon)
-	}
-	if next.State == model.TargetGone {
-		c.quotas.unlisted = true
-	}
+	c.recordOwnState(now, before, next.State)
 	local.scheduleRecordShare(now)
 	c.dirty = true
 	return true
--- a/internal/command/catalog/quota.go
+++ b/internal/command/catalog/quota.go
@@ -246,9 +246,24 @@
 	return true
 }
 
+// delayOwnership makes a daemon that has joined own tenants only after ownershipDelay.
+func (c *Core) delayOwnership(m *member, daemon model.DaemonID) {
+	m.joining = true
+	c.quotas.joining = append(c.quotas.joining, joiningDaemon{daemon: daemon})
+}
+
+// recordListed records that the platform lists the announcement of a daemon. One whose lease had ended joins anew.
+func (c *Core) recordListed(m *member, daemon model.DaemonID) {
+	m.unlistedSince = time.Time{}
+	if m.lapsed {
+		m.lapsed = false
+		c.delayOwnership(m, daemon)
+	}
+}
+
 // ownsTenants reports whether a daemon takes part in the ownership of tenants: it has joined and is not leaving.
 func (m *member) ownsTenants() bool {
-	return !m.unconfirmed && !m.joining && m.target.State == model.TargetReady
+	return !m.unconfirmed && !m.joining && !m.lapsed && m.target.State == model.TargetReady
 }
 
 // ownsTenants reports whether others may count this daemon among the owners.
@@ -268,6 +283,16 @@
 	c.updateOwners(c.cfg.Target.Daemon)
 }
 
+// recordOwnState records a change of the local target's state, after which the platform holds another one. Others remove a daemon whose
+// target is gone.
+func (c *Core) recordOwnState(now time.Time, before, state model.TargetState) {
+	if (before == model.TargetReady) != (state == model.TargetReady) {
+		c.setAnnounced(now, false)
+		c.updateOwners(c.cfg.Target.Daemon)
+	}
+	c.quotas.unlisted = c.quotas.unlisted || state == model.TargetGone
+}
+
 // recordLeaseEnd records that the platform has removed the announcement, after which others may remove this daemon from their rosters.
 func (c *Core) recordLeaseEnd(now time.Time) {
 	c.quotas.leaseUntil, c.quotas.unlisted = 0, true
--- a/internal/command/catalog/quota_test.go
+++ b/internal/command/catalog/quota_test.go
@@ -11,6 +11,7 @@
 	"sniperail.example/sniperail/internal/effect"
 	"sniperail.example/sniperail/internal/message"
 	"sniperail.example/sniperail/internal/model"
+	"sniperail.example/sniperail/internal/store"
 )
 
 var quotaSettings = quota.Settings{Window: 5 * time.Second, Tolerance: 0.1, Slack: 20}
@@ -48,6 +49,14 @@
 	return n.quotas[token], token
 }
 
+// grants reports whether a node answers other daemons as the owner of the tenant.
+func grants(sim *simulation, n *node) bool {
+	n.lastToken++
+	q := &message.QuotaRequest{Tenant: "t", Borrower: 1, Sequence: uint64(n.lastToken), Waiting: 1}
+	sim.handle(n, effect.RequestReceived{Token: n.lastToken, Body: q})
+	return n.replies[n.lastToken].(*message.QuotaReply).Code == message.Accepted
+}
+
 // Guards against daemons that choose different owners, and against a grant that is not limited by the owner's bucket.
 func TestOwnerGrantsToAllDaemons(t *testing.T) {
 	is := is.New(t)
@@ -148,8 +157,7 @@
 			is.Equal(answer.Reply.Granted, 1)
 		}
 	}
-	sim.handle(joining, effect.RequestReceived{Token: 1 << 40, Body: &message.QuotaRequest{Tenant: "t", Sequence: 1, Waiting: 1}})
-	is.Equal(joining.replies[1<<40].(*message.QuotaReply).Code, message.Accepted) // the daemon owns the tenant by now
+	is.True(grants(sim, joining)) // the daemon owns the tenant by now
 }
 
 // Guards against two owners that grant the same tokens: a daemon that has settled long before its target is ready, or that the others
@@ -189,7 +197,27 @@
 		}
 		is.True(granted <= 680) // (100 * 5 + 100) * 1.1 + 20
 		sim.run(2 * time.Second)
-		answer, _ := askQuota(sim, sim.nodes[joining], 1)
-		is.True(answer.Reply != nil) // the daemon owns the tenant by now
+		is.True(grants(sim, sim.nodes[joining])) // the daemon owns the tenant by now
 	}
 }
+
+// Guards against a tenant that stays with an owner that answers its peers but has lost the store, and so cannot grant tokens.
+func TestOwnerWithoutTheStoreLosesItsTenants(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t, 6)
+	sim.leases = map[store.LeaseID]simulatedLease{}
+	old := sim.nodes[startTenant(sim)]
+	next := sim.nodes[ownerAmong(sim, func(n *node) bool { return n != old })]
+	old.platformUnreachable = true
+	sim.run(25 * time.Second)
+	is.True(grants(sim, old)) // its lease is valid
+	sim.run(45 * time.Second)
+	is.True(!grants(sim, old))
+	is.True(grants(sim, next))
+	old.platformUnreachable = false
+	sim.run(time.Second)
+	is.True(!grants(sim, old))
+	sim.run(8 * time.Second)
+	is.True(grants(sim, old))
+	is.True(!grants(sim, next))
+}
--- a/internal/command/catalog/roster.go
+++ b/internal/command/catalog/roster.go
@@ -39,6 +39,10 @@
 	unconfirmed bool
 	// joining says that the daemon became known recently and owns no tenants yet.
 	joining bool
+	// unlistedSince is since when the platform does not list the announcement; zero while it does. lapsed says that this has lasted for
+	// the lifetime of a lease: the daemon answers its peers, but cannot grant tokens.
+	unlistedSince time.Time
+	lapsed        bool
 }
 
 // departedMember is the last known target of a daemon that was removed from the roster, and the time of the removal.
@@ -93,6 +97,7 @@
 		c.updateOwners(daemon)
 	}
 	m.probeAt, m.misses = time.Time{}, 0
+	c.recordListed(m, daemon)
 	if m.unconfirmed {
 		m.probeAt = now
 	}
@@ -136,8 +141,7 @@
 			"sequence", strconv.FormatUint(target.Sequence, 10), "source", source)
 	}
 	if m.target.Daemon == "" && c.settled {
-		m.joining = true
-		c.quotas.joining = append(c.quotas.joining, joiningDaemon{daemon: target.Daemon})
+		c.delayOwnership(m, target.Daemon)
 	}
 	owned := m.ownsTenants()
 	m.target = target
@@ -156,6 +160,9 @@
 	}
 	if m := c.roster[daemon]; m != nil {
 		m.probeAt = now
+		if m.unlistedSince.IsZero() {
+			m.unlistedSince = now
+		}
 		if c.meshKeys.renewing {
 			m.probeAt = now.Add(rewriteTime)
 		}
@@ -192,6 +199,10 @@
 	default:
 		reply.Target.Received(now)
 		m.misses = 0
+		if !m.lapsed && !m.unlistedSince.IsZero() && now.Sub(m.unlistedSince) >= leaseTTL {
+			m.lapsed = true
+			c.updateOwners(daemon)
+		}
 		if m.unconfirmed {
 			m.unconfirmed, m.probeAt, c.dirty = false, time.Time{}, true
 			c.updateOwners(daemon)
