--- a/internal/command/quota/balance.go
+++ b/internal/command/quota/balance.go
@@ -20,6 +20,8 @@
 	// asks again. The time doubles with each request without an answer: a single one is usually late, not lost.
 	minFallback = 50 * time.Millisecond
 	maxFallback = 400 * time.Millisecond
+	// idleTime exceeds the lifetime of tokens and the time over which refused callers are scheduled.
+	idleTime = time.Minute
 )
 
 // Kind is the result of Balance.Take.
@@ -85,6 +87,11 @@
 // NewBalance returns an empty balance. The sequence must be higher than any that an earlier process of the daemon has used.
 func NewBalance(sequence uint64) *Balance { return &Balance{sequence: sequence} }
 
+// IsIdle reports whether the balance can be dropped: no request has come for so long that nothing in it counts any more.
+func (b *Balance) IsIdle(now, window time.Duration) bool {
+	return !b.asking && b.waiting == 0 && now-b.demandAt > max(idleTime, window)
+}
+
 // Take takes a token for a request.
 func (b *Balance) Take(now time.Duration, l Limit) Result {
 	b.recordDemand(now)
--- a/internal/command/quota/balance_test.go
+++ b/internal/command/quota/balance_test.go
@@ -81,3 +81,16 @@
 	is.Equal(later, message.QuotaReply{Code: message.Accepted, Granted: 1, Prepaid: 40})
 	is.Equal(bucket.Grant(now, calm, &message.QuotaRequest{Sequence: 1, Waiting: 1}).Code, message.Stale)
 }
+
+// Guards against balances of removed tenants that are kept for ever, and against one that is dropped while it counts.
+func TestBalanceIsIdleOnceNothingInItCounts(t *testing.T) {
+	is := is.New(t)
+	b, l := quota.NewBalance(1), quota.Limit{Rate: 10, Settings: quota.Settings{Window: 5 * time.Second}}
+	b.Take(time.Second, l)
+	b.Ask(time.Second)
+	is.True(!b.IsIdle(time.Hour, l.Window)) // a request waits
+	b.Answer(time.Second, l, nil, 1)
+	is.True(!b.IsIdle(31*time.Second, l.Window))
+	is.True(b.IsIdle(62*time.Second, l.Window))
+	is.True(!b.IsIdle(62*time.Second, time.Hour))
+}
--- a/internal/traffic/quota.go
+++ b/internal/traffic/quota.go
@@ -44,6 +44,8 @@
 	waiting []chan quota.Result
 	// share is what the control loop last said that this daemon may execute without the owner.
 	share int
+	// dropped says that the balance is no longer that of the tenant.
+	dropped bool
 }
 
 // quotaToken is the token of a request; the zero value if it needs none.
@@ -63,6 +65,11 @@
 	}
 	b, limit := q.balance(tenant.Name), quota.NewLimit(tenant, q.options.Settings)
 	b.mu.Lock()
+	for b.dropped {
+		b.mu.Unlock()
+		b = q.balance(tenant.Name)
+		b.mu.Lock()
+	}
 	result := b.balance.Take(q.options.Uptime(), limit)
 	var answer chan quota.Result
 	if result.Kind == quota.Waiting {
@@ -152,6 +159,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if b = q.balances[name]; b == nil {
+		q.dropIdle()
 		// The time of day is higher than the sequences of an earlier process. If it was set back, the owner forgets them in seconds.
 		b = &tenantBalance{name: name, balance: quota.NewBalance(uint64(time.Now().UnixNano()))}
 		q.balances[name] = b
@@ -159,6 +167,18 @@
 	return b
 }
 
+// dropIdle drops the balances without recent requests: tenants are removed from the configuration. The caller holds the lock.
+func (q *tenantQuotas) dropIdle() {
+	now := q.options.Uptime()
+	for name, b := range q.balances {
+		b.mu.Lock()
+		if b.dropped = b.balance.IsIdle(now, q.options.Settings.Window); b.dropped {
+			delete(q.balances, name)
+		}
+		b.mu.Unlock()
+	}
+}
+
 // giveBack returns the token of a request that was refused as not executed.
 func (q *tenantQuotas) giveBack(t quotaToken, refused *refusal) {
 	if t.balance == nil || refused == nil || refused.executed != retry.ExecutedNo {
