--- a/internal/traffic/body_transfer_test.go
+++ b/internal/traffic/body_transfer_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -12,6 +13,7 @@
 
 	"github.com/matryer/is"
 
+	"sniperail.example/sniperail/internal/command/callers"
 	"sniperail.example/sniperail/internal/traffic"
 )
 
@@ -123,3 +125,35 @@
 	is.Equal(response.StatusCode, http.StatusOK)
 	<-continued
 }
+
+// Guards against a refusal that waits for the announced body although its sender waits for the refusal.
+func TestRefusalDoesNotWaitForAnAnnouncedBody(t *testing.T) {
+	for _, length := range []int{20 << 10, 100 << 10} {
+		is := is.New(t)
+		refuse := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) })
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		server := traffic.NewServer(refuse, traffic.DefaultLimits())
+		budget := traffic.NewCallerBudget(callers.Limits{
+			Bytes: 1 << 20, Connections: 8, ListenerShare: 1, AddressShare: 1, TenantShare: 1, Fields: 100,
+		}, nil)
+		guarded := budget.Guard(server, listener, "admission")
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_ = server.Serve(guarded)
+		}()
+		conn, err := net.Dial("tcp", listener.Addr().String())
+		is.NoErr(err)
+		_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+		_, err = fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: %d\r\n\r\n", length)
+		is.NoErr(err)
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		is.NoErr(err)
+		is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+		is.True(response.Close)
+		_ = conn.Close()
+		_ = server.Close()
+		<-done
+	}
+}
--- a/internal/traffic/caller_listener.go
+++ b/internal/traffic/caller_listener.go
@@ -17,8 +17,8 @@
 	AuxiliaryHeaderBytes = 16 << 10
 	// auxiliaryTimeout bounds the reading of a request and the writing of a response there, which take milliseconds.
 	auxiliaryTimeout = 30 * time.Second
-	// auxiliaryRequests is the number of requests after which a connection there is closed. With many pipelined requests, a crowd would
-	// otherwise keep all connections busy.
+	// auxiliaryRequests is the number of requests after which a connection there is closed. Without it, pipelined requests could keep
+	// all connections busy.
 	auxiliaryRequests = 64
 )
 
@@ -200,7 +200,9 @@
 	// For a handler that does not read the body: http.Server reads a short rest of it without a deadline of its own. Those that do
 	// set their own.
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
+	// The request of http.Server keeps its own body: of one that waits for "100 Continue", the server reads no rest.
 	body := &receivedBody{ReadCloser: r.Body, caller: caller}
+	r = r.WithContext(r.Context())
 	r.Body = body
 	// http.Server reads the rest of a body that the handler leaves, some of it within the first write of the response.
 	caller.awaitInput()
