--- a/internal/command/catalog/quota_owner.go
+++ b/internal/command/catalog/quota_owner.go
@@ -110,6 +110,22 @@
 	c.quotas.joining = append(c.quotas.joining, joiningDaemon{daemon: daemon})
 }
 
+// supersede records which of the daemons with the address of a new member are lost: all but the one that started last. A lost owner
+// grants nothing, and its lease would keep its tenants without an owner for as long as it lasts.
+func (c *Core) supersede(m *member) {
+	for daemon, other := range c.roster {
+		if other == m || other.target.PeerAddress != m.target.PeerAddress {
+			continue
+		}
+		if other.target.Incarnation > m.target.Incarnation {
+			m.superseded = true
+			continue
+		}
+		other.superseded = true
+		c.updateOwners(daemon)
+	}
+}
+
 // recordListed records that the platform lists the announcement of a daemon. One whose lease had ended joins anew.
 func (c *Core) recordListed(m *member, daemon model.DaemonID) {
 	m.unlistedSince = time.Time{}
@@ -121,7 +137,7 @@
 
 // ownsTenants reports whether a daemon takes part in the ownership of tenants: it has joined and is not leaving.
 func (m *member) ownsTenants() bool {
-	return !m.unconfirmed && !m.joining && !m.lapsed && m.target.State == model.TargetReady
+	return !m.unconfirmed && !m.superseded && !m.joining && !m.lapsed && m.target.State == model.TargetReady
 }
 
 // ownsTenants reports whether others may count this daemon among the owners.
--- a/internal/command/catalog/quota_test.go
+++ b/internal/command/catalog/quota_test.go
@@ -221,3 +221,28 @@
 	is.True(grants(sim, old))
 	is.True(!grants(sim, next))
 }
+
+// Guards against tenants that stay without an owner for the rest of a lease, because the VM of their owner is lost and its address
+// belongs to another daemon.
+func TestOwnerWhoseAddressIsTakenLosesItsTenants(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t, 6)
+	owner := startTenant(sim)
+	lost := sim.nodes[owner]
+	lost.stopped = true
+	sim.run(time.Second)
+	successor := sim.startAt("successor", lost.address, nil)
+	sim.run(100 * time.Millisecond)
+	sim.startTarget(len(sim.nodes)-1, "v1")
+	sim.run(2 * time.Second)
+	for _, n := range sim.nodes {
+		if n == lost || n == successor {
+			continue
+		}
+		_, token := askQuota(sim, n, 1)
+		sim.run(2 * time.Millisecond)
+		answer := n.quotas[token]
+		is.True(answer.Reply != nil)
+		is.Equal(answer.Reply.Code, message.Accepted)
+	}
+}
--- a/internal/command/catalog/roster.go
+++ b/internal/command/catalog/roster.go
@@ -37,6 +37,8 @@
 	// unconfirmed says that a restored store holds the announcement of a target that had left the roster before. The target gets no
 	// calls until its daemon has answered a probe or written the announcement again.
 	unconfirmed bool
+	// superseded says that a daemon that started later has the address of this one, whose VM is therefore lost.
+	superseded bool
 	// joining says that the daemon became known recently and owns no tenants yet.
 	joining bool
 	// unlistedSince is since when the platform does not list the announcement; zero while it does. lapsed says that this has lasted for
@@ -140,11 +142,15 @@
 			"version", string(target.Version), "state", string(target.State),
 			"sequence", strconv.FormatUint(target.Sequence, 10), "source", source)
 	}
-	if m.target.Daemon == "" {
+	added := m.target.Daemon == ""
+	if added {
 		c.delayOwnership(m, target.Daemon)
 	}
 	owned := m.ownsTenants()
 	m.target = target
+	if added {
+		c.supersede(m)
+	}
 	c.dirty = true
 	if m.ownsTenants() != owned {
 		c.updateOwners(target.Daemon)
--- a/internal/command/catalog/simulation_test.go
+++ b/internal/command/catalog/simulation_test.go
@@ -140,9 +140,14 @@
 
 // start starts or restarts a daemon.
 func (sim *simulation) start(name string, seeds []string) *node {
+	return sim.startAt(name, name+":1", seeds)
+}
+
+// startAt starts a daemon at an address, which may be that of a lost one.
+func (sim *simulation) startAt(name, address string, seeds []string) *node {
 	sim.incarnation++
 	n := &node{
-		address: name + ":1", watches: map[string]int64{}, answers: map[effect.Token]model.Outcome{},
+		address: address, watches: map[string]int64{}, answers: map[effect.Token]model.Outcome{},
 		replies: map[effect.Token]message.Reply{}, storeCalls: map[string]int{}, askers: map[effect.Token]asker{}, confirmed: confirmation.Never,
 		quotas: map[effect.Token]effect.ReturnQuota{},
 	}
