--- a/internal/traffic/explain_test.go
+++ b/internal/traffic/explain_test.go
@@ -80,7 +80,7 @@
 		if c.withoutTargets {
 			ch.setTargets(nil)
 		}
-		_, header := ch.callWithKey(t, c.path, c.key)
+		_, header := ch.callAs(t, c.key, c.path)
 		e := ch.outbound.Explain(explanation.Confirmation{Required: true, Serves: !c.unconfirmed}, explanation.Request{
 			Method: "GET", Path: c.path, Authorization: []string{"Token " + c.key},
 		})
--- a/internal/traffic/tenant_test.go
+++ b/internal/traffic/tenant_test.go
@@ -82,19 +82,6 @@
 	is.Equal(target.headers[0].Get("X-Tenant"), "")
 }
 
-// callWithKey sends a request with an API key and returns the status and the header.
-func (c *chain) callWithKey(t *testing.T, path, key string) (int, http.Header) {
-	t.Helper()
-	r, _ := http.NewRequestWithContext(t.Context(), "GET", c.url+path, nil)
-	r.Header.Set("Authorization", "Token "+key)
-	response, err := http.DefaultTransport.RoundTrip(r)
-	if err != nil {
-		t.Fatal(err)
-	}
-	_ = response.Body.Close()
-	return response.StatusCode, response.Header
-}
-
 // Guards against an API key that is accepted although it may have been revoked, also on a public route, and against public routes
 // and deployments without tenants that are not served meanwhile.
 func TestUnconfirmedConfigurationAcceptsNoKeys(t *testing.T) {
@@ -102,16 +89,16 @@
 	target := startScriptedTarget(t, func(int, *http.Request) string { return okResponse })
 	ch := startChain(t, target)
 	ch.confirmed = func() bool { return false }
-	status, _ := ch.callWithKey(t, "/safe/x", "key-a")
+	status, _ := ch.callAs(t, "key-a", "/safe/x")
 	is.Equal(status, http.StatusOK) // no tenants
 	ch.setTenants()
-	status, header := ch.callWithKey(t, "/safe/x", "key-a")
+	status, header := ch.callAs(t, "key-a", "/safe/x")
 	is.Equal(status, http.StatusServiceUnavailable)
 	is.Equal(header.Get(traffic.HeaderRefusal), "configuration-unconfirmed")
 	is.Equal(header.Get(traffic.HeaderExecuted), "no")
 	is.Equal(header.Get("Retry-After"), "1.000")
 	is.Equal(target.received.Load(), int64(1))
-	status, _ = ch.callWithKey(t, "/named/x", "key-b")
+	status, _ = ch.callAs(t, "key-b", "/named/x")
 	is.Equal(status, http.StatusOK)
 	is.Equal(target.headers[1].Get("X-Tenant"), "")
 	is.Equal(target.headers[1].Get("Authorization"), "")
@@ -130,7 +117,7 @@
 		ch.table = routing.NewTable(ch.table.View)
 		return true
 	}
-	status, _ := ch.callWithKey(t, "/safe/x", "key-a")
+	status, _ := ch.callAs(t, "key-a", "/safe/x")
 	is.Equal(status, http.StatusUnauthorized)
 	is.Equal(target.received.Load(), int64(0))
 }
