--- a/review/testdata/second/client.go
+++ b/review/testdata/second/client.go
@@ -40,13 +40,19 @@
 	return id, response.StatusCode
 }
 
-// load sends requests at a fixed rate until it is stopped.
+// load calls a function at a fixed rate until it is stopped.
 type load struct {
 	stop  chan struct{}
 	group sync.WaitGroup
 }
 
+// startLoad sends requests of one kind.
 func startLoad(m *machine, method, path string, interval, deadline time.Duration) *load {
+	return repeat(interval, func() { send(m, method, path, "", deadline) })
+}
+
+// repeat calls a function at a fixed rate, each time on a goroutine of its own.
+func repeat(interval time.Duration, f func()) *load {
 	l := &load{stop: make(chan struct{})}
 	l.group.Go(func() {
 		ticker := time.NewTicker(interval)
@@ -54,7 +60,7 @@
 		for {
 			select {
 			case <-ticker.C:
-				l.group.Go(func() { send(m, method, path, "", deadline) })
+				l.group.Go(f)
 			case <-l.stop:
 				return
 			}
--- a/review/testdata/second/main.go
+++ b/review/testdata/second/main.go
@@ -16,6 +16,7 @@
 // cases holds the cases by name. Each returns what breaks the rule, nil if it held.
 var cases = map[string]func(w *world, trouble bool) (broken []string, err error){
 	"late-heartbeat": runLateHeartbeat,
+	"added-route":    runAddedRoute,
 }
 
 func main() {
--- a/review/testdata/second/upstream.go
+++ b/review/testdata/second/upstream.go
@@ -33,6 +33,8 @@
 	work    time.Duration
 	server  *http.Server
 	free    chan struct{}
+	// workByPath holds the time of work for paths that differ from work; nil for none.
+	workByPath map[string]time.Duration
 	// lateBy delays the heartbeats on their way; zero while they arrive at once.
 	lateBy time.Duration
 	// onRun is called when a request is executed.
@@ -182,7 +184,11 @@
 			u.onEnd(id, time.Now())
 		}
 	}()
-	timer := time.NewTimer(u.work)
+	work, ok := u.workByPath[r.URL.Path]
+	if !ok {
+		work = u.work
+	}
+	timer := time.NewTimer(work)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
