--- a/review/testdata/second/late_heartbeat.go
+++ b/review/testdata/second/late_heartbeat.go
@@ -61,7 +61,7 @@
 	}
 	next.beat()
 	time.Sleep(lifetime)
-	acknowledged, ok := next.deregister()
+	acknowledged, ok := next.deregister(5)
 	if !ok {
 		return nil, fmt.Errorf("the end of the run was not acknowledged")
 	}
--- a/review/testdata/second/upstream.go
+++ b/review/testdata/second/upstream.go
@@ -115,10 +115,10 @@
 	u.machine.world.log("%s: heartbeat seq %d of %s has arrived after %s, status %d", u.machine.name, seq, u.id, u.lateBy, acknowledged)
 }
 
-// deregister reports the end of the run, and returns when that was acknowledged.
-func (u *upstream) deregister() (time.Time, bool) {
+// deregister reports the end of the run, up to the given number of times, and returns when that was acknowledged.
+func (u *upstream) deregister(tries int) (time.Time, bool) {
 	u.stopBeating()
-	for range 5 {
+	for range tries {
 		status := u.report(http.MethodDelete, "")
 		at := time.Now()
 		u.machine.world.log("%s: upstream %s deregisters, status %d", u.machine.name, u.id, status)
