--- a/review/testdata/second/main.go
+++ b/review/testdata/second/main.go
@@ -17,6 +17,7 @@
 var cases = map[string]func(w *world, trouble bool) (broken []string, err error){
 	"late-heartbeat": runLateHeartbeat,
 	"added-route":    runAddedRoute,
+	"foreign-entry":  runForeignEntry,
 	"frozen-restart": runFrozenRestart,
 	"left-upload":    runLeftUpload,
 }
