--- a/review/testdata/second/main.go
+++ b/review/testdata/second/main.go
@@ -4,6 +4,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // Exit codes of a case.
@@ -37,6 +39,7 @@
 		return exitNotRun
 	}
 	defer w.end()
+	go endOnSignal(w)
 	trouble := os.Getenv("TROUBLE") != "0"
 	w.log("case %s, disruption %t", name, trouble)
 	broken, err := cases[name](w, trouble)
@@ -62,3 +65,12 @@
 	fmt.Println("held")
 	return exitHeld
 }
+
+// endOnSignal ends all processes of a case that is ended from outside.
+func endOnSignal(w *world) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	<-signals
+	w.end()
+	os.Exit(exitNotRun)
+}
--- a/review/testdata/second/upstream.go
+++ b/review/testdata/second/upstream.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -42,6 +43,9 @@
 	// onEnd is called when the upstream has ended its work on a request.
 	onEnd func(id string, at time.Time)
 
+	// ran is when the latest request was executed, in Unix nanoseconds.
+	ran atomic.Int64
+
 	mu      sync.Mutex
 	seq     int
 	stopped chan struct{}
@@ -91,6 +95,9 @@
 	}
 }
 
+// lastRun returns when the latest request was executed, long ago if none was.
+func (u *upstream) lastRun() time.Time { return time.Unix(0, u.ran.Load()) }
+
 // crash ends the run without a word.
 func (u *upstream) crash() {
 	u.stopBeating()
@@ -176,6 +183,7 @@
 		return
 	}
 	u.machine.world.log("%s: upstream %s runs request %s", u.machine.name, u.id, id)
+	u.ran.Store(time.Now().UnixNano())
 	if u.onRun != nil {
 		u.onRun(id, arrived)
 	}
