--- a/review/testdata/second/late_heartbeat.go
+++ b/review/testdata/second/late_heartbeat.go
@@ -12,7 +12,7 @@
 	const (
 		late     = 3 * time.Second
 		lifetime = 1800 * time.Millisecond
-		serving  = 12 * time.Second
+		serving  = 25 * time.Second
 		restart  = 5 * time.Millisecond
 		slots    = 4
 		work     = 40 * time.Millisecond
