catalog: a deregistration without a start time is kept by the name of its run

Its first reports were late, and its deregistration names no start time. The daemon judged it by the record of the run before: it counted as a late report of an earlier run, was answered and forgotten, so that the late "ready" put the run into service. The log of the untouched code shows it: no line at the deregistration, then target-changed from sequence 1 to 2 as the heartbeat arrives, 2 ms before other daemons learn of the run, so that neither a peer nor the store had brought it back. The same judgement against the record of another run stood on related paths: a run under the name of the one before; a late deregistration of an earlier run right after a restart of the daemon, which recorded it with the start time "now" and kept the present run out for good; and a run that its predecessor's deregistration was taken for, refused whatever it reported.

Change: such a deregistration is a departure: the runs of this name that have started by now have left. It is kept beside the record of the present run for 30 s, stored with the announcement, and shared with peers while the store is away (a new field of the messages between daemons, whose layout changes). It ends the present run only if the name is the same. A run that keeps on reporting for 8 s has not left and returns to service. A deregistration that changes nothing of the present run is logged.

TestDelayedAndForeignReports let a run return under its old name with a start time before the deregistration.

--- a/internal/command/catalog/announcement.go
+++ b/internal/command/catalog/announcement.go
@@ -39,6 +39,10 @@
 	warmAt time.Time
 	// earlier is the record that an earlier process of this daemon has written; nil if there is none or it is not known.
 	earlier *model.TargetRecord
+	// departures are the deregistrations without a start time, oldest first. departureSequence is the sequence of the first record that
+	// holds the latest of them.
+	departures        []departure
+	departureSequence uint64
 	// held is the newest report of a ready target that arrived before earlier was known, nil if there is none. From applyHeldAt on,
 	// reports are applied even if earlier is not known; zero before the first is held.
 	held        *model.TargetReport
@@ -165,7 +169,11 @@
 	case r.State == model.TargetReady && !c.knowsEarlierRecord(now):
 		c.holdReport(now, r)
 		return false
-	case c.local.isLate(r):
+	}
+	if d := c.local.departureOf(now, r); d != nil {
+		return c.applyDepartedReport(now, d, r)
+	}
+	if c.local.isLate(r) {
 		c.logLateReport(r)
 		return false
 	}
@@ -194,34 +202,6 @@
 	return c.setLocalTarget(now, next)
 }
 
-// applyShutdownReport marks the target as gone, and reports whether it changed. The run that reports its shutdown may be unknown
-// here: a daemon that has just started knows none, and its first report may be delayed. If the report has no start time, the run
-// is assumed to have started before now.
-func (c *Core) applyShutdownReport(now time.Time, r *model.TargetReport) bool {
-	local := &c.local
-	last := local.lastReport()
-	gone := *r
-	switch {
-	case last == nil:
-		if gone.Born == 0 {
-			gone.Born = now.UnixMilli()
-		}
-	case r.Instance == last.Instance && (r.Born == 0 || r.Born == last.Born):
-		if last.State == model.TargetGone {
-			return false
-		}
-		gone = *last
-		gone.State = model.TargetGone
-	case r.Born <= last.Born:
-		// A late report of an earlier run.
-		return false
-	}
-	local.report = &gone
-	next := local.target
-	next.Instance, next.Born, next.State, next.DaemonEnds = gone.Instance, gone.Born, model.TargetGone, false
-	return c.setLocalTarget(now, next)
-}
-
 // setLocalTarget replaces the local target under the next sequence number, and reports whether it changed.
 func (c *Core) setLocalTarget(now time.Time, next model.Target) bool {
 	local := &c.local
@@ -330,7 +310,10 @@
 
 // record returns the announcement of the target, which has reported.
 func (l *localTarget) record(now time.Time) model.TargetRecord {
-	record := model.TargetRecord{Target: l.target.ForPeers(now), ReportSeq: l.report.Seq, Leaving: l.isLeaving(l.report)}
+	record := model.TargetRecord{
+		Target: l.target.ForPeers(now), ReportSeq: l.report.Seq, Leaving: l.isLeaving(l.report),
+		Departures: l.recordedDepartures(now),
+	}
 	record.Slots = max(record.Slots, 1) // unknown if only the shutdown was reported; a record without slots is refused
 	return record
 }
--- a/internal/command/catalog/catalog_test.go
+++ b/internal/command/catalog/catalog_test.go
@@ -153,6 +153,9 @@
 	again := ready
 	again.Born, again.Seq = 2, 1
 	sim.report(n, again)
+	is.Equal(n.view.Local.State, model.TargetGone) // a run under the same name that had started before the shutdown report
+	again.Born = sim.now.Add(time.Millisecond).UnixMilli()
+	sim.report(n, again)
 	is.Equal(n.view.Local.State, model.TargetReady) // a new run under the same name
 	late := model.TargetReport{Instance: "i0", Born: 1, State: model.TargetGone}
 	sim.report(n, late)
--- a/internal/command/catalog/earlier_record_test.go
+++ b/internal/command/catalog/earlier_record_test.go
@@ -51,6 +51,10 @@
 		{"leaving by its own response", []model.TargetReport{ready}, true, reportOf("i2", 1, 20, model.TargetReady)},
 		{"deregistered before its first report", []model.TargetReport{reportOf("i3", 5, 0, model.TargetGone)}, false,
 			reportOf("i3", 5, 1, model.TargetReady)},
+		{"deregistered before its first report, without a start time", []model.TargetReport{reportOf("i3", 0, 0, model.TargetGone)}, false,
+			reportOf("i3", 5, 1, model.TargetReady)},
+		{"deregistered before its first report, under the name of the run before",
+			[]model.TargetReport{reportOf("i2", 0, 0, model.TargetGone)}, false, reportOf("i2", 5, 1, model.TargetReady)},
 		{"another run has started", []model.TargetReport{reportOf("i3", 5, 1, model.TargetReady)}, false, ready},
 	}
 }
--- a/internal/command/catalog/era.go
+++ b/internal/command/catalog/era.go
@@ -214,7 +214,7 @@
 	}
 }
 
-// keepLostLeaving keeps the record of a target that is leaving if the store has lost it. Its daemon may be killed before it has written
+// keepLostLeaving keeps the record of a target of which a run is leaving if the store has lost it. Its daemon may be killed before it has written
 // the record again.
 func (c *Core) keepLostLeaving(now time.Time, key string, lost []byte) {
 	name, ok := strings.CutPrefix(key, store.PrefixTargets)
@@ -222,7 +222,7 @@
 		return
 	}
 	record, err := c.cfg.Records.DecodeTarget(lost)
-	if err != nil || !record.IsLeaving() {
+	if err != nil || !record.HoldsLeaving() {
 		return
 	}
 	if stored, err := c.cfg.Records.DecodeTarget(c.meshKeys.entries[key].Value); err != nil || isSuperseded(stored, record) {
--- a/internal/command/catalog/roster.go
+++ b/internal/command/catalog/roster.go
@@ -79,7 +79,7 @@
 		c.compareStoredTarget(now, record)
 		return
 	}
-	if shared, ok := c.sharedRecords[daemon]; ok && isSuperseded(record, &shared.record) {
+	if shared, ok := c.sharedRecords[daemon]; ok && shared.record.IsLeaving() && isSuperseded(record, &shared.record) {
 		record = &shared.record
 	}
 	m := c.roster[daemon]
--- a/internal/command/catalog/target_model_test.go
+++ b/internal/command/catalog/target_model_test.go
@@ -29,6 +29,9 @@
 	state    model.TargetState
 	// ackedAt is when it was acknowledged as draining or gone; zero before.
 	ackedAt time.Time
+	// reportDelay is how late its reports arrive, except that of its shutdown. undated says that this one names no start time.
+	reportDelay time.Duration
+	undated     bool
 }
 
 // sentReport is a report on its way to the daemon.
@@ -62,13 +65,13 @@
 
 func (m *targetModel) run() *targetRun { return m.runs[len(m.runs)-1] }
 
-// startRun starts the target anew, under a new name or that of the run before.
-func (m *targetModel) startRun(sameName bool) {
+// startRun starts the target anew, under a new name or that of the run before. Its reports arrive late by reportDelay.
+func (m *targetModel) startRun(sameName bool, reportDelay time.Duration) {
 	name := model.InstanceID(fmt.Sprint("run", len(m.runs)))
 	if sameName && len(m.runs) > 0 {
 		name = m.run().instance
 	}
-	m.runs = append(m.runs, &targetRun{instance: name, born: m.sim.now.UnixMilli(), state: model.TargetReady})
+	m.runs = append(m.runs, &targetRun{instance: name, born: m.sim.now.UnixMilli(), state: model.TargetReady, reportDelay: reportDelay})
 	m.nextBeat = m.sim.now
 }
 
@@ -77,7 +80,13 @@
 	run := m.run()
 	run.seq++
 	r := model.TargetReport{Instance: run.instance, Born: run.born, Seq: run.seq, Version: "v1", State: run.state}
+	if run.state == model.TargetGone && run.undated {
+		r.Born = 0
+	}
 	for _, delay := range delays {
+		if run.state != model.TargetGone {
+			delay += run.reportDelay
+		}
 		m.sent = append(m.sent, sentReport{m.sim.now.Add(delay), run, r})
 	}
 }
@@ -158,13 +167,15 @@
 	case "deregister":
 		if run.state == model.TargetReady || run.state == model.TargetDraining {
 			run.state, m.nextBeat = model.TargetGone, m.sim.now
+			run.undated = rapid.Bool().Draw(t, "undated")
 		}
 	case "crash":
 		run.state = model.TargetDown
 	case "start":
 		// A target that has left or crashed starts again.
 		if run.state == model.TargetDown || !run.ackedAt.IsZero() && run.state == model.TargetGone {
-			m.startRun(rapid.Bool().Draw(t, "same name"))
+			m.startRun(rapid.Bool().Draw(t, "same name"),
+				rapid.SampledFrom([]time.Duration{0, 0, 3 * time.Second}).Draw(t, "report delay"))
 		}
 	case "late":
 		if run.state == model.TargetReady {
@@ -215,7 +226,7 @@
 		for _, i := range []int{0, 1, 3} {
 			m.sim.startTarget(i, "v1")
 		}
-		m.startRun(false)
+		m.startRun(false, 0)
 		m.advance(t, 6*time.Second)
 		m.copy, m.copied = m.sim.copyStore(), m.sim.now
 		for range rapid.IntRange(1, 25).Draw(t, "steps") {
--- a/internal/command/catalog/unstored_record.go
+++ b/internal/command/catalog/unstored_record.go
@@ -24,10 +24,11 @@
 	expiresAt time.Time
 }
 
-// scheduleRecordShare makes this daemon share the record of a target that is leaving unless the platform stores it soon.
+// scheduleRecordShare makes this daemon share the record of a target that is leaving, or of which a run has departed, unless the
+// platform stores it soon.
 func (l *localTarget) scheduleRecordShare(now time.Time) {
 	l.shareAt = time.Time{}
-	if record := (model.TargetRecord{Target: l.target}); record.IsLeaving() {
+	if record := (model.TargetRecord{Target: l.target}); record.IsLeaving() || l.hasUnstoredDeparture(now) {
 		l.shareAt = now.Add(shareRecordDelay)
 	}
 }
@@ -62,11 +63,22 @@
 	}
 }
 
-// keepSharedRecord keeps a record unless a later one of the same daemon is known, and gossips it. It reports whether it was new.
+// keepSharedRecord keeps a record unless a later one of the same daemon is known, and the departures of both, and gossips the result.
+// It reports whether the record says anything new.
 func (c *Core) keepSharedRecord(s sharedRecord) bool {
 	daemon := s.record.Daemon
-	if known, ok := c.sharedRecords[daemon]; ok && !isSuperseded(&known.record, &s.record) {
-		return false
+	if known, ok := c.sharedRecords[daemon]; ok {
+		later, earlier := s, known
+		if !isSuperseded(&known.record, &s.record) {
+			later, earlier = known, s
+			if len(addedDepartures(&known.record, s.record.Departures)) == 0 {
+				return false
+			}
+		}
+		added := addedDepartures(&later.record, earlier.record.Departures)
+		later.record.Departures = slices.Concat(added, later.record.Departures)
+		later.record.Departures = later.record.Departures[max(len(later.record.Departures)-maxDepartures, 0):]
+		s = later
 	}
 	c.sharedRecords[daemon] = s
 	c.pendingRecords = append(c.pendingRecords, daemon)
@@ -134,5 +146,9 @@
 	if record.Incarnation == by.Incarnation {
 		return by.Sequence > record.Sequence
 	}
+	if record.Born == 0 || by.Born == 0 {
+		// A run that has left before its first report; its start time is not known.
+		return by.Incarnation > record.Incarnation
+	}
 	return by.LastReport().Newer(record.LastReport())
 }
--- a/internal/model/target.go
+++ b/internal/model/target.go
@@ -93,6 +93,24 @@
 	ReportSeq uint64 `json:"reportSeq,omitempty"`
 	// Leaving says that the run has said in a response that it is leaving. No report of that run undoes it.
 	Leaving bool `json:"leaving,omitempty"`
+	// Departures are the latest deregistrations that named no start time.
+	Departures []Departure `json:"departures,omitempty"`
+}
+
+// Departure says that the runs of Instance that had started by BornBy, in Unix milliseconds, have deregistered.
+type Departure struct {
+	Instance InstanceID `json:"instance"`
+	BornBy   int64      `json:"bornBy"`
+}
+
+// Covers reports whether a report comes from a run that has departed.
+func (d Departure) Covers(r *TargetReport) bool {
+	return r.Instance == d.Instance && r.Born <= d.BornBy
+}
+
+// Includes reports whether d covers every run that o covers.
+func (d Departure) Includes(o Departure) bool {
+	return d.Instance == o.Instance && d.BornBy >= o.BornBy
 }
 
 // IsLeaving reports whether the record says that the target leaves service, for another reason than the end of its daemon.
@@ -100,6 +118,9 @@
 	return r.State == TargetDraining && !r.DaemonEnds || r.State == TargetGone
 }
 
+// HoldsLeaving reports whether the next process of the daemon must know the record, because a run was acknowledged as leaving.
+func (r *TargetRecord) HoldsLeaving() bool { return r.IsLeaving() || len(r.Departures) > 0 }
+
 // LastReport returns the latest report that the record is known to follow from.
 func (r *TargetRecord) LastReport() *TargetReport {
 	state := r.State
--- a/internal/peer/layout_test.go
+++ b/internal/peer/layout_test.go
@@ -12,7 +12,7 @@
 // other's messages. A field that is renamed in Go keeps its wire name in a tag, such as `wire:"Held"`. Change the value only
 // together with a deliberate change of the messages.
 func TestLayoutIsPinned(t *testing.T) {
-	is.New(t).Equal(peer.Layout, uint32(1952029535)) // layout of the messages between daemons
+	is.New(t).Equal(peer.Layout, uint32(357306908)) // layout of the messages between daemons
 }
 
 // Guards against a field that is renamed in Go under its wire name and changes the layout all the same, and against a renamed
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -148,7 +148,7 @@
 		Shared: []message.SharedRecord{{
 			Record: model.TargetRecord{
 				Target:    model.Target{Daemon: "d", Instance: "i", Since: at, State: model.TargetGone, Sequence: 3},
-				ReportSeq: 7, Leaving: true,
+				ReportSeq: 7, Leaving: true, Departures: []model.Departure{{Instance: "j", BornBy: 1 << 40}},
 			},
 			Age: time.Second,
 		}},
