admission: no kind of calls is refused for good by its expected execution time

The daemon beside a target refuses a call if half of its expected execution time does not fit into the time until its deadline, and expected the mean of all calls for a kind of which none had ended. Since all of them were refused, none ever did. The log of the untouched code: configuration number=2 with the route, request-refused sends=1, call-refused running=1 slots=12 left_ms=398 run_ms=1201 reason=deadline-too-short, for requests that take 30 ms.

Change: a kind of which nothing is known is not refused by an estimate. A target reports an unknown kind as unknown, and callers then leave it to the target whether the call is served. Controller runs any call if a slot is free.

--- a/internal/command/admission/admission.go
+++ b/internal/command/admission/admission.go
@@ -110,12 +110,13 @@
 		return Decision{Verdict: Refuse, Reason: Draining, RetryAfter: time.Second}
 	case c.target != model.TargetReady:
 		return Decision{Verdict: Refuse, Reason: NotReady, RetryAfter: time.Second}
-	case !now.Before(deadline), !c.Idle() && !c.canFinish(now, deadline, 0):
-		// An idle target takes any call: after a slow period, only further calls can show that it is fast again.
+	case !now.Before(deadline):
 		return Decision{Verdict: Refuse, Reason: Deadline}
 	}
 	c.lastTicket++
 	if c.running < c.limit.slots() && len(c.queue) == 0 {
+		// Whatever the estimate says: it is the mean over calls of all routes, which may take much longer than this one, and after a
+		// slow period only further calls can show that the target is fast again.
 		c.running++
 		return Decision{Verdict: Run, Ticket: c.lastTicket}
 	}
--- a/internal/command/admission/admission_test.go
+++ b/internal/command/admission/admission_test.go
@@ -180,3 +180,14 @@
 	step(10, true, true, model.TargetStarting, true)
 	step(12, true, true, model.TargetReady, true)
 }
+
+// Guards against a call that is refused beside free slots because calls of other routes take longer than it has time.
+func TestShortCallIsServedBesideLongOnes(t *testing.T) {
+	is := is.New(t)
+	s := newReady(admission.Settings{Slots: 4, Connections: 4, Queue: 4})
+	is.Equal(s.Acquire(start, start.Add(5*time.Second)).Verdict, admission.Run)
+	s.Release(start, 1200*time.Millisecond, false)
+	is.Equal(s.Acquire(start, start.Add(5*time.Second)).Verdict, admission.Run) // a long call runs
+	is.Equal(s.Acquire(start, start.Add(400*time.Millisecond)).Verdict, admission.Run)
+	is.Equal(s.Acquire(start, start).Reason, admission.Deadline)
+}
--- a/internal/command/admission/order.go
+++ b/internal/command/admission/order.go
@@ -56,11 +56,7 @@
 // becomes known also while the target is overloaded. It no longer does once a call was given up that was not brief: if all calls
 // run until their deadline, none ever ends.
 func (q *PriorityQueue) isBrief(kind string) bool {
-	executionTime := q.executionTimes[kind]
-	if executionTime == 0 {
-		return !q.longKinds[kind]
-	}
-	return IsBrief(executionTime, q.mixExecutionTime)
+	return q.isUnknown(kind) || q.kinds[kind].average > 0 && IsBrief(q.kinds[kind].average, q.mixExecutionTime)
 }
 
 // IsBrief reports whether calls of the given execution time are brief at a target with the given mean execution time.
--- a/internal/command/admission/priority_queue.go
+++ b/internal/command/admission/priority_queue.go
@@ -75,11 +75,9 @@
 	lastTicket Ticket
 	running    int
 	queue      []waitingCall
-	// executionTimes holds the moving average of the execution time by kind, meanExecutionTime that of all calls.
-	executionTimes    map[string]time.Duration
+	// kinds holds what is known of the execution times of each kind; meanExecutionTime is the moving average of all calls.
+	kinds             map[string]*kindTimes
 	meanExecutionTime time.Duration
-	// longKinds are the kinds without an average of which a call was given up after more time than brief calls take.
-	longKinds map[string]bool
 	// mixExecutionTime is a slower average over all calls, of which mixSamples have ended, at most mixSampleWeight.
 	mixExecutionTime time.Duration
 	mixSamples       time.Duration
@@ -100,7 +98,7 @@
 
 // NewPriorityQueue returns a closed queue.
 func NewPriorityQueue() *PriorityQueue {
-	return &PriorityQueue{executionTimes: map[string]time.Duration{}, longKinds: map[string]bool{}}
+	return &PriorityQueue{kinds: map[string]*kindTimes{}}
 }
 
 // SetTarget sets the slots of the target and opens or closes the queue. Closing refuses all waiting calls. It returns the
@@ -164,7 +162,7 @@
 	case call.MaxWait > 0 && wait > call.MaxWait && q.limits.isCold(now):
 		// The sender gives up a call that is refused for its deadline, but another target may be warm.
 		return at, Decision{Verdict: Refuse, Reason: Busy, RetryAfter: min(wait, q.expectedWait(now, len(q.queue))+executionTime)}
-	case !now.Add(wait + scale(executionTime, minExecutionFraction)).Before(call.Deadline):
+	case !now.Add(wait + q.leastTime(now, call.Kind)).Before(call.Deadline):
 		earliest := min(wait, q.expectedWait(now, len(q.queue))+executionTime)
 		return at, Decision{Verdict: Refuse, Reason: Deadline, RetryAfter: q.RetryAfter(now, call, earliest)}
 	case call.MaxWait > 0 && wait > call.MaxWait:
@@ -208,12 +206,7 @@
 // Release frees the slot of a call of the given kind and execution time. It returns the calls that leave the queue.
 func (q *PriorityQueue) Release(now time.Time, kind string, took time.Duration) []Dequeued {
 	q.running--
-	delete(q.longKinds, kind)
-	q.executionTimes[kind] = movingAverage(q.executionTimes[kind], took, sampleWeight)
-	q.meanExecutionTime = movingAverage(q.meanExecutionTime, took, sampleWeight)
-	// The first calls to end are brief ones, which must not weigh more than the later ones.
-	q.mixSamples = min(q.mixSamples+1, mixSampleWeight)
-	q.mixExecutionTime = movingAverage(q.mixExecutionTime, took, q.mixSamples)
+	q.recordExecutionTime(kind, took)
 	return q.dispatch(now)
 }
 
@@ -282,22 +275,6 @@
 // Slots returns the slots of the target, or the learned limit.
 func (q *PriorityQueue) Slots() int { return q.concurrency.usable(q.slots) }
 
-// MeanExecutionTime returns the average execution time of all calls.
-func (q *PriorityQueue) MeanExecutionTime() time.Duration {
-	if q.meanExecutionTime == 0 {
-		return initialExecutionTime
-	}
-	return q.meanExecutionTime
-}
-
-// ExpectedExecutionTime returns the expected execution time of a call of the given kind.
-func (q *PriorityQueue) ExpectedExecutionTime(kind string) time.Duration {
-	if executionTime := q.executionTimes[kind]; executionTime > 0 {
-		return executionTime
-	}
-	return q.MeanExecutionTime()
-}
-
 // usableSlots returns the number of slots that calls may occupy now.
 func (q *PriorityQueue) usableSlots(now time.Time) int {
 	if now.Before(q.excessUntil) {
@@ -322,7 +299,7 @@
 	var dequeued []Dequeued
 	kept := q.queue[:0]
 	for _, call := range q.queue {
-		if now.Add(scale(q.ExpectedExecutionTime(call.Kind), minExecutionFraction)).Before(call.Deadline) {
+		if now.Add(q.leastTime(now, call.Kind)).Before(call.Deadline) {
 			kept = append(kept, call)
 			continue
 		}
@@ -363,7 +340,7 @@
 		switch {
 		case call.MaxWait > 0 && wait > call.MaxWait:
 			dequeued = append(dequeued, Dequeued{call.ticket, Busy})
-		case !now.Add(wait + scale(q.ExpectedExecutionTime(call.Kind), minExecutionFraction)).Before(call.Deadline):
+		case !now.Add(wait + q.leastTime(now, call.Kind)).Before(call.Deadline):
 			dequeued = append(dequeued, Dequeued{call.ticket, Deadline})
 		default:
 			kept = append(kept, call)
@@ -372,15 +349,3 @@
 	q.queue = kept
 	return dequeued
 }
-
-func scale(executionTime time.Duration, fraction float64) time.Duration {
-	return time.Duration(float64(executionTime) * fraction)
-}
-
-// movingAverage returns the average after a sample whose weight is 1/weight.
-func movingAverage(old, took, weight time.Duration) time.Duration {
-	if old == 0 {
-		return took
-	}
-	return old + (took-old)/weight
-}
--- a/internal/command/admission/reported_times.go
+++ b/internal/command/admission/reported_times.go
@@ -28,9 +28,12 @@
 	return old + (took-old)/reportedWeight
 }
 
-// ReportedTimes returns the execution time of a call of the given kind and the mean over all calls, for the load report. Without
-// learning they are the averages that the queue uses itself.
+// ReportedTimes returns the execution time of a call of the given kind, 0 if nothing is known of it, and the mean over all calls, for the
+// load report. Without learning they are the averages that the queue uses itself.
 func (q *PriorityQueue) ReportedTimes(kind string) (execution, mean time.Duration) {
+	if q.isUnknown(kind) {
+		return 0, q.MeanExecutionTime()
+	}
 	if !q.concurrency.enabled || q.reported.mean == 0 {
 		return q.ExpectedExecutionTime(kind), q.MeanExecutionTime()
 	}
--- a/internal/command/admission/use.go
+++ b/internal/command/admission/use.go
@@ -11,6 +11,7 @@
 // recordStart records that a call got a slot.
 func (q *PriorityQueue) recordStart(now time.Time, call *Call) {
 	q.shares.recordStart(now, call, q.ExpectedExecutionTime(call.Kind))
+	q.recordKindStart(now, call)
 	q.concurrency.recordStart(now, call.Kind, q.running)
 }
 
@@ -21,8 +22,8 @@
 	if q.concurrency.enabled && complete {
 		q.reported.record(call.Kind, took)
 	}
-	if !complete && q.executionTimes[call.Kind] == 0 && !IsBrief(took, q.mixExecutionTime) {
-		q.longKinds[call.Kind] = true
+	if !complete {
+		q.recordGivenUp(call.Kind, took)
 	}
 	q.concurrency.recordEnd(now, callEnded{
 		kind: call.Kind, took: took, complete: complete, running: q.running,
--- a/internal/query/explanation/candidates.go
+++ b/internal/query/explanation/candidates.go
@@ -68,7 +68,7 @@
 		switch {
 		case !ok:
 			d.refused[routing.NoTarget]++
-		case choice.Wait > route.Timeout && !isBrief(choice.ExecutionTime, choice.MeanExecutionTime):
+		case choice.WaitsBeyond(route.Timeout, isBrief):
 			d.refused[DeadlineTooShort]++
 		default:
 			d.chosen[choice.Target.Daemon]++
--- a/internal/query/explanation/explanation_test.go
+++ b/internal/query/explanation/explanation_test.go
@@ -138,7 +138,8 @@
 	}
 }
 
-// Guards against an explanation that ignores the deadline, and against one that applies it to brief calls, which need not wait.
+// Guards against an explanation that ignores the deadline, and against one that applies it to calls that need not wait: brief ones, and
+// those on a route of which no target has reported a time.
 func TestRefusedForTheDeadline(t *testing.T) {
 	is := is.New(t)
 	s := newSnapshot()
@@ -148,6 +149,13 @@
 	}
 	r := explanation.Request{Method: "GET", Path: "/r", Authorization: []string{"Token key-a"}}
 	is.Equal(explanation.Explain(s, r, rand.NewPCG(1, 2)).Reason, explanation.DeadlineTooShort)
+	isBrief := s.IsBrief
 	s.IsBrief = func(time.Duration, time.Duration) bool { return true }
 	is.Equal(explanation.Explain(s, r, rand.NewPCG(1, 2)).Reason, routing.Found)
+	s.IsBrief = isBrief
+	for daemon, known := range loads {
+		known.ExecutionTime = 0
+		loads[daemon] = known
+	}
+	is.Equal(explanation.Explain(s, r, rand.NewPCG(1, 2)).Reason, routing.Found)
 }
--- a/internal/query/routing/expected_loss.go
+++ b/internal/query/routing/expected_loss.go
@@ -82,12 +82,21 @@
 	Wait, ExecutionTime, ReportAge time.Duration
 	// MeanExecutionTime is the mean execution time of all calls of the target.
 	MeanExecutionTime time.Duration
+	// Unmeasured says that the target has reported no execution time for the route, so that ExecutionTime is an assumption.
+	Unmeasured bool
 	// ColdLimited says that the target is cold and tolerates a limited number of calls per second.
 	ColdLimited bool
 	// WaitLimit is the wait at the target beyond which the second-best target is better; 0 means that there is no other.
 	WaitLimit time.Duration
 }
 
+// WaitsBeyond reports whether a call with the given time left waits at the target until its deadline. The wait is that of a call
+// behind all others. One that is brief by isBrief, or on a route of which nothing is known, may be served before them, which the
+// daemon beside the target decides.
+func (c *Choice) WaitsBeyond(left time.Duration, isBrief func(executionTime, mean time.Duration) bool) bool {
+	return c.Wait > left && !c.Unmeasured && !isBrief(c.ExecutionTime, c.MeanExecutionTime)
+}
+
 // candidate is a target with the expected wait, execution time and loss of a call there.
 type candidate struct {
 	target              *model.Target
@@ -134,7 +143,7 @@
 	b := &candidates[best]
 	choice := Choice{
 		Target: b.target, Wait: b.wait, ExecutionTime: b.executionTime, ReportAge: b.load.ReportAge,
-		MeanExecutionTime: b.load.MeanExecutionTime, ColdLimited: v.limitsCold(b),
+		MeanExecutionTime: b.load.MeanExecutionTime, Unmeasured: b.load.ExecutionTime == 0, ColdLimited: v.limitsCold(b),
 	}
 	if second >= 0 {
 		choice.WaitLimit = b.waitLimit(candidates[second].loss, s.Remaining)
--- a/internal/traffic/outbound_request.go
+++ b/internal/traffic/outbound_request.go
@@ -129,8 +129,7 @@
 		return choice, notExecuted(http.StatusServiceUnavailable, string(routing.NoTarget), "no other target of the version is ready").
 			withRetryAfter(shortRetryAfter)
 	}
-	// The wait is that of a call behind all others. A brief call may be served before them, which its target decides.
-	if now.Add(choice.Wait).After(r.deadline) && !admission.IsBrief(choice.ExecutionTime, choice.MeanExecutionTime) {
+	if choice.WaitsBeyond(r.deadline.Sub(now), admission.IsBrief) {
 		return choice, notExecuted(http.StatusServiceUnavailable, string(admission.Deadline),
 			"the call cannot finish before its deadline").
 			withRetryAfter(choice.Wait)
