document, platform: a target without a start time is refused

Without an order the version in force is that of the oldest ready target, and 0 is older than any start time, so that the version of the entry got the whole share. The log of the untouched code: peer-changed daemon=other-1 version=v0, no peer-removed, then request-refused sends=1 attempts=0 reason=no-target beside two ready targets of v1.

The entries of TestOddEntriesAreSkipped name both now, so that each is still refused for its own oddity.

--- a/internal/command/catalog/odd_entry_test.go
+++ b/internal/command/catalog/odd_entry_test.go
@@ -15,7 +15,7 @@
 func oddValues() map[string]string {
 	target := func(fields string) string {
 		return `{"daemon":"odd","service":"profiles","version":"v1","dataCentre":"dc0","state":"ready","slots":4,"incarnation":1,` +
-			`"address":"10.0.0.1:80","peerAddress":"10.0.0.1:81",` + fields + `}`
+			`"instance":"odd","born":5,"address":"10.0.0.1:80","peerAddress":"10.0.0.1:81",` + fields + `}`
 	}
 	move := func(fields string) string {
 		return `{"id":"profiles@1","service":"profiles","from":"v1","to":"v2","phase":"running",` + fields + `}`
@@ -38,6 +38,9 @@
 		"no slots":                  target(`"slots":0`),
 		"slots as text":             target(`"slots":"4"`),
 		"an unknown state":          target(`"state":"sleepy"`),
+		"no start time":             target(`"version":"v0","born":0`),
+		"a negative start time":     target(`"version":"v0","born":-1`),
+		"no run":                    target(`"version":"v0","instance":""`),
 		"no service":                target(`"service":""`),
 		"a year out of range":       target(`"warmAt":"99999-01-01T00:00:00Z"`),
 		"a move at a negative step": move(`"step":-5`),
@@ -82,3 +85,20 @@
 		})
 	}
 }
+
+// Guards against an entry of another writer that draws all calls of a service to a version which none of its targets runs (review/9):
+// without a start time it seemed to be that of the oldest target.
+func TestEntryWithoutStartTimeDrawsNoCalls(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t, 2)
+	sim.startTargets("v1")
+	sim.run(applyBound)
+	entry := `{"daemon":"odd","incarnation":1,"service":"profiles","version":"v0","dataCentre":"dc0","address":"10.0.0.1:80",` +
+		`"peerAddress":"10.0.0.1:81","slots":4,"state":"ready","instance":"i0","sequence":1}`
+	sim.store.Do(store.Call{Kind: store.KindTxn, Txn: store.Txn{Puts: []store.Put{{Key: store.PrefixTargets + "odd", Value: []byte(entry)}}}})
+	sim.run(2 * applyBound)
+	for _, n := range sim.nodes {
+		is.Equal(shareOf(n.view, "v0"), model.Share(0))
+		is.Equal(shareOf(n.view, "v1"), model.FullShare)
+	}
+}
--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -75,6 +75,10 @@
 		return nil, errors.Errorf("target record: %d connections", t.Connections)
 	case !t.State.IsKnown():
 		return nil, errors.Errorf("target record: state %.40q is unknown", t.State)
+	case t.State != model.TargetGone && (t.Instance == "" || t.Born <= 0):
+		// Only a run that has left before its first report has no start time. As that of a target in service it would make its
+		// version the oldest, which gets all calls of the service.
+		return nil, errors.New("target record: the run or its start time is missing")
 	}
 	for _, address := range []string{t.Address, t.PeerAddress} {
 		if err := checkAddress(address); err != nil {
