catalog: a departed run is taken back by any record that names it

Cause: the departures of an earlier process were merged from each of its records, but a run in service was compared with them only if the record was later than the one that was known. A record that peers share for its departures may be an earlier one. The union of two shared records also expired with the later record instead of the later departure.

Change: the comparison comes before that with the known record, and uses the same step that ends a run by its deregistration. The union of two records expires with the later of them.

Found by reading; no test fails before.

--- a/internal/command/catalog/departure.go
+++ b/internal/command/catalog/departure.go
@@ -127,6 +127,16 @@
 	return c.acceptReport(now, r)
 }
 
+// takeBackDeparted takes the target out of service if its run has departed by what an earlier process has recorded.
+func (c *Core) takeBackDeparted(now time.Time) {
+	r := c.local.report
+	if r == nil || r.State != model.TargetReady || c.local.departureOf(now, r) == nil {
+		return
+	}
+	c.log("report-taken-back", "instance", string(r.Instance), "state", string(model.TargetGone))
+	c.setGone(now, r)
+}
+
 // applyShutdownReport marks the run that reports its shutdown as gone, and reports whether that changed the record of the target.
 func (c *Core) applyShutdownReport(now time.Time, r *model.TargetReport) bool {
 	if r.Born == 0 {
--- a/internal/command/catalog/earlier_record.go
+++ b/internal/command/catalog/earlier_record.go
@@ -99,6 +99,7 @@
 func (c *Core) handleEarlierRecord(now time.Time, earlier *model.TargetRecord) {
 	local := &c.local
 	local.mergeDepartures(now, earlier.Departures)
+	c.takeBackDeparted(now)
 	if isSuperseded(earlier, local.earlier) {
 		return
 	}
@@ -113,11 +114,6 @@
 	next := local.target
 	last := earlier.LastReport()
 	switch {
-	case local.departureOf(now, r) != nil:
-		next.State = model.TargetGone
-		gone := *r
-		gone.State = next.State
-		local.report = &gone
 	case r.Instance == earlier.Instance && r.Born == earlier.Born && earlier.Leaving:
 		next.State = model.TargetDraining
 	case !contradicts(r, earlier) || last.State == model.TargetReady:
--- a/internal/command/catalog/era.go
+++ b/internal/command/catalog/era.go
@@ -214,8 +214,8 @@
 	}
 }
 
-// keepLostLeaving keeps the record of a target of which a run is leaving if the store has lost it. Its daemon may be killed before it has written
-// the record again.
+// keepLostLeaving keeps the record of a target of which a run is leaving if the store has lost it. Its daemon may be killed before it
+// has written the record again.
 func (c *Core) keepLostLeaving(now time.Time, key string, lost []byte) {
 	name, ok := strings.CutPrefix(key, store.PrefixTargets)
 	if !ok || model.DaemonID(name) == c.cfg.Target.Daemon {
--- a/internal/command/catalog/unstored_record.go
+++ b/internal/command/catalog/unstored_record.go
@@ -78,6 +78,9 @@
 		added := addedDepartures(&later.record, earlier.record.Departures)
 		later.record.Departures = slices.Concat(added, later.record.Departures)
 		later.record.Departures = later.record.Departures[max(len(later.record.Departures)-maxDepartures, 0):]
+		if later.expiresAt.Before(earlier.expiresAt) {
+			later.expiresAt = earlier.expiresAt
+		}
 		s = later
 	}
 	c.sharedRecords[daemon] = s
