catalog: test of a held report whose run deregisters meanwhile

Change: a test. The first report of a run is held after a restart of its daemon until a peer has answered, and the run deregisters.

--- a/internal/command/catalog/departure_test.go
+++ b/internal/command/catalog/departure_test.go
@@ -129,3 +129,24 @@
 		is.True(n.view.Local.Instance != "i3")
 	}
 }
+
+// Guards against a report that is held after a restart, until a peer has said what it knows, and is applied although its run has
+// deregistered meanwhile. The stored record names the run before.
+func TestHeldReportOfDepartedRunIsNotApplied(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t, 3)
+	sim.startTargets("v1")
+	born := sim.now.UnixMilli()
+	sim.run(time.Second)
+	n := sim.start("d02", nil)
+	n.peersUnreachable = true
+	sim.report(n, reportOf("i3", born, 1, model.TargetReady))
+	sim.run(100 * time.Millisecond)
+	sim.report(n, reportOf("i3", 0, 0, model.TargetGone))
+	n.peersUnreachable = false
+	for range 60 {
+		sim.run(100 * time.Millisecond)
+		is.True(n.view == nil || n.view.Local.State != model.TargetReady)
+		is.True(!listsReady(sim.nodes[0], "d02", "i3"))
+	}
+}
