review: requests sent ahead behind a slow one fill the memory

Cause: answers that wait behind a slower one on their connection are buffered up to 128 KB each, and charged to the budget for callers whether there is room or not; such connections cannot be ended. Conclusion: open.

--- a/review/mesh3/mesh.go
+++ b/review/mesh3/mesh.go
@@ -34,12 +34,15 @@
 	bounds = "seed_lag_s=3,reuse_after_s=2,contact_ms=3000,ack_ms=4000,catch_up_s=4,drain_ms=2000,grace_s=6,loss_slack_ms=200," +
 		"config_apply_ms=2000,rollback_slack_ms=250,skew_max_ms=5000,retry_budget_ratio=0.2,budget_window_s=10,budget_slack=62," +
 		"expose_share=0.1,expose_slack=50,rollback_ms=5000,recover_s=15"
-	host         = "lookups.example"
-	healthPath   = "/health"
-	drainTime    = 2 * time.Second
-	contactTime  = 3 * time.Second
-	restartDelay = 300 * time.Millisecond
-	startTimeout = 15 * time.Second
+	host               = "lookups.example"
+	healthPath         = "/health"
+	machineMemory      = 284 << 20
+	leastMemory        = 184 << 20
+	machineDescriptors = 4100
+	drainTime          = 2 * time.Second
+	contactTime        = 3 * time.Second
+	restartDelay       = 300 * time.Millisecond
+	startTimeout       = 15 * time.Second
 )
 
 // mesh is a small deployment: the store, and machines with a daemon and an upstream each.
@@ -52,6 +55,8 @@
 	machines []*machine
 	servers  []*http.Server
 	template string
+	// memory is that of each machine in bytes.
+	memory int64
 }
 
 // machine is one machine: its daemon process, its upstream and the addresses of both.
@@ -82,7 +87,7 @@
 	if err != nil {
 		return nil, err
 	}
-	m := &mesh{record: r, daemon: path, work: work, store: standin.New(), template: string(template)}
+	m := &mesh{record: r, daemon: path, work: work, store: standin.New(), template: string(template), memory: machineMemory}
 	m.block, err = freeBlock()
 	return m, err
 }
@@ -130,7 +135,7 @@
 	for _, r := range routes {
 		resources = append(resources, resource{"routes", map[string]string{"name": r.name}, map[string]any{
 			"host": host, "prefix": r.prefix, "kind": r.kind, "service": r.service, "timeout_ms": r.timeout.Milliseconds(),
-			"target_latency_ms": 500, "priority": 1, "max_attempts": 2,
+			"target_latency_ms": 800, "priority": 1, "max_attempts": 2,
 		}})
 	}
 	for _, s := range services {
@@ -198,7 +203,10 @@
 		return err
 	}
 	cmd := exec.Command(a.mesh.daemon)
-	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "SNIPERAIL_BOOT=" + settings}
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "SNIPERAIL_BOOT=" + settings,
+		// On the platform, the machine itself shows these two.
+		fmt.Sprintf("SNIPERAIL_MACHINE_MEMORY=%d", a.mesh.memory), fmt.Sprintf("SNIPERAIL_DESCRIPTORS=%d", machineDescriptors),
+	}
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
--- a/review/mesh3/upstream.go
+++ b/review/mesh3/upstream.go
@@ -34,7 +34,9 @@
 type upstream struct {
 	machine *machine
 	service string
-	server  *http.Server
+	// quiet leaves the requests out of the record.
+	quiet  bool
+	server *http.Server
 	// serve answers a request that is run.
 	serve func(w http.ResponseWriter, r *http.Request, body []byte)
 
@@ -97,14 +99,21 @@
 		u.running--
 		u.mu.Unlock()
 	}()
-	u.machine.mesh.record.printf("%s: request %s reaches the upstream and is run: %s", u.machine.name, id, line)
+	u.printf("%s: request %s reaches the upstream and is run: %s", u.machine.name, id, line)
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
 	}
 	w.Header().Set(headerStamp, "stamp."+id)
 	u.serve(w, r, body)
-	u.machine.mesh.record.printf("%s: request %s ends at the upstream (cancelled: %t)", u.machine.name, id, r.Context().Err() != nil)
+	u.printf("%s: request %s ends at the upstream (cancelled: %t)", u.machine.name, id, r.Context().Err() != nil)
+}
+
+// printf writes to the record.
+func (u *upstream) printf(format string, arguments ...any) {
+	if !u.quiet {
+		u.machine.mesh.record.printf(format, arguments...)
+	}
 }
 
 // arrived returns the requests that have reached the upstream.
