--- a/review/mesh3/abandoned.go
+++ b/review/mesh3/abandoned.go
@@ -56,7 +56,7 @@
 		return "", err
 	}
 	if !trouble {
-		answers := m.readAnswers(conn, abandonedRequests, 2*abandonedDeadline)
+		answers := m.readAnswers(conn, abandonedRequests, 2*abandonedDeadline, true)
 		_ = conn.Close()
 		if len(answers) != abandonedRequests {
 			return fmt.Sprintf("without the disruption %d of %d requests were answered", len(answers), abandonedRequests), nil
--- a/review/mesh3/client.go
+++ b/review/mesh3/client.go
@@ -31,8 +31,9 @@
 	complete bool
 }
 
-// readAnswers reads up to n answers from a connection until it ends or the deadline passes.
-func (m *mesh) readAnswers(conn net.Conn, n int, timeout time.Duration) []answer {
+// readAnswers reads up to n answers from a connection until it ends or the deadline passes. With quiet, only incomplete answers and those
+// without success are recorded.
+func (m *mesh) readAnswers(conn net.Conn, n int, timeout time.Duration, quiet bool) []answer {
 	_ = conn.SetReadDeadline(time.Now().Add(timeout))
 	reader := bufio.NewReader(conn)
 	var answers []answer
@@ -46,7 +47,9 @@
 		_ = response.Body.Close()
 		a := answer{response.Header.Get(headerRequestID), response.StatusCode, int(length), err == nil}
 		answers = append(answers, a)
-		m.record.printf("client gets status %d for %q, %d bytes, complete: %t", a.status, a.id, a.length, a.complete)
+		if a.status != http.StatusOK || !a.complete || !quiet {
+			m.record.printf("client gets status %d for %q, %d bytes, complete: %t", a.status, a.id, a.length, a.complete)
+		}
 	}
 	return answers
 }
--- a/review/mesh3/memory.go
+++ b/review/mesh3/memory.go
@@ -107,7 +107,7 @@
 	if _, err := conn.Write([]byte(request(http.MethodGet, "/lookup/1", id, crowdTimeout))); err != nil {
 		return short(err)
 	}
-	if answers := a.mesh.readAnswers(conn, 1, 2*crowdTimeout); len(answers) == 1 {
+	if answers := a.mesh.readAnswers(conn, 1, 2*crowdTimeout, false); len(answers) == 1 {
 		return fmt.Sprintf("status %d", answers[0].status)
 	}
 	return "no answer"
