review: requests sent ahead are started after their client has left

Cause: the reading of a connection waits for a free place among 16 running requests and so notices its end only after it has started all that was sent ahead. Conclusion: open.

--- a/review/mesh3/abandoned.go
+++ b/review/mesh3/abandoned.go
@@ -10,11 +10,11 @@
 func init() { cases["abandoned"] = playAbandoned }
 
 const (
-	abandonedRequests = 48
+	abandonedRequests = 96
 	abandonedDeadline = 4 * time.Second
 	// The first request takes long, the others do not.
 	slowWork  = 3 * time.Second
-	quickWork = 250 * time.Millisecond
+	quickWork = 300 * time.Millisecond
 	// goneSlack is the time after the close from which requests may not reach an upstream, and fewRequests how many may.
 	goneSlack   = 500 * time.Millisecond
 	fewRequests = 5
