--- a/review/mesh3/upstream.go
+++ b/review/mesh3/upstream.go
@@ -17,6 +17,7 @@
 	headerStamp          = "X-Sniperail-Response-Stamp"
 	headerExpectInstance = "X-Sniperail-Expect-Instance"
 	headerInstance       = "X-Sniperail-Instance-Id"
+	headerNotExecuted    = "X-Sniperail-Not-Executed"
 	headerLoad           = "X-Sniperail-Server-Load"
 	beatInterval         = 1500 * time.Millisecond
 	slots                = 12
@@ -35,8 +36,9 @@
 	machine *machine
 	service string
 	// quiet leaves the requests out of the record.
-	quiet  bool
-	server *http.Server
+	quiet    bool
+	server   *http.Server
+	listener net.Listener
 	// serve answers a request that is run.
 	serve func(w http.ResponseWriter, r *http.Request, body []byte)
 
@@ -59,6 +61,7 @@
 	if err != nil {
 		return nil, err
 	}
+	u.listener = listener
 	u.server = &http.Server{Handler: http.HandlerFunc(u.handle), ReadHeaderTimeout: time.Minute}
 	go func() { _ = u.server.Serve(listener) }()
 	return u, nil
@@ -67,6 +70,7 @@
 func (u *upstream) close() {
 	u.stopBeats()
 	_ = u.server.Close()
+	_ = u.listener.Close()
 }
 
 // handle answers the health check, rejects what another instance is expected for, and runs the rest.
