--- a/review/mesh3/memory.go
+++ b/review/mesh3/memory.go
@@ -14,14 +14,18 @@
 func init() { cases["memory"] = playMemory }
 
 const (
-	crowdConns   = 90
-	crowdAhead   = 16
-	crowdAnswer  = 300_000
-	crowdTimeout = 4 * time.Second
-	crowdSlow    = 3 * time.Second
-	crowdWork    = 20 * time.Millisecond
-	watchTime    = 6 * time.Second
-	watchPoll    = 50 * time.Millisecond
+	crowdConns    = 90
+	crowdAhead    = 16
+	crowdMachines = 5
+	crowdAnswer   = 300_000
+	crowdTimeout  = 4 * time.Second
+	crowdSlow     = 3 * time.Second
+	crowdWork     = 20 * time.Millisecond
+	watchTime     = 6 * time.Second
+	// Each request has so many fields of its own, with so many bytes each.
+	crowdFields = 20
+	crowdField  = 60
+	watchPoll   = 50 * time.Millisecond
 )
 
 // playMemory opens connections on one machine, and sends on each a slow request and then ones with long answers. All are idempotent and
@@ -32,7 +36,7 @@
 	if err := m.writeConfiguration(7, routes, []string{"lookups"}); err != nil {
 		return "", err
 	}
-	for range 4 {
+	for range crowdMachines {
 		a, err := m.addMachine("lookups")
 		if err != nil {
 			return "", err
@@ -79,6 +83,10 @@
 			_ = c.Close()
 		}
 	}
+	fields := ""
+	for i := range crowdFields {
+		fields += fmt.Sprintf("X-Field-%02d: %s\r\n", i, strings.Repeat("f", crowdField))
+	}
 	for c := range crowdConns {
 		conn, err := a.dialOutbound()
 		if err != nil {
@@ -87,7 +95,8 @@
 		closers = append(closers, conn)
 		text := request(http.MethodGet, "/lookup/slow", fmt.Sprintf("crowd-%d-0", c), crowdTimeout)
 		for i := 1; i < crowdAhead; i++ {
-			text += request(http.MethodGet, "/lookup/long", fmt.Sprintf("crowd-%d-%d", c, i), crowdTimeout)
+			head := request(http.MethodGet, "/lookup/long", fmt.Sprintf("crowd-%d-%d", c, i), crowdTimeout)
+			text += strings.TrimSuffix(head, "\r\n") + fields + "\r\n"
 		}
 		if _, err := conn.Write([]byte(text)); err != nil {
 			return closeAll, err
--- a/review/mesh3/mesh.go
+++ b/review/mesh3/mesh.go
@@ -47,9 +47,11 @@
 
 // mesh is a small deployment: the store, and machines with a daemon and an upstream each.
 type mesh struct {
-	record   *record
-	daemon   string
-	block    int
+	record *record
+	daemon string
+	block  int
+	// reserved keeps other processes from the block.
+	reserved net.Listener
 	work     string
 	store    *standin.Store
 	machines []*machine
@@ -88,7 +90,7 @@
 		return nil, err
 	}
 	m := &mesh{record: r, daemon: path, work: work, store: standin.New(), template: string(template), memory: machineMemory}
-	m.block, err = freeBlock()
+	m.block, m.reserved, err = reserveBlock()
 	return m, err
 }
 
@@ -99,17 +101,17 @@
 	netStore   = 3
 )
 
-// freeBlock returns the second byte of loopback addresses that no other process uses.
-func freeBlock() (int, error) {
+// reserveBlock returns the second byte of loopback addresses that no other process uses, and a listener that keeps it from others.
+func reserveBlock() (int, net.Listener, error) {
 	for i := range blocks {
 		block := firstBlock + (os.Getpid()+i)%blocks
-		listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.1:%d", block, netMachine, portOutbound))
+		reserved, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.1:%d", block, portOutbound))
 		if err != nil {
 			continue
 		}
-		return block, listener.Close()
+		return block, reserved, nil
 	}
-	return 0, errors.New("no block of loopback addresses is free")
+	return 0, nil, errors.New("no block of loopback addresses is free")
 }
 
 func (m *mesh) ip(network, host int) string {
@@ -316,6 +318,7 @@
 		_ = s.Close()
 	}
 	m.store.Close()
+	_ = m.reserved.Close()
 	if os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(m.work)
 	} else {
