--- a/review/mesh3/foreign.go
+++ b/review/mesh3/foreign.go
@@ -17,11 +17,11 @@
 func init() { cases["foreign"] = playForeign }
 
 const (
-	foreignTime     = 5500 * time.Millisecond
-	foreignInterval = 8 * time.Millisecond
+	foreignTime     = 5 * time.Second
+	foreignInterval = 4 * time.Millisecond
 	foreignTimeout  = 2 * time.Second
-	// foreignEach is the number of answers of the faulty upstream of which it sends one again: a part of 0.05.
-	foreignEach = 20
+	// foreignEach is the number of answers of the faulty upstream of which it sends one again: a part of 0.03 at most.
+	foreignEach = 34
 	// foreignFaulty of foreignUpstreams upstreams are faulty: a part of 0.6.
 	foreignUpstreams = 5
 	foreignFaulty    = 3
