review: case 14 inside the dose of its variant

Change: one of three upstreams, each 50th answer; a connection carries a short request and a batch. Conclusion: open.

--- a/review/mesh3/broken.go
+++ b/review/mesh3/broken.go
@@ -17,19 +17,19 @@
 	longAnswer    = 400_000
 	brokenAfter   = 250_000
 	brokenPause   = 50 * time.Millisecond
-	brokenBehind  = 5
-	brokenClients = 12
-	// brokenFaulty of brokenArchives upstreams are faulty: a part of 0.6.
-	brokenArchives = 5
-	brokenFaulty   = 3
-	brokenLookups  = 3
+	brokenBehind  = 7
+	brokenClients = 18
+	// brokenFaulty of brokenArchives upstreams are faulty: a part of 0.33.
+	brokenArchives = 3
+	brokenFaulty   = 1
+	brokenLookups  = 11
 	// brokenTime is how long the clients send, of which garbleTime is that of the disruption.
 	brokenTime    = 8 * time.Second
 	garbleTime    = 5500 * time.Millisecond
 	brokenTimeout = 4 * time.Second
-	lookupWork    = 150 * time.Millisecond
-	// brokenEach is the number of answers of the faulty upstream of which it breaks one off: a part of 0.05.
-	brokenEach = 20
+	lookupWork    = 100 * time.Millisecond
+	// brokenEach is the number of answers of the faulty upstream of which it breaks one off: a part of 0.02.
+	brokenEach = 50
 	// maxLost is the number of lost requests that the rule allows.
 	maxLost = 3
 )
@@ -104,35 +104,37 @@
 	}
 }
 
-// sendBatches sends the batches of one client. After the end of its connection it goes on with a new one.
+// sendBatches sends the batches of one client. It keeps each connection for a short request and then a batch, and goes on with a new one.
 func (m *mesh) sendBatches(a *machine, client int, ends time.Time, answered *sync.Map) {
-	var conn net.Conn
 	for batch := 0; time.Now().Before(ends); batch++ {
-		if conn == nil {
-			var err error
-			if conn, err = a.dialOutbound(); err != nil {
-				m.record.printf("client %d cannot connect: %v", client, short(err))
-				return
-			}
-		}
-		id := func(i int) string { return fmt.Sprintf("b-%d-%03d-%d", client, batch, i) }
-		text := request(http.MethodGet, "/archive/1", id(0), brokenTimeout)
-		for i := range brokenBehind {
-			text += request(http.MethodGet, "/lookup/1", id(i+1), brokenTimeout)
+		conn, err := a.dialOutbound()
+		if err != nil {
+			m.record.printf("client %d cannot connect: %v", client, short(err))
+			return
 		}
+		m.sendBatch(conn, client, batch, answered)
+		_ = conn.Close()
+	}
+}
+
+// sendBatch sends a short request and, after its answer, a batch with the request for a long answer first.
+func (m *mesh) sendBatch(conn net.Conn, client, batch int, answered *sync.Map) {
+	id := func(i int) string { return fmt.Sprintf("b-%d-%03d-%d", client, batch, i) }
+	receive := func(text string, n int) int {
 		_, _ = conn.Write([]byte(text)) // a connection that has ended shows in the answers
-		answers := m.readAnswers(conn, brokenBehind+1, 2*brokenTimeout, true)
+		answers := m.readAnswers(conn, n, 2*brokenTimeout, true)
 		for _, got := range answers {
 			answered.Store(got.id, got.complete)
 		}
-		if len(answers) <= brokenBehind {
-			m.record.printf("client %d: the connection ended after %d answers of batch %d", client, len(answers), batch)
-			_ = conn.Close()
-			conn = nil
-		}
+		return len(answers)
 	}
-	if conn != nil {
-		_ = conn.Close()
+	receive(request(http.MethodGet, "/lookup/1", id(0), brokenTimeout), 1)
+	text := request(http.MethodGet, "/archive/1", id(1), brokenTimeout)
+	for i := range brokenBehind {
+		text += request(http.MethodGet, "/lookup/1", id(i+2), brokenTimeout)
+	}
+	if n := receive(text, brokenBehind+1); n <= brokenBehind {
+		m.record.printf("client %d: the connection ended after %d answers of batch %d", client, n, batch)
 	}
 }
 
