catalog: the leaving of a target is acknowledged once the platform has stored it

Cause: 0.6 s after its report, a target that drains or deregisters was acknowledged although the platform had not stored that. Only the memory of the daemons kept it. The log of the untouched code shows it: "state=gone", "record-shared", no answer of the store, "started", and "state=ready sequence=1" with the late heartbeat. A repeated or late report was acknowledged at once, without any look at the store.

--- a/internal/command/catalog/announcement.go
+++ b/internal/command/catalog/announcement.go
@@ -19,9 +19,6 @@
 	// seconds after an outage of the platform.
 	announceBackoffBase = 400 * time.Millisecond
 	announceBackoffMax  = 1500 * time.Millisecond
-	// ackTimeout is the longest time for which the answer to a target that leaves service is delayed until the platform has
-	// stored that state. The target waits one second for an answer.
-	ackTimeout = 600 * time.Millisecond
 	// warmTolerance is how far the expected end of a warm-up may shift before it is announced again.
 	warmTolerance = time.Second
 )
@@ -67,19 +64,13 @@
 	retryAt     time.Time
 	// failures is the number of consecutive failed calls.
 	failures int
-	// pendingAcks are the reports to be answered once the platform has stored their sequence, or at their deadline.
+	// pendingAcks are the reports of leaving runs that have not been answered.
 	pendingAcks []pendingAck
 	// shareAt is when the record of a target that is leaving is shared with peers if the platform has not stored it; zero if it is
 	// not.
 	shareAt time.Time
 }
 
-type pendingAck struct {
-	token    effect.Token
-	sequence uint64
-	deadline time.Time
-}
-
 func (l *localTarget) nextWake() time.Time {
 	next := l.shareAt
 	for _, ack := range l.pendingAcks {
@@ -113,24 +104,6 @@
 	return l.report != nil && l.storedSequence != l.target.Sequence
 }
 
-// handleTargetReport processes a status report of the local target. The answer to a target that leaves service is delayed
-// until the platform has stored that state; otherwise a daemon that restarts would still consider the target ready.
-func (c *Core) handleTargetReport(now time.Time, ev effect.TargetReported) {
-	r := ev.Report
-	if problem := c.checkReport(&r); problem != "" {
-		c.log("report-refused", "instance", string(r.Instance), "reason", problem)
-		c.emit(effect.Answer{Token: ev.Token, Outcome: model.Refused(model.OutcomeInvalid, "", problem)})
-		return
-	}
-	changed := c.applyReport(now, &r)
-	leaving := r.State != model.TargetReady && c.local.storedSequence != c.local.target.Sequence
-	if changed && leaving {
-		c.local.pendingAcks = append(c.local.pendingAcks, pendingAck{ev.Token, c.local.target.Sequence, now.Add(ackTimeout)})
-		return
-	}
-	c.emit(effect.Answer{Token: ev.Token, Outcome: model.Outcome{Code: model.OutcomeApplied}})
-}
-
 // handleTargetLeaving announces that the local target is leaving, if the run that said so is the present one. Its later reports
 // do not undo it.
 func (c *Core) handleTargetLeaving(now time.Time, ev effect.TargetLeaving) {
@@ -153,14 +126,6 @@
 	return r.Instance == l.leaving && r.Born == l.leavingBorn
 }
 
-// checkReport returns why a report cannot come from the target of this daemon, or "".
-func (c *Core) checkReport(r *model.TargetReport) string {
-	if r.State != model.TargetGone && r.Service != c.cfg.Target.Service {
-		return "service " + string(r.Service) + " does not run here"
-	}
-	return ""
-}
-
 // applyReport updates the local target from a report, and reports whether it changed.
 func (c *Core) applyReport(now time.Time, r *model.TargetReport) bool {
 	switch {
@@ -254,20 +219,6 @@
 	}
 }
 
-// answerPendingAcks answers the reports whose sequence the platform has stored or whose deadline has passed.
-func (c *Core) answerPendingAcks(now time.Time) {
-	local := &c.local
-	remaining := local.pendingAcks[:0]
-	for _, ack := range local.pendingAcks {
-		if local.storedSequence >= ack.sequence || !now.Before(ack.deadline) {
-			c.emit(effect.Answer{Token: ack.token, Outcome: model.Outcome{Code: model.OutcomeApplied}})
-			continue
-		}
-		remaining = append(remaining, ack)
-	}
-	local.pendingAcks = remaining
-}
-
 func (c *Core) grantLease() {
 	local := &c.local
 	local.callPending = true
