catalog: a daemon that starts as the store is restored learns its own record from peers

Cause: a run deregistered, a later one took its place, the store was restored from a copy before that, and the daemon was killed at that moment. Its next process read the first run as ready from the store and took a report of it that was 3 s late. Peers that had not noticed the restore answered with the later record, which was dropped with all that belongs to another era; peers that had noticed it answered nothing while they replaced their keys, and kept lost records only of runs that are leaving (the model's entry "a restore").

Change: the own record is learned from peers of an earlier era too, a peer that is replacing its keys is asked again after 0.1 s, and peers keep a lost record also where a later run has replaced the one that the store names.

--- a/internal/command/catalog/announcement.go
+++ b/internal/command/catalog/announcement.go
@@ -42,10 +42,11 @@
 	departureSequence uint64
 	// held is the newest report of a ready target that arrived before earlier was known, nil if there is none.
 	held *model.TargetReport
-	// askedPeers says that the neighbours were asked for the record, which happens at most once per process, and peersPending how many
-	// of them have not answered.
+	// askedPeers says that the neighbours were asked for the record, and peersPending how many of them have not answered. They are asked
+	// again from askPeersAt on if they could not tell.
 	askedPeers   bool
 	peersPending int
+	askPeersAt   time.Time
 	// previous is the target that an earlier process of this daemon announced; nil if there is none or it has been checked.
 	previous *model.TargetRecord
 	// restarted says that an earlier process of this daemon has announced a target.
@@ -74,6 +75,9 @@
 	for _, ack := range l.pendingAcks {
 		next = earliest(next, ack.deadline)
 	}
+	if l.held != nil && !l.askedPeers {
+		next = earliest(next, l.askPeersAt)
+	}
 	if l.callPending {
 		return next
 	}
--- a/internal/command/catalog/anti_entropy.go
+++ b/internal/command/catalog/anti_entropy.go
@@ -63,19 +63,31 @@
 // queryCatalog asks a peer for the changes that this daemon lacks, and for the changes of the configuration since a number,
 // or for the whole configuration if it is 0. done is called when the query has ended.
 func (c *Core) queryCatalog(address string, since model.Number, done func()) {
+	c.queryCatalogReply(address, since, func(time.Time, *message.CatalogReply) { done() })
+}
+
+// queryCatalogReply is queryCatalog, with the reply for done; nil if the peer did not answer.
+func (c *Core) queryCatalogReply(address string, since model.Number, done func(time.Time, *message.CatalogReply)) {
 	era := c.era.Number
 	query := &message.CatalogQuery{Operator: c.digests(&c.operatorKeys), Mesh: c.digests(&c.meshKeys), Number: since}
 	c.send(address, query, func(now time.Time, r message.Reply) {
-		done()
-		if reply, ok := r.(*message.CatalogReply); ok {
+		reply, _ := r.(*message.CatalogReply)
+		done(now, reply)
+		renewing := c.isRenewing(reply)
+		if reply != nil {
 			c.mergeCatalog(now, address, era, reply)
 		}
-		if !c.antiEntropy.answered {
+		if !c.antiEntropy.answered && !renewing {
 			c.antiEntropy.failures++
 		}
 	})
 }
 
+// isRenewing reports whether a peer that replied replaces its entries by those of a new era of the store, so that it has told nothing.
+func (c *Core) isRenewing(reply *message.CatalogReply) bool {
+	return reply != nil && reply.Loaded && reply.Era == (store.Era{}) && c.era != (store.Era{})
+}
+
 // randomPeerAddress returns the address of a random known daemon, or "" if there is none. Seeds are included until the
 // catalog is loaded and another daemon is known.
 func (c *Core) randomPeerAddress() string {
@@ -110,7 +122,8 @@
 		changed = c.mergeChanges(now, reply.Changes)
 		c.mergeLostMoves(now, reply.LostMoves)
 	} else {
-		// Revisions and entries of another era mean nothing here.
+		// Revisions and entries of another era mean nothing here, except that the store may have lost the own record since.
+		c.learnOwnRecord(now, reply.Changes)
 		reply.Revision, reply.Loaded = 0, false
 	}
 	// A restarted daemon has lost its marks, and during an outage of the platform the withdrawal may not be on record yet.
--- a/internal/command/catalog/earlier_record.go
+++ b/internal/command/catalog/earlier_record.go
@@ -5,9 +5,14 @@
 	"time"
 
 	"sniperail.example/sniperail/internal/effect"
+	"sniperail.example/sniperail/internal/message"
 	"sniperail.example/sniperail/internal/model"
 )
 
+// askAgainDelay is the time after which neighbours that are learning of a restore of the store are asked again for the record of an earlier
+// process.
+const askAgainDelay = 100 * time.Millisecond
+
 // lastReport returns the latest report that this process or, before its first report, an earlier one has accepted; nil if
 // there is none.
 func (l *localTarget) lastReport() *model.TargetReport {
@@ -58,10 +63,11 @@
 }
 
 // askForEarlierRecord asks the neighbours in the order of names, once this daemon knows them. Their answers end the wait also if they have
-// just started themselves and know nothing, as after a loss of power everywhere.
-func (c *Core) askForEarlierRecord() {
+// just started themselves and know nothing, as after a loss of power everywhere. A neighbour that is learning of a restore of the store
+// is asked again.
+func (c *Core) askForEarlierRecord(now time.Time) {
 	local := &c.local
-	if !c.meshKeys.loaded || local.askedPeers {
+	if !c.meshKeys.loaded || local.askedPeers || now.Before(local.askPeersAt) {
 		return
 	}
 	local.askedPeers = true
@@ -70,7 +76,12 @@
 	}
 	for _, address := range c.neighbourAddresses() {
 		local.peersPending++
-		c.queryCatalog(address, c.configurationNumber(), func() { local.peersPending-- })
+		c.queryCatalogReply(address, c.configurationNumber(), func(now time.Time, reply *message.CatalogReply) {
+			local.peersPending--
+			if c.isRenewing(reply) {
+				local.askedPeers, local.askPeersAt = false, now.Add(askAgainDelay)
+			}
+		})
 	}
 }
 
@@ -81,7 +92,7 @@
 		return
 	}
 	if !c.knowsEarlierRecord() {
-		c.askForEarlierRecord()
+		c.askForEarlierRecord(now)
 		return
 	}
 	r := local.held
--- a/internal/command/catalog/era.go
+++ b/internal/command/catalog/era.go
@@ -175,7 +175,7 @@
 			continue
 		}
 		changed++
-		c.keepLostLeaving(now, key, known.Value)
+		c.keepLostRecord(now, key, known.Value)
 		k.applyEntry(now, key, &e)
 	}
 	for _, key := range slices.Sorted(maps.Keys(old)) {
@@ -183,7 +183,7 @@
 			continue
 		}
 		changed++
-		c.keepLostLeaving(now, key, old[key].Value)
+		c.keepLostRecord(now, key, old[key].Value)
 		k.applyEntry(now, key, nil)
 	}
 	return changed
@@ -214,18 +214,38 @@
 	}
 }
 
-// keepLostLeaving keeps the record of a target of which a run is leaving if the store has lost it. Its daemon may be killed before it
-// has written the record again.
-func (c *Core) keepLostLeaving(now time.Time, key string, lost []byte) {
+// keepLostRecord keeps the record of a target if the store has lost it and the next process of its daemon must know it: a run is leaving,
+// or has been replaced by a later one. That daemon may be killed before it has written the record again.
+func (c *Core) keepLostRecord(now time.Time, key string, lost []byte) {
 	name, ok := strings.CutPrefix(key, store.PrefixTargets)
 	if !ok || model.DaemonID(name) == c.cfg.Target.Daemon {
 		return
 	}
 	record, err := c.cfg.Records.DecodeTarget(lost)
-	if err != nil || !record.HoldsLeaving() {
+	if err != nil {
 		return
 	}
-	if stored, err := c.cfg.Records.DecodeTarget(c.meshKeys.entries[key].Value); err != nil || isSuperseded(stored, record) {
-		c.keepSharedRecord(sharedRecord{*record, now.Add(sharedRecordTTL)})
+	stored, err := c.cfg.Records.DecodeTarget(c.meshKeys.entries[key].Value)
+	switch {
+	case err != nil && record.HoldsLeaving():
+	case err == nil && isSuperseded(stored, record) && (record.HoldsLeaving() || !record.IsSameRun(&stored.Target)):
+	default:
+		return
+	}
+	c.keepSharedRecord(sharedRecord{*record, now.Add(sharedRecordTTL)})
+}
+
+// learnOwnRecord learns what an earlier process of this daemon has recorded from a peer that has not noticed the restore of the store. This
+// daemon may have read an earlier record from the restored store.
+func (c *Core) learnOwnRecord(now time.Time, changes []message.Change) {
+	key := store.PrefixTargets + string(c.cfg.Target.Daemon)
+	for i := range changes {
+		if changes[i].Removed || changes[i].Entry.Key != key {
+			continue
+		}
+		record, err := c.cfg.Records.DecodeTarget(changes[i].Entry.Value)
+		if err == nil && record.Daemon == c.cfg.Target.Daemon && record.Incarnation != c.local.target.Incarnation {
+			c.handleEarlierRecord(now, record)
+		}
 	}
 }
--- a/internal/command/catalog/era_test.go
+++ b/internal/command/catalog/era_test.go
@@ -1,6 +1,7 @@
 package catalog_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -78,29 +79,38 @@
 }
 
 // Guards against a target that was acknowledged as leaving and is in service again, because the store has lost that and its daemon was
-// killed before it wrote it again.
+// killed before it wrote it again: before any other daemon has noticed the restore, or while they learn of it.
 func TestLeavingSurvivesARestoreAndTheDeathOfItsDaemon(t *testing.T) {
-	for _, state := range []model.TargetState{model.TargetDraining, model.TargetGone} {
-		t.Run(string(state), func(t *testing.T) {
-			is := is.New(t)
-			sim := newNamedSimulation(t, 4)
-			sim.startTargets("v1")
-			older := sim.copyStore()
-			loseRevisions(sim)
-			sim.report(sim.nodes[2], model.TargetReport{Instance: "i2", Born: 1, Seq: 5, Version: "v1", State: state})
-			sim.run(time.Second)
-			sim.restore(older)
-			sim.run(400 * time.Millisecond)
-			n := sim.start("d02", []string{"d00:1"})
-			sim.report(n, model.TargetReport{Instance: "i2", Born: 1, Seq: 4, Version: "v1", State: model.TargetReady})
-			for range 100 {
-				sim.run(100 * time.Millisecond)
+	departures := map[string][]model.TargetReport{
+		"draining":           {reportOf("i2", 1, 5, model.TargetDraining)},
+		"gone":               {reportOf("i2", 1, 5, model.TargetGone)},
+		"gone, and replaced": {reportOf("i2", 1, 5, model.TargetGone), reportOf("i3", 9, 1, model.TargetReady)},
+	}
+	for name, reports := range departures {
+		for _, killedAfter := range []time.Duration{0, 20 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond, 400 * time.Millisecond} {
+			t.Run(fmt.Sprint(name, "/", killedAfter), func(t *testing.T) {
+				is := is.New(t)
+				sim := newNamedSimulation(t, 4)
+				sim.startTargets("v1")
+				older := sim.copyStore()
+				loseRevisions(sim)
+				for _, r := range reports {
+					sim.report(sim.nodes[2], r)
+				}
+				sim.run(time.Second)
+				sim.restore(older)
+				sim.run(killedAfter)
+				n := sim.start("d02", []string{"d00:1"})
+				sim.report(n, model.TargetReport{Instance: "i2", Born: 1, Seq: 4, Version: "v1", State: model.TargetReady})
+				for range 500 {
+					sim.run(20 * time.Millisecond)
+					is.True(n.view == nil || n.view.Local.State != model.TargetReady || n.view.Local.Instance != "i2")
+				}
 				for _, other := range sim.nodes[:2] {
-					is.True(stateOf(other, "d02") != model.TargetReady)
+					is.True(!listsReady(other, "d02", "i2"))
 				}
-			}
-			is.True(n.view.Local.State != model.TargetReady)
-		})
+			})
+		}
 	}
 }
 
--- a/internal/model/target.go
+++ b/internal/model/target.go
@@ -68,6 +68,9 @@
 	return t.Sequence > o.Sequence
 }
 
+// IsSameRun reports whether both announcements are of the same run of a target.
+func (t *Target) IsSameRun(o *Target) bool { return t.Instance == o.Instance && t.Born == o.Born }
+
 // ForPeers returns the target as it is sent to other daemons or stored. A target that is warm has no WarmAt.
 func (t Target) ForPeers(now time.Time) Target {
 	if t.WarmupLeft = max(t.WarmAt.Sub(now), 0); t.WarmupLeft == 0 {
