traffic: the tracked connection has a file of its own

Change: trackedConn and its constants move to tracked_conn.go, unchanged. Measured: the tests of the package pass.

--- a/internal/traffic/transport.go
+++ b/internal/traffic/transport.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"os"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -19,12 +17,6 @@
 	dialTimeout = 250 * time.Millisecond
 	// idleTimeout is the time after which idle pooled connections are closed, so that those of a burst are not kept for long.
 	idleTimeout = 60 * time.Second
-	// maxLinger bounds the wait for a target that goes on with a request after its caller has disconnected. It is the
-	// default deadline of a call.
-	maxLinger = 5 * time.Second
-	// maxLingerBytes bounds the bytes that are read meanwhile. A target that sends more is not executing the request, but
-	// sending a response that may have no end.
-	maxLingerBytes = 1 << 20
 	// maxStaleConns bounds the pooled connections that are tried for one request and turn out to be closed before a byte
 	// was written.
 	maxStaleConns = 3
@@ -103,124 +95,6 @@
 // closeIdle closes all idle connections.
 func (p *pool) closeIdle() { p.transport.CloseIdleConnections() }
 
-// trackedConn counts writes, so that it is known whether a byte of a failed exchange may have reached the other end.
-type trackedConn struct {
-	net.Conn
-	limit   connectionLimit
-	lingers bool
-	writes  atomic.Int64
-	// closed makes later writes fail. Write increments writes before it reads closed, and blockWrites sets closed before it
-	// reads writes, so a write that blockWrites did not count is not sent.
-	closed atomic.Bool
-	// current is the exchange whose response has not been read completely, or nil.
-	current   atomic.Pointer[exchange]
-	readMu    sync.Mutex
-	closeOnce sync.Once
-	// ended is closed once the connection is closed, after it has lingered.
-	ended chan struct{}
-	// mu guards readPending, which means that a read waits for the other end, closeCalled, and unchecked, which means that the head
-	// of the response to the present exchange has not been checked.
-	mu                                  sync.Mutex
-	changed                             *sync.Cond
-	readPending, closeCalled, unchecked bool
-}
-
-func newTrackedConn(conn net.Conn, limit connectionLimit, lingers bool) *trackedConn {
-	c := &trackedConn{Conn: conn, limit: limit, lingers: lingers, ended: make(chan struct{})}
-	c.changed = sync.NewCond(&c.mu)
-	return c
-}
-
-func (c *trackedConn) Write(p []byte) (int, error) {
-	c.writes.Add(1)
-	if c.closed.Load() {
-		return 0, net.ErrClosed
-	}
-	return c.Conn.Write(p)
-}
-
-func (c *trackedConn) Read(p []byte) (int, error) {
-	c.readMu.Lock()
-	defer c.readMu.Unlock()
-	if c.closed.Load() {
-		return 0, net.ErrClosed
-	}
-	c.setFlag(&c.readPending, true)
-	defer c.setFlag(&c.readPending, false)
-	return c.Conn.Read(p)
-}
-
-func (c *trackedConn) setFlag(state *bool, value bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	*state = value
-	c.changed.Broadcast()
-}
-
-// awaitReader waits until the reader of http.Transport either waits for new bytes, in which case the connection can be used
-// for the next exchange, or has closed the connection because bytes were left after the last response. It returns false
-// if the connection was closed. http.Transport offers a connection for the next exchange before its reader has checked for
-// such bytes, and would treat them as the response to it. It also offers the connection before the
-// head of that response has been checked, which awaitReader waits for.
-func (c *trackedConn) awaitReader() (open bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for (!c.readPending || c.unchecked) && !c.closeCalled {
-		c.changed.Wait()
-	}
-	return !c.closeCalled
-}
-
-// endCheck allows the next exchange on the connection. It must follow each exchange that has got the connection.
-func (c *trackedConn) endCheck() { c.setFlag(&c.unchecked, false) }
-
-// blockWrites makes later writes fail and returns the number of earlier ones.
-func (c *trackedConn) blockWrites() int64 {
-	c.closed.Store(true)
-	return c.writes.Load()
-}
-
-// Close closes the connection. If the other end may still be executing a request, only the sending side is closed, which
-// tells the other end to stop; the receiving side is closed when the other end closes the connection, or after maxLinger.
-func (c *trackedConn) Close() error {
-	var err error
-	c.closeOnce.Do(func() {
-		c.closed.Store(true)
-		c.setFlag(&c.closeCalled, true)
-		half, ok := c.Conn.(interface{ CloseWrite() error })
-		if e := c.current.Load(); ok && c.lingers && e != nil && c.writes.Load() > e.writesBefore {
-			// Unblock the reads and writes of the goroutines of http.Transport.
-			_ = c.SetDeadline(time.Unix(1, 0))
-			if half.CloseWrite() == nil {
-				go c.linger(e)
-				return
-			}
-		}
-		err = c.closeNow()
-	})
-	return err
-}
-
-func (c *trackedConn) linger(e *exchange) {
-	c.readMu.Lock()
-	defer c.readMu.Unlock()
-	_ = c.SetDeadline(time.Now().Add(maxLinger))
-	if e.complete.Load() {
-		_ = c.SetDeadline(time.Unix(1, 0))
-	}
-	_, _ = io.CopyN(io.Discard, c.Conn, maxLingerBytes)
-	_ = c.closeNow() // the other end has closed the connection or does not stop sending, or the deadline has passed
-}
-
-func (c *trackedConn) closeNow() error {
-	err := c.Conn.Close()
-	if c.limit != nil {
-		c.limit.closeConnection()
-	}
-	close(c.ended)
-	return err
-}
-
 // exchange is one request and its response.
 type exchange struct {
 	trace  httptrace.ClientTrace
