traffic: a reset that a write has taken does not end a response in order

Cause: a target answered a long upload early, without a length, sent a part of the body, and reset the connection while the upload was being written. A socket reports a reset once: the blocked write of the upload took it, and the next read saw the end of the connection, the same as after an orderly close.

Change: the connection remembers that a write failed because it was broken. A read that sees the end waits for a write under way, which is returning if it took the reset and is ended otherwise, and fails if a write was broken. An orderly end is complete as before, also while the upload is being written.

--- a/internal/traffic/chain_test.go
+++ b/internal/traffic/chain_test.go
@@ -45,6 +45,8 @@
 	cut    chan struct{}
 	// ending says what happens to the connection after a response.
 	ending connectionEnding
+	// bodyRead is the number of bytes of a request body that are read before the response; all if it is 0.
+	bodyRead int64
 }
 
 // connectionEnding is what a scripted target does with a connection after a response.
@@ -54,6 +56,8 @@
 	keepConnection connectionEnding = iota
 	closeConnection
 	resetConnection
+	// closeSending closes the sending side, and reads what still arrives.
+	closeSending
 )
 
 func startScriptedTarget(t *testing.T, respond func(n int, r *http.Request) string) *scriptedTarget {
@@ -99,7 +103,7 @@
 		if err != nil {
 			return
 		}
-		_, _ = io.Copy(io.Discard, request.Body)
+		s.readBody(conn, request)
 		n := int(s.received.Add(1))
 		s.mu.Lock()
 		s.headers = append(s.headers, request.Header.Clone())
@@ -119,13 +123,29 @@
 		if _, err := io.WriteString(conn, response); err != nil || strings.Contains(response, "Connection: close") {
 			return
 		}
-		if s.ending == resetConnection {
+		switch s.ending {
+		case keepConnection:
+			continue
+		case resetConnection:
 			_ = conn.(*net.TCPConn).SetLinger(0)
+		case closeSending:
+			_ = conn.(*net.TCPConn).CloseWrite()
+			_, _ = io.Copy(io.Discard, conn)
 		}
-		if s.ending != keepConnection {
-			return
-		}
+		return
+	}
+}
+
+// readBody reads as much of a request body as the target reads before it responds.
+func (s *scriptedTarget) readBody(conn net.Conn, request *http.Request) {
+	if request.Header.Get("Expect") == "100-continue" {
+		_, _ = io.WriteString(conn, "HTTP/1.1 100 Continue\r\n\r\n")
+	}
+	if s.bodyRead > 0 {
+		_, _ = io.CopyN(io.Discard, request.Body, s.bodyRead)
+		return
 	}
+	_, _ = io.Copy(io.Discard, request.Body)
 }
 
 const okResponse = "HTTP/1.1 200 OK\r\nX-Id: ID\r\nX-Stamp: s\r\nContent-Length: 5\r\n\r\nwhole"
--- a/internal/traffic/tracked_conn.go
+++ b/internal/traffic/tracked_conn.go
@@ -3,11 +3,18 @@
 import (
 	"io"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
+// errConnectionBroken is the end of a connection that was not closed in order.
+var errConnectionBroken = errors.New("the connection was reset")
+
 const (
 	// maxLinger bounds the wait for a target that goes on with a request after its caller has disconnected. It is the
 	// default deadline of a call.
@@ -32,11 +39,12 @@
 	closeOnce sync.Once
 	// ended is closed once the connection is closed, after it has lingered.
 	ended chan struct{}
-	// mu guards readPending, which means that a read waits for the other end, closeCalled, and unchecked, which means that the head
-	// of the response to the present exchange has not been checked.
-	mu                                  sync.Mutex
-	changed                             *sync.Cond
-	readPending, closeCalled, unchecked bool
+	// mu guards readPending and writePending, which mean that a read waits for the other end or a write for its room, writeBroken, which
+	// means that a write failed because the connection was broken, closeCalled, and unchecked, which means that the head of the
+	// response to the present exchange has not been checked.
+	mu                                                             sync.Mutex
+	changed                                                        *sync.Cond
+	readPending, writePending, writeBroken, closeCalled, unchecked bool
 }
 
 func newTrackedConn(conn net.Conn, limit connectionLimit, lingers bool) *trackedConn {
@@ -50,7 +58,24 @@
 	if c.closed.Load() {
 		return 0, net.ErrClosed
 	}
-	return c.Conn.Write(p)
+	c.setFlag(&c.writePending, true)
+	n, err := c.Conn.Write(p)
+	c.endWrite(err)
+	return n, err
+}
+
+func (c *trackedConn) endWrite(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writePending = false
+	c.writeBroken = c.writeBroken || isBroken(err)
+	c.changed.Broadcast()
+}
+
+// isBroken reports whether a write failed because the connection was reset or lost. EPIPE means that the other end had closed its sending
+// side in order before, or that an earlier write has failed.
+func isBroken(err error) bool {
+	return err != nil && !errors.Is(err, syscall.EPIPE) && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed)
 }
 
 func (c *trackedConn) Read(p []byte) (int, error) {
@@ -61,7 +86,26 @@
 	}
 	c.setFlag(&c.readPending, true)
 	defer c.setFlag(&c.readPending, false)
-	return c.Conn.Read(p)
+	n, err := c.Conn.Read(p)
+	if err == io.EOF && c.hasBroken() {
+		err = errConnectionBroken
+	}
+	return n, err
+}
+
+// hasBroken reports whether the connection was broken although a read has returned its end. A socket reports a reset once: if a write
+// took it, the next read sees an orderly end, and a response without a length would look complete.
+func (c *trackedConn) hasBroken() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.writePending {
+		// A write that took the reset is returning. Another one may wait for the other end forever, and nobody needs it any more.
+		_ = c.SetWriteDeadline(time.Unix(1, 0))
+	}
+	for c.writePending {
+		c.changed.Wait()
+	}
+	return c.writeBroken
 }
 
 func (c *trackedConn) setFlag(state *bool, value bool) {
