traffic: a response without a length to an HTTP/1.0 caller ends with a reset unless it is whole

Cause: the end of the connection is that of such a response. A write that failed, because the caller read too late, closed the sending side in order, and so did the end of the server; a part of the response looked whole (MIXED, the hop to the caller). Only a handler that breaks off reset the connection.

Change: while such a response is being written, any close of the connection is a reset, also that by the system when the process ends. The default is set again once the whole response is written.

--- a/internal/traffic/pipeline_close.go
+++ b/internal/traffic/pipeline_close.go
@@ -20,7 +20,8 @@
 	}
 }
 
-// closeAfterLast closes the sending side after the last response, which may be incomplete: its caller can tell from its framing.
+// closeAfterLast closes the sending side after the last response, which may be incomplete: its caller can tell from its framing, and if it
+// has none, the connection was reset.
 func (c *pipelineConn) closeAfterLast() {
 	c.cancel()
 	if c.closeSending() {
@@ -70,10 +71,22 @@
 	}
 }
 
-// reset closes the connection with a reset, so that a body that ends with it does not look complete.
+// reset closes the connection without sending what its caller has not read.
 func (c *pipelineConn) reset() {
-	if tcp, ok := c.conn.(interface{ SetLinger(sec int) error }); ok {
-		_ = tcp.SetLinger(0) // fails only if the connection is closed
-	}
+	c.setResetOnClose(true)
 	_ = c.conn.Close()
 }
+
+// setResetOnClose makes any close of the connection, also that at the end of the process, a reset, so that a response whose end is that of
+// the connection does not look complete before it is.
+func (c *pipelineConn) setResetOnClose(reset bool) {
+	tcp, ok := c.conn.(interface{ SetLinger(sec int) error })
+	if !ok {
+		return
+	}
+	seconds := -1 // the default of the system
+	if reset {
+		seconds = 0
+	}
+	_ = tcp.SetLinger(seconds) // fails only if the connection is closed
+}
--- a/internal/traffic/pipelined_response.go
+++ b/internal/traffic/pipelined_response.go
@@ -280,10 +280,20 @@
 	if r.finished && r.length < 0 && !r.hasNoBody() {
 		r.length = int64(len(r.buffered))
 	}
-	closes := r.conn.decideClosing(r.mustClose())
+	closes, endsWithConnection := r.conn.decideClosing(r.mustClose()), r.endsWithConnection()
 	r.writeHead(w, closes)
 	r.mu.Unlock()
-	return r.writeBody(w) && w.Flush() == nil && !closes && !r.leavesBody()
+	if endsWithConnection {
+		r.conn.setResetOnClose(true)
+	}
+	complete := r.writeBody(w) && w.Flush() == nil
+	switch {
+	case endsWithConnection && complete:
+		r.conn.setResetOnClose(false)
+	case endsWithConnection:
+		_ = r.conn.conn.Close()
+	}
+	return complete && !closes && !r.leavesBody()
 }
 
 // limitWriting sets the write deadline of the connection for this response. The lock must be held.
--- a/internal/traffic/pipelined_write.go
+++ b/internal/traffic/pipelined_write.go
@@ -92,9 +92,6 @@
 	for {
 		part, finished, aborted := r.takeBody()
 		if aborted {
-			if r.endsWithConnection() {
-				r.conn.reset()
-			}
 			return false
 		}
 		if !r.hasNoBody() {
