catalog: departures that peers tell are stored before they are acknowledged

Cause: a daemon whose announcement was stored learned from a peer that another run had deregistered. A late report of that run, which says draining, was acknowledged at once, although the platform did not hold the departure. Change: the announcement is written again when a departure is learned, and the report waits for that. Measured: TestLeavingKnownFromPeersIsAcknowledgedOnlyOnceStored fails on the code before ("applied") and passes.

--- a/internal/command/catalog/acknowledgement_test.go
+++ b/internal/command/catalog/acknowledgement_test.go
@@ -151,6 +151,31 @@
 	is.Equal(n.answers[token].Code, model.OutcomeApplied)
 }
 
+// Guards against the acknowledgement of a late report by what only peers have told about the run.
+func TestLeavingKnownFromPeersIsAcknowledgedOnlyOnceStored(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(t, 4)
+	sim.startTargets("v1")
+	sim.refuseCalls(true)
+	sim.report(sim.nodes[2], reportOf("i3", 0, 0, model.TargetGone)) // has not reported yet
+	sim.run(ackBound)
+	for _, n := range sim.nodes {
+		n.peersUnreachable = true
+	}
+	n := sim.start("d02", nil)
+	sim.report(n, reportOf("i2", 1, 9, model.TargetReady))
+	sim.run(10 * time.Second)
+	is.Equal(n.view.Local.State, model.TargetReady)
+	n.platformUnreachable = true
+	for _, other := range sim.nodes {
+		other.peersUnreachable = false
+	}
+	sim.run(4 * time.Second)
+	token := sim.report(n, reportOf("i3", 5, 4, model.TargetDraining))
+	sim.run(ackBound)
+	is.Equal(n.answers[token].Code, model.OutcomeUnavailable)
+}
+
 // Guards against a daemon that acknowledges the leaving of a run before its calls have stopped.
 func TestCallsStopBeforeAnyAnswer(t *testing.T) {
 	is := is.New(t)
--- a/internal/command/catalog/departure.go
+++ b/internal/command/catalog/departure.go
@@ -84,13 +84,15 @@
 	return recorded
 }
 
-// mergeDepartures adds the departures that an earlier process of this daemon has recorded.
-func (l *localTarget) mergeDepartures(now time.Time, recorded []model.Departure) {
+// mergeDepartures adds the departures that an earlier process of this daemon has recorded, and reports whether one was not known.
+func (l *localTarget) mergeDepartures(now time.Time, recorded []model.Departure) (added bool) {
 	for _, d := range recorded {
 		if !slices.ContainsFunc(l.departures, func(o departure) bool { return o.Includes(d) }) {
 			l.addDeparture(now, d)
+			added = true
 		}
 	}
+	return added
 }
 
 // addedDepartures returns the departures that a record lacks.
--- a/internal/command/catalog/earlier_record.go
+++ b/internal/command/catalog/earlier_record.go
@@ -110,7 +110,9 @@
 // known, and proves to be late, is taken back.
 func (c *Core) handleEarlierRecord(now time.Time, earlier *model.TargetRecord) {
 	local := &c.local
-	local.mergeDepartures(now, earlier.Departures)
+	if local.mergeDepartures(now, earlier.Departures) {
+		local.storedSequence = 0 // the platform may not hold them
+	}
 	c.takeBackDeparted(now)
 	if isSuperseded(earlier, local.earlier) {
 		return
