catalog: the record of a target that is gone outlasts late reports

Cause: the record of a run that was acknowledged as gone is not renewed. If its key was removed, or its lease was about to end because renewals had failed, only the memory of its daemon kept what was acknowledged; after a kill of all daemons a late report put the run into service. Change: the record is written again if it vanishes within 15 s, half the lifetime of a lease, and a lease that ends sooner is replaced before it is written. Measured: 2 of 3 cases of TestRecordOfGoneRunOutlivesLateReports fail on the code before ("the key is removed", "the lease was to end"); all pass. TestRecordOfGoneTargetExpires still passes: later the record ends with its lease.

--- a/internal/command/catalog/acknowledgement_test.go
+++ b/internal/command/catalog/acknowledgement_test.go
@@ -10,8 +10,12 @@
 
 	"sniperail.example/sniperail/internal/effect"
 	"sniperail.example/sniperail/internal/model"
+	"sniperail.example/sniperail/internal/store"
 )
 
+// leaseLifetime is the lifetime of an announcement without renewal.
+const leaseLifetime = 30 * time.Second
+
 // killAll kills all daemons and starts them again. What the platform answers them stays as it is.
 func (sim *simulation) killAll() {
 	for _, n := range slices.Clone(sim.nodes) {
@@ -151,6 +155,48 @@
 	is.Equal(n.answers[token].Code, model.OutcomeApplied)
 }
 
+// Guards against the loss of the record of a run that was acknowledged as gone, soon after that: the platform removes the key, or the lease
+// of the announcement was about to end.
+func TestRecordOfGoneRunOutlivesLateReports(t *testing.T) {
+	const lateBy = 10 * time.Second
+	losses := map[string]struct {
+		// outage is the time without the platform before the run leaves; removed says that the platform removes the key afterwards.
+		outage  time.Duration
+		removed bool
+	}{
+		"the key is removed":        {0, true},
+		"the lease was to end":      {leaseLifetime - 10*time.Second, false},
+		"the lease ended meanwhile": {leaseLifetime + time.Second, false},
+	}
+	for name, loss := range losses {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			sim := newNamedSimulation(t, 4)
+			sim.startTargets("v1")
+			n := sim.nodes[2]
+			sim.refuseCalls(true)
+			sim.run(loss.outage)
+			gone := reportOf("i2", 1, 0, model.TargetGone)
+			sim.report(n, gone)
+			n.platformUnreachable = false
+			sim.run(2 * time.Second)
+			token := sim.report(n, gone)
+			is.Equal(n.answers[token].Code, model.OutcomeApplied)
+			if loss.removed {
+				sim.store.Expire(store.PrefixTargets + "d02")
+			}
+			sim.run(lateBy)
+			sim.killAll()
+			sim.run(time.Second)
+			sim.report(sim.nodes[2], reportOf("i2", 1, 9, model.TargetReady))
+			for range 50 {
+				sim.run(100 * time.Millisecond)
+				is.True(sim.nodes[2].view.Local.State != model.TargetReady)
+			}
+		})
+	}
+}
+
 // Guards against the acknowledgement of a late report by what only peers have told about the run.
 func TestLeavingKnownFromPeersIsAcknowledgedOnlyOnceStored(t *testing.T) {
 	is := is.New(t)
--- a/internal/command/catalog/announcement.go
+++ b/internal/command/catalog/announcement.go
@@ -209,7 +209,7 @@
 		return
 	}
 	switch {
-	case local.lease == 0 && (local.isAnnounceable() || local.hasUnstoredReport()):
+	case local.lease == 0 && (local.isAnnounceable() || local.hasUnstoredReport()), c.needsLongerLease():
 		c.grantLease()
 	case local.hasUnstoredReport():
 		c.writeTarget(now)
@@ -218,6 +218,17 @@
 	}
 }
 
+// goneRecordTTL is the least time for which the platform holds the record of a target that is gone. Its lease is not renewed, and delayed
+// reports of the run arrive within seconds.
+const goneRecordTTL = leaseTTL / 2
+
+// needsLongerLease reports whether the lease may end too soon for the record of a target that is gone, as after failed renewals.
+func (c *Core) needsLongerLease() bool {
+	local := &c.local
+	left := c.quotas.leaseUntil - c.uptime()
+	return local.hasUnstoredReport() && local.target.State == model.TargetGone && left < min(goneRecordTTL, c.quotas.leaseTTL/2)
+}
+
 func (c *Core) grantLease() {
 	local := &c.local
 	local.callPending = true
--- a/internal/command/catalog/earlier_record.go
+++ b/internal/command/catalog/earlier_record.go
@@ -163,7 +163,7 @@
 		}
 		c.handleEarlierRecord(now, stored)
 	}
-	if local.report != nil && (stored != nil || local.isAnnounceable()) {
+	if local.report != nil && (stored != nil || local.isAnnounceable() || now.Before(local.target.Since.Add(goneRecordTTL))) {
 		local.storedSequence = 0
 	}
 }
