catalog: clearer conditions for kept records and leases

Change: the conditions have names, and a lease without a known lifetime is kept. Measured: the tests of the package pass.

--- a/internal/command/catalog/acknowledgement.go
+++ b/internal/command/catalog/acknowledgement.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -107,10 +108,5 @@
 
 // isDeparted reports whether the run of a report has departed by a record.
 func isDeparted(r *model.TargetReport, record *model.TargetRecord) bool {
-	for _, d := range record.Departures {
-		if d.Covers(r) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(record.Departures, func(d model.Departure) bool { return d.Covers(r) })
 }
--- a/internal/command/catalog/announcement.go
+++ b/internal/command/catalog/announcement.go
@@ -225,8 +225,9 @@
 // needsLongerLease reports whether the lease may end too soon for the record of a target that is gone, as after failed renewals.
 func (c *Core) needsLongerLease() bool {
 	local := &c.local
+	least := min(goneRecordTTL, c.quotas.leaseTTL/2)
 	left := c.quotas.leaseUntil - c.uptime()
-	return local.hasUnstoredReport() && local.target.State == model.TargetGone && left < min(goneRecordTTL, c.quotas.leaseTTL/2)
+	return local.hasUnstoredReport() && local.target.State == model.TargetGone && least > 0 && left < least
 }
 
 func (c *Core) grantLease() {
--- a/internal/command/catalog/era.go
+++ b/internal/command/catalog/era.go
@@ -226,13 +226,11 @@
 		return
 	}
 	stored, err := c.cfg.Records.DecodeTarget(c.meshKeys.entries[key].Value)
-	switch {
-	case err != nil && record.HoldsLeaving():
-	case err == nil && isSuperseded(stored, record) && (record.HoldsLeaving() || !record.IsSameRun(&stored.Target)):
-	default:
-		return
+	isLost := err != nil || isSuperseded(stored, record)
+	hasReplaced := err == nil && !record.IsSameRun(&stored.Target)
+	if isLost && (record.HoldsLeaving() || hasReplaced) {
+		c.keepSharedRecord(sharedRecord{*record, now.Add(sharedRecordTTL)})
 	}
-	c.keepSharedRecord(sharedRecord{*record, now.Add(sharedRecordTTL)})
 }
 
 // learnOwnRecord learns what an earlier process of this daemon has recorded from a peer that has not noticed the restore of the store. This
