catalog: tests of reports that are taken back, and of peers during a restore

TestLeavingSurvivesARestoreAndTheDeathOfItsDaemon checked the other daemons only at its end. Change: the first is back, with both neighbours uninformed; the second checks the other daemons in each step.

--- a/internal/command/catalog/earlier_record_test.go
+++ b/internal/command/catalog/earlier_record_test.go
@@ -232,6 +232,48 @@
 	}
 }
 
+// Guards against a delayed report that was taken because neither the platform nor a neighbour could tell that the run is leaving, and stays
+// in force once another daemon has told it.
+func TestReportIsTakenBackOnceTheRecordIsKnown(t *testing.T) {
+	for _, c := range departureCases() {
+		if c.name == "another run has started" {
+			continue // the present run reports within seconds and takes the place of the earlier one
+		}
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			sim := newSimulation(t, 5)
+			sim.startTargets("v1")
+			neighbours := []*node{sim.nodes[1], sim.nodes[3]}
+			for _, n := range neighbours {
+				n.platformUnreachable, n.peersUnreachable = true, true
+			}
+			c.play(sim)
+			sim.run(time.Second)
+			sim.setPlatformOutage(true)
+			informed := []*node{sim.nodes[0], sim.nodes[4]}
+			for _, n := range informed {
+				n.peersUnreachable = true
+			}
+			for _, n := range neighbours {
+				n.peersUnreachable = false
+			}
+			n := sim.start("d02", []string{"d01:1"})
+			n.platformUnreachable = true
+			sim.report(n, c.late)
+			sim.run(6 * time.Second)
+			is.Equal(n.view.Local.State, model.TargetReady) // nobody could tell
+			for _, other := range informed {
+				other.peersUnreachable = false
+			}
+			sim.run(8 * time.Second)
+			is.True(n.view.Local.State != model.TargetReady || n.view.Local.Instance != c.late.Instance)
+			sim.setPlatformOutage(false)
+			sim.run(6 * time.Second)
+			is.True(!listsReady(sim.nodes[0], "d02", c.late.Instance))
+		})
+	}
+}
+
 // Guards against a run that deregisters before its first report arrives, and gets calls once that does. The daemon still knows the
 // run before it.
 func TestShutdownReportBeforeTheFirstReport(t *testing.T) {
--- a/internal/command/catalog/era_test.go
+++ b/internal/command/catalog/era_test.go
@@ -105,9 +105,9 @@
 				for range 500 {
 					sim.run(20 * time.Millisecond)
 					is.True(n.view == nil || n.view.Local.State != model.TargetReady || n.view.Local.Instance != "i2")
-				}
-				for _, other := range sim.nodes[:2] {
-					is.True(!listsReady(other, "d02", "i2"))
+					for _, other := range sim.nodes[:2] {
+						is.True(!listsReady(other, "d02", "i2"))
+					}
 				}
 			})
 		}
