--- a/internal/traffic/tracked_conn.go
+++ b/internal/traffic/tracked_conn.go
@@ -24,7 +24,8 @@
 	maxLingerBytes = 1 << 20
 )
 
-// trackedConn counts writes, so that it is known whether a byte of a failed exchange may have reached the other end.
+// trackedConn counts writes, so that it is known whether a byte of a failed exchange may have reached the other end, and tells the orderly
+// end of a connection from that of a broken one.
 type trackedConn struct {
 	net.Conn
 	limit   connectionLimit
