catalog: reports are applied without a result that nobody reads

Cause: since a leaving is acknowledged by what the platform holds, no caller asks whether a report has changed the local target. Six functions still passed that result on. Change: they return nothing; applyShutdownReport is one switch. Behaviour is the same. Measured: go test ./internal/command/catalog passes.

--- a/internal/command/catalog/announcement.go
+++ b/internal/command/catalog/announcement.go
@@ -125,27 +125,29 @@
 	return r.Instance == l.leaving && r.Born == l.leavingBorn
 }
 
-// applyReport updates the local target from a report, and reports whether it changed.
-func (c *Core) applyReport(now time.Time, r *model.TargetReport) bool {
+// applyReport updates the local target from a report.
+func (c *Core) applyReport(now time.Time, r *model.TargetReport) {
 	switch {
 	case r.State == model.TargetGone:
-		return c.applyShutdownReport(now, r)
+		c.applyShutdownReport(now, r)
+		return
 	case r.State == model.TargetReady && !c.knowsEarlierRecord():
 		c.holdReport(r)
-		return false
+		return
 	}
 	if d := c.local.departureOf(now, r); d != nil {
-		return c.applyDepartedReport(now, d, r)
+		c.applyDepartedReport(now, d, r)
+		return
 	}
 	if c.local.isLate(r) {
 		c.logLateReport(r)
-		return false
+		return
 	}
-	return c.acceptReport(now, r)
+	c.acceptReport(now, r)
 }
 
 // acceptReport updates the local target from a report that is not late.
-func (c *Core) acceptReport(now time.Time, r *model.TargetReport) bool {
+func (c *Core) acceptReport(now time.Time, r *model.TargetReport) {
 	local := &c.local
 	local.report = r
 	next := local.target
@@ -163,14 +165,14 @@
 	if shifted := warm.Sub(next.WarmAt).Abs() > warmTolerance; shifted && (r.WarmupLeft > 0 || next.WarmAt.After(now)) {
 		next.WarmAt = warm
 	}
-	return c.setLocalTarget(now, next)
+	c.setLocalTarget(now, next)
 }
 
-// setLocalTarget replaces the local target under the next sequence number, and reports whether it changed.
-func (c *Core) setLocalTarget(now time.Time, next model.Target) bool {
+// setLocalTarget replaces the local target under the next sequence number if it has changed.
+func (c *Core) setLocalTarget(now time.Time, next model.Target) {
 	local := &c.local
 	if next == local.target {
-		return false
+		return
 	}
 	if next.State != local.target.State || next.Instance != local.target.Instance || next.Born != local.target.Born {
 		next.Since = now
@@ -183,7 +185,6 @@
 	c.recordOwnState(now, before, next.State)
 	local.scheduleRecordShare(now)
 	c.dirty = true
-	return true
 }
 
 // handleStopping announces that the target takes no new calls because its daemon shuts down.
--- a/internal/command/catalog/departure.go
+++ b/internal/command/catalog/departure.go
@@ -111,13 +111,12 @@
 	return l.storedSequence < l.departureSequence && len(l.recordedDepartures(now)) > 0
 }
 
-// applyDepartedReport refuses a report of a run that has departed, or takes the run back into service if it keeps on reporting. It
-// reports whether the local target changed.
-func (c *Core) applyDepartedReport(now time.Time, d *departure, r *model.TargetReport) bool {
+// applyDepartedReport refuses a report of a run that has departed, or takes the run back into service if it keeps on reporting.
+func (c *Core) applyDepartedReport(now time.Time, d *departure, r *model.TargetReport) {
 	if !d.isRefutedBy(now, r) {
 		d.refuse(now, r)
 		c.logLateReport(r)
-		return false
+		return
 	}
 	local := &c.local
 	c.log("departure-refuted", "instance", string(r.Instance), "seq", strconv.FormatUint(r.Seq, 10),
@@ -126,7 +125,7 @@
 	if local.earlier != nil && local.earlier.Instance == r.Instance {
 		local.earlier = nil
 	}
-	return c.acceptReport(now, r)
+	c.acceptReport(now, r)
 }
 
 // takeBackDeparted takes the target out of service if its run has departed by what an earlier process has recorded.
@@ -139,55 +138,57 @@
 	c.setGone(now, r)
 }
 
-// applyShutdownReport marks the run that reports its shutdown as gone, and reports whether that changed the record of the target.
-func (c *Core) applyShutdownReport(now time.Time, r *model.TargetReport) bool {
-	if r.Born == 0 {
-		return c.applyUndatedShutdown(now, r)
-	}
+// applyShutdownReport marks the run that reports its shutdown as gone.
+func (c *Core) applyShutdownReport(now time.Time, r *model.TargetReport) {
 	last := c.local.lastReport()
-	if last != nil && r.Instance == last.Instance && r.Born == last.Born {
-		return last.State != model.TargetGone && c.setGone(now, last)
-	}
-	if last != nil && r.Born <= last.Born {
+	switch {
+	case r.Born == 0:
+		c.applyUndatedShutdown(now, r)
+	case last != nil && r.Instance == last.Instance && r.Born == last.Born:
+		if last.State != model.TargetGone {
+			c.setGone(now, last)
+		}
+	case last != nil && r.Born <= last.Born:
 		c.logLateReport(r) // of an earlier run
-		return false
+	default:
+		c.setGone(now, r)
 	}
-	return c.setGone(now, r)
 }
 
 // applyUndatedShutdown processes a deregistration without a start time. Only its name says which run has sent it: the latest one that
 // has reported, one whose reports have not arrived yet, or an earlier one. So it ends the latest run only if the name is the same,
 // and any other run by a departure.
-func (c *Core) applyUndatedShutdown(now time.Time, r *model.TargetReport) bool {
+func (c *Core) applyUndatedShutdown(now time.Time, r *model.TargetReport) {
 	local := &c.local
 	local.addDeparture(now, model.Departure{Instance: r.Instance, BornBy: now.UnixMilli()})
 	local.departureSequence = local.target.Sequence + 1
 	last := local.lastReport()
 	switch {
 	case last != nil && r.Instance == last.Instance && (last.State != model.TargetGone || local.report == nil):
-		return c.setGone(now, last)
+		c.setGone(now, last)
+		return
 	case local.report == nil:
 		// The record must name a run. This one gets the lowest start time that is possible, so that no report of another is late.
 		unreported := *r
 		if last != nil {
 			unreported.Born = last.Born
 		}
-		return c.setGone(now, &unreported)
+		c.setGone(now, &unreported)
+		return
 	}
 	c.log("unknown-run-departed", "instance", string(r.Instance), "present", string(local.target.Instance),
 		"present_state", string(local.target.State))
 	local.target.Sequence++
 	local.scheduleRecordShare(now)
 	c.dirty = true
-	return true
 }
 
-// setGone marks the run of a report as gone, and reports whether that changed the local target.
-func (c *Core) setGone(now time.Time, r *model.TargetReport) bool {
+// setGone marks the run of a report as gone.
+func (c *Core) setGone(now time.Time, r *model.TargetReport) {
 	gone := *r
 	gone.State = model.TargetGone
 	c.local.report = &gone
 	next := c.local.target
 	next.Instance, next.Born, next.State, next.DaemonEnds = gone.Instance, gone.Born, model.TargetGone, false
-	return c.setLocalTarget(now, next)
+	c.setLocalTarget(now, next)
 }
