traffic: one way to reset a connection

Cause: pipelineConn had a reset of its own beside that of the listeners, and setResetOnClose repeated its body. Change: reset and setResetOnClose are functions on a connection, in socket.go; both callers use them. Behaviour is the same. Measured: go test ./internal/traffic passes.

--- a/internal/traffic/caller_listener.go
+++ b/internal/traffic/caller_listener.go
@@ -170,14 +170,6 @@
 // Received marks that a message is complete.
 func (c *GuardedConn) Received() { c.caller.setIdle() }
 
-// reset closes a connection without sending what its caller has not read.
-func reset(conn net.Conn) {
-	if tcp, ok := conn.(interface{ SetLinger(sec int) error }); ok {
-		_ = tcp.SetLinger(0) // fails only if the connection is closed
-	}
-	_ = conn.Close()
-}
-
 // callerHandler charges the bodies of requests to the budget before another handler reads them.
 type callerHandler struct{ next http.Handler }
 
--- a/internal/traffic/pipeline_close.go
+++ b/internal/traffic/pipeline_close.go
@@ -70,23 +70,3 @@
 		c.server.lingering.end()
 	}
 }
-
-// reset closes the connection without sending what its caller has not read.
-func (c *pipelineConn) reset() {
-	c.setResetOnClose(true)
-	_ = c.conn.Close()
-}
-
-// setResetOnClose makes any close of the connection, also that at the end of the process, a reset, so that a response whose end is that of
-// the connection does not look complete before it is.
-func (c *pipelineConn) setResetOnClose(reset bool) {
-	tcp, ok := c.conn.(interface{ SetLinger(sec int) error })
-	if !ok {
-		return
-	}
-	seconds := -1 // the default of the system
-	if reset {
-		seconds = 0
-	}
-	_ = tcp.SetLinger(seconds) // fails only if the connection is closed
-}
--- a/internal/traffic/pipeline_server.go
+++ b/internal/traffic/pipeline_server.go
@@ -100,7 +100,7 @@
 		}
 		c := &pipelineConn{server: s, conn: conn, progress: make(chan struct{}, 1)}
 		var admitted bool
-		if c.caller, admitted = s.options.Callers.open(conn.RemoteAddr(), "ingress", c.reset); !admitted {
+		if c.caller, admitted = s.options.Callers.open(conn.RemoteAddr(), "ingress", func() { reset(conn) }); !admitted {
 			_ = conn.Close()
 			continue
 		}
--- a/internal/traffic/pipelined_response.go
+++ b/internal/traffic/pipelined_response.go
@@ -284,12 +284,12 @@
 	r.writeHead(w, closes)
 	r.mu.Unlock()
 	if endsWithConnection {
-		r.conn.setResetOnClose(true)
+		setResetOnClose(r.conn.conn, true)
 	}
 	complete := r.writeBody(w) && w.Flush() == nil
 	switch {
 	case endsWithConnection && complete:
-		r.conn.setResetOnClose(false)
+		setResetOnClose(r.conn.conn, false)
 	case endsWithConnection:
 		_ = r.conn.conn.Close()
 	}
--- a/internal/traffic/socket.go
+++ b/internal/traffic/socket.go
@@ -1,6 +1,7 @@
 package traffic
 
 import (
+	"net"
 	"syscall"
 
 	"golang.org/x/sys/unix"
@@ -33,3 +34,26 @@
 	raw, err := conn.SyscallConn()
 	return err == nil && raw.Control(func(fd uintptr) { f(int(fd)) }) == nil
 }
+
+// systemLinger leaves it to the system how a socket with unsent bytes is closed.
+const systemLinger = -1
+
+// reset closes a connection without sending what the other end has not read.
+func reset(conn net.Conn) {
+	setResetOnClose(conn, true)
+	_ = conn.Close()
+}
+
+// setResetOnClose makes any close of a connection, also that at the end of the process, a reset, or an orderly end again. A response whose
+// end is that of the connection does not look complete then before it is.
+func setResetOnClose(conn net.Conn, on bool) {
+	tcp, ok := conn.(interface{ SetLinger(sec int) error })
+	if !ok {
+		return
+	}
+	seconds := systemLinger
+	if on {
+		seconds = 0
+	}
+	_ = tcp.SetLinger(seconds) // fails only if the connection is closed
+}
